feat: frame of the library: ids, resources, findings, profiles, wire messages, records, plug-ins

Cause: nothing stands yet; every later part needs shared types for what crosses a process. Conclusion: the parts can now be built side by side against these types.

--- /dev/null
+++ b/src/bin/bamboolock.rs
@@ -0,0 +1,3 @@
+//! The command line of operators and callers.
+
+fn main() {}
--- /dev/null
+++ b/src/configs/mod.rs
@@ -0,0 +1,7 @@
+//! Settings of programs and plug-ins, with their documented defaults.
+
+pub mod lease;
+pub mod log;
+pub mod membership;
+pub mod requests;
+pub mod runs;
--- /dev/null
+++ b/src/ledger/mod.rs
@@ -0,0 +1,7 @@
+//! The decision state that every instance replays from the platform's log.
+//!
+//! The log's order is the only authority for profiles, jobs and idempotency keys. [`record`] holds
+//! what is written, [`effect`] what it did.
+
+pub mod effect;
+pub mod record;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,16 @@
+//! A cluster scheduler for unlike workloads that answers for outcomes.
+//!
+//! The programs under `src/bin` are thin shells over this library. Decisions are pure functions
+//! over a state and a clock in [`kernel`] and [`ledger`]; everything else moves bytes.
+
+pub mod configs;
+pub mod context;
+pub mod findings;
+pub mod ids;
+pub mod kernel;
+pub mod ledger;
+pub mod modules;
+pub mod profile;
+pub mod resources;
+pub mod settings;
+pub mod wire;
--- /dev/null
+++ b/src/modules/best_fit.rs
@@ -0,0 +1,34 @@
+//! Places a task on the worker that it leaves with the least room.
+
+use crate::{
+    context,
+    modules::{
+        Plugin,
+        Point, //
+    }, //
+};
+
+inventory::submit! {
+    Plugin {
+        name: "best_fit",
+        summary: "the worker that is left with the least room",
+        point: Point::Pack(decide),
+    }
+}
+
+/// Takes the node whose free share after placement is smallest.
+fn decide(ctx: &context::Pack<'_>) -> Option<usize> {
+    (0..ctx.nodes.len()).min_by_key(|i| left(&ctx.nodes[*i], ctx))
+}
+
+/// The room left after placement: the sum over dimensions, in thousandths of the capacity.
+fn left(node: &context::Node, ctx: &context::Pack<'_>) -> u64 {
+    let Some(room) = node.free.minus(&ctx.demand) else {
+        return u64::MAX;
+    };
+    let shares = room.parts().into_iter().zip(node.capacity.parts());
+    shares
+        .filter(|(_, all)| *all > 0)
+        .map(|(free, all)| u64::from(free) * 1_000 / u64::from(all))
+        .sum()
+}
--- /dev/null
+++ b/src/modules/fifo.rs
@@ -0,0 +1,22 @@
+//! Orders waiting work by arrival. A baseline.
+
+use crate::{
+    context,
+    modules::{
+        Plugin,
+        Point, //
+    }, //
+};
+
+inventory::submit! {
+    Plugin {
+        name: "fifo",
+        summary: "first come, first served (baseline)",
+        point: Point::Order(decide),
+    }
+}
+
+/// Sorts by arrival alone.
+fn decide(ctx: &context::Order) -> u64 {
+    ctx.arrived.0
+}
--- /dev/null
+++ b/src/modules/least_loaded.rs
@@ -0,0 +1,26 @@
+//! Routes a request to the nearest worker with the fewest requests in progress.
+
+use crate::{
+    context,
+    modules::{
+        Plugin,
+        Point, //
+    }, //
+};
+
+inventory::submit! {
+    Plugin {
+        name: "least_loaded",
+        summary: "the nearest worker with the fewest requests in progress",
+        point: Point::Route(decide),
+    }
+}
+
+/// Takes the smallest of distance, active requests and latency.
+fn decide(ctx: &context::Route<'_>) -> Option<usize> {
+    let load = |i: &usize| {
+        let target = &ctx.targets[*i];
+        (target.distance, target.active, target.latency)
+    };
+    (0..ctx.targets.len()).min_by_key(load)
+}
--- /dev/null
+++ b/src/modules/round_robin.rs
@@ -0,0 +1,24 @@
+//! Routes requests to the workers in turn. A baseline.
+
+use crate::{
+    context,
+    modules::{
+        Plugin,
+        Point, //
+    }, //
+};
+
+inventory::submit! {
+    Plugin {
+        name: "round_robin",
+        summary: "the next worker in turn (baseline)",
+        point: Point::Route(decide),
+    }
+}
+
+/// Takes the turn modulo the number of targets.
+fn decide(ctx: &context::Route<'_>) -> Option<usize> {
+    let count = ctx.targets.len() as u64;
+    let at = ctx.turn.checked_rem(count)?;
+    usize::try_from(at).ok()
+}
--- /dev/null
+++ b/src/resources.rs
@@ -0,0 +1,99 @@
+//! What a worker offers and what work asks for.
+
+use schemars::JsonSchema;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// An amount of each resource of a worker. Used for capacity, demand and what is free.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Resources {
+    /// Processors, in thousandths of a core.
+    pub millicores: u32,
+    /// Memory, in MiB.
+    pub memory: u32,
+    /// Accelerators, whole devices.
+    pub accelerators: u32,
+    /// Execution slots: each task and each request in progress takes one or more.
+    pub slots: u32,
+    /// Connections that carry requests.
+    pub connections: u32,
+}
+
+/// Names of the dimensions, in the order of [`Resources::parts`].
+pub const NAMES: [&str; 5] = [
+    "millicores",
+    "memory",
+    "accelerators",
+    "slots",
+    "connections",
+];
+
+impl Resources {
+    /// The amounts in the order of [`NAMES`].
+    #[must_use]
+    pub fn parts(&self) -> [u32; 5] {
+        [
+            self.millicores,
+            self.memory,
+            self.accelerators,
+            self.slots,
+            self.connections,
+        ]
+    }
+
+    /// The amounts from an array in the order of [`NAMES`].
+    #[must_use]
+    pub fn from_parts(parts: [u32; 5]) -> Self {
+        let [millicores, memory, accelerators, slots, connections] = parts;
+        Self {
+            millicores,
+            memory,
+            accelerators,
+            slots,
+            connections,
+        }
+    }
+
+    /// Whether this demand fits into `room` in every dimension.
+    #[must_use]
+    pub fn fits(&self, room: &Self) -> bool {
+        let room = room.parts();
+        self.parts()
+            .iter()
+            .zip(room)
+            .all(|(need, have)| *need <= have)
+    }
+
+    /// What is left after taking `demand`, or `None` when it does not fit.
+    #[must_use]
+    pub fn minus(&self, demand: &Self) -> Option<Self> {
+        let mut left = self.parts();
+        for (have, need) in left.iter_mut().zip(demand.parts()) {
+            *have = have.checked_sub(need)?;
+        }
+        Some(Self::from_parts(left))
+    }
+
+    /// The sum, each dimension at most its largest value.
+    #[must_use]
+    pub fn plus(&self, other: &Self) -> Self {
+        let mut sum = self.parts();
+        for (a, b) in sum.iter_mut().zip(other.parts()) {
+            *a = a.saturating_add(b);
+        }
+        Self::from_parts(sum)
+    }
+
+    /// The names of the dimensions in which this demand exceeds `room`.
+    #[must_use]
+    pub fn excess(&self, room: &Self) -> Vec<&'static str> {
+        let pairs = self.parts().into_iter().zip(room.parts()).zip(NAMES);
+        pairs
+            .filter(|((need, have), _)| need > have)
+            .map(|(_, name)| name)
+            .collect()
+    }
+}
--- /dev/null
+++ b/tests/findings.rs
@@ -0,0 +1,45 @@
+//! Contract of checked input: every fault at once, with its place.
+
+use assert_matches::assert_matches;
+use bamboolock::{
+    findings,
+    profile, //
+};
+
+#[test]
+fn all_schema_faults_are_reported_together() {
+    let text = r#"{"kind": "requests", "team": "", "priority": 11, "colour": 1}"#;
+    let found = findings::read::<profile::Profile>("p.json", text).unwrap_err();
+    let places: Vec<_> = found.list.iter().map(|f| f.place.as_str()).collect();
+    for place in ["/kind", "/priority", "/"] {
+        assert!(places.contains(&place), "{place} is missing in {places:?}");
+    }
+}
+
+#[test]
+fn all_rule_faults_are_reported_together() {
+    let text = r#"{"kind": "request", "team": "gates", "hedge": {"budget": 0.1},
+        "objective": {"wait": 20, "deadline": 10}, "policies": {"route": "nearest"}}"#;
+    let found = findings::read::<profile::Profile>("p.json", text).unwrap_err();
+    let places: Vec<_> = found.list.iter().map(|f| f.place.as_str()).collect();
+    assert_eq!(
+        places,
+        ["/objective/wait", "/hedge/budget", "/policies/route"]
+    );
+}
+
+#[test]
+fn a_syntax_fault_names_line_and_column() {
+    let found = findings::read::<profile::Profile>("p.json", "{\n  \"kind\" 1}").unwrap_err();
+    assert_eq!(found.list.len(), 1);
+    assert!(found.list[0].place.starts_with("line 2 column"));
+}
+
+#[test]
+fn a_minimal_profile_gets_the_defaults() {
+    let text = r#"{"kind": "run", "team": "gates"}"#;
+    assert_matches!(
+        findings::read::<profile::Profile>("p.json", text),
+        Ok(p) if p.demand.slots == 1 && p.attempts == 5
+    );
+}
