--- /dev/null
+++ b/src/kernel/members.rs
@@ -0,0 +1,422 @@
+//! Membership of entry instances, from heartbeats and from the platform's lagging list.
+//!
+//! Heartbeats alone say who is alive; the list only adds addresses and shortens the wait for an
+//! instance that the platform ended. Everything goes on without the list. All times are on the
+//! local monotonic clock.
+
+use compact_str::CompactString;
+use xxhash_rust::xxh3;
+
+use crate::{
+    configs::membership,
+    ids::{
+        Incarnation,
+        InstanceId,
+        Millis,
+        RegionId,
+        ZoneId, //
+    },
+    wire::{
+        list,
+        peer::Heartbeat, //
+    }, //
+};
+
+/// Instances of each other availability zone that get heartbeats.
+const REMOTE_FANOUT: usize = 2;
+
+/// Who this process is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Me {
+    /// The instance.
+    pub id: InstanceId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Its region.
+    pub region: RegionId,
+}
+
+/// How a peer stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Listed, never heard.
+    Unknown,
+    /// Heard lately.
+    Alive,
+    /// Silent for a while: it gets no forwarded requests.
+    Suspect,
+    /// Silent for so long that its workers are asked for.
+    Dead,
+}
+
+/// One other entry instance.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    /// Who.
+    pub id: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Its region.
+    pub region: RegionId,
+    /// `IP:port` for callers.
+    pub address: CompactString,
+    /// `IP:port` for peers.
+    pub peer: CompactString,
+    /// Whether it said that it is shutting down.
+    pub leaving: bool,
+    /// Slots that it last reported as free on the workers it holds.
+    pub free: u32,
+    life: Option<Life>,
+    listed: list::State,
+    sent: Option<Millis>,
+}
+
+/// The present life of a peer, as heard.
+#[derive(Debug, Clone, Copy)]
+struct Life {
+    incarnation: Incarnation,
+    since: Millis,
+    heard: Millis,
+}
+
+/// Where a heartbeat goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Target {
+    /// Who.
+    pub id: InstanceId,
+    /// `IP:port` for peers.
+    pub peer: CompactString,
+}
+
+/// The membership as one instance sees it.
+#[derive(Debug, Clone)]
+pub struct Members {
+    cfg: membership::Membership,
+    me: Me,
+    start: Option<Millis>,
+    leaving: bool,
+    peers: Vec<Peer>,
+    regions: Vec<(ZoneId, RegionId)>,
+}
+
+impl Members {
+    /// A membership that knows this instance alone.
+    #[must_use]
+    pub fn new(cfg: membership::Membership, me: Me) -> Self {
+        let regions = vec![(me.zone.clone(), me.region.clone())];
+        Self {
+            cfg,
+            me,
+            start: None,
+            leaving: false,
+            peers: Vec::new(),
+            regions,
+        }
+    }
+
+    /// This instance.
+    #[must_use]
+    pub fn me(&self) -> &Me {
+        &self.me
+    }
+
+    /// Marks this instance as shutting down: it is preferred for nothing from now on.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Whether this instance is shutting down.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Takes in the platform's list.
+    pub fn listed(&mut self, now: Millis, listing: &list::Listing) {
+        self.start.get_or_insert(now);
+        for instance in &listing.instances {
+            self.learn_region(&instance.zone, &instance.region);
+            if instance.role != list::Role::Entry {
+                continue;
+            }
+            let Ok(id) = InstanceId::try_from(instance.id.clone()) else {
+                continue;
+            };
+            self.learn_listed(id, instance);
+        }
+        self.forget(now, listing);
+    }
+
+    /// Takes in a heartbeat, or a peer's answer to one. One of an earlier life is dropped.
+    pub fn heard(&mut self, now: Millis, beat: &Heartbeat) {
+        self.start.get_or_insert(now);
+        if beat.id == self.me.id {
+            return;
+        }
+        self.learn_region(&beat.zone, &beat.region);
+        let at = self.slot(&beat.id, || from_heartbeat(beat));
+        let local = self.peers[at].zone == self.me.zone;
+        let dead = self.span(self.cfg.dead, local);
+        let peer = &mut self.peers[at];
+        let life = match peer.life {
+            Some(old) if old.incarnation > beat.incarnation => return,
+            Some(old) if old.incarnation == beat.incarnation && now.since(old.heard) < dead => {
+                Life { heard: now, ..old }
+            }
+            _ => Life {
+                incarnation: beat.incarnation,
+                since: now,
+                heard: now,
+            },
+        };
+        peer.life = Some(life);
+        peer.zone = beat.zone.clone();
+        peer.region = beat.region.clone();
+        peer.address = beat.address.clone();
+        peer.peer = beat.peer.clone();
+        peer.leaving = beat.leaving;
+        peer.free = beat.free;
+    }
+
+    /// How a peer stands.
+    #[must_use]
+    pub fn standing(&self, now: Millis, peer: &Peer) -> Standing {
+        let Some(life) = peer.life else {
+            return Standing::Unknown;
+        };
+        let local = peer.zone == self.me.zone;
+        let silent = now.since(life.heard);
+        if silent < self.span(self.cfg.suspect, local) {
+            return Standing::Alive;
+        }
+        let ended = peer.listed == list::State::Gone;
+        if ended || silent >= self.span(self.cfg.dead, local) {
+            return Standing::Dead;
+        }
+        Standing::Suspect
+    }
+
+    /// The peers of an availability zone that are alive, without this instance.
+    pub fn alive<'a>(&'a self, now: Millis, zone: &'a ZoneId) -> impl Iterator<Item = &'a Peer> {
+        let peers = self.peers.iter().filter(move |p| p.zone == *zone);
+        peers.filter(move |p| self.standing(now, p) == Standing::Alive)
+    }
+
+    /// All peers, sorted by id.
+    #[must_use]
+    pub fn peers(&self) -> &[Peer] {
+        &self.peers
+    }
+
+    /// The region of an availability zone, if it is known.
+    #[must_use]
+    pub fn region(&self, zone: &ZoneId) -> Option<&RegionId> {
+        let at = self.regions.binary_search_by(|r| r.0.cmp(zone)).ok()?;
+        self.regions.get(at).map(|r| &r.1)
+    }
+
+    /// Whether this instance is the one that should look after `key` in its own availability zone.
+    #[must_use]
+    pub fn preferred(&self, now: Millis, key: &str, zone: &ZoneId) -> bool {
+        self.rank(now, key, zone) == Some(0)
+    }
+
+    /// This instance's place in the order of those that should look after `key`, from zero; `None`
+    /// when it is not in the availability zone or is leaving.
+    ///
+    /// Rendezvous hashing over the settled members that are not dead and not leaving; over all
+    /// such members when none has settled.
+    #[must_use]
+    pub fn rank(&self, now: Millis, key: &str, zone: &ZoneId) -> Option<usize> {
+        if self.leaving || *zone != self.me.zone {
+            return None;
+        }
+        let settled = self.settled(now);
+        let mine = weight(key, &self.me.id);
+        let ahead = |p: &&Peer| (weight(key, &p.id), &p.id) > (mine, &self.me.id);
+        let rivals = self.rivals(now, settled);
+        Some(rivals.filter(ahead).count())
+    }
+
+    /// The size of the group that [`Members::rank`] orders, with this instance.
+    #[must_use]
+    pub fn group(&self, now: Millis) -> usize {
+        self.rivals(now, self.settled(now)).count() + 1
+    }
+
+    /// Whether this instance looks after a key that belongs to no availability zone.
+    #[must_use]
+    pub fn responsible(&self, now: Millis, key: &str) -> bool {
+        let mine = weight(key, &self.me.id);
+        let alive = self
+            .peers
+            .iter()
+            .filter(|p| self.standing(now, p) == Standing::Alive && !p.leaving);
+        !self.leaving && alive.into_iter().all(|p| weight(key, &p.id) <= mine)
+    }
+
+    /// The heartbeats that are due: often to peers of the availability zone, rarely and to few of
+    /// each other one. Counts them as sent.
+    pub fn due(&mut self, now: Millis) -> Vec<Target> {
+        self.start.get_or_insert(now);
+        let every = millis(self.cfg.heartbeat);
+        let rare = every.saturating_mul(u64::from(self.cfg.remote));
+        let chosen = self.correspondents();
+        let mut targets = Vec::new();
+        for at in chosen {
+            let peer = &mut self.peers[at];
+            let span = if peer.zone == self.me.zone {
+                every
+            } else {
+                rare
+            };
+            if peer.sent.is_some_and(|sent| now.since(sent) < span) {
+                continue;
+            }
+            peer.sent = Some(now);
+            targets.push(Target {
+                id: peer.id.clone(),
+                peer: peer.peer.clone(),
+            });
+        }
+        targets
+    }
+
+    /// The positions of the peers that get heartbeats.
+    fn correspondents(&self) -> Vec<usize> {
+        let mut chosen = Vec::new();
+        let mut remote = Vec::new();
+        for (at, peer) in self.peers.iter().enumerate() {
+            if peer.listed == list::State::Gone {
+                continue;
+            }
+            if peer.zone == self.me.zone {
+                chosen.push(at);
+                continue;
+            }
+            let weight = weight(self.me.id.as_str(), &peer.id);
+            remote.push((&peer.zone, weight, at));
+        }
+        remote.sort_unstable();
+        for zone in remote.chunk_by(|a, b| a.0 == b.0) {
+            chosen.extend(zone.iter().take(REMOTE_FANOUT).map(|r| r.2));
+        }
+        chosen
+    }
+
+    /// The other candidates of this availability zone.
+    fn rivals(&self, now: Millis, settled: bool) -> impl Iterator<Item = &Peer> {
+        let settle = millis(self.cfg.settle);
+        self.peers.iter().filter(move |p| {
+            let Some(life) = p.life else {
+                return false;
+            };
+            p.zone == self.me.zone
+                && !p.leaving
+                && self.standing(now, p) != Standing::Dead
+                && (!settled || now.since(life.since) >= settle)
+        })
+    }
+
+    /// Whether this instance has settled. One that has not prefers none but the settled.
+    fn settled(&self, now: Millis) -> bool {
+        let settle = millis(self.cfg.settle);
+        let own = self.start.is_some_and(|start| now.since(start) >= settle);
+        own || self.rivals(now, true).next().is_some()
+    }
+
+    fn learn_listed(&mut self, id: InstanceId, instance: &list::Instance) {
+        if id == self.me.id {
+            return;
+        }
+        let at = self.slot(&id, || from_list(id.clone(), instance));
+        let peer = &mut self.peers[at];
+        peer.listed = instance.state;
+        if peer.life.is_none() {
+            peer.address = instance.address.clone();
+            peer.peer = instance.peer.clone();
+        }
+    }
+
+    /// Drops dead peers that the list does not name.
+    fn forget(&mut self, now: Millis, listing: &list::Listing) {
+        let named = |id: &InstanceId| {
+            let found = listing
+                .instances
+                .binary_search_by(|i| i.id.as_str().cmp(id.as_str()));
+            found.is_ok()
+        };
+        let gone: Vec<_> = self
+            .peers
+            .iter()
+            .filter(|p| !named(&p.id))
+            .filter(|p| matches!(self.standing(now, p), Standing::Dead | Standing::Unknown))
+            .map(|p| p.id.clone())
+            .collect();
+        self.peers.retain(|p| gone.binary_search(&p.id).is_err());
+    }
+
+    fn learn_region(&mut self, zone: &ZoneId, region: &RegionId) {
+        if let Err(at) = self.regions.binary_search_by(|r| r.0.cmp(zone)) {
+            self.regions.insert(at, (zone.clone(), region.clone()));
+        }
+    }
+
+    fn slot(&mut self, id: &InstanceId, new: impl FnOnce() -> Peer) -> usize {
+        match self.peers.binary_search_by(|p| p.id.cmp(id)) {
+            Ok(at) => at,
+            Err(at) => {
+                self.peers.insert(at, new());
+                at
+            }
+        }
+    }
+
+    /// A span of silence, longer for peers that get rare heartbeats.
+    fn span(&self, base: std::time::Duration, local: bool) -> u64 {
+        let factor = if local { 1 } else { self.cfg.remote };
+        millis(base).saturating_mul(u64::from(factor))
+    }
+}
+
+/// The weight of a member for a key: the highest one should look after it.
+fn weight(key: &str, member: &InstanceId) -> u64 {
+    let seed = xxh3::xxh3_64(member.as_str().as_bytes());
+    xxh3::xxh3_64_with_seed(key.as_bytes(), seed)
+}
+
+fn millis(span: std::time::Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn from_list(id: InstanceId, instance: &list::Instance) -> Peer {
+    Peer {
+        id,
+        zone: instance.zone.clone(),
+        region: instance.region.clone(),
+        address: instance.address.clone(),
+        peer: instance.peer.clone(),
+        leaving: false,
+        free: 0,
+        life: None,
+        listed: instance.state,
+        sent: None,
+    }
+}
+
+fn from_heartbeat(beat: &Heartbeat) -> Peer {
+    Peer {
+        id: beat.id.clone(),
+        zone: beat.zone.clone(),
+        region: beat.region.clone(),
+        address: beat.address.clone(),
+        peer: beat.peer.clone(),
+        leaving: beat.leaving,
+        free: beat.free,
+        life: None,
+        listed: list::State::Live,
+        sent: None,
+    }
+}
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -1,6 +1,10 @@
 //! Decisions as pure functions over a state and a clock. No I/O, no clock reads, no randomness that
 //! is not passed in.
 
+pub mod members;
+pub mod runs;
+pub mod workers;
+
 use crate::{
     ids::Millis,
     resources::Resources, //
--- /dev/null
+++ b/src/kernel/runs/lost.rs
@@ -0,0 +1,104 @@
+//! Attempts on workers that the platform ended or restarted.
+
+use compact_str::CompactString;
+
+use crate::{
+    ids::{
+        Boot,
+        Millis,
+        WorkerId, //
+    },
+    kernel::{
+        members::Members,
+        runs::{
+            Command,
+            Runs, //
+        }, //
+    },
+    ledger::{
+        jobs::{
+            Jobs,
+            job, //
+        },
+        record, //
+    },
+    wire::{
+        list,
+        worker::TaskId, //
+    }, //
+};
+
+impl Runs {
+    /// Takes in the platform's list: what was claimed on a life of a worker that is over has ended.
+    pub fn listed(
+        &mut self,
+        now: Millis,
+        listing: &list::Listing,
+        jobs: &Jobs,
+        members: &Members,
+    ) -> Vec<Command> {
+        let mut finishes = Vec::new();
+        for instance in &listing.instances {
+            if instance.role != list::Role::Worker {
+                continue;
+            }
+            let Ok(id) = WorkerId::try_from(instance.id.clone()) else {
+                continue;
+            };
+            if jobs.claimed(&id).is_empty() || !members.responsible(now, id.as_str()) {
+                continue;
+            }
+            let gone = instance.state == list::State::Gone;
+            finishes.extend(self.ended_lives(now, &id, (instance.boot, gone), jobs));
+        }
+        super::reports::end(finishes)
+    }
+
+    fn ended_lives(
+        &mut self,
+        now: Millis,
+        worker: &WorkerId,
+        (boot, gone): (Boot, bool),
+        jobs: &Jobs,
+    ) -> Vec<record::Finish> {
+        let over = |place: &job::Place| place.boot < boot || (gone && place.boot == boot);
+        let mut finishes = Vec::new();
+        for (run, index) in jobs.claimed(worker) {
+            let Some((id, place)) = claimed(jobs, run, *index) else {
+                continue;
+            };
+            if over(place) && self.ends.propose(now, &id) {
+                finishes.push(lost(id));
+            }
+        }
+        finishes
+    }
+}
+
+/// The attempt of a task that is claimed now, and where.
+pub(super) fn claimed<'a>(
+    jobs: &'a Jobs,
+    run: &crate::ids::RunId,
+    index: u32,
+) -> Option<(TaskId, &'a job::Place)> {
+    let job = jobs.get(run)?;
+    let attempt = job.tasks.get(index as usize)?.attempt;
+    let place = job.place(index, attempt)?;
+    let run = run.clone();
+    let id = TaskId {
+        run,
+        index,
+        attempt,
+    };
+    Some((id, place))
+}
+
+/// The end of an attempt whose worker's life is over.
+pub(super) fn lost(id: TaskId) -> record::Finish {
+    record::Finish {
+        id,
+        end: record::End::Lost,
+        checkpoint: 0,
+        reason: CompactString::const_new("the worker restarted or was ended"),
+    }
+}
--- /dev/null
+++ b/src/kernel/runs/queue.rs
@@ -0,0 +1,123 @@
+//! Jobs with waiting tasks, in the order in which they are looked at.
+
+use crate::{
+    context,
+    ids::{
+        Millis,
+        RunId, //
+    },
+    kernel::runs::Profiles,
+    ledger::jobs::job::Job,
+    modules::{
+        self,
+        Point, //
+    },
+    profile, //
+};
+
+/// One job that waits.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Waiting {
+    /// The sort key that the profile's `order` plug-in gave.
+    pub(super) key: u64,
+    /// When it began to wait.
+    pub(super) since: Millis,
+    /// The job.
+    pub(super) run: RunId,
+}
+
+/// The jobs that wait.
+#[derive(Debug, Default)]
+pub(super) struct Queue {
+    sorted: Vec<Waiting>,
+    known: Vec<RunId>,
+}
+
+impl Queue {
+    /// How many jobs wait.
+    pub(super) fn len(&self) -> usize {
+        self.sorted.len()
+    }
+
+    /// Adds a job unless it waits already.
+    pub(super) fn add(&mut self, now: Millis, run: &RunId, job: &Job, profiles: &impl Profiles) {
+        let Err(at) = self.known.binary_search(run) else {
+            return;
+        };
+        self.known.insert(at, run.clone());
+        let entry = Waiting {
+            key: order(now, job, profiles),
+            since: now,
+            run: run.clone(),
+        };
+        if let Err(at) = self.sorted.binary_search(&entry) {
+            self.sorted.insert(at, entry);
+        }
+    }
+
+    /// The jobs in order, from position `from` on.
+    pub(super) fn from(&self, from: usize) -> &[Waiting] {
+        self.sorted.get(from..).unwrap_or_default()
+    }
+
+    /// Takes jobs out.
+    pub(super) fn remove(&mut self, entries: &[Waiting]) {
+        for entry in entries {
+            if let Ok(at) = self.sorted.binary_search(entry) {
+                self.sorted.remove(at);
+            }
+            if let Ok(at) = self.known.binary_search(&entry.run) {
+                self.known.remove(at);
+            }
+        }
+    }
+}
+
+/// The sort key of a job: the lowest goes first.
+fn order(now: Millis, job: &Job, profiles: &impl Profiles) -> u64 {
+    let ctx = context::Order {
+        arrived: now,
+        deadline: now.plus(job.spec.deadline),
+        priority: job.spec.terms.priority,
+        estimate: job.spec.estimate,
+    };
+    let chosen = profiles.profile(&job.spec.profile);
+    let fallback = profile::Policies::default().order;
+    let name = chosen.map_or(&fallback, |p| &p.policies.order);
+    match modules::find("order", name).map(|p| p.point) {
+        Some(Point::Order(decide)) => decide(&ctx),
+        _ => now.0,
+    }
+}
+
+/// Tasks that rest between attempts.
+#[derive(Debug, Default)]
+pub(super) struct Rests {
+    rows: Vec<(RunId, u32, Millis)>,
+}
+
+impl Rests {
+    /// Lets a task rest until a moment.
+    pub(super) fn add(&mut self, run: &RunId, index: u32, until: Millis) {
+        match self.slot(run, index) {
+            Ok(at) => self.rows[at].2 = until,
+            Err(at) => self.rows.insert(at, (run.clone(), index, until)),
+        }
+    }
+
+    /// Whether a task rests.
+    pub(super) fn rests(&self, now: Millis, run: &RunId, index: u32) -> bool {
+        let found = self.slot(run, index).ok();
+        found.is_some_and(|at| now < self.rows[at].2)
+    }
+
+    /// Forgets rests that are over.
+    pub(super) fn tick(&mut self, now: Millis) {
+        self.rows.retain(|row| now < row.2);
+    }
+
+    fn slot(&self, run: &RunId, index: u32) -> Result<usize, usize> {
+        self.rows
+            .binary_search_by(|row| (&row.0, row.1).cmp(&(run, index)))
+    }
+}
--- /dev/null
+++ b/src/kernel/runs/quota.rs
@@ -0,0 +1,50 @@
+//! What the claimed tasks of each profile hold together, everywhere.
+
+use crate::{
+    ids::ProfileName,
+    resources::Resources, //
+};
+
+/// Sums by profile, in units that cannot overflow.
+#[derive(Debug, Default)]
+pub(super) struct Held {
+    rows: Vec<(ProfileName, [u64; 5])>,
+}
+
+impl Held {
+    /// Adds `count` tasks.
+    pub(super) fn take(&mut self, profile: &ProfileName, demand: &Resources, count: u32) {
+        let at = match self.rows.binary_search_by(|row| row.0.cmp(profile)) {
+            Ok(at) => at,
+            Err(at) => {
+                self.rows.insert(at, (profile.clone(), [0; 5]));
+                at
+            }
+        };
+        for (sum, part) in self.rows[at].1.iter_mut().zip(demand.parts()) {
+            *sum += u64::from(part) * u64::from(count);
+        }
+    }
+
+    /// Takes `count` tasks off.
+    pub(super) fn give(&mut self, profile: &ProfileName, demand: &Resources, count: u32) {
+        let Ok(at) = self.rows.binary_search_by(|row| row.0.cmp(profile)) else {
+            return;
+        };
+        for (sum, part) in self.rows[at].1.iter_mut().zip(demand.parts()) {
+            *sum = sum.saturating_sub(u64::from(part) * u64::from(count));
+        }
+    }
+
+    /// How many more tasks the profile's quota allows.
+    pub(super) fn left(&self, profile: &ProfileName, demand: &Resources, quota: &Resources) -> u32 {
+        let found = self.rows.binary_search_by(|row| row.0.cmp(profile));
+        let held = found.map_or([0; 5], |at| self.rows[at].1);
+        let parts = demand.parts().into_iter().zip(quota.parts()).zip(held);
+        let counts = parts
+            .filter(|((need, _), _)| *need > 0)
+            .map(|((need, most), held)| u64::from(most).saturating_sub(held) / u64::from(need));
+        let least = counts.min().unwrap_or(u64::MAX);
+        u32::try_from(least).unwrap_or(u32::MAX)
+    }
+}
--- /dev/null
+++ b/src/kernel/workers.rs
@@ -0,0 +1,474 @@
+//! The placement leases that this instance holds at workers, and the room that they give it.
+//!
+//! A worker's own register says who holds it; rendezvous hashing over the members only says who
+//! asks. A lease counts from the moment when its message was *sent*, less a margin, and is checked
+//! right before each use. All times are on the local monotonic clock.
+
+use compact_str::CompactString;
+use slotmap::SlotMap;
+
+use crate::{
+    configs::lease,
+    ids::{
+        Boot,
+        Millis,
+        Token,
+        WorkerId, //
+    },
+    kernel::{
+        WorkerKey,
+        members::{
+            Me,
+            Members, //
+        }, //
+    },
+    resources::Resources,
+    wire::{
+        list,
+        worker::{
+            Grant,
+            Lease,
+            Report,
+            TaskId, //
+        }, //
+    }, //
+};
+
+mod answers;
+pub mod index;
+pub mod room;
+mod steps;
+pub mod worker;
+
+use worker::{
+    Life,
+    Reason,
+    Worker, //
+};
+
+/// A lease message to send. The answer goes to [`Workers::answered`] with the same `sent`, and its
+/// absence to [`Workers::silent`].
+#[derive(Debug, Clone)]
+pub struct Action {
+    /// The worker.
+    pub worker: WorkerKey,
+    /// `IP:port` of its HTTP server.
+    pub address: CompactString,
+    /// The message.
+    pub message: Lease,
+    /// When it counts as sent: not later than it really is.
+    pub sent: Millis,
+}
+
+/// The table of workers.
+#[derive(Debug, Clone)]
+pub struct Workers {
+    cfg: lease::Lease,
+    me: Me,
+    arena: SlotMap<WorkerKey, Worker>,
+    ids: Vec<(WorkerId, WorkerKey)>,
+    shapes: Vec<(Resources, u32)>,
+    index: index::Index,
+    unit: Resources,
+    taken: u32,
+    total: u32,
+}
+
+impl Workers {
+    /// A table without workers.
+    #[must_use]
+    pub fn new(cfg: lease::Lease, me: Me) -> Self {
+        let unit = Resources {
+            slots: 1,
+            connections: 1,
+            ..Resources::default()
+        };
+        Self {
+            cfg,
+            me,
+            arena: SlotMap::with_key(),
+            ids: Vec::new(),
+            shapes: Vec::new(),
+            index: index::Index::default(),
+            unit,
+            taken: 0,
+            total: 0,
+        }
+    }
+
+    /// Sets what each request of an earlier holder counts for: the largest demand of any request,
+    /// since a worker reports only their number.
+    pub fn set_unit(&mut self, unit: Resources) {
+        self.unit = unit;
+        let keys: Vec<_> = self.arena.keys().collect();
+        for key in keys {
+            self.settle(key);
+        }
+    }
+
+    /// The settings.
+    #[must_use]
+    pub fn cfg(&self) -> &lease::Lease {
+        &self.cfg
+    }
+
+    /// A worker.
+    #[must_use]
+    pub fn get(&self, key: WorkerKey) -> Option<&Worker> {
+        self.arena.get(key)
+    }
+
+    /// All workers, in no particular order.
+    pub fn iter(&self) -> impl Iterator<Item = (WorkerKey, &Worker)> {
+        self.arena.iter()
+    }
+
+    /// The key of a worker.
+    #[must_use]
+    pub fn key(&self, id: &WorkerId) -> Option<WorkerKey> {
+        let at = self.ids.binary_search_by(|e| e.0.cmp(id)).ok()?;
+        self.ids.get(at).map(|e| e.1)
+    }
+
+    /// How many workers are known.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.ids.len()
+    }
+
+    /// Whether no worker is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.ids.is_empty()
+    }
+
+    /// Workers that new work may be planned on.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.index.len()
+    }
+
+    /// The capacities that were reported, each with the number of workers that have it.
+    #[must_use]
+    pub fn shapes(&self) -> &[(Resources, u32)] {
+        &self.shapes
+    }
+
+    /// Takes in the platform's list.
+    pub fn listed(&mut self, now: Millis, listing: &list::Listing) {
+        for instance in &listing.instances {
+            if instance.role != list::Role::Worker {
+                continue;
+            }
+            let Ok(id) = WorkerId::try_from(instance.id.clone()) else {
+                continue;
+            };
+            self.learn(now, id, instance);
+        }
+        self.forget(listing);
+    }
+
+    /// The token to send new work with at `now`. To be asked right before each send: `None` means
+    /// that the work must not be sent.
+    #[must_use]
+    pub fn may_send(&self, now: Millis, key: WorkerKey) -> Option<Token> {
+        let entry = self.arena.get(key)?;
+        if entry.leaving || entry.listed != list::State::Live {
+            return None;
+        }
+        entry.valid(now).map(|t| t.token)
+    }
+
+    /// Whether a start that was claimed under `token` may be sent at `now`.
+    #[must_use]
+    pub fn may_start(&self, now: Millis, key: WorkerKey, token: Token) -> bool {
+        self.may_send(now, key) == Some(token)
+    }
+
+    /// The token for signals, which leaving workers get too.
+    #[must_use]
+    pub fn may_signal(&self, now: Millis, key: WorkerKey) -> Option<Token> {
+        self.arena.get(key)?.valid(now).map(|t| t.token)
+    }
+
+    /// Holds room for an attempt that is about to be claimed. Returns the token and the worker's
+    /// life under which alone it may be started, or `None` when there is no room.
+    pub fn plan(
+        &mut self,
+        now: Millis,
+        key: WorkerKey,
+        id: &TaskId,
+        demand: &Resources,
+    ) -> Option<(Token, Boot)> {
+        let entry = self.arena.get_mut(key)?;
+        let tenure = *entry.valid(now)?;
+        if !entry.usable() || !demand.fits(&entry.free) {
+            return None;
+        }
+        entry.hold(id.clone(), *demand, false);
+        self.settle(key);
+        Some((tenure.token, tenure.boot))
+    }
+
+    /// Gives back the room of an attempt that surely does not run and never will.
+    pub fn unplan(&mut self, key: WorkerKey, id: &TaskId) {
+        if let Some(entry) = self.arena.get_mut(key) {
+            entry.drop_hold(id);
+            self.settle(key);
+        }
+    }
+
+    /// Notes that the worker has started an attempt that room is held for.
+    pub fn confirm(&mut self, key: WorkerKey, id: &TaskId) {
+        let Some(entry) = self.arena.get_mut(key) else {
+            return;
+        };
+        if let Ok(at) = entry.holds().binary_search_by(|h| h.id.cmp(id)) {
+            let demand = entry.holds()[at].demand;
+            entry.hold(id.clone(), demand, true);
+        }
+    }
+
+    /// Turns the room of one of this instance's requests into that of a request which may go on at
+    /// the worker although its connection is closed. Reports give it back.
+    pub fn orphan(&mut self, key: WorkerKey, demand: &Resources) {
+        let grown = self.unit.parts().into_iter().zip(demand.parts());
+        let mut unit = self.unit.parts();
+        for (part, (a, b)) in unit.iter_mut().zip(grown) {
+            *part = a.max(b);
+        }
+        self.unit = Resources::from_parts(unit);
+        if let Some(entry) = self.arena.get_mut(key) {
+            entry.orphan(demand);
+            self.settle(key);
+        }
+    }
+
+    /// Gives up a lease and takes it again, so that starts of unknown outcome are settled: under
+    /// the new token, what the worker does not report can never start.
+    pub fn refresh(&mut self, now: Millis, key: WorkerKey) {
+        if let Some(entry) = self.arena.get_mut(key)
+            && let Life::Held(tenure) = entry.life
+        {
+            entry.life = Life::Draining {
+                tenure,
+                since: now,
+                reason: Reason::Refresh,
+            };
+            self.settle(key);
+        }
+    }
+
+    /// Counts the end of a task for the worker's error average.
+    pub fn outcome(&mut self, key: WorkerKey, failed: bool) {
+        const WEIGHT: f64 = 0.3;
+        if let Some(entry) = self.arena.get_mut(key) {
+            let sample = if failed { 1.0 } else { 0.0 };
+            entry.errors += WEIGHT * (sample - entry.errors);
+        }
+    }
+
+    /// Takes in an answer to the message that was sent at `sent`. Returns the report when it is
+    /// one under the token that is held now; it may then be used as proof.
+    pub fn answered(
+        &mut self,
+        sent: Millis,
+        now: Millis,
+        key: WorkerKey,
+        grant: Grant,
+    ) -> Option<Report> {
+        let entry = self.arena.get_mut(key)?;
+        entry.misses = 0;
+        let report = match grant {
+            Grant::Granted(report) => answers::granted(&self.cfg, entry, sent, now, report),
+            Grant::Held { left, .. } => {
+                answers::refused(&self.cfg, entry, sent, now, left);
+                None
+            }
+            Grant::Fenced => {
+                answers::fenced(entry, sent, now);
+                None
+            }
+        };
+        if let Some(report) = &report {
+            self.learn_shape(key, report.capacity);
+        }
+        self.settle(key);
+        report
+    }
+
+    /// Notes that the message which was sent at `sent` got no answer in time.
+    pub fn silent(&mut self, sent: Millis, now: Millis, key: WorkerKey) {
+        let Some(entry) = self.arena.get_mut(key) else {
+            return;
+        };
+        match &mut entry.life {
+            Life::Asking { sent: asked, since } if *asked == sent => {
+                let since = *since;
+                let wait = steps::millis(self.cfg.renew) << entry.misses.min(4);
+                entry.misses = entry.misses.saturating_add(1);
+                let next = now.plus(wait);
+                entry.life = Life::Unheld { since, next };
+            }
+            life => {
+                if let Some(tenure) = life.tenure_mut()
+                    && tenure.sent == sent
+                {
+                    tenure.pending = false;
+                }
+            }
+        }
+    }
+
+    /// The lease messages that are due: asks for workers that this instance should hold, renewals,
+    /// and leases given up for rebalancing or at shutdown.
+    pub fn tick(&mut self, now: Millis, members: &Members) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let keys: Vec<_> = self.ids.iter().map(|e| e.1).collect();
+        for key in keys {
+            let Some(entry) = self.arena.get_mut(key) else {
+                continue;
+            };
+            if entry.zone != self.me.zone {
+                continue;
+            }
+            let before = entry.life;
+            let message = steps::step(&self.cfg, &self.me, entry, now, members);
+            if let Some(message) = message {
+                actions.push(Action {
+                    worker: key,
+                    address: entry.address.clone(),
+                    message,
+                    sent: now,
+                });
+            }
+            if entry.life != before {
+                self.settle(key);
+            }
+        }
+        actions
+    }
+
+    /// Whether no lease is held, so that a shutdown may go on.
+    #[must_use]
+    pub fn released(&self) -> bool {
+        self.arena.values().all(|w| w.life.tenure().is_none())
+    }
+
+    /// Brings a worker's free room, its place in the index and the sums up to date.
+    fn settle(&mut self, key: WorkerKey) {
+        let Some(entry) = self.arena.get_mut(key) else {
+            return;
+        };
+        entry.settle_account(&self.unit);
+        let total = entry.capacity.slots;
+        let taken = total - entry.free.slots.min(total);
+        let wanted = entry.usable().then_some(entry.free.slots);
+        if let Some(old) = entry.spot {
+            self.taken -= old.taken;
+            self.total -= old.total;
+        }
+        let stays = match (entry.spot, wanted) {
+            (Some(old), Some(slots)) => self.index.fits(old.spot, slots),
+            (None, None) => true,
+            _ => false,
+        };
+        if !stays {
+            self.move_spot(key, wanted);
+        }
+        if let Some(entry) = self.arena.get_mut(key)
+            && let Some(new) = &mut entry.spot
+        {
+            new.taken = taken;
+            new.total = total;
+            self.taken += taken;
+            self.total += total;
+        }
+    }
+
+    /// Takes a worker out of the index, and puts it in again when it is usable.
+    fn move_spot(&mut self, key: WorkerKey, wanted: Option<u32>) {
+        let old = self.arena.get_mut(key).and_then(|entry| entry.spot.take());
+        if let Some(old) = old
+            && let Some(moved) = self.index.remove(old.spot)
+            && let Some(other) = self.arena.get_mut(moved)
+            && let Some(spot) = &mut other.spot
+        {
+            spot.spot = old.spot;
+        }
+        let Some(slots) = wanted else {
+            return;
+        };
+        let spot = self.index.add(key, slots);
+        if let Some(entry) = self.arena.get_mut(key) {
+            entry.spot = Some(worker::Counted {
+                spot,
+                taken: 0,
+                total: 0,
+            });
+        }
+    }
+
+    fn learn(&mut self, now: Millis, id: WorkerId, instance: &list::Instance) {
+        let key = match self.ids.binary_search_by(|e| e.0.cmp(&id)) {
+            Ok(at) => self.ids[at].1,
+            Err(at) => {
+                let key = self.arena.insert(Worker::new(now, id.clone(), instance));
+                self.ids.insert(at, (id, key));
+                key
+            }
+        };
+        let Some(entry) = self.arena.get_mut(key) else {
+            return;
+        };
+        if instance.boot < entry.boot {
+            return;
+        }
+        let ended = instance.state == list::State::Gone || instance.boot > entry.boot;
+        entry.listed = instance.state;
+        entry.boot = instance.boot;
+        entry.address = instance.address.clone();
+        if ended {
+            entry.end_life(now);
+        }
+        self.settle(key);
+    }
+
+    /// Drops workers that the list names no more and that nothing depends on.
+    fn forget(&mut self, listing: &list::Listing) {
+        let named = |id: &WorkerId| {
+            let found = listing
+                .instances
+                .binary_search_by(|i| i.id.as_str().cmp(id.as_str()));
+            found.is_ok()
+        };
+        let arena = &self.arena;
+        let idle = |key: WorkerKey| arena.get(key).is_none_or(Worker::idle);
+        let gone = self.ids.iter().filter(|e| !named(&e.0) && idle(e.1));
+        let gone: Vec<_> = gone.map(|e| e.1).collect();
+        for key in gone {
+            self.move_spot(key, None);
+            self.arena.remove(key);
+        }
+        self.ids.retain(|e| self.arena.contains_key(e.1));
+    }
+
+    /// Counts a worker under the capacity that it reported.
+    fn learn_shape(&mut self, key: WorkerKey, capacity: Resources) {
+        let Some(entry) = self.arena.get_mut(key) else {
+            return;
+        };
+        let old = entry.shape.replace(capacity);
+        if old == Some(capacity) {
+            return;
+        }
+        if let Some(row) = self.shapes.iter_mut().find(|s| Some(s.0) == old) {
+            row.1 -= 1;
+        }
+        match self.shapes.iter_mut().find(|s| s.0 == capacity) {
+            Some(row) => row.1 += 1,
+            None => self.shapes.push((capacity, 1)),
+        }
+        self.shapes.retain(|s| s.1 > 0);
+    }
+}
--- /dev/null
+++ b/src/kernel/workers/room.rs
@@ -0,0 +1,91 @@
+//! The room on the held workers, for requests and tasks.
+
+use crate::{
+    ids::Millis,
+    kernel::{
+        Offer,
+        Room,
+        WorkerKey,
+        workers::Workers, //
+    },
+    resources::Resources, //
+};
+
+/// Workers looked at for each one that is offered, so that a decision's cost has a bound.
+const PROBES: usize = 16;
+
+/// Fewest workers looked at in a decision.
+const LEAST_PROBES: usize = 64;
+
+impl Room for Workers {
+    fn sample(
+        &self,
+        now: Millis,
+        demand: &Resources,
+        random: u64,
+        most: usize,
+        offers: &mut Vec<Offer>,
+    ) {
+        let found = self.index.from_random(demand.slots, random);
+        offers.extend(self.offers(now, demand, most, found));
+    }
+
+    fn reserve(&mut self, worker: WorkerKey, demand: &Resources) -> bool {
+        let Some(entry) = self.arena.get_mut(worker) else {
+            return false;
+        };
+        if !entry.usable() || !demand.fits(&entry.free) {
+            return false;
+        }
+        entry.take(demand);
+        self.settle(worker);
+        true
+    }
+
+    fn release(&mut self, worker: WorkerKey, demand: &Resources) {
+        if let Some(entry) = self.arena.get_mut(worker) {
+            entry.give(demand);
+            self.settle(worker);
+        }
+    }
+
+    fn slots(&self) -> (u32, u32) {
+        (self.taken, self.total)
+    }
+}
+
+impl Workers {
+    /// Like [`Room::sample`], but the workers with the fewest free slots come first.
+    pub fn sample_tight(
+        &self,
+        now: Millis,
+        demand: &Resources,
+        random: u64,
+        most: usize,
+        offers: &mut Vec<Offer>,
+    ) {
+        let found = self.index.tightest(demand.slots, random);
+        offers.extend(self.offers(now, demand, most, found));
+    }
+
+    fn offers<'a>(
+        &'a self,
+        now: Millis,
+        demand: &'a Resources,
+        most: usize,
+        found: impl Iterator<Item = WorkerKey> + 'a,
+    ) -> impl Iterator<Item = Offer> + 'a {
+        let probes = LEAST_PROBES.max(most.saturating_mul(PROBES));
+        let found = found.take(probes);
+        let offers = found.filter_map(move |worker| {
+            let entry = self.arena.get(worker)?;
+            entry.valid(now)?;
+            demand.fits(&entry.free).then_some(Offer {
+                worker,
+                free: entry.free,
+                capacity: entry.capacity,
+            })
+        });
+        offers.take(most)
+    }
+}
--- /dev/null
+++ b/src/ledger/jobs.rs
@@ -0,0 +1,266 @@
+//! The jobs that the log knows: which attempts are claimed, which have ended, and how jobs stand.
+//!
+//! Every reader that applies the same records in the same order holds the same value.
+
+use std::collections::VecDeque;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    ids::{
+        IdempotencyKey,
+        Millis,
+        ProfileName,
+        RunId,
+        WorkerId, //
+    },
+    ledger::{
+        effect::Effect,
+        record, //
+    },
+    wire::{
+        caller,
+        worker::TaskId, //
+    }, //
+};
+
+pub mod claims;
+pub mod job;
+
+/// How long an ended job is kept, in milliseconds of log time.
+pub const KEEP: u64 = 3_600_000;
+
+/// All jobs that are not forgotten yet.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(from = "Stored")]
+pub struct Jobs {
+    entries: Vec<Entry>,
+    ended: VecDeque<(Millis, RunId)>,
+    #[serde(skip)]
+    keys: Vec<(ProfileName, IdempotencyKey, RunId)>,
+    #[serde(skip)]
+    claims: claims::Claims,
+}
+
+/// One job under its id. Boxed, so that inserting moves little.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct Entry {
+    run: RunId,
+    job: Box<job::Job>,
+}
+
+/// What a snapshot holds; the indexes are built from it.
+#[derive(Deserialize)]
+struct Stored {
+    entries: Vec<Entry>,
+    ended: VecDeque<(Millis, RunId)>,
+}
+
+impl From<Stored> for Jobs {
+    fn from(stored: Stored) -> Self {
+        let mut jobs = Self {
+            entries: stored.entries,
+            ended: stored.ended,
+            ..Self::default()
+        };
+        for entry in &mut jobs.entries {
+            entry.job.index();
+            for (index, place) in entry.job.places() {
+                jobs.claims.add(&place.worker, &entry.run, index);
+            }
+            if let Some(key) = &entry.job.spec.key {
+                let profile = entry.job.spec.profile.clone();
+                jobs.keys.push((profile, key.clone(), entry.run.clone()));
+            }
+        }
+        jobs.keys.sort_unstable();
+        jobs
+    }
+}
+
+impl Jobs {
+    /// Applies one record that stands in the log since `at`, on the platform's clock. Records that
+    /// do not concern jobs have no effect.
+    pub fn apply(
+        &mut self,
+        at: Millis,
+        author: &record::Author,
+        record: &record::Record,
+    ) -> Vec<Effect> {
+        self.prune(at);
+        match record {
+            record::Record::Accepted(accepted) => vec![self.accept(at, accepted)],
+            record::Record::Claim(claim) => vec![self.claim(author, claim)],
+            record::Record::Ended(ended) => {
+                let finishes = ended.tasks.iter();
+                finishes.flat_map(|finish| self.end(at, finish)).collect()
+            }
+            record::Record::Cancel { run } => self.cancel(at, run),
+            _ => Vec::new(),
+        }
+    }
+
+    /// A job by its id.
+    #[must_use]
+    pub fn get(&self, run: &RunId) -> Option<&job::Job> {
+        let at = self.entries.binary_search_by(|e| e.run.cmp(run)).ok()?;
+        self.entries.get(at).map(|e| e.job.as_ref())
+    }
+
+    /// All jobs, sorted by id.
+    pub fn iter(&self) -> impl Iterator<Item = (&RunId, &job::Job)> {
+        self.entries.iter().map(|e| (&e.run, e.job.as_ref()))
+    }
+
+    /// The claimed attempts on a worker, as job and task index.
+    #[must_use]
+    pub fn claimed(&self, worker: &WorkerId) -> &[(RunId, u32)] {
+        self.claims.on(worker)
+    }
+
+    /// The workers on which attempts are claimed, sorted.
+    pub fn workers(&self) -> impl Iterator<Item = &WorkerId> {
+        self.claims.workers()
+    }
+
+    /// Where an attempt is claimed, if it is.
+    #[must_use]
+    pub fn place(&self, id: &TaskId) -> Option<&job::Place> {
+        self.get(&id.run)?.place(id.index, id.attempt)
+    }
+
+    /// The job that an idempotency key of a profile names.
+    #[must_use]
+    pub fn keyed(&self, profile: &ProfileName, key: &IdempotencyKey) -> Option<&RunId> {
+        let at = self.key_slot(profile, key).ok()?;
+        self.keys.get(at).map(|k| &k.2)
+    }
+
+    /// A job's status for its caller.
+    #[must_use]
+    pub fn status(&self, run: &RunId) -> Option<caller::Status> {
+        self.get(run).map(|job| job.status(run))
+    }
+
+    fn accept(&mut self, at: Millis, spec: &record::Accepted) -> Effect {
+        let proposed = spec.run.clone();
+        let known = spec
+            .key
+            .as_ref()
+            .and_then(|key| self.keyed(&spec.profile, key));
+        if let Some(run) = known {
+            let run = run.clone();
+            return Effect::Accepted { run, proposed };
+        }
+        if let Err(slot) = self.entries.binary_search_by(|e| e.run.cmp(&proposed)) {
+            let job = Box::new(job::Job::new(at, spec.clone()));
+            let run = proposed.clone();
+            self.entries.insert(slot, Entry { run, job });
+            self.add_key(spec);
+        }
+        let run = proposed.clone();
+        Effect::Accepted { run, proposed }
+    }
+
+    fn claim(&mut self, author: &record::Author, claim: &record::Claim) -> Effect {
+        let job = self.find(&claim.run);
+        let won = job.is_some_and(|job| job.claim(&claim.tasks));
+        if won {
+            for task in &claim.tasks {
+                self.claims.add(&task.worker, &claim.run, task.index);
+            }
+        }
+        Effect::Claim {
+            by: author.clone(),
+            claim: claim.clone(),
+            won,
+        }
+    }
+
+    fn end(&mut self, at: Millis, finish: &record::Finish) -> Vec<Effect> {
+        let run = &finish.id.run;
+        let Some(job) = self.find(run) else {
+            return Vec::new();
+        };
+        let Some(ended) = job.end(finish) else {
+            return Vec::new();
+        };
+        let closed = job.close();
+        self.claims.remove(&ended.worker, run, finish.id.index);
+        if closed {
+            self.ended.push_back((at, run.clone()));
+        }
+        let mut effects = vec![Effect::Ended {
+            finish: finish.clone(),
+            worker: ended.worker,
+        }];
+        let run = run.clone();
+        effects.extend(ended.stopped.map(|state| Effect::Stopped { run, state }));
+        effects
+    }
+
+    fn cancel(&mut self, at: Millis, run: &RunId) -> Vec<Effect> {
+        let Some(job) = self.find(run) else {
+            return Vec::new();
+        };
+        if !job.cancel() {
+            return Vec::new();
+        }
+        if job.close() {
+            self.ended.push_back((at, run.clone()));
+        }
+        vec![Effect::Stopped {
+            run: run.clone(),
+            state: caller::JobState::Cancelled,
+        }]
+    }
+
+    /// Forgets jobs that ended long ago.
+    fn prune(&mut self, at: Millis) {
+        while let Some((ended, _)) = self.ended.front()
+            && at.since(*ended) > KEEP
+        {
+            let Some((_, run)) = self.ended.pop_front() else {
+                return;
+            };
+            self.forget(&run);
+        }
+    }
+
+    fn forget(&mut self, run: &RunId) {
+        let Ok(at) = self.entries.binary_search_by(|e| e.run.cmp(run)) else {
+            return;
+        };
+        let entry = self.entries.remove(at);
+        let spec = &entry.job.spec;
+        let Some(key) = &spec.key else {
+            return;
+        };
+        if let Ok(at) = self.key_slot(&spec.profile, key) {
+            self.keys.remove(at);
+        }
+    }
+
+    fn add_key(&mut self, spec: &record::Accepted) {
+        let Some(key) = &spec.key else {
+            return;
+        };
+        if let Err(at) = self.key_slot(&spec.profile, key) {
+            let row = (spec.profile.clone(), key.clone(), spec.run.clone());
+            self.keys.insert(at, row);
+        }
+    }
+
+    fn key_slot(&self, profile: &ProfileName, key: &IdempotencyKey) -> Result<usize, usize> {
+        self.keys
+            .binary_search_by(|k| (&k.0, &k.1).cmp(&(profile, key)))
+    }
+
+    fn find(&mut self, run: &RunId) -> Option<&mut job::Job> {
+        let at = self.entries.binary_search_by(|e| e.run.cmp(run)).ok()?;
+        self.entries.get_mut(at).map(|e| e.job.as_mut())
+    }
+}
--- /dev/null
+++ b/src/ledger/jobs/job.rs
@@ -0,0 +1,381 @@
+//! One job and its tasks.
+
+use compact_str::CompactString;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    ids::{
+        Boot,
+        Millis,
+        RunId,
+        Token,
+        WorkerId, //
+    },
+    ledger::record,
+    profile::Kind,
+    wire::caller::{
+        self,
+        JobState, //
+    }, //
+};
+
+/// Attempts that may be lost without the task's own failure, as a multiple of those that may fail.
+const LOSSES: u32 = 4;
+
+/// Where an attempt is claimed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Place {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The token under which alone it is started.
+    pub token: Token,
+    /// The worker's life in which alone it is started.
+    pub boot: Boot,
+}
+
+/// How a task stands.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Stage {
+    /// Its next attempt may be claimed.
+    Waiting,
+    /// Its attempt may execute.
+    Claimed(Place),
+    /// It ended well.
+    Done,
+    /// It ended and is not to be started, or not before the rest of its gang has ended.
+    Over,
+}
+
+/// One task.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Task {
+    /// The last attempt that was claimed, from 1; zero when none was.
+    pub attempt: u32,
+    /// How it stands.
+    pub stage: Stage,
+    /// The most work saved, in milliseconds of run time.
+    pub checkpoint: u64,
+    /// Attempts that failed; for a service, in a row.
+    pub failures: u32,
+    /// Attempts that were lost or stopped unasked.
+    pub losses: u32,
+}
+
+/// One job.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Job {
+    /// What was accepted. The payload is dropped when the job has ended.
+    pub spec: record::Accepted,
+    /// When it was accepted, on the platform's clock.
+    pub accepted: Millis,
+    /// How it stands.
+    pub state: JobState,
+    /// Why it failed; empty otherwise.
+    pub reason: CompactString,
+    /// Its tasks; dropped when the job has ended.
+    pub tasks: Vec<Task>,
+    /// Whether a member of the gang ended early, so that the others must end too.
+    pub broken: bool,
+    /// Whether nothing of it can execute any more.
+    pub closed: bool,
+    /// Tasks that ended well.
+    pub done: u32,
+    /// Tasks that are claimed.
+    pub claimed: u32,
+    #[serde(skip)]
+    waiting: Vec<u32>,
+}
+
+/// What the end of an attempt did.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Outcome {
+    /// Where it was claimed.
+    pub worker: WorkerId,
+    /// Set when the job's other attempts must be stopped, or none are left.
+    pub stopped: Option<JobState>,
+}
+
+impl Job {
+    /// A job of which nothing has started.
+    #[must_use]
+    pub fn new(accepted: Millis, spec: record::Accepted) -> Self {
+        let fresh = Task {
+            attempt: 0,
+            stage: Stage::Waiting,
+            checkpoint: 0,
+            failures: 0,
+            losses: 0,
+        };
+        let tasks = vec![fresh; spec.tasks as usize];
+        let mut job = Self {
+            spec,
+            accepted,
+            state: JobState::Waiting,
+            reason: CompactString::default(),
+            tasks,
+            broken: false,
+            closed: false,
+            done: 0,
+            claimed: 0,
+            waiting: Vec::new(),
+        };
+        job.index();
+        job
+    }
+
+    /// Whether it goes on: it is neither done nor failed nor cancelled.
+    #[must_use]
+    pub fn active(&self) -> bool {
+        matches!(self.state, JobState::Waiting | JobState::Running)
+    }
+
+    /// Whether attempts that still execute must be stopped.
+    #[must_use]
+    pub fn stopping(&self) -> bool {
+        self.broken || !self.active()
+    }
+
+    /// The indexes of the tasks whose next attempt may be claimed, sorted.
+    #[must_use]
+    pub fn waiting(&self) -> &[u32] {
+        if self.stopping() {
+            return &[];
+        }
+        &self.waiting
+    }
+
+    /// Where an attempt is claimed, if it is.
+    #[must_use]
+    pub fn place(&self, index: u32, attempt: u32) -> Option<&Place> {
+        let task = self.tasks.get(index as usize)?;
+        match &task.stage {
+            Stage::Claimed(place) if task.attempt == attempt => Some(place),
+            _ => None,
+        }
+    }
+
+    /// Every claimed task with its place.
+    pub fn places(&self) -> impl Iterator<Item = (u32, &Place)> {
+        let tasks = (0..).zip(&self.tasks);
+        tasks.filter_map(|(index, task)| match &task.stage {
+            Stage::Claimed(place) => Some((index, place)),
+            _ => None,
+        })
+    }
+
+    /// The status for the caller.
+    #[must_use]
+    pub fn status(&self, run: &RunId) -> caller::Status {
+        let waiting = self.waiting().len();
+        caller::Status {
+            id: run.clone(),
+            profile: self.spec.profile.clone(),
+            version: self.spec.version,
+            zone: self.spec.zone.clone(),
+            state: self.state,
+            waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
+            running: self.claimed,
+            done: self.done,
+            accepted: self.accepted,
+            reason: self.reason.to_string(),
+        }
+    }
+
+    /// Builds what a snapshot leaves out.
+    pub(super) fn index(&mut self) {
+        if !self.active() {
+            return;
+        }
+        let tasks = (0..).zip(&self.tasks);
+        let waiting = tasks.filter(|(_, task)| task.stage == Stage::Waiting);
+        self.waiting = waiting.map(|(index, _)| index).collect();
+    }
+
+    /// Claims attempts, all or none. Returns whether it did.
+    pub(super) fn claim(&mut self, tasks: &[record::Placement]) -> bool {
+        if !self.claimable(tasks) {
+            return false;
+        }
+        for placement in tasks {
+            let task = &mut self.tasks[placement.index as usize];
+            task.attempt = placement.attempt;
+            task.stage = Stage::Claimed(Place {
+                worker: placement.worker.clone(),
+                token: placement.token,
+                boot: placement.boot,
+            });
+            if let Ok(at) = self.waiting.binary_search(&placement.index) {
+                self.waiting.remove(at);
+            }
+            self.claimed += 1;
+        }
+        self.state = JobState::Running;
+        true
+    }
+
+    fn claimable(&self, tasks: &[record::Placement]) -> bool {
+        if tasks.is_empty() || self.stopping() {
+            return false;
+        }
+        if self.spec.terms.kind == Kind::Gang && tasks.len() != self.tasks.len() {
+            return false;
+        }
+        let mut indexes: Vec<_> = tasks.iter().map(|p| p.index).collect();
+        indexes.sort_unstable();
+        let distinct = indexes.windows(2).all(|pair| pair[0] != pair[1]);
+        distinct && tasks.iter().all(|placement| self.next(placement))
+    }
+
+    /// Whether a placement names the next attempt of a waiting task.
+    fn next(&self, placement: &record::Placement) -> bool {
+        let task = self.tasks.get(placement.index as usize);
+        task.is_some_and(|t| t.stage == Stage::Waiting && t.attempt + 1 == placement.attempt)
+    }
+
+    /// Ends an attempt. Returns `None` when it is not the claimed one.
+    pub(super) fn end(&mut self, finish: &record::Finish) -> Option<Outcome> {
+        let place = self.place(finish.id.index, finish.id.attempt)?;
+        let worker = place.worker.clone();
+        let task = &mut self.tasks[finish.id.index as usize];
+        task.checkpoint = task.checkpoint.max(finish.checkpoint);
+        task.stage = Stage::Over;
+        self.claimed -= 1;
+        let stopped = match self.spec.terms.kind {
+            _ if !self.active() => self.end_stopping(finish),
+            Kind::Gang => self.end_member(finish),
+            Kind::Service => self.end_replica(finish),
+            Kind::Run | Kind::Request => self.end_task(finish),
+        };
+        Some(Outcome { worker, stopped })
+    }
+
+    /// Marks the job as closed once nothing of it can execute. Returns whether it just closed.
+    pub(super) fn close(&mut self) -> bool {
+        if self.closed || self.active() || self.claimed > 0 {
+            return false;
+        }
+        self.closed = true;
+        self.tasks = Vec::new();
+        self.waiting = Vec::new();
+        self.spec.payload = serde_json::Value::Null;
+        true
+    }
+
+    /// Cancels the job. Returns whether it went on before.
+    pub(super) fn cancel(&mut self) -> bool {
+        if !self.active() {
+            return false;
+        }
+        self.stop(JobState::Cancelled);
+        true
+    }
+
+    fn end_stopping(&mut self, finish: &record::Finish) -> Option<JobState> {
+        if finish.end == record::End::Done {
+            self.done += 1;
+        }
+        None
+    }
+
+    fn end_task(&mut self, finish: &record::Finish) -> Option<JobState> {
+        if finish.end == record::End::Done {
+            return self.complete(finish.id.index);
+        }
+        if self.exhausted(finish) {
+            return self.fail(finish);
+        }
+        self.wait(finish.id.index);
+        None
+    }
+
+    fn end_replica(&mut self, finish: &record::Finish) -> Option<JobState> {
+        let task = &mut self.tasks[finish.id.index as usize];
+        match finish.end {
+            record::End::Failed => task.failures += 1,
+            record::End::Done => {
+                task.failures = 0;
+                task.checkpoint = 0;
+            }
+            _ => {}
+        }
+        self.wait(finish.id.index);
+        None
+    }
+
+    fn end_member(&mut self, finish: &record::Finish) -> Option<JobState> {
+        if finish.end == record::End::Done && !self.broken {
+            return self.complete(finish.id.index);
+        }
+        if !self.broken && self.exhausted(finish) {
+            return self.fail(finish);
+        }
+        let first = !self.broken;
+        self.broken = true;
+        if self.claimed == 0 {
+            self.regroup();
+            return None;
+        }
+        first.then_some(JobState::Waiting)
+    }
+
+    /// Lets a gang whose members have all ended start again.
+    fn regroup(&mut self) {
+        self.broken = false;
+        self.done = 0;
+        self.state = JobState::Waiting;
+        for task in &mut self.tasks {
+            task.stage = Stage::Waiting;
+        }
+        self.index();
+    }
+
+    fn complete(&mut self, index: u32) -> Option<JobState> {
+        self.tasks[index as usize].stage = Stage::Done;
+        self.done += 1;
+        if self.done < self.spec.tasks {
+            return None;
+        }
+        self.stop(JobState::Done);
+        Some(JobState::Done)
+    }
+
+    /// Counts an end that was not good. Returns whether the task may not be tried again.
+    fn exhausted(&mut self, finish: &record::Finish) -> bool {
+        let task = &mut self.tasks[finish.id.index as usize];
+        match finish.end {
+            record::End::Done | record::End::Unstarted => return false,
+            record::End::Failed => task.failures += 1,
+            record::End::Stopped | record::End::Lost => task.losses += 1,
+        }
+        let limit = self.spec.terms.attempts;
+        task.failures >= limit || task.losses >= limit.saturating_mul(LOSSES)
+    }
+
+    fn fail(&mut self, finish: &record::Finish) -> Option<JobState> {
+        self.reason = match finish.reason.as_str() {
+            "" => "the last attempt ended without a reason".into(),
+            _ => finish.reason.clone(),
+        };
+        self.stop(JobState::Failed);
+        Some(JobState::Failed)
+    }
+
+    fn stop(&mut self, state: JobState) {
+        self.state = state;
+        self.waiting = Vec::new();
+    }
+
+    fn wait(&mut self, index: u32) {
+        self.tasks[index as usize].stage = Stage::Waiting;
+        if let Err(at) = self.waiting.binary_search(&index) {
+            self.waiting.insert(at, index);
+        }
+        if self.claimed == 0 && self.done == 0 {
+            self.state = JobState::Waiting;
+        }
+    }
+}
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     ids::{
+        Boot,
         ChangeId,
         IdempotencyKey,
         Incarnation,
@@ -19,9 +20,11 @@
         ProfileName,
         RequestId,
         RunId,
+        Token,
         WorkerId,
         ZoneId, //
     },
+    profile,
     resources::Resources,
     wire::{
         caller::Ran,
@@ -117,6 +120,9 @@
     pub tasks: u32,
     /// What each task takes.
     pub demand: Resources,
+    /// How the profile version treats it.
+    #[serde(default)]
+    pub terms: Terms,
     /// Declared run time of a task, in milliseconds.
     pub estimate: u64,
     /// From acceptance to the end, in milliseconds.
@@ -127,6 +133,46 @@
     pub payload: serde_json::Value,
 }
 
+/// What decides on a job, copied from its profile version.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Terms {
+    /// The form of work.
+    pub kind: profile::Kind,
+    /// 0 to 9; a higher value goes first.
+    pub priority: u8,
+    /// Attempts of a task that may fail before its job has failed.
+    pub attempts: u32,
+    /// How far from home tasks may be placed.
+    pub spill: profile::Spill,
+    /// How tasks are laid over racks.
+    pub racks: profile::Racks,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Self {
+            kind: profile::Kind::Run,
+            priority: 0,
+            attempts: 5,
+            spill: profile::Spill::Region,
+            racks: profile::Racks::Any,
+        }
+    }
+}
+
+impl From<&profile::Profile> for Terms {
+    fn from(profile: &profile::Profile) -> Self {
+        Self {
+            kind: profile.kind,
+            priority: profile.priority,
+            attempts: profile.attempts,
+            spill: profile.spill,
+            racks: profile.racks,
+        }
+    }
+}
+
 /// One attempt to start.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Placement {
@@ -136,6 +182,12 @@
     pub attempt: u32,
     /// Where.
     pub worker: WorkerId,
+    /// The token under which alone it is started.
+    #[serde(default)]
+    pub token: Token,
+    /// The worker's life in which alone it is started.
+    #[serde(default)]
+    pub boot: Boot,
 }
 
 /// An intent to start attempts of one job.
@@ -157,7 +209,8 @@
     Failed,
     /// The worker says it was stopped or its lease lapsed.
     Stopped,
-    /// The worker, under a later token, says it never started and now never can.
+    /// It never started and now never can: the worker says so under a later token, or the claimant
+    /// never sent it, or the worker answered its only sending with a refusal.
     Unstarted,
     /// The worker restarted, or the platform ended it.
     Lost,
--- a/src/wire/worker.rs
+++ b/src/wire/worker.rs
@@ -79,6 +79,9 @@
     pub tasks: Vec<Task>,
     /// Requests in progress.
     pub requests: u32,
+    /// Those of them that came under an earlier token. Absent: any of them may have.
+    #[serde(default)]
+    pub earlier: Option<u32>,
     /// What is really used, some time ago.
     pub usage: Resources,
 }
