feat(entry): exchanges with backend servers and peers, JSON links with deadlines

Cause: the entry instance needs one place where a request leaves, with a deadline on every exchange.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,11 +5,13 @@
 
 pub mod configs;
 pub mod context;
+pub mod entry;
 pub mod findings;
 pub mod ids;
 pub mod kernel;
 pub mod ledger;
 pub mod modules;
+pub mod platform;
 pub mod profile;
 pub mod resources;
 pub mod settings;
--- /dev/null
+++ b/src/platform/link.rs
@@ -0,0 +1,155 @@
+//! JSON over HTTP to one address, with a deadline on every exchange.
+//!
+//! A connection that does not answer in time is closed, and so is every other idle one to the same
+//! address: what lost track of one may have lost track of all that were open.
+
+use std::{
+    cell::RefCell,
+    time::Duration, //
+};
+
+use awc::http::Method;
+use compact_str::CompactString;
+use quick_error::quick_error;
+use serde::{
+    Serialize,
+    de::DeserializeOwned, //
+};
+
+use crate::{
+    ids::ZoneId,
+    wire, //
+};
+
+/// Largest answer that is read, in bytes.
+const MAX_ANSWER: usize = 64 << 20;
+
+quick_error! {
+    /// Why an exchange failed.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum Error {
+        /// No connection could be opened: nothing was sent.
+        Unreachable {
+            display("no connection could be opened")
+        }
+        /// No whole answer came in time: the message may have been acted upon.
+        Silent {
+            display("no whole answer came in time")
+        }
+        /// The other side answered with an error status.
+        Status(status: u16) {
+            display("answered with status {}", status)
+        }
+        /// The answer is not what the protocol says.
+        Malformed(detail: String) {
+            display("malformed answer: {}", detail)
+        }
+    }
+}
+
+/// Connections to one address.
+pub struct Link {
+    address: CompactString,
+    zone: ZoneId,
+    idle: Duration,
+    client: RefCell<awc::Client>,
+}
+
+/// A client with a pool of its own that keeps idle connections for `idle`.
+#[must_use]
+pub fn client(idle: Duration) -> awc::Client {
+    let connector = awc::Connector::new()
+        .conn_keep_alive(idle)
+        .conn_lifetime(idle * 20)
+        .limit(0);
+    awc::Client::builder()
+        .connector(connector)
+        .disable_timeout()
+        .no_default_headers()
+        .finish()
+}
+
+impl Link {
+    /// Connections to `address` for an instance in `zone`; opens none yet.
+    #[must_use]
+    pub fn new(address: &str, zone: &ZoneId, idle: Duration) -> Self {
+        Self {
+            address: address.into(),
+            zone: zone.clone(),
+            idle,
+            client: RefCell::new(client(idle)),
+        }
+    }
+
+    /// Sends `body` by POST and reads the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns what went wrong; see [`Error`] for whether the message may have been acted upon.
+    pub async fn post<A, B>(&self, path: &str, body: &A, limit: Duration) -> Result<B, Error>
+    where
+        A: Serialize,
+        B: DeserializeOwned,
+    {
+        let text = serde_json::to_vec(body).map_err(|e| Error::Malformed(e.to_string()))?;
+        let exchange = self.exchange(Method::POST, path, text);
+        self.within(limit, exchange).await
+    }
+
+    /// Reads an answer by GET.
+    ///
+    /// # Errors
+    ///
+    /// Returns what went wrong.
+    pub async fn get<B: DeserializeOwned>(&self, path: &str, limit: Duration) -> Result<B, Error> {
+        let exchange = self.exchange(Method::GET, path, Vec::new());
+        self.within(limit, exchange).await
+    }
+
+    async fn within<B: DeserializeOwned>(
+        &self,
+        limit: Duration,
+        exchange: impl Future<Output = Result<bytes::Bytes, Error>>,
+    ) -> Result<B, Error> {
+        let Ok(answer) = tokio::time::timeout(limit, exchange).await else {
+            self.renew();
+            return Err(Error::Silent);
+        };
+        let answer = answer?;
+        serde_json::from_slice(&answer).map_err(|e| Error::Malformed(e.to_string()))
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<bytes::Bytes, Error> {
+        let uri = format!("http://{}{path}", self.address);
+        let client = self.client.borrow().clone();
+        let request = client
+            .request(method, uri)
+            .insert_header((wire::ZONE_HEADER, self.zone.as_str()))
+            .insert_header(("content-type", "application/json"));
+        let sent = request.send_body(body).await;
+        let mut answer = sent.map_err(|e| self.failure(&e))?;
+        let status = answer.status();
+        let bytes = answer.body().limit(MAX_ANSWER).await;
+        if !status.is_success() {
+            return Err(Error::Status(status.as_u16()));
+        }
+        bytes.map_err(|_| Error::Silent)
+    }
+
+    fn failure(&self, error: &awc::error::SendRequestError) -> Error {
+        if let awc::error::SendRequestError::Connect(_) = error {
+            return Error::Unreachable;
+        }
+        Error::Silent
+    }
+
+    /// Leaves all open connections behind.
+    fn renew(&self) {
+        self.client.replace(client(self.idle));
+    }
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,3 @@
+//! Clients of the platform: its log, its list of instances and its workers.
+
+pub mod link;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -26,3 +26,9 @@
 
 /// Header that names the instance which forwarded a request; a forwarded request stays there.
 pub const FORWARD_HEADER: &str = "x-bamboolock-forwarded";
+
+/// Header that names the availability zone of the sending instance.
+pub const ZONE_HEADER: &str = "x-bamboolock-zone";
+
+/// Header by which a request says, with `yes`, that it must run at most once.
+pub const ONCE_HEADER: &str = "x-bamboolock-nonidempotent";
