--- /dev/null
+++ b/src/bin/bamboolock-entry.rs
@@ -0,0 +1,27 @@
+//! The entry instance.
+
+use std::{
+    path::PathBuf,
+    process::ExitCode, //
+};
+
+use bamboolock::{
+    entry,
+    program,
+    settings, //
+};
+
+fn main() -> ExitCode {
+    let about = "Serves callers, holds placement leases and places work on one entry instance.";
+    let matches = program::command("bamboolock-entry", about).get_matches();
+    program::logs();
+    let path: &PathBuf = program::settings_path(&matches);
+    let settings = match settings::load::<settings::Entry>(path) {
+        Ok(settings) => settings,
+        Err(findings) => return program::report(&findings),
+    };
+    if matches.get_flag("check") {
+        return ExitCode::SUCCESS;
+    }
+    program::run(entry::serve_until_stopped(settings))
+}
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -18,6 +18,7 @@
         Token,
         ZoneId, //
     },
+    kernel::WorkerKey,
     platform::link,
     wire::{
         self,
@@ -50,6 +51,8 @@
 pub struct Route {
     /// `IP:port`.
     pub address: CompactString,
+    /// The worker, if it is one that this instance holds.
+    pub worker: Option<WorkerKey>,
     /// What the receiver needs to know.
     pub via: Via,
     /// Nothing is sent after this point: the placement lease may lapse.
@@ -94,8 +97,10 @@
     NotRun,
     /// The receiver says it did not run since the token is not the current one.
     Fenced,
-    /// Something may have been sent, and no whole answer came back.
-    Unknown,
+    /// Something may have been sent, and no whole answer came in time.
+    Silent,
+    /// Something may have been sent, and the exchange broke off.
+    Cut,
 }
 
 thread_local! {
@@ -130,7 +135,7 @@
     let exchange = exchange(message, route, zone, idle);
     let Ok(end) = tokio::time::timeout(route.timeout, exchange).await else {
         forget(&route.address);
-        return End::Unknown;
+        return End::Silent;
     };
     end
 }
@@ -141,23 +146,23 @@
     let mut answer = match request.send_body(message.body.clone()).await {
         Ok(answer) => answer,
         Err(SendRequestError::Connect(_)) => return End::NotRun,
-        Err(_) => return End::Unknown,
+        Err(_) => return End::Cut,
     };
     let ran = ran(answer.headers());
     let status = answer.status();
     if ran == Ran::No && status == StatusCode::PRECONDITION_FAILED {
         return End::Fenced;
     }
-    if ran == Ran::No && matches!(route.via, Via::Worker(_)) {
+    if ran == Ran::No {
         return End::NotRun;
     }
     let echoed = text(answer.headers(), wire::REQUEST_HEADER);
     let content = text(answer.headers(), "content-type");
     let Ok(body) = answer.body().limit(MAX_ANSWER).await else {
-        return End::Unknown;
+        return End::Cut;
     };
     if echoed != message.id.as_str() {
-        return End::Unknown;
+        return End::Cut;
     }
     End::Whole(Answer {
         status,
--- /dev/null
+++ b/src/entry/metrics.rs
@@ -0,0 +1,182 @@
+//! Metrics of the entry instance.
+
+use std::{
+    fmt,
+    sync::{
+        Mutex,
+        atomic::AtomicU64, //
+    }, //
+};
+
+use prometheus_client::{
+    encoding::{
+        EncodeLabelSet,
+        text, //
+    },
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{
+            Histogram,
+            exponential_buckets, //
+        }, //
+    },
+    registry::{
+        Registry,
+        Unit, //
+    }, //
+};
+
+use crate::wire::caller::Code;
+
+/// The label of refusals.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Refused {
+    /// The refusal's code.
+    pub code: String,
+}
+
+/// The label of what belongs to a profile.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Named {
+    /// The profile.
+    pub profile: String,
+}
+
+/// All metrics of the process.
+pub struct Metrics {
+    registry: Mutex<Registry>,
+    /// Requests refused, by code.
+    refusals: Family<Refused, Counter>,
+    /// Requests answered, by profile.
+    pub answers: Family<Named, Counter>,
+    /// Seconds from arrival to the whole answer, by profile.
+    pub latency: Family<Named, Histogram>,
+    /// Seconds from arrival to dispatch.
+    pub waits: Histogram,
+    /// Exchanges that ended without a whole answer.
+    pub unknown: Counter,
+    /// Attempts beyond the first: retries and hedges.
+    pub repeats: Counter,
+    /// Requests passed to another instance.
+    pub forwards: Counter,
+    /// Placement leases held.
+    pub leases: Gauge,
+    /// Requests that wait.
+    pub queued: Gauge,
+    /// Requests in progress.
+    pub active: Gauge,
+    /// Task attempts claimed in the log and won.
+    pub claims: Counter,
+    /// Task starts sent to workers.
+    pub starts: Counter,
+    /// The first log offset that was not applied yet.
+    pub offset: Gauge,
+    /// Control bytes sent to peers in other regions.
+    pub remote: Counter<u64, AtomicU64>,
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Metrics")
+    }
+}
+
+fn seconds() -> Histogram {
+    Histogram::new(exponential_buckets(0.000_5, 2.0, 18))
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Metrics that are all zero, registered under the prefix `bamboolock_entry`.
+    #[must_use]
+    pub fn new() -> Self {
+        let metrics = Self {
+            registry: Mutex::new(Registry::with_prefix("bamboolock_entry")),
+            refusals: Family::default(),
+            answers: Family::default(),
+            latency: Family::new_with_constructor(seconds),
+            waits: seconds(),
+            unknown: Counter::default(),
+            repeats: Counter::default(),
+            forwards: Counter::default(),
+            leases: Gauge::default(),
+            queued: Gauge::default(),
+            active: Gauge::default(),
+            claims: Counter::default(),
+            starts: Counter::default(),
+            offset: Gauge::default(),
+            remote: Counter::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&self) {
+        let Ok(mut registry) = self.registry.lock() else {
+            return;
+        };
+        registry.register("refusals", "Requests refused, by code", self.refusals.clone());
+        registry.register("answers", "Requests answered, by profile", self.answers.clone());
+        registry.register_with_unit(
+            "latency",
+            "From arrival to the whole answer, by profile",
+            Unit::Seconds,
+            self.latency.clone(),
+        );
+        registry.register_with_unit(
+            "wait",
+            "From arrival to dispatch",
+            Unit::Seconds,
+            self.waits.clone(),
+        );
+        registry.register("unknown", "Exchanges without a whole answer", self.unknown.clone());
+        registry.register("repeats", "Retries and hedged requests", self.repeats.clone());
+        registry.register("forwards", "Requests passed to a peer", self.forwards.clone());
+        registry.register("leases", "Placement leases held", self.leases.clone());
+        registry.register("queued", "Requests that wait", self.queued.clone());
+        registry.register("active", "Requests in progress", self.active.clone());
+        registry.register("claims", "Task attempts claimed and won", self.claims.clone());
+        registry.register("starts", "Task starts sent to workers", self.starts.clone());
+        registry.register("offset", "First log offset not applied", self.offset.clone());
+        registry.register_with_unit(
+            "remote_control",
+            "Control traffic sent to other regions",
+            Unit::Bytes,
+            self.remote.clone(),
+        );
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, code: Code) {
+        let code = format!("{code:?}").to_lowercase();
+        self.refusals.get_or_create(&Refused { code }).inc();
+    }
+
+    /// Counts an answer that took `seconds` from arrival.
+    pub fn answered(&self, profile: &str, seconds: f64) {
+        let named = Named {
+            profile: profile.to_owned(),
+        };
+        self.answers.get_or_create(&named).inc();
+        self.latency.get_or_create(&named).observe(seconds);
+    }
+
+    /// The metrics in the OpenMetrics text format.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the text cannot be written.
+    pub fn encode(&self) -> Result<String, fmt::Error> {
+        let mut out = String::new();
+        let registry = self.registry.lock().map_err(|_| fmt::Error)?;
+        text::encode(&mut out, &registry)?;
+        Ok(out)
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,4 +1,184 @@
 //! The entry instance: serves callers, holds placement leases and places work.
 
+use std::{
+    io,
+    sync::{
+        Arc,
+        atomic::AtomicU64, //
+    },
+    time::{
+        Duration,
+        SystemTime,
+        UNIX_EPOCH, //
+    }, //
+};
+
+use actix::{
+    Addr,
+    AsyncContext, //
+};
+use actix_web::{
+    App,
+    HttpServer,
+    dev::ServerHandle,
+    web, //
+};
+use futures_util::stream;
+use jsonrpsee::server::{
+    Server,
+    ServerBuilder, //
+};
+use log::info;
+use tokio::{
+    sync::mpsc,
+    time::Instant, //
+};
+
+use crate::{
+    entry::rpc::PeerServer,
+    ids::Incarnation,
+    ledger::{
+        record,
+        replica, //
+    },
+    program,
+    settings, //
+};
+
 pub mod exchange;
+pub mod http;
+pub mod keys;
+pub mod metrics;
+pub mod refusal;
 pub mod rpc;
+pub mod scheduler;
+pub mod serve;
+
+/// How often a shutdown looks whether everything has ended.
+const DRAIN_STEP: Duration = Duration::from_millis(20);
+
+/// How long callers' idle connections are kept.
+const KEEP_ALIVE: Duration = Duration::from_secs(30);
+
+/// Runs an entry instance until the process is asked to stop, then shuts it down gracefully.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound.
+pub async fn serve_until_stopped(settings: settings::Entry) -> io::Result<()> {
+    let running = start(settings).await?;
+    program::stop_signal().await?;
+    running.stop().await;
+    Ok(())
+}
+
+/// A running entry instance.
+#[derive(Debug)]
+pub struct Running {
+    scheduler: Addr<scheduler::Scheduler>,
+    callers: ServerHandle,
+    peers: jsonrpsee::server::ServerHandle,
+    limit: Duration,
+}
+
+/// Starts an entry instance on this thread's actor system.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound.
+pub async fn start(settings: settings::Entry) -> io::Result<Running> {
+    let settings = Arc::new(settings);
+    let incarnation = incarnation();
+    let by = record::Author {
+        instance: settings.id.clone(),
+        incarnation,
+    };
+    let ledger = replica::Replica::start(&settings, by);
+    let metrics = Arc::new(metrics::Metrics::new());
+    let (calls, received) = mpsc::unbounded_channel();
+    let peers = serve_peers(&settings, calls).await?;
+    let scheduler = scheduler::Scheduler::start(
+        settings.clone(),
+        ledger.clone(),
+        metrics.clone(),
+        incarnation,
+        received,
+    );
+    let shared = http::Shared {
+        scheduler: scheduler.clone(),
+        ledger,
+        settings: settings.clone(),
+        incarnation,
+        counter: Arc::new(AtomicU64::new(0)),
+        metrics,
+    };
+    let callers = serve_callers(&settings, shared)?;
+    info!(
+        instance:% = settings.id,
+        zone:% = settings.zone,
+        callers:% = settings.listen,
+        incarnation = incarnation.0;
+        "started"
+    );
+    Ok(Running {
+        scheduler,
+        callers,
+        peers,
+        limit: settings.requests.drain,
+    })
+}
+
+/// A value that is higher for each later start: the wall clock in milliseconds.
+fn incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let span = since.map_or(0, |span| span.as_millis());
+    Incarnation(u64::try_from(span).unwrap_or(0))
+}
+
+async fn serve_peers(
+    settings: &settings::Entry,
+    calls: mpsc::UnboundedSender<rpc::Call>,
+) -> io::Result<jsonrpsee::server::ServerHandle> {
+    let server: Server = ServerBuilder::default().build(settings.peer).await?;
+    Ok(server.start(rpc::Service::new(calls).into_rpc()))
+}
+
+fn serve_callers(settings: &settings::Entry, shared: http::Shared) -> io::Result<ServerHandle> {
+    let shared = web::Data::new(shared);
+    let server = HttpServer::new(move || App::new().app_data(shared.clone()).configure(http::routes))
+        .workers(settings.threads)
+        .keep_alive(KEEP_ALIVE)
+        .disable_signals()
+        .shutdown_timeout(settings.requests.drain.as_secs())
+        .bind(settings.listen)?
+        .run();
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    Ok(handle)
+}
+
+impl Running {
+    /// Stops gracefully: admits nothing new, lets everything in progress end, hands the leases over.
+    pub async fn stop(self) {
+        let end = Instant::now() + self.limit;
+        while Instant::now() < end {
+            let done = self.scheduler.send(scheduler::Drain).await;
+            if done.unwrap_or(true) {
+                break;
+            }
+            tokio::time::sleep(DRAIN_STEP).await;
+        }
+        self.callers.stop(true).await;
+        // It may have ended already.
+        let _ = self.peers.stop();
+        info!("stopped");
+    }
+}
+
+/// Feeds the calls of peers to the scheduler.
+pub(crate) fn attach(
+    ctx: &mut actix::Context<scheduler::Scheduler>,
+    mut calls: mpsc::UnboundedReceiver<rpc::Call>,
+) {
+    ctx.add_stream(stream::poll_fn(move |cx| calls.poll_recv(cx)));
+}
--- /dev/null
+++ b/src/entry/refusal.rs
@@ -0,0 +1,100 @@
+//! Refusals: what callers are told when work is not served.
+
+use actix_web::http::StatusCode;
+
+use crate::{
+    findings,
+    wire::caller::{
+        Code,
+        Ran,
+        Refusal, //
+    }, //
+};
+
+/// When a caller may try again at another instance, in milliseconds.
+const RETRY_SOON: u64 = 200;
+
+/// A refusal of work that did not run.
+#[must_use]
+pub fn not_run(code: Code, message: String) -> Refusal {
+    Refusal {
+        code,
+        ran: Ran::No,
+        message,
+        retry: None,
+        findings: Vec::new(),
+    }
+}
+
+/// A refusal of work that did not run, with a hint when to try again, in milliseconds.
+#[must_use]
+pub fn later(code: Code, message: &str, retry: u64) -> Refusal {
+    let retry = Some(retry);
+    Refusal {
+        retry,
+        ..not_run(code, message.to_owned())
+    }
+}
+
+/// A refusal of work that may have run.
+#[must_use]
+pub fn unknown(code: Code, message: &str) -> Refusal {
+    Refusal {
+        ran: Ran::Unknown,
+        ..not_run(code, message.to_owned())
+    }
+}
+
+/// The refusal of an instance that is shutting down.
+#[must_use]
+pub fn draining() -> Refusal {
+    later(Code::Draining, "the instance is shutting down", RETRY_SOON)
+}
+
+/// A refusal of malformed input with one fault.
+#[must_use]
+pub fn input(place: &str, problem: String) -> Refusal {
+    let mut found = findings::Findings::default();
+    found.add("request", place, problem, "");
+    findings(found)
+}
+
+/// A refusal of malformed input with all its faults.
+#[must_use]
+pub fn findings(found: findings::Findings) -> Refusal {
+    let message = format!("the input has {} fault(s)", found.list.len());
+    Refusal {
+        findings: found.list,
+        ..not_run(Code::BadInput, message)
+    }
+}
+
+/// The HTTP status of a refusal.
+#[must_use]
+pub fn status(code: Code) -> StatusCode {
+    match code {
+        Code::BadInput => StatusCode::BAD_REQUEST,
+        Code::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        Code::UnknownProfile | Code::UnknownJob => StatusCode::NOT_FOUND,
+        Code::Impossible => StatusCode::UNPROCESSABLE_ENTITY,
+        Code::QueueFull | Code::Quota => StatusCode::TOO_MANY_REQUESTS,
+        Code::Deadline | Code::LogUnavailable | Code::NoWorker | Code::Draining => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+        Code::Duplicate | Code::Conflict => StatusCode::CONFLICT,
+        Code::OutcomeUnknown => StatusCode::GATEWAY_TIMEOUT,
+        Code::Backend => StatusCode::BAD_GATEWAY,
+        Code::Forbidden => StatusCode::FORBIDDEN,
+        Code::Internal => StatusCode::INTERNAL_SERVER_ERROR,
+    }
+}
+
+/// The value of the header that says whether work ran.
+#[must_use]
+pub fn ran_text(ran: Ran) -> &'static str {
+    match ran {
+        Ran::Yes => "yes",
+        Ran::No => "no",
+        Ran::Unknown => "unknown",
+    }
+}
--- /dev/null
+++ b/src/program.rs
@@ -0,0 +1,132 @@
+//! What every long-running program shares: its command line, its logs, its run loop.
+
+use std::{
+    fmt::Display,
+    io::Write,
+    path::PathBuf,
+    process::ExitCode, //
+};
+
+use clap::{
+    Arg,
+    ArgAction,
+    ArgMatches,
+    Command,
+    value_parser, //
+};
+use log::kv::{
+    self,
+    Key,
+    Value,
+    VisitSource, //
+};
+
+use crate::findings::Findings;
+
+/// Exit status of a program that was given bad settings.
+pub const BAD_SETTINGS: u8 = 1;
+
+/// Exit status of a program that could not start or go on.
+pub const FAILED: u8 = 3;
+
+/// A command with the options that every long-running program has.
+#[must_use]
+pub fn command(name: &'static str, about: &'static str) -> Command {
+    let settings = Arg::new("settings")
+        .long("settings")
+        .short('s')
+        .value_name("FILE")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("Settings file (JSON)");
+    let check = Arg::new("check")
+        .long("check")
+        .action(ArgAction::SetTrue)
+        .help("Check the settings, report every fault and exit");
+    Command::new(name)
+        .version(env!("CARGO_PKG_VERSION"))
+        .about(about)
+        .arg(settings)
+        .arg(check)
+        .after_help(
+            "Log levels by module: RUST_LOG, for example RUST_LOG=info,bamboolock::ledger=debug\n\
+             Exit status: 0 stopped gracefully, 1 bad settings, 2 usage, 3 failed",
+        )
+}
+
+/// The settings file that the command line names.
+///
+/// # Panics
+///
+/// Panics when `matches` does not come from [`command`].
+#[must_use]
+pub fn settings_path(matches: &ArgMatches) -> &PathBuf {
+    matches
+        .get_one("settings")
+        .expect("the option is required")
+}
+
+/// Prints all findings to the standard error stream.
+#[must_use]
+pub fn report(findings: &Findings) -> ExitCode {
+    eprintln!("{findings}");
+    eprintln!("{} finding(s), nothing was started", findings.list.len());
+    ExitCode::from(BAD_SETTINGS)
+}
+
+/// Writes one line an event to the standard error stream: time, level, module, text, fields.
+pub fn logs() {
+    let env = env_logger::Env::default().default_filter_or("info");
+    let mut builder = env_logger::Builder::from_env(env);
+    builder.format(|out, record| {
+        let time = out.timestamp_millis();
+        let level = record.level();
+        let module = record.target();
+        write!(out, "{time} {level} {module} {:?}", record.args().to_string())?;
+        // A field that cannot be written is left out; the event itself stands.
+        let _ = record.key_values().visit(&mut Fields(out));
+        writeln!(out)
+    });
+    // A second call, in a test, keeps the first.
+    let _ = builder.try_init();
+}
+
+/// Writes fields as ` key=value`.
+struct Fields<'a, W: Write>(&'a mut W);
+
+impl<'kvs, W: Write> VisitSource<'kvs> for Fields<'_, W> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), kv::Error> {
+        write!(self.0, " {key}={value}")?;
+        Ok(())
+    }
+}
+
+/// Runs a program to its end.
+pub fn run<E: Display>(program: impl Future<Output = Result<(), E>>) -> ExitCode {
+    match actix::System::new().block_on(program) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            log::error!("stopped: {e}");
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+/// Waits until the process is asked to stop by SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Fails when the signals cannot be watched.
+pub async fn stop_signal() -> std::io::Result<()> {
+    use tokio::signal::unix::{
+        SignalKind,
+        signal, //
+    };
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    Ok(())
+}
