feat(requests): kernel of admission, queues, dispatch, retries, hedging and ejection

Cause: requests must wait at the entry and be bound late, with every refusal and retry safe. Adds settings waiting, straggler and spare, and Shed::crowd. Ruled out: queues inside workers (head-of-line blocking); retry counts (storms after an outage).

--- a/src/configs/requests.rs
+++ b/src/configs/requests.rs
@@ -35,6 +35,15 @@
     /// How long an ejected worker stays out.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub pause: Duration,
+    /// Requests that may wait, of all profiles together.
+    #[schemars(range(min = 1))]
+    pub waiting: u32,
+    /// A profile is long work when its mean run time is this many times the shortest profile's; a
+    /// request is a straggler when it runs this many times its profile's 90th percentile.
+    #[schemars(range(min = 1.0))]
+    pub straggler: f64,
+    /// Slots of each worker that long work leaves free when its profile reserves fewer.
+    pub spare: u32,
     /// How long a graceful shutdown waits for requests in progress.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub drain: Duration,
@@ -49,6 +58,9 @@
             eject: 0.5,
             floor: 0.5,
             pause: Duration::from_millis(5_000),
+            waiting: 4_096,
+            straggler: 4.0,
+            spare: 1,
             drain: Duration::from_millis(30_000),
         }
     }
--- a/src/context.rs
+++ b/src/context.rs
@@ -72,6 +72,8 @@
     pub limit: u32,
     /// The profile's priority, 0 to 9.
     pub priority: u8,
+    /// How full the instance is with waiting requests of all profiles, in thousandths.
+    pub crowd: u32,
 }
 
 /// A worker that a task could be placed on. All candidates have room for it.
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -6,6 +6,8 @@
     resources::Resources, //
 };
 
+pub mod requests;
+
 slotmap::new_key_type! {
     /// A worker in this instance's arena.
     pub struct WorkerKey;
--- /dev/null
+++ b/src/kernel/requests/estimate.rs
@@ -0,0 +1,107 @@
+//! Run times of a profile, learned from its answers.
+
+/// Buckets for each doubling of the run time.
+const STEPS: u64 = 4;
+
+/// Buckets in all; the last one begins above a day.
+const BUCKETS: usize = 112;
+
+/// Samples after which older ones count half.
+const HALF_LIFE: u32 = 2_048;
+
+/// A histogram of run times with logarithmic buckets, in which old samples fade.
+#[derive(Debug, Clone)]
+pub struct Estimate {
+    counts: [u32; BUCKETS],
+    total: u32,
+    sum: u64,
+    prior: u64,
+}
+
+impl Estimate {
+    /// An estimate that gives `prior` milliseconds until something is learned.
+    #[must_use]
+    pub fn new(prior: u64) -> Self {
+        Self {
+            counts: [0; BUCKETS],
+            total: 0,
+            sum: 0,
+            prior: prior.max(1),
+        }
+    }
+
+    /// Learns a run time, in milliseconds.
+    pub fn learn(&mut self, took: u64) {
+        if self.total >= HALF_LIFE {
+            self.fade();
+        }
+        if let Some(count) = self.counts.get_mut(bucket(took)) {
+            *count += 1;
+            self.total += 1;
+            self.sum = self.sum.saturating_add(took.max(1));
+        }
+    }
+
+    /// The run time that the share `q` of requests stays within, in milliseconds.
+    #[must_use]
+    pub fn quantile(&self, q: f64) -> u64 {
+        if self.total == 0 {
+            return self.prior;
+        }
+        let rank = (f64::from(self.total) * q).ceil() as u32;
+        let mut seen = 0;
+        for (i, count) in self.counts.iter().enumerate() {
+            seen += count;
+            if seen >= rank.max(1) {
+                return upper(i);
+            }
+        }
+        upper(BUCKETS - 1)
+    }
+
+    /// The mean run time, in milliseconds.
+    #[must_use]
+    pub fn mean(&self) -> u64 {
+        match self.total {
+            0 => self.prior,
+            total => (self.sum / u64::from(total)).max(1),
+        }
+    }
+
+    /// How many samples the estimate rests on.
+    #[must_use]
+    pub fn samples(&self) -> u32 {
+        self.total
+    }
+
+    fn fade(&mut self) {
+        let before = u64::from(self.total);
+        for count in &mut self.counts {
+            *count /= 2;
+        }
+        self.total = self.counts.iter().sum();
+        self.sum = self.sum.saturating_mul(u64::from(self.total)) / before.max(1);
+    }
+}
+
+/// The bucket of a run time.
+fn bucket(took: u64) -> usize {
+    if took < STEPS {
+        return took as usize;
+    }
+    let power = u64::from(took.ilog2());
+    let step = (took >> (power - 2)) & (STEPS - 1);
+    let at = (power - 1) * STEPS + step;
+    (at as usize).min(BUCKETS - 1)
+}
+
+/// The largest run time of a bucket, in milliseconds.
+fn upper(at: usize) -> u64 {
+    let at = at as u64;
+    if at < STEPS {
+        return at.max(1);
+    }
+    let power = at / STEPS + 1;
+    let step = at % STEPS;
+    ((STEPS + step + 1) << (power - 2)) - 1
+}
--- /dev/null
+++ b/src/kernel/requests/request.rs
@@ -0,0 +1,133 @@
+//! A request and its attempts.
+
+use std::sync::Arc;
+
+use crate::{
+    ids::{
+        IdempotencyKey,
+        Millis,
+        RequestId, //
+    },
+    kernel::{
+        WorkerKey,
+        requests::{
+            class::{
+                ClassKey,
+                Place, //
+            },
+            quota::TeamKey,
+            types::{
+                AttemptKey,
+                RequestKey, //
+            },
+        }, //
+    },
+    profile::Profile,
+    resources::Resources,
+    wire::caller::{
+        Code,
+        Ran,
+        Refusal, //
+    }, //
+};
+
+/// Where a request is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Phase {
+    /// In its profile's queue.
+    Queued(Place),
+    /// Waiting for the end of a backoff.
+    Delayed,
+    /// Sent.
+    Active,
+}
+
+/// A request that has not got its final step.
+#[derive(Debug)]
+pub(super) struct Request {
+    /// The caller's id.
+    pub id: RequestId,
+    /// Its profile's state.
+    pub class: ClassKey,
+    /// The profile version that it was admitted under.
+    pub profile: Arc<Profile>,
+    /// The caller's idempotency key.
+    pub key: Option<IdempotencyKey>,
+    /// When it arrived.
+    pub arrived: Millis,
+    /// When it must have finished.
+    pub deadline: Millis,
+    /// Whether it may not be passed on to another instance.
+    pub forwarded: bool,
+    /// Where it is.
+    pub phase: Phase,
+    /// Its arrival's number.
+    pub seq: u64,
+    /// Sends to workers.
+    pub sent: u8,
+    /// Attempts of which a word may still come.
+    pub live: Vec<AttemptKey>,
+    /// Whether an attempt of unknown outcome may have run.
+    pub unknown: bool,
+    /// Whether a backend server said that it ran.
+    pub ran: bool,
+    /// The worker of the last failed attempt.
+    pub avoid: Option<WorkerKey>,
+}
+
+impl Request {
+    /// Whether the work ran, as far as is known.
+    pub(super) fn ran(&self) -> Ran {
+        if self.ran {
+            return Ran::Yes;
+        }
+        if self.unknown || !self.live.is_empty() {
+            return Ran::Unknown;
+        }
+        Ran::No
+    }
+
+    /// Whether another send can do no harm.
+    pub(super) fn may_repeat(&self) -> bool {
+        self.profile.idempotent || self.ran() == Ran::No
+    }
+
+    /// The time left, in milliseconds.
+    pub(super) fn left(&self, now: Millis) -> u64 {
+        self.deadline.since(now)
+    }
+}
+
+/// One send of a request.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Attempt {
+    /// The request; it may be gone.
+    pub request: RequestKey,
+    /// Its profile's state.
+    pub class: ClassKey,
+    /// The team that it counts for.
+    pub team: TeamKey,
+    /// The worker, or `None` for another entry instance.
+    pub worker: Option<WorkerKey>,
+    /// What it holds there.
+    pub demand: Resources,
+    /// Whether it counts as long work.
+    pub long: bool,
+    /// Whether it counts against the team's quota.
+    pub counted: bool,
+    /// When it was sent.
+    pub sent: Millis,
+    /// Whether its timeout has passed or its exchange broke off.
+    pub silent: bool,
+}
+
+/// A refusal. `retry` is the time after which to try again, in milliseconds.
+pub(super) fn refusal(code: Code, ran: Ran, message: &str, retry: Option<u64>) -> Refusal {
+    Refusal {
+        code,
+        ran,
+        message: message.to_owned(),
+        retry,
+        findings: Vec::new(),
+    }
+}
