--- a/src/kernel/requests/request.rs
+++ b/src/kernel/requests/request.rs
@@ -63,6 +63,8 @@
     pub phase: Phase,
     /// Its arrival's number.
     pub seq: u64,
+    /// Its team's virtual time at the arrival, in milliseconds.
+    pub share: u64,
     /// Sends to workers.
     pub sent: u8,
     /// Attempts of which a word may still come.
--- /dev/null
+++ b/tests/requests.rs
@@ -0,0 +1,14 @@
+//! The requests kernel: contract tables and stateful fuzzing.
+
+#[path = "requests/admission.rs"]
+mod admission;
+#[path = "requests/ejection.rs"]
+mod ejection;
+#[path = "requests/fuzz.rs"]
+mod fuzz;
+#[path = "requests/retries.rs"]
+mod retries;
+#[path = "requests/room.rs"]
+mod room;
+#[path = "requests/support.rs"]
+mod support;
