feat(report): count what became of work, and keep its sums for a quarter

Cause: the service-level report needs each piece of work under exactly one cause, through the replacement of any instance and through outages of the log.

Ruled out: one record of everything since the last commit (an outage of an hour would land in one minute of the report); dropping counts on a failed append; a sequence number for each attempt to append (a lost answer would double the counts); one bucket width for the quarter (132,480 minutes a profile version).

--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -1,6 +1,8 @@
 //! Decisions as pure functions over a state and a clock. No I/O, no clock reads, no randomness that
 //! is not passed in.
 
+pub mod tally;
+
 use crate::{
     ids::Millis,
     resources::Resources, //
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -4,4 +4,5 @@
 //! what is written, [`effect`] what it did.
 
 pub mod effect;
+pub mod outcomes;
 pub mod record;
--- /dev/null
+++ b/src/ledger/outcomes.rs
@@ -0,0 +1,335 @@
+//! What became of work, summed over all instances and kept for a quarter.
+//!
+//! Time is cut into buckets that widen with age, so that the state is bounded: see [`TIERS`]. Every
+//! reader of the log gets the same sums, since only times of the log decide what is folded.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    ids::{
+        Millis,
+        ProfileName, //
+    },
+    ledger::record::{
+        self,
+        Author,
+        Cause, //
+    }, //
+};
+
+/// One minute, in milliseconds.
+pub const MINUTE: u64 = 60_000;
+
+/// One hour, in milliseconds.
+pub const HOUR: u64 = 60 * MINUTE;
+
+/// One day, in milliseconds.
+pub const DAY: u64 = 24 * HOUR;
+
+/// How long an author may be silent before its last sequence number is dropped, in milliseconds of
+/// the log's clock. The first record after a longer silence is skipped, as it may be a repeat.
+pub const SILENCE: u64 = DAY;
+
+/// Longest delay between a span's end and its record, in milliseconds. A record that seems older
+/// comes from a wrong clock and counts at the log's time.
+pub const MAX_DELAY: u64 = DAY;
+
+/// Buckets of one width, for work up to some age.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Tier {
+    /// Width of a bucket, in milliseconds. A multiple of the tier's before.
+    pub width: u64,
+    /// Age up to which buckets of this width are kept, in milliseconds.
+    pub keep: u64,
+}
+
+/// The tiers, from the youngest. What is older than the last one is dropped.
+pub const TIERS: [Tier; 4] = [
+    Tier {
+        width: MINUTE,
+        keep: 2 * HOUR,
+    },
+    Tier {
+        width: 10 * MINUTE,
+        keep: 12 * HOUR,
+    },
+    Tier {
+        width: HOUR,
+        keep: 4 * DAY,
+    },
+    Tier {
+        width: DAY,
+        keep: 92 * DAY,
+    },
+];
+
+/// How far the log's clock moves between folds, in milliseconds: the first tier ends at a multiple
+/// of the second one's width, and the later ones at multiples of that.
+const FOLD: u64 = TIERS[1].width;
+
+/// Sums of one span of time.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Bucket {
+    /// Its start, since 1970.
+    start: Millis,
+    /// Its width, in milliseconds.
+    width: u64,
+    /// The sums, sorted by profile and version.
+    rows: Vec<record::Tally>,
+}
+
+/// The last record that was taken from an author.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Seen {
+    /// The author.
+    author: Author,
+    /// Its sequence number.
+    seq: u64,
+    /// When the log took it.
+    at: Millis,
+}
+
+/// Sums for one profile version in one bucket of time.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// Start of the bucket, in milliseconds since 1970.
+    pub start: Millis,
+    /// Width of the bucket, in milliseconds.
+    pub width: u64,
+    /// The sums.
+    pub tally: record::Tally,
+}
+
+/// What became of a record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Taken {
+    /// It counts.
+    Counted,
+    /// It counted before.
+    Repeat,
+    /// Its author is unknown and it is not the author's first: it may have counted before.
+    Doubtful,
+    /// A row's good and bad work do not add up to its total.
+    Inconsistent,
+}
+
+/// The sums of all instances.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Outcomes {
+    /// The latest time of the log.
+    newest: Millis,
+    /// Sorted by author.
+    seen: Vec<Seen>,
+    /// Sorted by start; they do not overlap.
+    buckets: Vec<Bucket>,
+}
+
+impl Outcomes {
+    /// Adds a record that the log took at `at`, unless it counted before.
+    pub fn apply(&mut self, author: &Author, record: &record::Outcomes, at: Millis) -> Taken {
+        self.advance(at);
+        if !record.rows.iter().all(record::Tally::is_consistent) {
+            return Taken::Inconsistent;
+        }
+        let taken = self.admit(author, record.seq);
+        if taken != Taken::Counted {
+            return taken;
+        }
+        let time = plausible(record.at, at);
+        let bucket = self.bucket(time);
+        for row in &record.rows {
+            record::Tally::entry(bucket, &row.profile, row.version).add(row);
+        }
+        Taken::Counted
+    }
+
+    /// The sums of every bucket that ends after `since`, by time, profile and version.
+    pub fn rows(&self, since: Millis) -> impl Iterator<Item = Row> + '_ {
+        let from = self
+            .buckets
+            .partition_point(|b| b.start.plus(b.width) <= since);
+        let kept = self.buckets.get(from..).unwrap_or_default();
+        kept.iter().flat_map(|bucket| {
+            bucket.rows.iter().map(|tally| Row {
+                start: bucket.start,
+                width: bucket.width,
+                tally: tally.clone(),
+            })
+        })
+    }
+
+    /// The latest time of the log, on the platform's clock since 1970.
+    #[must_use]
+    pub fn newest(&self) -> Millis {
+        self.newest
+    }
+
+    /// Notes the sequence number and says whether its record counts.
+    fn admit(&mut self, author: &Author, seq: u64) -> Taken {
+        let at = self.newest;
+        match self.seen.binary_search_by(|s| s.author.cmp(author)) {
+            Ok(found) => self.seen[found].admit(seq, at),
+            Err(place) => {
+                let author = author.clone();
+                self.seen.insert(place, Seen { author, seq, at });
+                match seq {
+                    1 => Taken::Counted,
+                    _ => Taken::Doubtful,
+                }
+            }
+        }
+    }
+
+    /// Moves the clock on, and folds and drops what has grown old.
+    fn advance(&mut self, at: Millis) {
+        let before = self.newest.0 / FOLD;
+        self.newest = self.newest.max(at);
+        if self.newest.0 / FOLD == before {
+            return;
+        }
+        let newest = self.newest;
+        self.seen.retain(|s| newest.since(s.at) <= SILENCE);
+        self.fold();
+    }
+
+    fn fold(&mut self) {
+        let old = std::mem::take(&mut self.buckets);
+        for bucket in old {
+            if self.newest.since(bucket.start.plus(bucket.width)) > oldest() {
+                continue;
+            }
+            let rows = self.bucket(bucket.start);
+            merge(rows, bucket.rows);
+        }
+    }
+
+    /// The rows of the bucket for a time.
+    fn bucket(&mut self, time: Millis) -> &mut Vec<record::Tally> {
+        let width = width(self.newest, time);
+        let start = Millis(time.0 - time.0 % width);
+        let at = match self.buckets.binary_search_by_key(&start, |b| b.start) {
+            Ok(at) => at,
+            Err(at) => {
+                let rows = Vec::new();
+                self.buckets.insert(at, Bucket { start, width, rows });
+                at
+            }
+        };
+        &mut self.buckets[at].rows
+    }
+}
+
+impl Seen {
+    fn admit(&mut self, seq: u64, at: Millis) -> Taken {
+        self.at = at;
+        if seq <= self.seq {
+            return Taken::Repeat;
+        }
+        self.seq = seq;
+        Taken::Counted
+    }
+}
+
+/// The age at which everything is dropped, in milliseconds.
+fn oldest() -> u64 {
+    TIERS.iter().map(|t| t.keep).max().unwrap_or(0)
+}
+
+/// The width of the bucket that holds `time` when the log has reached `newest`.
+///
+/// A tier ends at a boundary of the next one, so that a wide bucket is folded whole.
+fn width(newest: Millis, time: Millis) -> u64 {
+    let mut width = TIERS[0].width;
+    for pair in TIERS.windows(2) {
+        let limit = newest.0.saturating_sub(pair[0].keep);
+        if time.0 >= limit - limit % pair[1].width {
+            return width;
+        }
+        width = pair[1].width;
+    }
+    width
+}
+
+/// The time at which a record counts: its own, unless that cannot be.
+fn plausible(own: Millis, at: Millis) -> Millis {
+    if own > at || at.since(own) > MAX_DELAY {
+        return at;
+    }
+    own
+}
+
+fn merge(into: &mut Vec<record::Tally>, rows: Vec<record::Tally>) {
+    if into.is_empty() {
+        *into = rows;
+        return;
+    }
+    for row in rows {
+        record::Tally::entry(into, &row.profile, row.version).add(&row);
+    }
+}
+
+impl record::Tally {
+    /// The tally of a profile version among sorted ones; a new empty one when there is none.
+    pub fn entry<'a>(rows: &'a mut Vec<Self>, profile: &ProfileName, version: u32) -> &'a mut Self {
+        let found = rows.binary_search_by(|r| r.profile.cmp(profile).then(r.version.cmp(&version)));
+        let at = match found {
+            Ok(at) => at,
+            Err(at) => {
+                rows.insert(at, Self::empty(profile.clone(), version));
+                at
+            }
+        };
+        &mut rows[at]
+    }
+
+    /// A tally of nothing.
+    #[must_use]
+    pub fn empty(profile: ProfileName, version: u32) -> Self {
+        Self {
+            profile,
+            version,
+            total: 0,
+            good: 0,
+            bad: Vec::new(),
+            waited: 0,
+        }
+    }
+
+    /// Adds `count` pieces of work under a cause. Does not change the total.
+    pub fn blame(&mut self, cause: Cause, count: u64) {
+        match self.bad.binary_search_by_key(&cause, |(c, _)| *c) {
+            Ok(at) => self.bad[at].1 = self.bad[at].1.saturating_add(count),
+            Err(at) => self.bad.insert(at, (cause, count)),
+        }
+    }
+
+    /// Pieces of work under a cause.
+    #[must_use]
+    pub fn caused(&self, cause: Cause) -> u64 {
+        match self.bad.binary_search_by_key(&cause, |(c, _)| *c) {
+            Ok(at) => self.bad[at].1,
+            Err(_) => 0,
+        }
+    }
+
+    /// Whether each piece of work is good or under one cause.
+    #[must_use]
+    pub fn is_consistent(&self) -> bool {
+        let bad = self.bad.iter().map(|(_, count)| u128::from(*count));
+        let sum = u128::from(self.good) + bad.sum::<u128>();
+        sum == u128::from(self.total)
+    }
+
+    /// Adds the counts of another tally, whatever its profile and version.
+    pub fn add(&mut self, other: &Self) {
+        self.total = self.total.saturating_add(other.total);
+        self.good = self.good.saturating_add(other.good);
+        self.waited = self.waited.saturating_add(other.waited);
+        for (cause, count) in &other.bad {
+            self.blame(*cause, *count);
+        }
+    }
+}
