--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod members;
 pub mod runs;
+pub mod tally;
 pub mod workers;
 
 use crate::{
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -5,4 +5,5 @@
 
 pub mod effect;
 pub mod jobs;
+pub mod outcomes;
 pub mod record;
