--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -132,7 +132,7 @@
             members: members::Members::new(settings.membership.clone(), me.clone()),
             workers: workers::Workers::new(settings.lease.clone(), me.clone()),
             requests: requests::Requests::new(settings.requests.clone(), incarnation.0),
-            runs: runs::Runs::new(settings.runs.clone(), me),
+            runs: runs::Runs::new(settings.runs.clone(), &settings.lease, me),
             tally: tally::Tally::default(),
             open: SecondaryMap::new(),
             links: SecondaryMap::new(),
--- /dev/null
+++ b/src/entry/scheduler/jobs.rs
@@ -0,0 +1,447 @@
+//! Jobs: acceptance, placement, starts, ends.
+
+use std::time::Duration;
+
+use actix::{
+    ActorFutureExt,
+    Context,
+    Handler,
+    Message,
+    MessageResult,
+    ResponseActFuture,
+    WrapFuture, //
+};
+
+use super::Scheduler;
+use crate::{
+    entry::refusal,
+    ids::{
+        Millis,
+        ProfileName,
+        RunId,
+        Token, //
+    },
+    kernel::{
+        WorkerKey,
+        runs::{
+            self,
+            Command, //
+        }, //
+    },
+    ledger::{
+        effect::{
+            Applied,
+            Effect, //
+        },
+        profiles::InForce,
+        record::{
+            self,
+            Record, //
+        },
+        replica::Unavailable,
+        state::State, //
+    },
+    platform::worker,
+    profile::{
+        self,
+        Profile, //
+    },
+    wire::{
+        caller::{
+            self,
+            Code,
+            Ran,
+            Refusal, //
+        },
+        worker::{
+            Forget,
+            Launch,
+            Report,
+            SignalTasks,
+            Start,
+            StartAnswer, //
+        }, //
+    }, //
+};
+
+/// How long the log may take to confirm a job, in milliseconds.
+const CONFIRM: Duration = Duration::from_millis(4_000);
+
+/// How long claims and ends are offered to the log. Longer than any outage that is worth waiting
+/// for: what is dropped is planned again.
+const OFFER: Duration = Duration::from_secs(10);
+
+/// When a caller may try again while the log is out, in milliseconds.
+const RETRY: u64 = 1_000;
+
+/// Most jobs in one list.
+const MAX_LIST: usize = 1_000;
+
+/// Submits a job.
+#[derive(Debug, Message)]
+#[rtype(result = "Result<caller::Accepted, Refusal>")]
+pub struct Submit {
+    /// The id it will have, unless its key is known.
+    pub run: RunId,
+    /// The job.
+    pub job: caller::Job,
+}
+
+/// Asks for a job's status.
+#[derive(Debug, Message)]
+#[rtype(result = "Result<caller::Status, Refusal>")]
+pub struct Show {
+    /// The job.
+    pub run: RunId,
+}
+
+/// Asks for the newest jobs.
+#[derive(Debug, Clone, Copy, Message)]
+#[rtype(result = "Result<Vec<caller::Status>, Refusal>")]
+pub struct List;
+
+/// Cancels a job.
+#[derive(Debug, Message)]
+#[rtype(result = "Result<caller::Status, Refusal>")]
+pub struct Cancel {
+    /// The job.
+    pub run: RunId,
+}
+
+/// The profiles of the replayed log, as the planner looks them up.
+struct Published<'a>(&'a State);
+
+impl runs::Profiles for Published<'_> {
+    fn profile(&self, name: &ProfileName) -> Option<&Profile> {
+        let version = self.0.profiles.named(name)?.current()?;
+        version.profile.as_deref()
+    }
+}
+
+impl Handler<Submit> for Scheduler {
+    type Result = ResponseActFuture<Self, Result<caller::Accepted, Refusal>>;
+
+    fn handle(&mut self, submit: Submit, _: &mut Context<Self>) -> Self::Result {
+        let accepted = match self.accept(submit) {
+            Ok(accepted) => accepted,
+            Err(refusal) => return Box::pin(actix::fut::ready(Err(refusal))),
+        };
+        let run = accepted.run.clone();
+        let ledger = self.ledger.clone();
+        let written = async move {
+            let records = vec![Record::Accepted(accepted)];
+            ledger.append(records, CONFIRM).await
+        };
+        let written = written.into_actor(self);
+        Box::pin(written.map(move |written, _, _| match written {
+            Ok(effects) => confirmed(run, &effects),
+            Err(e) => Err(unconfirmed(e)),
+        }))
+    }
+}
+
+/// What a caller is told once the job stands in the log.
+fn confirmed(proposed: RunId, effects: &[Effect]) -> Result<caller::Accepted, Refusal> {
+    let found = effects.iter().find_map(|effect| match effect {
+        Effect::Accepted { run, .. } => Some(run.clone()),
+        _ => None,
+    });
+    let Some(id) = found else {
+        let message = "the record of the job was not understood";
+        return Err(refusal::unknown(Code::Internal, message));
+    };
+    let repeated = id != proposed;
+    Ok(caller::Accepted { id, repeated })
+}
+
+fn unconfirmed(e: Unavailable) -> Refusal {
+    let mut refusal = refusal::later(Code::LogUnavailable, &e.to_string(), RETRY);
+    if e == Unavailable::Pending {
+        refusal.ran = Ran::Unknown;
+    }
+    refusal
+}
+
+impl Handler<Show> for Scheduler {
+    type Result = MessageResult<Show>;
+
+    fn handle(&mut self, show: Show, _: &mut Context<Self>) -> Self::Result {
+        let status = self.ledger.read(|state| state.jobs.status(&show.run));
+        MessageResult(status.ok_or_else(|| unknown_job(&show.run)))
+    }
+}
+
+fn unknown_job(run: &RunId) -> Refusal {
+    refusal::not_run(Code::UnknownJob, format!("no job {run} is known here"))
+}
+
+impl Handler<List> for Scheduler {
+    type Result = MessageResult<List>;
+
+    fn handle(&mut self, _: List, _: &mut Context<Self>) -> Self::Result {
+        let mut all: Vec<_> = self.ledger.read(|state| {
+            let jobs = state.jobs.iter();
+            jobs.map(|(run, job)| job.status(run)).collect()
+        });
+        all.sort_by(|a, b| b.accepted.cmp(&a.accepted));
+        all.truncate(MAX_LIST);
+        MessageResult(Ok(all))
+    }
+}
+
+impl Handler<Cancel> for Scheduler {
+    type Result = ResponseActFuture<Self, Result<caller::Status, Refusal>>;
+
+    fn handle(&mut self, cancel: Cancel, _: &mut Context<Self>) -> Self::Result {
+        let run = cancel.run;
+        if self.ledger.read(|state| state.jobs.get(&run).is_none()) {
+            return Box::pin(actix::fut::ready(Err(unknown_job(&run))));
+        }
+        let ledger = self.ledger.clone();
+        let written = async move {
+            let records = vec![Record::Cancel { run: run.clone() }];
+            let written = ledger.append(records, CONFIRM).await;
+            written.map_err(unconfirmed)?;
+            let status = ledger.read(|state| state.jobs.status(&run));
+            status.ok_or_else(|| unknown_job(&run))
+        };
+        Box::pin(written.into_actor(self))
+    }
+}
+
+impl Handler<Applied> for Scheduler {
+    type Result = ();
+
+    fn handle(&mut self, applied: Applied, ctx: &mut Context<Self>) {
+        let now = self.now();
+        let mut commands = Vec::new();
+        for effect in &applied.effects {
+            if let Effect::Restored { .. } = effect {
+                self.rebuild(now);
+                continue;
+            }
+            self.follow(effect);
+            let ledger = self.ledger.clone();
+            commands.extend(ledger.read(|state| {
+                let profiles = Published(state);
+                let workers = &mut self.workers;
+                self.runs.applied(now, effect, &state.jobs, workers, &profiles)
+            }));
+        }
+        self.execute(commands, ctx);
+        if !applied.effects.is_empty() {
+            self.place(ctx);
+        }
+    }
+}
+
+impl Scheduler {
+    /// Checks a job and makes the record of its acceptance.
+    fn accept(&self, submit: Submit) -> Result<record::Accepted, Refusal> {
+        if self.draining {
+            return Err(refusal::draining());
+        }
+        let Submit { run, job } = submit;
+        let in_force = self.published(&job.profile)?;
+        let profile = &in_force.profile;
+        let demand = job.demand.unwrap_or(profile.demand);
+        if let Err(e) = runs::possible::possible(&self.workers, &demand, job.tasks, profile.kind) {
+            return Err(refusal::not_run(Code::Impossible, e.to_string()));
+        }
+        if let Some(quota) = &profile.quota
+            && !demand.fits(quota)
+        {
+            let message = format!(
+                "a task exceeds the profile's quota in {}",
+                demand.excess(quota).join(", ")
+            );
+            return Err(refusal::not_run(Code::Impossible, message));
+        }
+        Ok(record::Accepted {
+            run,
+            version: in_force.version,
+            zone: self.settings.zone.clone(),
+            tasks: job.tasks,
+            demand,
+            terms: profile.as_ref().into(),
+            estimate: job.estimate,
+            deadline: job.deadline.unwrap_or(profile.objective.deadline),
+            profile: job.profile,
+            key: job.key,
+            payload: job.payload,
+        })
+    }
+
+    /// The version in force of a profile for jobs.
+    fn published(&self, name: &ProfileName) -> Result<InForce, Refusal> {
+        let found = self.ledger.read(|state| state.profiles.profile(name));
+        let found = found.filter(|v| v.profile.kind != profile::Kind::Request);
+        found.ok_or_else(|| {
+            let message = format!("no profile for jobs is named {name}");
+            refusal::not_run(Code::UnknownProfile, message)
+        })
+    }
+
+    /// Plans one round and offers its claims to the log.
+    pub(super) fn place(&mut self, ctx: &mut Context<Self>) {
+        if self.draining {
+            return;
+        }
+        let now = self.now();
+        self.runs.tick(now, &mut self.workers);
+        let ledger = self.ledger.clone();
+        let claims = ledger.read(|state| {
+            let profiles = Published(state);
+            let workers = &mut self.workers;
+            self.runs.plan(now, &state.jobs, workers, &self.members, &profiles)
+        });
+        for claim in claims {
+            self.claim(claim, ctx);
+        }
+    }
+
+    /// Offers one claim to the log. Its effect comes back like any other's; only a claim that was
+    /// never sent is dropped here.
+    fn claim(&mut self, claim: record::Claim, ctx: &mut Context<Self>) {
+        let ledger = self.ledger.clone();
+        let records = vec![Record::Claim(claim.clone())];
+        let written = async move { ledger.append(records, OFFER).await };
+        self.then(ctx, written, move |actor, written, _| {
+            if written == Err(Unavailable::Dropped) {
+                actor.runs.dropped(&claim, &mut actor.workers);
+            }
+        });
+    }
+
+    /// Does what the planner decided.
+    pub(super) fn execute(&mut self, commands: Vec<Command>, ctx: &mut Context<Self>) {
+        for command in commands {
+            match command {
+                Command::Start {
+                    worker,
+                    token,
+                    launches,
+                } => self.launch(worker, token, launches, ctx),
+                Command::Signal { worker, tasks } => {
+                    self.tell(worker, ctx, |token| SignalTasks { token, tasks });
+                }
+                Command::Forget { worker, tasks } => {
+                    self.drop_tasks(worker, ctx, |token| Forget { token, tasks });
+                }
+                Command::End(ended) => self.end(ended, ctx),
+            }
+        }
+    }
+
+    /// Sends starts, if the lease under which they were claimed still holds.
+    fn launch(
+        &mut self,
+        key: WorkerKey,
+        token: Token,
+        launches: Vec<Launch>,
+        ctx: &mut Context<Self>,
+    ) {
+        let now = self.now();
+        let ids: Vec<_> = launches.iter().map(|l| l.id.clone()).collect();
+        let link = self.link(key);
+        let allowed = self.workers.may_start(now, key, token);
+        let (true, Some(link)) = (allowed, link) else {
+            let commands = self.runs.unsent(now, &ids, &mut self.workers);
+            self.execute(commands, ctx);
+            return;
+        };
+        self.metrics.starts.inc_by(ids.len() as u64);
+        let limit = self.settings.lease.timeout;
+        let message = Start {
+            token,
+            tasks: launches,
+        };
+        let sent = async move { worker::start(&link, &message, limit).await };
+        self.then(ctx, sent, move |actor, answer, ctx| {
+            let now = actor.now();
+            let answer: Option<StartAnswer> = answer.ok();
+            let workers = &mut actor.workers;
+            let commands = actor.runs.started(now, key, &ids, answer.as_ref(), workers);
+            actor.execute(commands, ctx);
+        });
+    }
+
+    /// Signals tasks. A lost signal is repeated at a later report.
+    fn tell(
+        &mut self,
+        key: WorkerKey,
+        ctx: &mut Context<Self>,
+        message: impl FnOnce(Token) -> SignalTasks,
+    ) {
+        let now = self.now();
+        let (Some(token), Some(link)) = (self.workers.may_signal(now, key), self.link(key)) else {
+            return;
+        };
+        let message = message(token);
+        let limit = self.settings.lease.timeout;
+        let sent = async move { worker::signal(&link, &message, limit).await };
+        self.then(ctx, sent, |_, _, _| {});
+    }
+
+    /// Lets a worker drop ended tasks. A lost message is repeated at a later report.
+    fn drop_tasks(
+        &mut self,
+        key: WorkerKey,
+        ctx: &mut Context<Self>,
+        message: impl FnOnce(Token) -> Forget,
+    ) {
+        let now = self.now();
+        let (Some(token), Some(link)) = (self.workers.may_signal(now, key), self.link(key)) else {
+            return;
+        };
+        let message = message(token);
+        let limit = self.settings.lease.timeout;
+        let sent = async move { worker::forget(&link, &message, limit).await };
+        self.then(ctx, sent, |_, _, _| {});
+    }
+
+    /// Offers ends to the log. What is dropped comes back with a later report.
+    fn end(&mut self, ended: record::Ended, ctx: &mut Context<Self>) {
+        let ledger = self.ledger.clone();
+        let written = async move { ledger.append(vec![Record::Ended(ended)], OFFER).await };
+        self.then(ctx, written, |_, _, _| {});
+    }
+
+    /// Takes in a worker's report.
+    pub(super) fn reported(&mut self, key: WorkerKey, report: &Report, ctx: &mut Context<Self>) {
+        let now = self.now();
+        let ledger = self.ledger.clone();
+        let commands = ledger.read(|state| {
+            let workers = &mut self.workers;
+            self.runs.report(now, key, report, &state.jobs, workers)
+        });
+        self.execute(commands, ctx);
+    }
+
+    /// Takes in what the platform's list says of workers that are gone.
+    pub(super) fn bury(
+        &mut self,
+        listing: &crate::wire::list::Listing,
+        ctx: &mut Context<Self>,
+    ) {
+        let now = self.now();
+        let ledger = self.ledger.clone();
+        let commands = ledger.read(|state| {
+            self.runs.listed(now, listing, &state.jobs, &self.members)
+        });
+        self.execute(commands, ctx);
+    }
+
+    /// Builds the planner anew from a restored state.
+    fn rebuild(&mut self, now: Millis) {
+        let ledger = self.ledger.clone();
+        ledger.read(|state| self.runs.rebuild(now, &state.jobs, &Published(state)));
+    }
+
+    /// Counts what the log decided.
+    fn follow(&mut self, effect: &Effect) {
+        if let Effect::Claim { won: true, .. } = effect {
+            self.metrics.claims.inc();
+        }
+    }
+}
--- a/src/entry/scheduler/leases.rs
+++ b/src/entry/scheduler/leases.rs
@@ -53,7 +53,7 @@
         let platform = self.platform.clone();
         let limit = self.settings.log.timeout;
         let read = async move { list::read(&platform, limit).await };
-        self.then(ctx, read, |actor, listing, _| {
+        self.then(ctx, read, |actor, listing, ctx| {
             actor.listing = false;
             let Ok(listing) = listing else {
                 return;
@@ -61,6 +61,7 @@
             let now = actor.now();
             actor.members.listed(now, &listing);
             actor.workers.listed(now, &listing);
+            actor.bury(&listing, ctx);
             actor.links.retain(|key, _| actor.workers.get(key).is_some());
         });
     }
--- a/src/entry/scheduler/stopping.rs
+++ b/src/entry/scheduler/stopping.rs
@@ -30,6 +30,6 @@
         // Only now: requests in progress need the leases.
         self.members.leave();
         self.count(ctx);
-        MessageResult(self.workers.released() && self.tally.is_empty() && self.runs.is_idle())
+        MessageResult(self.workers.released() && self.tally.is_empty())
     }
 }
