feat(standin): a fake of platform and backend servers with faults and a judge

Ruled out: one HTTP server a worker (48 servers mean 96 threads and more); unbinding a port for a crash (the listener is shared by all workers), so a crashed worker closes its connections at once instead of refusing them.

Change: one process plays log, list and workers, each worker on its own port. Faults are typed commands at POST /control; GET /control/judge tells violations, counters and bytes by route and zones. Additive headers: zone, non-idempotent, demand.

Seen: awc takes a body that ends before its content-length for a whole one; the test client compares lengths, and so must every reader of answers.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod profile;
 pub mod resources;
 pub mod settings;
+pub mod standin;
 pub mod wire;
--- /dev/null
+++ b/src/standin/connection.rs
@@ -0,0 +1,108 @@
+//! Open connections, which faults can silence or close.
+
+use std::{
+    any::Any,
+    net::{
+        Shutdown,
+        TcpStream, //
+    },
+    os::fd::AsFd,
+    sync::{
+        Arc,
+        Mutex,
+        Weak,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        }, //
+    }, //
+};
+
+use actix_web::rt::net;
+
+use crate::standin::lock;
+
+/// Dead entries are dropped from the register when it has grown by this many.
+const SWEEP: usize = 256;
+
+/// One connection from a caller.
+#[derive(Debug)]
+pub struct Connection {
+    /// The worker's index; absent for the platform.
+    pub worker: Option<usize>,
+    silent: AtomicBool,
+    socket: Option<TcpStream>,
+}
+
+impl Connection {
+    /// Whether nothing goes through it any more.
+    #[must_use]
+    pub fn silent(&self) -> bool {
+        self.silent.load(Ordering::Acquire)
+    }
+
+    /// Closes it at once.
+    pub fn close(&self) {
+        if let Some(socket) = &self.socket
+            && let Err(e) = socket.shutdown(Shutdown::Both)
+        {
+            log::debug!(error:% = e; "connection was already closed");
+        }
+    }
+}
+
+/// All connections that may be open.
+#[derive(Debug, Default)]
+pub struct Register {
+    open: Mutex<(usize, Vec<Weak<Connection>>)>,
+}
+
+impl Register {
+    /// Adds a connection as the HTTP server hands it over.
+    pub fn add(&self, io: &dyn Any, worker: Option<usize>) -> Arc<Connection> {
+        let connection = Arc::new(Connection {
+            worker,
+            silent: AtomicBool::new(false),
+            socket: duplicate(io),
+        });
+        let mut open = lock(&self.open);
+        if open.1.len() >= open.0 + SWEEP {
+            open.1.retain(|c| c.strong_count() > 0);
+            open.0 = open.1.len();
+        }
+        open.1.push(Arc::downgrade(&connection));
+        connection
+    }
+
+    /// Lets the open connections for which `wanted` holds go silent for good. Returns how many.
+    pub fn silence(&self, wanted: impl Fn(&Connection) -> bool) -> usize {
+        let found = self.find(wanted);
+        for connection in &found {
+            connection.silent.store(true, Ordering::Release);
+        }
+        found.len()
+    }
+
+    /// Closes the open connections for which `wanted` holds. Returns how many.
+    pub fn close(&self, wanted: impl Fn(&Connection) -> bool) -> usize {
+        let found = self.find(wanted);
+        for connection in &found {
+            connection.close();
+            connection.silent.store(false, Ordering::Release);
+        }
+        found.len()
+    }
+
+    fn find(&self, wanted: impl Fn(&Connection) -> bool) -> Vec<Arc<Connection>> {
+        let open = lock(&self.open);
+        let alive = open.1.iter().filter_map(Weak::upgrade);
+        alive.filter(|c| wanted(c)).collect()
+    }
+}
+
+/// A second handle of the connection's socket, to close it from outside the server.
+fn duplicate(io: &dyn Any) -> Option<TcpStream> {
+    let stream = io.downcast_ref::<net::TcpStream>()?;
+    let handle = stream.as_fd().try_clone_to_owned().ok()?;
+    Some(TcpStream::from(handle))
+}
--- /dev/null
+++ b/src/standin/gate.rs
@@ -0,0 +1,288 @@
+//! Stands between the sockets and the handlers, and brings about the faults of the network and of
+//! whole processes.
+
+use std::{
+    io,
+    sync::Arc,
+    time::Duration, //
+};
+
+use actix_web::{
+    Error,
+    HttpMessage,
+    HttpResponse,
+    body::{
+        BodySize,
+        BoxBody,
+        MessageBody,
+        SizedStream,
+        to_bytes, //
+    },
+    dev::{
+        ServiceRequest,
+        ServiceResponse, //
+    },
+    error::ErrorInternalServerError,
+    http::header::{
+        CONTENT_LENGTH,
+        HeaderMap, //
+    },
+    middleware::Next,
+    web, //
+};
+use bytes::Bytes;
+use futures_util::{
+    StreamExt,
+    stream, //
+};
+
+use crate::{
+    ids::Millis,
+    standin::{
+        connection::Connection,
+        faults,
+        lock,
+        shared::{
+            PLATFORM,
+            Shared, //
+        }, //
+    },
+    wire, //
+};
+
+/// Bytes of a request or status line beside its path, and of the blank line.
+const LINE: usize = 18;
+
+/// Bytes of a header beside its name and value.
+const SEPARATORS: usize = 4;
+
+/// How long a broken answer waits before it breaks off.
+const FLUSH: Duration = Duration::from_millis(5);
+
+/// When a message came in, before any fault held it back.
+#[derive(Debug, Clone, Copy)]
+pub struct Arrived(pub Millis);
+
+/// What a message goes through.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Way {
+    /// It arrives.
+    Open,
+    /// It waits in the target's socket and arrives later.
+    Paused,
+    /// It never arrives, and nobody says so.
+    Lost,
+    /// The target refuses it.
+    Refused,
+    /// The target's machine closes the connection.
+    Closed,
+}
+
+/// One exchange as the gate sees it.
+struct Exchange {
+    shared: web::Data<Shared>,
+    connection: Option<Arc<Connection>>,
+    /// The worker's index; absent for the platform.
+    worker: Option<usize>,
+    route: String,
+    from: String,
+    to: String,
+}
+
+/// Passes one exchange through the faults that are switched on.
+///
+/// # Errors
+///
+/// Returns the handler's error.
+pub async fn pass(
+    req: ServiceRequest,
+    next: Next<impl MessageBody + 'static>,
+) -> Result<ServiceResponse<BoxBody>, Error> {
+    let exchange = Exchange::read(&req)?;
+    let arrived = Arrived(exchange.shared.now());
+    req.extensions_mut().insert(arrived);
+    exchange.count_request(&req);
+    if let Some(answer) = exchange.travel().await {
+        return Ok(req.into_response(answer));
+    }
+    let answer = next.call(req).await?.map_into_boxed_body();
+    exchange.back(answer).await
+}
+
+impl Exchange {
+    fn read(req: &ServiceRequest) -> Result<Self, Error> {
+        let shared = req.app_data::<web::Data<Shared>>();
+        let shared = shared.ok_or_else(|| ErrorInternalServerError("no state"))?;
+        let port = req.app_config().local_addr().port();
+        let worker = shared.worker_at(port);
+        let to = worker.map(|w| lock(&shared.world).workers[w].spec.zone.to_string());
+        let mut parts = req.path().trim_start_matches("/v1/").split('/');
+        Ok(Self {
+            shared: shared.clone(),
+            connection: req.conn_data::<Arc<Connection>>().cloned(),
+            worker,
+            route: parts.next().unwrap_or_default().to_owned(),
+            from: header(req.headers(), wire::ZONE_HEADER).to_owned(),
+            to: to.unwrap_or_else(|| PLATFORM.to_owned()),
+        })
+    }
+
+    /// Brings the request to the handler. Returns an answer if it never gets there.
+    async fn travel(&self) -> Option<HttpResponse> {
+        loop {
+            match self.way() {
+                Way::Open => return None,
+                Way::Paused => self.hold(Way::Paused).await,
+                Way::Lost => {
+                    self.hold(Way::Lost).await;
+                    return Some(self.close());
+                }
+                Way::Closed => return Some(self.close()),
+                Way::Refused => return Some(HttpResponse::ServiceUnavailable().finish()),
+            }
+            if self.shared.stopping() {
+                return Some(self.close());
+            }
+        }
+    }
+
+    /// Brings the answer back to the caller.
+    async fn back(&self, answer: ServiceResponse) -> Result<ServiceResponse, Error> {
+        self.hold(Way::Paused).await;
+        let faults = self.worker_faults();
+        if faults.late > 0 {
+            self.shared.sleep(Duration::from_millis(faults.late)).await;
+        }
+        if matches!(self.way(), Way::Lost | Way::Closed) {
+            lock(&self.shared.world).judge.counters.lost += 1;
+            self.hold(Way::Lost).await;
+            return Ok(answer.into_response(self.close()));
+        }
+        if faults.errors {
+            lock(&self.shared.world).judge.counters.lost += 1;
+            let error = HttpResponse::InternalServerError().finish();
+            return Ok(answer.into_response(error));
+        }
+        self.count_answer(&answer);
+        if faults.cut {
+            lock(&self.shared.world).judge.counters.cut += 1;
+            return halve(answer).await;
+        }
+        lock(&self.shared.world).judge.counters.whole += 1;
+        Ok(answer)
+    }
+
+    fn way(&self) -> Way {
+        if self.connection.as_ref().is_some_and(|c| c.silent()) || self.is_cut() {
+            return Way::Lost;
+        }
+        match self.worker {
+            Some(worker) => self.worker_way(worker),
+            None => self.platform_way(),
+        }
+    }
+
+    fn is_cut(&self) -> bool {
+        let cuts = &lock(&self.shared.faults).cuts;
+        match self.worker {
+            Some(_) => cuts.between(&self.from, &self.to),
+            None => cuts.from_platform(&self.from),
+        }
+    }
+
+    fn worker_way(&self, worker: usize) -> Way {
+        let world = lock(&self.shared.world);
+        let worker = &world.workers[worker];
+        match (worker.up, worker.faults.hang) {
+            (false, _) => Way::Closed,
+            (true, true) => Way::Paused,
+            (true, false) => Way::Open,
+        }
+    }
+
+    fn platform_way(&self) -> Way {
+        let platform = lock(&self.shared.faults).platform;
+        let mode = match self.route.as_str() {
+            "log" => platform.log,
+            _ => platform.list,
+        };
+        match mode {
+            faults::Mode::Up => Way::Open,
+            faults::Mode::Refuse => Way::Refused,
+            faults::Mode::Hang => Way::Lost,
+            faults::Mode::Drop => Way::Closed,
+        }
+    }
+
+    async fn hold(&self, way: Way) {
+        self.shared.wait_while(|| self.way() == way).await;
+    }
+
+    fn close(&self) -> HttpResponse {
+        if let Some(connection) = &self.connection {
+            connection.close();
+        }
+        HttpResponse::ServiceUnavailable().force_close().finish()
+    }
+
+    fn worker_faults(&self) -> faults::Worker {
+        let Some(worker) = self.worker else {
+            return faults::Worker::default();
+        };
+        lock(&self.shared.world).workers[worker].faults
+    }
+
+    fn count_request(&self, req: &ServiceRequest) {
+        let length = req.headers().get(CONTENT_LENGTH);
+        let length = length.and_then(|l| l.to_str().ok()?.parse::<u64>().ok());
+        let path = req.uri().to_string().len();
+        let head = path + LINE + head_size(req.headers());
+        let bytes = head as u64 + length.unwrap_or_default();
+        self.shared
+            .count_received(&self.route, &self.from, &self.to, bytes);
+    }
+
+    fn count_answer(&self, answer: &ServiceResponse) {
+        let BodySize::Sized(body) = answer.response().body().size() else {
+            return;
+        };
+        let head = LINE + head_size(answer.headers());
+        let bytes = head as u64 + body;
+        self.shared
+            .count_sent(&self.route, &self.from, &self.to, bytes);
+    }
+}
+
+/// A header's text; empty when it is absent.
+pub fn header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    let value = headers.get(name).and_then(|v| v.to_str().ok());
+    value.unwrap_or_default()
+}
+
+fn head_size(headers: &HeaderMap) -> usize {
+    let sizes = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + SEPARATORS);
+    sizes.sum()
+}
+
+/// Announces the whole answer, sends half of it and breaks off.
+async fn halve(answer: ServiceResponse) -> Result<ServiceResponse, Error> {
+    let (req, answer) = answer.into_parts();
+    let (answer, body) = answer.into_parts();
+    let body = to_bytes(body).await.unwrap_or_default();
+    let half = body.slice(..body.len() / 2);
+    let first = stream::iter([Ok(half)]);
+    let rest = stream::once(Box::pin(break_off()));
+    let body = SizedStream::new(body.len() as u64, first.chain(rest));
+    Ok(ServiceResponse::new(
+        req,
+        answer.set_body(BoxBody::new(body)),
+    ))
+}
+
+/// Fails after the server has had time to send what stands before.
+async fn break_off() -> Result<Bytes, io::Error> {
+    tokio::time::sleep(FLUSH).await;
+    Err(io::Error::other("cut short"))
+}
--- /dev/null
+++ b/src/standin/platform.rs
@@ -0,0 +1,140 @@
+//! HTTP of the platform: the log and the list.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use actix_web::{
+    HttpRequest,
+    HttpResponse,
+    web, //
+};
+use tokio::time;
+
+use crate::{
+    ids::Offset,
+    standin::{
+        connection::Connection,
+        faults,
+        lock,
+        shared::Shared, //
+    },
+    wire::log::{
+        Append,
+        Appended,
+        Page,
+        Read, //
+    }, //
+};
+
+/// The most entries in one answer.
+const MOST: u32 = 10_000;
+
+/// The longest wait of a read, in milliseconds.
+const LONGEST: u64 = 60_000;
+
+/// Adds the routes.
+pub fn routes(config: &mut web::ServiceConfig) {
+    config
+        .route("/log/append", web::post().to(append))
+        .route("/log/read", web::get().to(read))
+        .route("/instances", web::get().to(instances));
+}
+
+/// Takes an entry: 200 with its offset, 413 when it is too large, 429 above the rate limit.
+async fn append(
+    req: HttpRequest,
+    shared: web::Data<Shared>,
+    body: web::Json<Append>,
+) -> HttpResponse {
+    let delay = lock(&shared.faults).platform.delay;
+    if delay > 0 {
+        shared.sleep(Duration::from_millis(delay)).await;
+    }
+    let payload = body.into_inner().payload;
+    if payload.len() > lock(&shared.log).largest() {
+        return HttpResponse::PayloadTooLarge().finish();
+    }
+    let Some(offset) = take(&shared, payload) else {
+        return HttpResponse::TooManyRequests().finish();
+    };
+    match loss(&shared) {
+        faults::Mode::Up => HttpResponse::Ok().json(Appended { offset }),
+        mode => lose(&req, &shared, mode).await,
+    }
+}
+
+fn take(shared: &Shared, payload: String) -> Option<Offset> {
+    let now = shared.now();
+    let at = shared.clock.wall(now);
+    let offset = lock(&shared.log).append(now, at, payload);
+    let counters = &mut lock(&shared.world).judge.counters;
+    if offset.is_none() {
+        counters.limited += 1;
+        return None;
+    }
+    counters.appends += 1;
+    shared.appended.notify_waiters();
+    offset
+}
+
+/// How the answer to this append is lost; [`faults::Mode::Up`] when it is not.
+fn loss(shared: &Shared) -> faults::Mode {
+    let platform = &mut lock(&shared.faults).platform;
+    if platform.lose == 0 {
+        return faults::Mode::Up;
+    }
+    platform.lose -= 1;
+    platform.loss
+}
+
+/// Withholds the answer to an append that took effect.
+async fn lose(req: &HttpRequest, shared: &Shared, mode: faults::Mode) -> HttpResponse {
+    lock(&shared.world).judge.counters.lost += 1;
+    if mode == faults::Mode::Hang {
+        let changed = shared.changed.notified();
+        if !shared.stopping() {
+            changed.await;
+        }
+    }
+    let connection = req.conn_data::<Arc<Connection>>();
+    if mode != faults::Mode::Refuse
+        && let Some(connection) = connection
+    {
+        connection.close();
+    }
+    HttpResponse::ServiceUnavailable().finish()
+}
+
+/// Gives entries from an offset on, and waits for the first one if asked to.
+async fn read(shared: web::Data<Shared>, query: web::Query<Read>) -> HttpResponse {
+    lock(&shared.world).judge.counters.reads += 1;
+    let wait = Duration::from_millis(query.wait.min(LONGEST));
+    let page = match time::timeout(wait, entries(&shared, &query)).await {
+        Ok(page) => page,
+        Err(_) => lock(&shared.log).read(query.from, query.max.min(MOST)),
+    };
+    HttpResponse::Ok().json(page)
+}
+
+/// The first page that has entries, or that shows what retention dropped.
+async fn entries(shared: &Shared, query: &Read) -> Page {
+    loop {
+        let appended = shared.appended.notified();
+        let page = lock(&shared.log).read(query.from, query.max.min(MOST));
+        let ready = !page.entries.is_empty() || page.first > query.from;
+        if ready || query.max == 0 || shared.stopping() {
+            return page;
+        }
+        appended.await;
+    }
+}
+
+/// Gives the list as it was some time ago.
+async fn instances(shared: web::Data<Shared>) -> HttpResponse {
+    lock(&shared.world).judge.counters.lists += 1;
+    let mut listing = lock(&shared.list).show(shared.now());
+    listing.at = shared.clock.wall(listing.at);
+    HttpResponse::Ok().json(listing)
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -26,3 +26,13 @@
 
 /// Header that names the instance which forwarded a request; a forwarded request stays there.
 pub const FORWARD_HEADER: &str = "x-bamboolock-forwarded";
+
+/// Header by which an entry instance declares its availability zone to platform and workers.
+pub const ZONE_HEADER: &str = "x-bamboolock-zone";
+
+/// Header that marks a request which must not run twice: `yes`.
+pub const NONIDEMPOTENT_HEADER: &str = "x-bamboolock-nonidempotent";
+
+/// Header that tells a worker what a request takes: five numbers with commas between, in the order
+/// of [`crate::resources::NAMES`]. Absent: one slot and one connection.
+pub const DEMAND_HEADER: &str = "x-bamboolock-demand";
--- /dev/null
+++ b/tests/standin.rs
@@ -0,0 +1,23 @@
+//! Contract of the stand-in: what the platform and the backend servers do, with and without faults.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a helper that cannot go on fails its test"
+)]
+
+#[path = "standin/client.rs"]
+mod client;
+#[path = "standin/faults.rs"]
+mod faults;
+#[path = "standin/judge.rs"]
+mod judge;
+#[path = "standin/lease.rs"]
+mod lease;
+#[path = "standin/list.rs"]
+mod list;
+#[path = "standin/log.rs"]
+mod log;
+#[path = "standin/serve.rs"]
+mod serve;
+#[path = "standin/tasks.rs"]
+mod tasks;
--- /dev/null
+++ b/tests/standin/client.rs
@@ -0,0 +1,241 @@
+//! A stand-in on free ports and a client for it.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use awc::error::SendRequestError;
+use bamboolock::{
+    ids::Token,
+    resources::Resources,
+    standin::{
+        self,
+        Running,
+        command::Command,
+        judge::Verdict,
+        settings::{
+            Group,
+            Settings, //
+        }, //
+    },
+    wire::{
+        self,
+        log::{
+            Append,
+            Appended,
+            Page, //
+        },
+        worker::{
+            Grant,
+            Launch,
+            Lease,
+            Report,
+            Start,
+            StartAnswer,
+            Started,
+            TaskId, //
+        }, //
+    }, //
+};
+use serde::{
+    Serialize,
+    de::DeserializeOwned, //
+};
+use serde_json::Value;
+
+/// Longer than any exchange that is to succeed.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Shows that no answer comes.
+pub(crate) const GLIMPSE: Duration = Duration::from_millis(150);
+
+/// The answer of a backend server.
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    /// What it says of the execution; empty when it says nothing.
+    pub(crate) ran: String,
+    /// Whether all announced bytes came.
+    pub(crate) whole: bool,
+    pub(crate) body: Value,
+}
+
+/// A running stand-in.
+pub(crate) struct Client {
+    pub(crate) running: Running,
+}
+
+/// Two availability zones of one region and one of another, with two workers each.
+pub(crate) fn settings() -> Settings {
+    let zones = [
+        ("north", "north-a"),
+        ("north", "north-b"),
+        ("south", "south-a"),
+    ];
+    let group = |(region, zone): &(&str, &str)| Group {
+        region: region.parse().unwrap(),
+        zone: zone.parse().unwrap(),
+        rack: "rack".into(),
+        count: 2,
+        size: 8,
+        capacity: Resources::from_parts([4_000, 8_192, 1, 4, 16]),
+    };
+    Settings {
+        listen: "127.0.0.1:0".parse().unwrap(),
+        workers: "127.0.0.1:0".parse().unwrap(),
+        threads: 1,
+        groups: zones.iter().map(group).collect(),
+        ..Settings::default()
+    }
+}
+
+impl Client {
+    pub(crate) async fn start(settings: &Settings) -> Self {
+        let running = standin::start(settings).await.unwrap();
+        Self { running }
+    }
+
+    pub(crate) async fn stop(self) {
+        self.running.stop().await;
+    }
+
+    pub(crate) fn worker(&self, index: usize) -> SocketAddr {
+        self.running.workers[index].1
+    }
+
+    pub(crate) fn verdict(&self) -> Verdict {
+        self.running.verdict()
+    }
+
+    pub(crate) async fn command(&self, command: &Command) -> u16 {
+        let (status, _) = self
+            .post::<_, Value>(self.running.platform, "/control", command)
+            .await;
+        status
+    }
+
+    /// Sends on a connection of its own. An empty body reads as null.
+    pub(crate) async fn post<T: Serialize, A: DeserializeOwned>(
+        &self,
+        to: SocketAddr,
+        path: &str,
+        body: &T,
+    ) -> (u16, Option<A>) {
+        let request = fresh().post(format!("http://{to}{path}"));
+        let mut answer = request.send_json(body).await.unwrap();
+        let status = answer.status().as_u16();
+        (status, answer.json().await.ok())
+    }
+
+    pub(crate) async fn get<A: DeserializeOwned>(&self, path: &str) -> (u16, Option<A>) {
+        let request = fresh().get(format!("http://{}{path}", self.running.platform));
+        let mut answer = request.send().await.unwrap();
+        let status = answer.status().as_u16();
+        (status, answer.json().await.ok())
+    }
+
+    pub(crate) async fn append(&self, payload: &str) -> (u16, Option<Appended>) {
+        let body = Append {
+            payload: payload.to_owned(),
+        };
+        self.post(self.running.platform, "/v1/log/append", &body)
+            .await
+    }
+
+    pub(crate) async fn read(&self, from: u64, max: u32, wait: u64) -> Page {
+        let path = format!("/v1/log/read?from={from}&max={max}&wait={wait}");
+        self.get(&path).await.1.unwrap()
+    }
+
+    pub(crate) async fn lease(&self, worker: usize, ask: &Lease) -> Grant {
+        self.post(self.worker(worker), "/v1/lease", ask)
+            .await
+            .1
+            .unwrap()
+    }
+
+    /// Takes or renews a lease that is granted.
+    pub(crate) async fn granted(&self, worker: usize, ask: &Lease) -> Report {
+        match self.lease(worker, ask).await {
+            Grant::Granted(report) => report,
+            other => panic!("not granted: {other:?}"),
+        }
+    }
+
+    pub(crate) async fn launch(&self, worker: usize, token: Token, launch: Launch) -> Started {
+        let body = Start {
+            token,
+            tasks: vec![launch],
+        };
+        let path = "/v1/tasks/start";
+        let answer: StartAnswer = self.post(self.worker(worker), path, &body).await.1.unwrap();
+        answer.results[0]
+    }
+
+    /// Sends a request on a connection of its own.
+    pub(crate) async fn serve(
+        &self,
+        worker: usize,
+        headers: &[(&str, &str)],
+        body: &Value,
+    ) -> Answer {
+        let answer = self.send(&fresh(), worker, headers, body).await;
+        answer.unwrap()
+    }
+
+    pub(crate) async fn send(
+        &self,
+        client: &awc::Client,
+        worker: usize,
+        headers: &[(&str, &str)],
+        body: &Value,
+    ) -> Result<Answer, SendRequestError> {
+        let url = format!("http://{}/v1/serve/check", self.worker(worker));
+        let mut request = client.post(url);
+        for (name, value) in headers {
+            request = request.insert_header((*name, *value));
+        }
+        let mut answer = request.send_json(body).await?;
+        let ran = answer.headers().get(wire::RAN_HEADER);
+        let ran = ran.map_or("", |r| r.to_str().unwrap()).to_owned();
+        let announced = answer.headers().get("content-length");
+        let announced = announced.map(|l| l.to_str().unwrap().parse().unwrap());
+        // awc takes a body that ends early for a whole one.
+        let body = answer.body().await.unwrap_or_default();
+        Ok(Answer {
+            status: answer.status().as_u16(),
+            ran,
+            whole: announced == Some(body.len()),
+            body: serde_json::from_slice(&body).unwrap_or_default(),
+        })
+    }
+}
+
+/// A client with no open connection.
+pub(crate) fn fresh() -> awc::Client {
+    awc::Client::builder().timeout(PATIENCE).finish()
+}
+
+pub(crate) fn ask(holder: &str, incarnation: u64, token: Option<Token>, ttl: u64) -> Lease {
+    Lease {
+        holder: holder.parse().unwrap(),
+        incarnation: bamboolock::ids::Incarnation(incarnation),
+        token,
+        ttl,
+        task_ttl: 60_000,
+    }
+}
+
+pub(crate) fn task(run: &str, attempt: u32, payload: Value) -> Launch {
+    Launch {
+        id: TaskId {
+            run: run.parse().unwrap(),
+            index: 0,
+            attempt,
+        },
+        demand: Resources::from_parts([1_000, 1_024, 0, 1, 0]),
+        ttl: 60_000,
+        resume: 0,
+        payload,
+    }
+}
--- /dev/null
+++ b/tests/standin/faults.rs
@@ -0,0 +1,409 @@
+//! Every fault of the control port, one row a case.
+
+use std::time::Duration;
+
+use bamboolock::{
+    ids::Token,
+    standin::{
+        command::{
+            Command,
+            Select,
+            View, //
+        },
+        faults::Mode, //
+    },
+    wire::{
+        self,
+        worker::Started, //
+    }, //
+};
+use serde_json::json;
+use tokio::time::timeout;
+
+use crate::client::{
+    self,
+    Client,
+    GLIMPSE,
+    PATIENCE,
+    ask,
+    fresh,
+    task, //
+};
+
+/// What a caller sees.
+#[derive(Debug, PartialEq, Eq)]
+enum Seen {
+    /// A whole answer with this status and word of the execution.
+    Answer(u16, &'static str),
+    /// Fewer bytes than announced.
+    Cut,
+    /// The connection was closed.
+    Closed,
+    /// Nothing, for as long as the test looks.
+    Nothing,
+}
+
+/// What a caller sees of a worker without faults.
+const GOOD: Seen = Seen::Answer(200, "yes");
+
+fn first() -> Select {
+    Select {
+        workers: vec!["north-a-w000".parse().unwrap()],
+        zones: Vec::new(),
+    }
+}
+
+async fn leased(client: &Client) -> Token {
+    client.granted(0, &ask("e1", 1, None, 600_000)).await.token
+}
+
+/// How long to look: only an answer that is not to come is given up early.
+fn limit(silent: bool) -> Duration {
+    if silent { GLIMPSE } else { PATIENCE }
+}
+
+/// Sends a request from zone north-b to the worker in north-a, and checks what its caller sees.
+async fn look(client: &Client, http: &awc::Client, token: Token, name: &str, expected: Seen) {
+    let token = token.to_string();
+    let headers = [
+        (wire::TOKEN_HEADER, token.as_str()),
+        (wire::ZONE_HEADER, "north-b"),
+    ];
+    let body = json!({"service_ms": 0});
+    let limit = limit(expected == Seen::Nothing);
+    let seen = match timeout(limit, client.send(http, 0, &headers, &body)).await {
+        Err(_) => Seen::Nothing,
+        Ok(Err(_)) => Seen::Closed,
+        Ok(Ok(answer)) if !answer.whole => Seen::Cut,
+        Ok(Ok(answer)) => match answer.ran.as_str() {
+            "yes" => Seen::Answer(answer.status, "yes"),
+            "no" => Seen::Answer(answer.status, "no"),
+            _ => Seen::Answer(answer.status, ""),
+        },
+    };
+    assert_eq!(seen, expected, "{name}");
+}
+
+struct Case {
+    name: &'static str,
+    command: Command,
+    seen: Seen,
+    /// How many requests begin to execute.
+    executed: u64,
+}
+
+fn worker_cases() -> Vec<Case> {
+    let target = first();
+    let row = |name, command, seen, executed| Case {
+        name,
+        command,
+        seen,
+        executed,
+    };
+    let zone = |z: &str| z.parse().unwrap();
+    let pair = |one: &str, other: &str| Command::CutPair {
+        one: zone(one),
+        other: zone(other),
+        on: true,
+    };
+    let cut = |z: &str| Command::CutZone {
+        zone: zone(z),
+        on: true,
+    };
+    let t = || target.clone();
+    vec![
+        row("crash", Command::Crash { target: t() }, Seen::Closed, 0),
+        row("gone", Command::Gone { target: t() }, Seen::Closed, 0),
+        row(
+            "restart",
+            Command::Restart { target: t() },
+            Seen::Answer(412, "no"),
+            0,
+        ),
+        row(
+            "hang",
+            Command::Hang {
+                target: t(),
+                on: true,
+            },
+            Seen::Nothing,
+            0,
+        ),
+        row(
+            "failing",
+            Command::Failing {
+                target: t(),
+                on: true,
+            },
+            Seen::Answer(500, "yes"),
+            1,
+        ),
+        row(
+            "errors",
+            Command::Errors {
+                target: t(),
+                on: true,
+            },
+            Seen::Answer(500, ""),
+            1,
+        ),
+        row(
+            "cut short",
+            Command::CutAnswers {
+                target: t(),
+                on: true,
+            },
+            Seen::Cut,
+            1,
+        ),
+        row(
+            "late",
+            Command::Late {
+                target: t(),
+                delay: 60_000,
+            },
+            Seen::Nothing,
+            1,
+        ),
+        row(
+            "leaving",
+            Command::Leaving {
+                target: t(),
+                on: true,
+            },
+            Seen::Answer(503, "no"),
+            0,
+        ),
+        row("pair", pair("north-b", "north-a"), Seen::Nothing, 0),
+        row(
+            "other pair",
+            pair("north-a", "south-a"),
+            Seen::Answer(200, "yes"),
+            1,
+        ),
+        row("caller's zone", cut("north-b"), Seen::Nothing, 0),
+        row("worker's zone", cut("north-a"), Seen::Nothing, 0),
+        row("third zone", cut("south-a"), Seen::Answer(200, "yes"), 1),
+    ]
+}
+
+#[actix_web::test]
+async fn a_fault_of_a_worker_shows_in_a_request() {
+    for case in worker_cases() {
+        let client = Client::start(&client::settings()).await;
+        let token = leased(&client).await;
+        assert_eq!(client.command(&case.command).await, 200, "{}", case.name);
+        look(&client, &fresh(), token, case.name, case.seen).await;
+        let counters = client.verdict().counters;
+        assert_eq!(counters.requests, case.executed, "{}", case.name);
+        client.stop().await;
+    }
+}
+
+#[actix_web::test]
+async fn a_reset_ends_the_faults() {
+    let target = first();
+    let cases = [
+        (
+            "hang",
+            Command::Hang {
+                target: target.clone(),
+                on: true,
+            },
+        ),
+        (
+            "late",
+            Command::Late {
+                target: target.clone(),
+                delay: 60_000,
+            },
+        ),
+        ("cut short", Command::CutAnswers { target, on: true }),
+        (
+            "zone",
+            Command::CutZone {
+                zone: "north-a".parse().unwrap(),
+                on: true,
+            },
+        ),
+    ];
+    for (name, command) in cases {
+        let client = Client::start(&client::settings()).await;
+        let token = leased(&client).await;
+        client.command(&command).await;
+        client
+            .post::<_, ()>(client.running.platform, "/control/reset", &())
+            .await;
+        look(&client, &fresh(), token, name, GOOD).await;
+        client.stop().await;
+    }
+}
+
+#[actix_web::test]
+async fn a_paused_worker_handles_later_what_came_in() {
+    let client = Client::start(&client::settings()).await;
+    let token = leased(&client).await;
+    let target = first();
+    client
+        .command(&Command::Hang {
+            target: target.clone(),
+            on: true,
+        })
+        .await;
+    let resume = async {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        client.command(&Command::Hang { target, on: false }).await
+    };
+    let launch = client.launch(0, token, task("r1", 1, json!({})));
+    let (started, _) = futures_util::join!(launch, resume);
+    assert_eq!(started, Started::Started);
+    client.stop().await;
+}
+
+#[actix_web::test]
+async fn open_connections_go_silent_and_new_ones_work() {
+    let client = Client::start(&client::settings()).await;
+    let token = leased(&client).await;
+    let old = fresh();
+    look(&client, &old, token, "before", GOOD).await;
+    client.command(&Command::Silence { target: first() }).await;
+    look(&client, &old, token, "silent", Seen::Nothing).await;
+    look(&client, &fresh(), token, "new", GOOD).await;
+    assert_eq!(client.verdict().counters.requests, 2);
+    client.stop().await;
+}
+
+#[actix_web::test]
+async fn a_crash_ends_requests_in_progress() {
+    let client = Client::start(&client::settings()).await;
+    let token = leased(&client).await.to_string();
+    let headers = [(wire::TOKEN_HEADER, token.as_str())];
+    let body = json!({"service_ms": 600_000});
+    let crash = async {
+        while client.verdict().counters.requests == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        client.command(&Command::Restart { target: first() }).await
+    };
+    let http = fresh();
+    let (answer, _) = futures_util::join!(client.send(&http, 0, &headers, &body), crash);
+    assert!(answer.is_err());
+    let view: View = client.get("/control/state").await.1.unwrap();
+    assert_eq!((view.workers[0].requests, view.workers[0].boot.0), (0, 2));
+    client.stop().await;
+}
+
+#[actix_web::test]
+async fn an_outage_of_the_log_takes_no_entry() {
+    let cases = [
+        ("refuse", Mode::Refuse, Some(503)),
+        ("hang", Mode::Hang, None),
+        ("drop", Mode::Drop, None),
+    ];
+    for (name, mode, status) in cases {
+        let client = Client::start(&client::settings()).await;
+        client.command(&Command::Log { mode }).await;
+        let url = format!("http://{}/v1/log/append", client.running.platform);
+        let body = json!({"payload": "entry"});
+        let http = fresh();
+        let answer = timeout(limit(status.is_none()), http.post(url).send_json(&body)).await;
+        let seen = answer
+            .ok()
+            .and_then(Result::ok)
+            .map(|a| a.status().as_u16());
+        assert_eq!(seen, status, "{name}");
+        client.command(&Command::Log { mode: Mode::Up }).await;
+        assert!(client.read(1, 10, 0).await.entries.is_empty(), "{name}");
+        client.stop().await;
+    }
+}
+
+#[actix_web::test]
+async fn a_lost_append_took_effect() {
+    let cases = [
+        ("refuse", Mode::Refuse, Some(503)),
+        ("hang", Mode::Hang, None),
+        ("drop", Mode::Drop, None),
+    ];
+    for (name, mode, status) in cases {
+        let client = Client::start(&client::settings()).await;
+        client
+            .command(&Command::LoseAppends { count: 1, mode })
+            .await;
+        let url = format!("http://{}/v1/log/append", client.running.platform);
+        let body = json!({"payload": "entry"});
+        let http = fresh();
+        let answer = timeout(limit(status.is_none()), http.post(url).send_json(&body)).await;
+        let seen = answer
+            .ok()
+            .and_then(Result::ok)
+            .map(|a| a.status().as_u16());
+        assert_eq!(seen, status, "{name}");
+        assert_eq!(client.read(1, 10, 0).await.entries.len(), 1, "{name}");
+        assert_eq!(client.append("next").await.0, 200, "{name}");
+        client.stop().await;
+    }
+}
+
+#[actix_web::test]
+async fn a_zone_cut_from_the_platform_gets_no_answer() {
+    let client = Client::start(&client::settings()).await;
+    let zone = || "north-b".parse().unwrap();
+    client
+        .command(&Command::CutPlatform {
+            zone: zone(),
+            on: true,
+        })
+        .await;
+    let url = format!("http://{}/v1/instances", client.running.platform);
+    let cases = [("north-b", None), ("north-a", Some(200)), ("", Some(200))];
+    for (from, status) in cases {
+        let http = fresh();
+        let request = http.get(&url).insert_header((wire::ZONE_HEADER, from));
+        let answer = timeout(limit(status.is_none()), request.send()).await;
+        let seen = answer
+            .ok()
+            .and_then(Result::ok)
+            .map(|a| a.status().as_u16());
+        assert_eq!(seen, status, "from {from:?}");
+    }
+    let token = leased(&client).await;
+    look(&client, &fresh(), token, "new", GOOD).await;
+    client.stop().await;
+}
+
+#[actix_web::test]
+async fn a_command_for_an_unknown_name_is_refused() {
+    let client = Client::start(&client::settings()).await;
+    let worker = Select {
+        workers: vec!["w9".parse().unwrap()],
+        ..Select::default()
+    };
+    let zone = Select {
+        zones: vec!["west".parse().unwrap()],
+        ..Select::default()
+    };
+    let cases = [
+        ("worker", Command::Crash { target: worker }),
+        (
+            "zone",
+            Command::Hang {
+                target: zone,
+                on: true,
+            },
+        ),
+        (
+            "cut",
+            Command::CutZone {
+                zone: "west".parse().unwrap(),
+                on: true,
+            },
+        ),
+    ];
+    for (name, command) in cases {
+        assert_eq!(client.command(&command).await, 400, "{name}");
+    }
+    let view: View = client.get("/control/state").await.1.unwrap();
+    assert!(view.workers.iter().all(|w| w.up && !w.faults.hang));
+    client.stop().await;
+}
--- /dev/null
+++ b/tests/standin/lease.rs
@@ -0,0 +1,72 @@
+//! The placement lease: one holder at a time, fenced by a rising token.
+
+use assert_matches::assert_matches;
+use bamboolock::{
+    ids::Token,
+    wire::worker::{
+        Grant,
+        Started, //
+    }, //
+};
+use serde_json::json;
+
+use crate::client::{
+    self,
+    Client,
+    ask,
+    task, //
+};
+
+const LONG: u64 = 60_000;
+
+#[actix_web::test]
+async fn one_instance_at_a_time_holds_a_worker() {
+    let client = Client::start(&client::settings()).await;
+    let first = client.granted(0, &ask("e1", 1, None, LONG)).await;
+    assert_matches!(
+        client.lease(0, &ask("e2", 1, None, LONG)).await,
+        Grant::Held { holder, left } if holder.as_str() == "e1" && left > 0
+    );
+    let again = client.granted(0, &ask("e1", 1, None, LONG)).await;
+    assert_eq!(again.token, first.token, "a lost answer is asked for again");
+    client.granted(0, &ask("e1", 1, Some(first.token), 0)).await;
+    let next = client.granted(0, &ask("e2", 1, None, LONG)).await;
+    assert!(next.token > first.token);
+    client.stop().await;
+}
+
+#[actix_web::test]
+async fn a_later_life_of_the_holder_takes_over_at_once() {
+    let client = Client::start(&client::settings()).await;
+    let first = client.granted(0, &ask("e1", 1, None, LONG)).await;
+    let second = client.granted(0, &ask("e1", 2, None, LONG)).await;
+    assert!(second.token > first.token);
+    let renewal = client
+        .lease(0, &ask("e1", 1, Some(first.token), LONG))
+        .await;
+    assert_matches!(renewal, Grant::Fenced);
+    assert_matches!(
+        client.lease(0, &ask("e1", 1, None, LONG)).await,
+        Grant::Held { .. }
+    );
+    client.stop().await;
+}
+
+#[actix_web::test]
+async fn a_lapsed_lease_fences_its_holder() {
+    let client = Client::start(&client::settings()).await;
+    let first = client.granted(0, &ask("e1", 1, None, 1)).await;
+    tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    let launched = client
+        .launch(0, first.token, task("r1", 1, json!({})))
+        .await;
+    assert_eq!(launched, Started::Fenced);
+    let renewal = client
+        .lease(0, &ask("e1", 1, Some(first.token), LONG))
+        .await;
+    assert_matches!(renewal, Grant::Fenced);
+    let second = client.granted(0, &ask("e2", 1, None, LONG)).await;
+    assert_eq!(second.token, Token(first.token.0 + 1));
+    assert!(second.tasks.is_empty());
+    client.stop().await;
+}
