--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -20,6 +20,7 @@
     },
     kernel::WorkerKey,
     platform::link,
+    resources::Resources,
     wire::{
         self,
         caller::Ran, //
@@ -44,6 +45,8 @@
     pub key: Option<IdempotencyKey>,
     /// Whether it may run twice.
     pub idempotent: bool,
+    /// What it takes at a worker.
+    pub demand: Resources,
 }
 
 /// Where it is sent, and within which bounds.
@@ -189,13 +192,15 @@
         .insert_header((wire::REQUEST_HEADER, message.id.as_str()))
         .insert_header(("content-type", message.content.as_str()));
     if !message.idempotent {
-        request = request.insert_header((wire::ONCE_HEADER, "yes"));
+        request = request.insert_header((wire::NONIDEMPOTENT_HEADER, "yes"));
     }
     if let Some(key) = &message.key {
         request = request.insert_header((wire::KEY_HEADER, key.as_str()));
     }
     match &route.via {
-        Via::Worker(token) => request.insert_header((wire::TOKEN_HEADER, token.0)),
+        Via::Worker(token) => request
+            .insert_header((wire::TOKEN_HEADER, token.0))
+            .insert_header((wire::DEMAND_HEADER, demand(&message.demand))),
         Via::Peer { from, left } => request
             .insert_header((wire::FORWARD_HEADER, from.as_str()))
             .insert_header((wire::DEADLINE_HEADER, *left)),
@@ -214,3 +219,8 @@
         _ => Ran::Unknown,
     }
 }
+
+/// A demand as the header carries it.
+fn demand(demand: &Resources) -> String {
+    demand.parts().map(|part| part.to_string()).join(",")
+}
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -42,6 +42,7 @@
         RunId, //
     },
     ledger::replica,
+    resources::Resources,
     settings,
     wire::{
         self,
@@ -153,6 +154,7 @@
         content: header(call, "content-type").unwrap_or("application/octet-stream").into(),
         key,
         idempotent: true,
+        demand: Resources::default(),
     })
 }
 
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -71,6 +71,7 @@
     let version = lookup(shared, &name)?;
     check(&version.profile, &order)?;
     order.message.idempotent = version.profile.idempotent;
+    order.message.demand = version.profile.demand;
     let claimed = keys::claim(shared, &name, &order).await?;
     if let keys::Claim::Answered(answer) = claimed {
         return Ok(answer);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod profile;
 pub mod resources;
 pub mod settings;
+pub mod standin;
 pub mod wire;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -27,8 +27,12 @@
 /// Header that names the instance which forwarded a request; a forwarded request stays there.
 pub const FORWARD_HEADER: &str = "x-bamboolock-forwarded";
 
-/// Header that names the availability zone of the sending instance.
+/// Header by which an entry instance declares its availability zone to platform and workers.
 pub const ZONE_HEADER: &str = "x-bamboolock-zone";
 
-/// Header by which a request says, with `yes`, that it must run at most once.
-pub const ONCE_HEADER: &str = "x-bamboolock-nonidempotent";
+/// Header that marks a request which must not run twice: `yes`.
+pub const NONIDEMPOTENT_HEADER: &str = "x-bamboolock-nonidempotent";
+
+/// Header that tells a worker what a request takes: five numbers with commas between, in the order
+/// of [`crate::resources::NAMES`]. Absent: one slot and one connection.
+pub const DEMAND_HEADER: &str = "x-bamboolock-demand";
