--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -113,7 +113,11 @@
 ) -> HttpResponse {
     let Ok(body) = body else {
         let message = format!("the body exceeds {MAX_BODY} bytes");
-        return answer(&shared, None, Err(refusal::not_run(Code::TooLarge, message)));
+        return answer(
+            &shared,
+            None,
+            Err(refusal::not_run(Code::TooLarge, message)),
+        );
     };
     let message = match message(&shared, &path, &call, body) {
         Ok(message) => message,
@@ -151,7 +155,9 @@
         id,
         profile: profile.as_str().into(),
         body,
-        content: header(call, "content-type").unwrap_or("application/octet-stream").into(),
+        content: header(call, "content-type")
+            .unwrap_or("application/octet-stream")
+            .into(),
         key,
         idempotent: true,
         demand: Resources::default(),
@@ -209,10 +215,7 @@
 }
 
 /// `POST /v1/jobs`: accepts a job.
-async fn submit(
-    shared: web::Data<Shared>,
-    body: Result<Bytes, actix_web::Error>,
-) -> HttpResponse {
+async fn submit(shared: web::Data<Shared>, body: Result<Bytes, actix_web::Error>) -> HttpResponse {
     let Some(body) = body.ok().filter(|body| body.len() <= MAX_JOB) else {
         let message = format!("a job has at most {MAX_JOB} bytes");
         return refuse(&shared, None, &refusal::not_run(Code::TooLarge, message));
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -122,8 +122,16 @@
         let Ok(mut registry) = self.registry.lock() else {
             return;
         };
-        registry.register("refusals", "Requests refused, by code", self.refusals.clone());
-        registry.register("answers", "Requests answered, by profile", self.answers.clone());
+        registry.register(
+            "refusals",
+            "Requests refused, by code",
+            self.refusals.clone(),
+        );
+        registry.register(
+            "answers",
+            "Requests answered, by profile",
+            self.answers.clone(),
+        );
         registry.register_with_unit(
             "latency",
             "From arrival to the whole answer, by profile",
@@ -136,15 +144,35 @@
             Unit::Seconds,
             self.waits.clone(),
         );
-        registry.register("unknown", "Exchanges without a whole answer", self.unknown.clone());
-        registry.register("repeats", "Retries and hedged requests", self.repeats.clone());
-        registry.register("forwards", "Requests passed to a peer", self.forwards.clone());
+        registry.register(
+            "unknown",
+            "Exchanges without a whole answer",
+            self.unknown.clone(),
+        );
+        registry.register(
+            "repeats",
+            "Retries and hedged requests",
+            self.repeats.clone(),
+        );
+        registry.register(
+            "forwards",
+            "Requests passed to a peer",
+            self.forwards.clone(),
+        );
         registry.register("leases", "Placement leases held", self.leases.clone());
         registry.register("queued", "Requests that wait", self.queued.clone());
         registry.register("active", "Requests in progress", self.active.clone());
-        registry.register("claims", "Task attempts claimed and won", self.claims.clone());
+        registry.register(
+            "claims",
+            "Task attempts claimed and won",
+            self.claims.clone(),
+        );
         registry.register("starts", "Task starts sent to workers", self.starts.clone());
-        registry.register("offset", "First log offset not applied", self.offset.clone());
+        registry.register(
+            "offset",
+            "First log offset not applied",
+            self.offset.clone(),
+        );
         registry.register_with_unit(
             "remote_control",
             "Control traffic sent to other regions",
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -145,13 +145,14 @@
 
 fn serve_callers(settings: &settings::Entry, shared: http::Shared) -> io::Result<ServerHandle> {
     let shared = web::Data::new(shared);
-    let server = HttpServer::new(move || App::new().app_data(shared.clone()).configure(http::routes))
-        .workers(settings.threads)
-        .keep_alive(KEEP_ALIVE)
-        .disable_signals()
-        .shutdown_timeout(settings.requests.drain.as_secs())
-        .bind(settings.listen)?
-        .run();
+    let server =
+        HttpServer::new(move || App::new().app_data(shared.clone()).configure(http::routes))
+            .workers(settings.threads)
+            .keep_alive(KEEP_ALIVE)
+            .disable_signals()
+            .shutdown_timeout(settings.requests.drain.as_secs())
+            .bind(settings.listen)?
+            .run();
     let handle = server.handle();
     actix_rt::spawn(server);
     Ok(handle)
--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -222,7 +222,9 @@
         self.metrics.queued.set(queued);
         self.metrics.active.set(active);
         self.metrics.leases.set(held);
-        self.metrics.offset.set(i64::try_from(next).unwrap_or(i64::MAX));
+        self.metrics
+            .offset
+            .set(i64::try_from(next).unwrap_or(i64::MAX));
     }
 }
 
@@ -330,7 +332,9 @@
             peer: compact_str::ToCompactString::to_compact_string(&self.settings.peer),
             next: self.ledger.read(|state| state.next()),
             leaving: self.draining,
-            free: total.saturating_sub(held).saturating_sub(self.requests.queued()),
+            free: total
+                .saturating_sub(held)
+                .saturating_sub(self.requests.queued()),
             held: u32::try_from(self.workers.held()).unwrap_or(u32::MAX),
         }
     }
--- a/src/entry/scheduler/jobs.rs
+++ b/src/entry/scheduler/jobs.rs
@@ -225,7 +225,8 @@
             commands.extend(ledger.read(|state| {
                 let profiles = Published(state);
                 let workers = &mut self.workers;
-                self.runs.applied(now, effect, &state.jobs, workers, &profiles)
+                self.runs
+                    .applied(now, effect, &state.jobs, workers, &profiles)
             }));
         }
         self.execute(commands, ctx);
@@ -293,7 +294,8 @@
         let claims = ledger.read(|state| {
             let profiles = Published(state);
             let workers = &mut self.workers;
-            self.runs.plan(now, &state.jobs, workers, &self.members, &profiles)
+            self.runs
+                .plan(now, &state.jobs, workers, &self.members, &profiles)
         });
         for claim in claims {
             self.claim(claim, ctx);
@@ -419,16 +421,11 @@
     }
 
     /// Takes in what the platform's list says of workers that are gone.
-    pub(super) fn bury(
-        &mut self,
-        listing: &crate::wire::list::Listing,
-        ctx: &mut Context<Self>,
-    ) {
+    pub(super) fn bury(&mut self, listing: &crate::wire::list::Listing, ctx: &mut Context<Self>) {
         let now = self.now();
         let ledger = self.ledger.clone();
-        let commands = ledger.read(|state| {
-            self.runs.listed(now, listing, &state.jobs, &self.members)
-        });
+        let commands =
+            ledger.read(|state| self.runs.listed(now, listing, &state.jobs, &self.members));
         self.execute(commands, ctx);
     }
 
--- a/src/entry/scheduler/leases.rs
+++ b/src/entry/scheduler/leases.rs
@@ -36,7 +36,9 @@
                 actor.workers.silent(action.sent, now, action.worker);
                 return;
             };
-            let report = actor.workers.answered(action.sent, now, action.worker, grant);
+            let report = actor
+                .workers
+                .answered(action.sent, now, action.worker, grant);
             if let Some(report) = report {
                 actor.reported(action.worker, &report, ctx);
             }
@@ -62,7 +64,9 @@
             actor.members.listed(now, &listing);
             actor.workers.listed(now, &listing);
             actor.bury(&listing, ctx);
-            actor.links.retain(|key, _| actor.workers.get(key).is_some());
+            actor
+                .links
+                .retain(|key, _| actor.workers.get(key).is_some());
         });
     }
 }
--- a/src/entry/scheduler/serving.rs
+++ b/src/entry/scheduler/serving.rs
@@ -21,7 +21,6 @@
 use crate::{
     context::Distance,
     entry::exchange::{
-        self,
         End,
         Route,
         Via, //
@@ -38,8 +37,8 @@
         WorkerKey,
         members::Standing,
         requests::{
-            AttemptKey,
             Arrival,
+            AttemptKey,
             Dispatch,
             Forward,
             Kind,
@@ -248,7 +247,9 @@
         let now = self.now();
         let outcome = landed.landing.outcome(landed.took);
         let workers = &mut self.workers;
-        let step = self.requests.finished(now, landed.attempt, outcome, workers);
+        let step = self
+            .requests
+            .finished(now, landed.attempt, outcome, workers);
         if let Some(request) = self.open.get_mut(landed.request)
             && matches!(outcome, Outcome::NotRun)
         {
@@ -319,14 +320,18 @@
         if request.sent.is_none() {
             request.sent = Some(now);
             let waited = now.since(request.arrived);
-            self.metrics.waits.observe(Duration::from_millis(waited).as_secs_f64());
+            self.metrics
+                .waits
+                .observe(Duration::from_millis(waited).as_secs_f64());
         }
         if dispatch.kind != Kind::First {
             self.metrics.repeats.inc();
         }
         let Some(route) = self.route(now, dispatch) else {
             let landed = Outcome::NotRun;
-            let step = self.requests.finished(now, dispatch.attempt, landed, &mut self.workers);
+            let step = self
+                .requests
+                .finished(now, dispatch.attempt, landed, &mut self.workers);
             self.step(now, dispatch.key, step);
             return;
         };
@@ -479,4 +484,3 @@
         self.tally.ended(wall(), &work);
     }
 }
-
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -156,7 +156,10 @@
 
 /// The refusal when the scheduler ended without a word.
 fn lost() -> Refusal {
-    refusal::unknown(Code::OutcomeUnknown, "the instance stopped before the answer")
+    refusal::unknown(
+        Code::OutcomeUnknown,
+        "the instance stopped before the answer",
+    )
 }
 
 /// Starts one exchange. It goes on when the caller goes away, so that its slot is freed in time.
--- a/src/kernel/runs/queue.rs
+++ b/src/kernel/runs/queue.rs
@@ -80,6 +80,7 @@
         deadline: now.plus(job.spec.deadline),
         priority: job.spec.terms.priority,
         estimate: job.spec.estimate,
+        share: 0,
     };
     let chosen = profiles.profile(&job.spec.profile);
     let fallback = profile::Policies::default().order;
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -5,5 +5,13 @@
 
 pub mod effect;
 pub mod jobs;
+pub mod keys;
 pub mod outcomes;
+pub mod profiles;
+pub mod queue;
 pub mod record;
+pub mod recovery;
+pub mod replica;
+pub mod ring;
+pub mod snapshots;
+pub mod state;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod modules;
 pub mod platform;
 pub mod profile;
+pub mod program;
 pub mod resources;
 pub mod settings;
 pub mod standin;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod link;
 pub mod list;
+pub mod log;
 pub mod worker;
--- a/src/program.rs
+++ b/src/program.rs
@@ -61,9 +61,7 @@
 /// Panics when `matches` does not come from [`command`].
 #[must_use]
 pub fn settings_path(matches: &ArgMatches) -> &PathBuf {
-    matches
-        .get_one("settings")
-        .expect("the option is required")
+    matches.get_one("settings").expect("the option is required")
 }
 
 /// Prints all findings to the standard error stream.
@@ -82,7 +80,11 @@
         let time = out.timestamp_millis();
         let level = record.level();
         let module = record.target();
-        write!(out, "{time} {level} {module} {:?}", record.args().to_string())?;
+        write!(
+            out,
+            "{time} {level} {module} {:?}",
+            record.args().to_string()
+        )?;
         // A field that cannot be written is left out; the event itself stands.
         let _ = record.key_values().visit(&mut Fields(out));
         writeln!(out)
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -333,6 +333,7 @@
             leaving: self.leaving.is_some(),
             tasks: self.tasks.iter().map(Task::view).collect(),
             requests: u32::try_from(self.requests.len()).unwrap_or(u32::MAX),
+            earlier: None,
             usage: self.usage.front().map(|u| u.1).unwrap_or_default(),
         }
     }
