--- a/src/standin/log.rs
+++ b/src/standin/log.rs
@@ -32,13 +32,13 @@
 }
 
 impl Log {
-    /// An empty log. Its first offset is 1.
+    /// An empty log. Its first offset is 0.
     #[must_use]
     pub fn new(limits: settings::Log) -> Self {
         Self {
             limits,
             entries: VecDeque::new(),
-            next: Offset(1),
+            next: Offset(0),
             budget: burst(&limits),
             filled: Millis(0),
         }
