feat(ledger): replayed state, log client, group commits and the replica

Cause: every instance needs the same profiles and idempotency keys from the platform's log, through outages, lost answers, retention and restarts.

Ruled out: deciding a profile change by what a reader makes of its body (releases with other plug-ins would number versions differently), one sorted vector for all keys (an insertion would move megabytes), waiting for an append's answer before the next one although the tail shows the batch.

Change: State is a pure function of the entries; a change of a profile is decided by base and change id alone, and an unreadable body takes its version while the last readable one stays in force. A key moves to another request only after an answer that says "not run". Batches keep id and text until they are seen in the tail.

Additive: records deny unknown fields, Effect::Restored, Applied.origins, log.refresh, ZONE_HEADER.

Jobs and outcomes records are dispatched to nothing until their owners' parts are merged.

--- a/src/configs/log.rs
+++ b/src/configs/log.rs
@@ -35,6 +35,10 @@
     /// How many entries may follow a snapshot before the next is appended.
     #[schemars(range(min = 1))]
     pub snapshot: u64,
+    /// How old the last snapshot may grow, also when nothing changes; well below the time for which
+    /// the platform keeps records.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub refresh: Duration,
 }
 
 impl Default for Log {
@@ -46,6 +50,7 @@
             poll: Duration::from_millis(2_000),
             backoff: Duration::from_millis(50),
             snapshot: 2_000,
+            refresh: Duration::from_millis(600_000),
         }
     }
 }
--- a/src/ledger/effect.rs
+++ b/src/ledger/effect.rs
@@ -69,6 +69,11 @@
     },
     /// An answer was recorded.
     Answer(record::Answer),
+    /// The state was replaced by a snapshot: earlier effects were not seen one by one.
+    Restored {
+        /// The first offset that is not in the state.
+        next: crate::ids::Offset,
+    },
     /// The record was skipped: unreadable, unknown, of a newer format or without effect.
     Skipped(findings::Finding),
 }
@@ -82,4 +87,6 @@
     pub batch: Option<ChangeId>,
     /// The effects; a record may have none or several.
     pub effects: Vec<Effect>,
+    /// For each effect, the index in the batch of the record that it comes from.
+    pub origins: Vec<usize>,
 }
--- /dev/null
+++ b/src/ledger/keys.rs
@@ -0,0 +1,212 @@
+//! Idempotency keys of non-idempotent requests: who holds a key and what was answered.
+//!
+//! The first request that records a key holds it for [`WINDOW`] of log time. Only an answer which
+//! says that the holder's request did not run lets another request take the key over, so an
+//! instance records such an answer only when it will not send the request any more.
+
+use std::collections::VecDeque;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use xxhash_rust::xxh3;
+
+use crate::{
+    findings,
+    ids::{
+        IdempotencyKey,
+        Millis,
+        ProfileName,
+        RequestId, //
+    },
+    ledger::{
+        effect::Effect,
+        record, //
+    },
+    wire::caller::Ran, //
+};
+
+/// How long a key is kept after its record, in milliseconds of log time.
+pub const WINDOW: u64 = 24 * 3_600 * 1_000;
+
+/// Sorted vectors over which keys are spread, so that an insertion moves few elements.
+const SHARDS: usize = 1_024;
+
+/// A key that was recorded.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// The profile.
+    pub profile: ProfileName,
+    /// The caller's key.
+    pub key: IdempotencyKey,
+    /// The request that holds it.
+    pub holder: RequestId,
+    /// When it was first recorded, by the log's clock.
+    pub at: Millis,
+    /// What the holder's request got.
+    pub answer: Option<record::Answer>,
+}
+
+/// All kept keys.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Vec<Held>", into = "Vec<Held>")]
+pub struct Keys {
+    /// The keys by hash, each shard sorted by profile and key.
+    shards: Vec<Vec<Held>>,
+    /// The keys from the oldest to the newest, to forget them in this order.
+    ages: VecDeque<(Millis, ProfileName, IdempotencyKey)>,
+}
+
+impl Default for Keys {
+    fn default() -> Self {
+        Self {
+            shards: vec![Vec::new(); SHARDS],
+            ages: VecDeque::new(),
+        }
+    }
+}
+
+impl From<Vec<Held>> for Keys {
+    fn from(list: Vec<Held>) -> Self {
+        let mut keys = Self::default();
+        for held in list {
+            keys.insert(held);
+        }
+        keys
+    }
+}
+
+impl From<Keys> for Vec<Held> {
+    fn from(keys: Keys) -> Self {
+        let ages = keys.ages.iter();
+        ages.filter_map(|(_, profile, key)| keys.get(profile, key).cloned())
+            .collect()
+    }
+}
+
+impl Keys {
+    /// How many keys are kept.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.ages.len()
+    }
+
+    /// Whether no key is kept.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.ages.is_empty()
+    }
+
+    /// The holder of a key and its answer.
+    #[must_use]
+    pub fn get(&self, profile: &ProfileName, key: &IdempotencyKey) -> Option<&Held> {
+        let shard = &self.shards[shard(profile, key)];
+        shard.get(find(shard, profile, key).ok()?)
+    }
+
+    /// Decides who holds a key.
+    pub fn hold(&mut self, wanted: &record::Key, at: Millis) -> Effect {
+        self.forget(at);
+        let held = match self.get_mut(&wanted.profile, &wanted.key) {
+            Some(held) => held,
+            None => return self.take(wanted, at),
+        };
+        if released(held) && held.holder != wanted.request {
+            held.holder = wanted.request.clone();
+            held.answer = None;
+        }
+        effect(wanted, held.holder.clone())
+    }
+
+    /// Keeps the answer of a key's holder. The first definite one stays.
+    pub fn answer(&mut self, answer: &record::Answer, at: Millis) -> Option<Effect> {
+        self.forget(at);
+        let Some(held) = self.get_mut(&answer.profile, &answer.key) else {
+            return Some(skipped(answer, "the key is not held or was forgotten"));
+        };
+        if held.holder != answer.request {
+            return Some(skipped(answer, "another request holds the key"));
+        }
+        if held.answer.as_ref() == Some(answer) {
+            return None;
+        }
+        if held.answer.as_ref().is_some_and(|a| a.ran != Ran::Unknown) {
+            return Some(skipped(answer, "the key's request was answered before"));
+        }
+        held.answer = Some(answer.clone());
+        Some(Effect::Answer(answer.clone()))
+    }
+
+    fn take(&mut self, wanted: &record::Key, at: Millis) -> Effect {
+        self.insert(Held {
+            profile: wanted.profile.clone(),
+            key: wanted.key.clone(),
+            holder: wanted.request.clone(),
+            at,
+            answer: None,
+        });
+        effect(wanted, wanted.request.clone())
+    }
+
+    fn insert(&mut self, held: Held) {
+        let shard = &mut self.shards[shard(&held.profile, &held.key)];
+        let Err(at) = find(shard, &held.profile, &held.key) else {
+            return;
+        };
+        let age = (held.at, held.profile.clone(), held.key.clone());
+        shard.insert(at, held);
+        self.ages.push_back(age);
+    }
+
+    fn get_mut(&mut self, profile: &ProfileName, key: &IdempotencyKey) -> Option<&mut Held> {
+        let shard = &mut self.shards[shard(profile, key)];
+        let at = find(shard, profile, key).ok()?;
+        shard.get_mut(at)
+    }
+
+    fn forget(&mut self, now: Millis) {
+        while let Some((at, profile, key)) = self.ages.front() {
+            if now.since(*at) < WINDOW {
+                return;
+            }
+            let shard = &mut self.shards[shard(profile, key)];
+            if let Ok(place) = find(shard, profile, key) {
+                shard.remove(place);
+            }
+            self.ages.pop_front();
+        }
+    }
+}
+
+fn released(held: &Held) -> bool {
+    held.answer.as_ref().is_some_and(|a| a.ran == Ran::No)
+}
+
+fn find(shard: &[Held], profile: &ProfileName, key: &IdempotencyKey) -> Result<usize, usize> {
+    shard.binary_search_by(|h| (&h.profile, &h.key).cmp(&(profile, key)))
+}
+
+fn shard(profile: &ProfileName, key: &IdempotencyKey) -> usize {
+    let seed = xxh3::xxh3_64(profile.as_str().as_bytes());
+    let hash = xxh3::xxh3_64_with_seed(key.as_str().as_bytes(), seed);
+    (hash % SHARDS as u64) as usize
+}
+
+fn effect(wanted: &record::Key, holder: RequestId) -> Effect {
+    Effect::Key {
+        profile: wanted.profile.clone(),
+        key: wanted.key.clone(),
+        request: wanted.request.clone(),
+        holder,
+    }
+}
+
+fn skipped(answer: &record::Answer, problem: &str) -> Effect {
+    Effect::Skipped(findings::Finding {
+        source: answer.request.as_str().into(),
+        place: "/key".to_owned(),
+        problem: problem.to_owned(),
+        hint: String::new(),
+    })
+}
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -4,4 +4,12 @@
 //! what is written, [`effect`] what it did.
 
 pub mod effect;
+pub mod keys;
+pub mod profiles;
+pub mod queue;
 pub mod record;
+pub mod recovery;
+pub mod replica;
+pub mod ring;
+pub mod snapshots;
+pub mod state;
--- /dev/null
+++ b/src/ledger/queue.rs
@@ -0,0 +1,252 @@
+//! Group commits: gathers records into batches and keeps those whose fate is open.
+//!
+//! One append is under way at a time. A batch whose answer was lost keeps its id and its text: it
+//! is looked for in the log's tail and appended again until it is seen there. Records are
+//! idempotent, so a second copy does no harm.
+
+use std::collections::VecDeque;
+
+use tokio::time::Instant;
+
+use crate::{
+    ids::ChangeId,
+    ledger::{
+        effect::{
+            Applied,
+            Effect, //
+        },
+        record, //
+    }, //
+};
+
+/// Records that belong together, with the handle to answer to.
+#[derive(Debug)]
+pub struct Item<T> {
+    /// The handle of the waiting party.
+    pub reply: T,
+    /// The records; they share one batch.
+    pub records: Vec<serde_json::Value>,
+    /// Until when the party waits.
+    pub deadline: Instant,
+}
+
+/// A batch that was handed out for appending.
+#[derive(Debug)]
+struct Flight<T> {
+    id: ChangeId,
+    text: String,
+    /// The items and the index of the first record of each.
+    items: Vec<(usize, Item<T>)>,
+    /// How many copies may have left this process.
+    copies: u32,
+    /// Whether the log has answered that it took the batch.
+    taken: bool,
+}
+
+/// What to append.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Outgoing {
+    /// The batch.
+    pub id: ChangeId,
+    /// Its text.
+    pub text: String,
+}
+
+/// An item that was given up.
+#[derive(Debug)]
+pub struct Expired<T> {
+    /// The handle of the waiting party.
+    pub reply: T,
+    /// Whether the records may still take effect.
+    pub pending: bool,
+}
+
+/// Records on their way into the log.
+#[derive(Debug)]
+pub struct Queue<T> {
+    by: record::Author,
+    most: usize,
+    count: u64,
+    waiting: VecDeque<Item<T>>,
+    flights: Vec<Flight<T>>,
+}
+
+impl<T> Queue<T> {
+    /// An empty queue of an author whose batches hold `most` records, or one larger item.
+    #[must_use]
+    pub fn new(by: record::Author, most: usize) -> Self {
+        Self {
+            by,
+            most,
+            count: 0,
+            waiting: VecDeque::new(),
+            flights: Vec::new(),
+        }
+    }
+
+    /// Adds an item.
+    pub fn push(&mut self, item: Item<T>) {
+        self.waiting.push_back(item);
+    }
+
+    /// Records that wait to be handed out.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.iter().map(|i| i.records.len()).sum()
+    }
+
+    /// Whether nothing waits and no batch is open.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty() && self.flights.is_empty()
+    }
+
+    /// The batch to append now: the open one again, or a new one of what waits.
+    pub fn outgoing(&mut self) -> Option<Outgoing> {
+        if let Some(open) = self.flights.iter_mut().find(|f| !f.taken) {
+            open.copies += 1;
+            return Some(Outgoing {
+                id: open.id.clone(),
+                text: open.text.clone(),
+            });
+        }
+        self.compose()
+    }
+
+    /// Notes that the log took a batch: the next one may go.
+    pub fn taken(&mut self, id: &ChangeId) {
+        let flight = self.flights.iter_mut().find(|f| f.id == *id);
+        if let Some(flight) = flight {
+            flight.taken = true;
+        }
+    }
+
+    /// Notes that the last copy of a batch surely did not leave this process. When no other did,
+    /// the batch's items wait again.
+    pub fn recall(&mut self, id: &ChangeId) {
+        let Some(at) = self.flights.iter().position(|f| f.id == *id) else {
+            return;
+        };
+        self.flights[at].copies -= 1;
+        if self.flights[at].copies > 0 {
+            return;
+        }
+        let flight = self.flights.remove(at);
+        for (_, item) in flight.items.into_iter().rev() {
+            self.waiting.push_front(item);
+        }
+    }
+
+    /// Whether a batch is open: handed out, and neither taken nor seen in the log.
+    #[must_use]
+    pub fn open(&self, id: &ChangeId) -> bool {
+        self.flights.iter().any(|f| f.id == *id && !f.taken)
+    }
+
+    /// Closes a batch that was seen in the log. Returns what each of its items did.
+    pub fn applied(&mut self, applied: &Applied) -> Vec<(T, Vec<Effect>)> {
+        let id = applied.batch.as_ref();
+        let Some(at) = self.flights.iter().position(|f| Some(&f.id) == id) else {
+            return Vec::new();
+        };
+        let flight = self.flights.remove(at);
+        flight
+            .items
+            .into_iter()
+            .map(|(first, item)| {
+                let end = first + item.records.len();
+                (item.reply, effects(applied, first, end))
+            })
+            .collect()
+    }
+
+    /// Gives up what nobody waits for any more.
+    pub fn expire(&mut self, now: Instant) -> Vec<Expired<T>> {
+        let mut expired = Vec::new();
+        expire_waiting(&mut self.waiting, now, &mut expired);
+        for flight in &mut self.flights {
+            expire_flight(flight, now, &mut expired);
+        }
+        self.flights.retain(|f| !f.items.is_empty());
+        expired
+    }
+
+    fn compose(&mut self) -> Option<Outgoing> {
+        let mut records = Vec::new();
+        let mut items = Vec::new();
+        while let Some(item) = self.waiting.front() {
+            if !items.is_empty() && records.len() + item.records.len() > self.most {
+                break;
+            }
+            let Some(item) = self.waiting.pop_front() else {
+                break;
+            };
+            let first = records.len();
+            records.extend(item.records.iter().cloned());
+            items.push((first, item));
+        }
+        if items.is_empty() {
+            return None;
+        }
+        self.fly(records, items)
+    }
+
+    fn fly(
+        &mut self,
+        records: Vec<serde_json::Value>,
+        items: Vec<(usize, Item<T>)>,
+    ) -> Option<Outgoing> {
+        let id = self.next_id()?;
+        let batch = record::Batch {
+            format: record::FORMAT,
+            id: id.clone(),
+            by: self.by.clone(),
+            records,
+        };
+        let text = serde_json::to_string(&batch).ok()?;
+        self.flights.push(Flight {
+            id: id.clone(),
+            text: text.clone(),
+            items,
+            copies: 1,
+            taken: false,
+        });
+        Some(Outgoing { id, text })
+    }
+
+    /// An id that no other author and no other life of this one uses.
+    fn next_id(&mut self) -> Option<ChangeId> {
+        self.count += 1;
+        let author = xxhash_rust::xxh3::xxh3_64(self.by.instance.as_str().as_bytes());
+        let id = format!("{author:016x}.{}.{}", self.by.incarnation, self.count);
+        id.parse().ok()
+    }
+}
+
+fn expire_waiting<T>(waiting: &mut VecDeque<Item<T>>, now: Instant, expired: &mut Vec<Expired<T>>) {
+    let (late, rest) = waiting.drain(..).partition(|i| i.deadline <= now);
+    *waiting = rest;
+    let late: VecDeque<Item<T>> = late;
+    expired.extend(late.into_iter().map(|item| Expired {
+        reply: item.reply,
+        pending: false,
+    }));
+}
+
+fn expire_flight<T>(flight: &mut Flight<T>, now: Instant, expired: &mut Vec<Expired<T>>) {
+    let (late, rest) = flight.items.drain(..).partition(|(_, i)| i.deadline <= now);
+    flight.items = rest;
+    let late: Vec<(usize, Item<T>)> = late;
+    expired.extend(late.into_iter().map(|(_, item)| Expired {
+        reply: item.reply,
+        pending: true,
+    }));
+}
+
+fn effects(applied: &Applied, first: usize, end: usize) -> Vec<Effect> {
+    let pairs = applied.effects.iter().zip(&applied.origins);
+    pairs
+        .filter(|(_, origin)| (first..end).contains(origin))
+        .map(|(effect, _)| effect.clone())
+        .collect()
+}
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -34,6 +34,7 @@
 
 /// The content of one log entry.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Batch {
     /// The format of the records.
     pub format: u32,
@@ -56,7 +57,7 @@
 
 /// One fact. Whether it takes effect depends on the state at its place in the log.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(tag = "type", rename_all = "snake_case")]
+#[serde(tag = "type", rename_all = "snake_case", deny_unknown_fields)]
 pub enum Record {
     /// An operator's change of a profile. Takes effect when `base` is the current version.
     Profile(ProfileChange),
@@ -89,6 +90,7 @@
 
 /// An operator's change of a profile.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct ProfileChange {
     /// Unique for each change.
     pub change: ChangeId,
@@ -104,6 +106,7 @@
 
 /// An accepted job.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Accepted {
     /// The job.
     pub run: RunId,
@@ -129,6 +132,7 @@
 
 /// One attempt to start.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Placement {
     /// The task's index.
     pub index: u32,
@@ -140,6 +144,7 @@
 
 /// An intent to start attempts of one job.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Claim {
     /// The job.
     pub run: RunId,
@@ -165,6 +170,7 @@
 
 /// One ended attempt.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Finish {
     /// Which.
     pub id: worker::TaskId,
@@ -178,6 +184,7 @@
 
 /// Proof that attempts have ended.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Ended {
     /// The attempts.
     pub tasks: Vec<Finish>,
@@ -185,6 +192,7 @@
 
 /// An intent to send a non-idempotent request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Key {
     /// The profile; keys of different profiles are different.
     pub profile: ProfileName,
@@ -196,6 +204,7 @@
 
 /// The answer that a key's request got.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Answer {
     /// The profile.
     pub profile: ProfileName,
@@ -213,6 +222,7 @@
 
 /// What became of work under one profile version in one span of time.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Tally {
     /// The profile.
     pub profile: ProfileName,
@@ -252,6 +262,7 @@
 
 /// What became of work since the instance's last record.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Outcomes {
     /// Rises by one with each record of this life; a repeat is skipped.
     pub seq: u64,
--- /dev/null
+++ b/src/ledger/recovery.rs
@@ -0,0 +1,98 @@
+//! Builds the state of a reader that cannot start at the log's first entry.
+//!
+//! When retention has dropped the first entries, the kept ones are gathered until one of them holds
+//! a snapshot which reaches back no further than they do; the rest is replayed on top of it.
+
+use serde::Deserialize;
+
+use crate::{
+    ids::Offset,
+    ledger::{
+        record,
+        state::State, //
+    },
+    wire::{
+        log,
+        peer, //
+    }, //
+};
+
+/// Entries of a log whose beginning is gone, gathered until a snapshot is found.
+#[derive(Debug, Default)]
+pub struct Recovery {
+    /// The gathered entries, without a gap.
+    entries: Vec<log::Entry>,
+}
+
+impl Recovery {
+    /// A recovery that has seen nothing.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The offset to read next, if the reader is past its first entry.
+    #[must_use]
+    pub fn next(&self) -> Option<Offset> {
+        self.entries.last().map(|e| Offset(e.offset.0 + 1))
+    }
+
+    /// The gathered entries, oldest first.
+    #[must_use]
+    pub fn entries(&self) -> &[log::Entry] {
+        &self.entries
+    }
+
+    /// Adds the next entry. Returns the state after it, once a usable snapshot was found.
+    pub fn push(&mut self, entry: log::Entry) -> Option<State> {
+        match self.next() {
+            Some(next) if entry.offset < next => return None,
+            Some(next) if entry.offset > next => self.entries.clear(),
+            _ => {}
+        }
+        let found = snapshots(&entry);
+        self.entries.push(entry);
+        found.iter().find_map(|s| self.replay(s))
+    }
+
+    fn replay(&self, snapshot: &peer::Snapshot) -> Option<State> {
+        let first = self.entries.first()?.offset;
+        let last = self.entries.last()?.offset;
+        if snapshot.next < first || snapshot.next > last {
+            return None;
+        }
+        let mut state = State::restore(snapshot).ok()?;
+        for entry in &self.entries {
+            state.apply(entry);
+        }
+        Some(state)
+    }
+}
+
+/// The snapshots that stand in an entry; normally none or one.
+fn snapshots(entry: &log::Entry) -> Vec<peer::Snapshot> {
+    // Most entries hold none, and reading them twice would slow the recovery.
+    if !entry.payload.contains("\"snapshot\"") {
+        return Vec::new();
+    }
+    let Ok(batch) = serde_json::from_str::<record::Batch>(&entry.payload) else {
+        return Vec::new();
+    };
+    if batch.format > record::FORMAT {
+        return Vec::new();
+    }
+    batch.records.into_iter().filter_map(snapshot).collect()
+}
+
+fn snapshot(value: serde_json::Value) -> Option<peer::Snapshot> {
+    if value.get("type")?.as_str()? != "snapshot" {
+        return None;
+    }
+    match record::Record::deserialize(value).ok()? {
+        record::Record::Snapshot { next, state } => Some(peer::Snapshot {
+            next,
+            state: *state,
+        }),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/ledger/replica/append.rs
@@ -0,0 +1,145 @@
+//! The writing half of the replica: group commits, repeated appends and snapshots.
+
+use std::sync::PoisonError;
+
+use actix::{
+    ActorFutureExt,
+    AsyncContext,
+    Context,
+    WrapFuture, //
+};
+use tokio::{
+    sync::oneshot,
+    time::Instant, //
+};
+
+use super::{
+    Replica,
+    Unavailable, //
+};
+use crate::{
+    ids::ChangeId,
+    ledger::{
+        queue::Item,
+        record, //
+    },
+    platform,
+    wire::log, //
+};
+
+impl Replica {
+    pub(super) fn schedule_append(&mut self, ctx: &mut Context<Self>) {
+        if self.appending.is_some() || self.queue.waiting() == 0 {
+            return;
+        }
+        if self.queue.waiting() >= usize::try_from(self.cfg.batch).unwrap_or(1) {
+            self.append(ctx);
+            return;
+        }
+        if self.gather.is_none() {
+            self.gather = Some(ctx.run_later(self.cfg.gather, Self::append));
+        }
+    }
+
+    fn append(&mut self, ctx: &mut Context<Self>) {
+        if let Some(timer) = self.gather.take() {
+            ctx.cancel_future(timer);
+        }
+        self.send(0, ctx);
+    }
+
+    /// Appends the open batch or a new one, after a number of failures in a row.
+    fn send(&mut self, failures: u32, ctx: &mut Context<Self>) {
+        let Some(outgoing) = self.queue.outgoing() else {
+            self.appending = None;
+            return;
+        };
+        self.appending = Some(outgoing.id.clone());
+        let log = self.log.clone();
+        let append = async move {
+            let result = log.append(&outgoing.text).await;
+            (outgoing.id, result)
+        };
+        let append = append.into_actor(self);
+        ctx.spawn(append.map(move |(id, result), actor, ctx| {
+            actor.take_append(id, result, failures, ctx);
+        }));
+    }
+
+    fn take_append(
+        &mut self,
+        id: ChangeId,
+        result: Result<log::Appended, platform::log::Error>,
+        failures: u32,
+        ctx: &mut Context<Self>,
+    ) {
+        let e = match result {
+            Ok(_) => {
+                self.queue.taken(&id);
+                self.resume(&id, 0, ctx);
+                return;
+            }
+            Err(e) => e,
+        };
+        ::log::debug!(error:% = e, batch:% = id; "append failed");
+        if !e.pending() {
+            self.queue.recall(&id);
+        }
+        let failures = failures.saturating_add(1);
+        let pause = platform::log::backoff(self.cfg.backoff, failures);
+        ctx.run_later(pause, move |actor, ctx| actor.resume(&id, failures, ctx));
+    }
+
+    /// Goes on appending, unless the batch was seen in the log and others have gone since.
+    fn resume(&mut self, id: &ChangeId, failures: u32, ctx: &mut Context<Self>) {
+        if self.appending.as_ref() == Some(id) {
+            self.send(failures, ctx);
+        }
+    }
+
+    pub(super) fn expire(&mut self) {
+        for expired in self.queue.expire(Instant::now()) {
+            let verdict = match expired.pending {
+                true => Unavailable::Pending,
+                false => Unavailable::Dropped,
+            };
+            let _ = expired.reply.send(Err(verdict));
+        }
+    }
+
+    pub(super) fn schedule_snapshot(&mut self, ctx: &mut Context<Self>) {
+        if !self.loaded {
+            return;
+        }
+        let state = self.state.read().unwrap_or_else(PoisonError::into_inner);
+        let Some(pause) = self.snapshots.due(&state) else {
+            return;
+        };
+        drop(state);
+        ctx.run_later(pause, Self::append_snapshot);
+    }
+
+    /// Appends a snapshot, unless another instance has done so meanwhile.
+    fn append_snapshot(&mut self, _: &mut Context<Self>) {
+        let state = self.state.read().unwrap_or_else(PoisonError::into_inner);
+        if !self.snapshots.fire(&state) {
+            return;
+        }
+        let snapshot = state.snapshot();
+        drop(state);
+        let record = record::Record::Snapshot {
+            next: snapshot.next,
+            state: Box::new(snapshot.state),
+        };
+        let Ok(record) = serde_json::to_value(record) else {
+            return;
+        };
+        // Nobody waits for it; the next one is due anyhow when it is lost.
+        let (reply, _) = oneshot::channel();
+        self.queue.push(Item {
+            reply,
+            records: vec![record],
+            deadline: Instant::now() + 2 * self.cfg.timeout,
+        });
+    }
+}
--- /dev/null
+++ b/src/ledger/replica/messages.rs
@@ -0,0 +1,181 @@
+//! The messages of the replica and what answers them.
+
+use std::time::Duration;
+
+use actix::{
+    Context,
+    Handler,
+    Message,
+    MessageResult,
+    Recipient,
+    ResponseFuture, //
+};
+use quick_error::quick_error;
+use tokio::{
+    sync::oneshot,
+    time::Instant, //
+};
+
+use super::Replica;
+use crate::{
+    ids::Offset,
+    ledger::{
+        effect::{
+            Applied,
+            Effect, //
+        },
+        queue::Item,
+        record,
+        state::State, //
+    },
+    wire::peer, //
+};
+
+/// Most entries in one answer to a peer.
+const TAIL: usize = 1_000;
+
+quick_error! {
+    /// The records were not seen in the log in time.
+    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    pub enum Unavailable {
+        /// They were never sent and will not take effect.
+        Dropped {
+            display("the log is not available; nothing was written")
+        }
+        /// They may still take effect.
+        Pending {
+            display("the log did not confirm in time; the change may still take effect")
+        }
+    }
+}
+
+/// Writes records in one append. Answers with their effects, once they are applied here.
+#[derive(Debug, Message)]
+#[rtype(result = "Result<Vec<Effect>, Unavailable>")]
+pub struct Append {
+    /// The records; they stand together in the log.
+    pub records: Vec<record::Record>,
+    /// Until when the sender waits.
+    pub deadline: Instant,
+}
+
+/// Asks for everything that is applied from now on.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Subscribe(pub Recipient<Applied>);
+
+impl Message for Applied {
+    type Result = ();
+}
+
+/// Asks for the committed entries from an offset on, for a peer.
+#[derive(Debug, Clone, Copy, Message)]
+#[rtype(result = "peer::Tail")]
+pub struct Tail {
+    /// The first offset wanted.
+    pub from: Offset,
+}
+
+/// Brings committed entries from a peer. Answers with the next offset that is wanted.
+#[derive(Debug, Message)]
+#[rtype(result = "Offset")]
+pub struct Feed(pub peer::Tail);
+
+/// Asks how the copy stands.
+#[derive(Debug, Clone, Copy, Message)]
+#[rtype(result = "Status")]
+pub struct GetStatus;
+
+/// How the copy stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Status {
+    /// The first offset that is not applied yet.
+    pub next: Offset,
+    /// Whether the state was built whole; before that it must not be used.
+    pub loaded: bool,
+    /// Since when the log has not answered a read; `None` while it does.
+    pub silent: Option<Duration>,
+}
+
+impl Handler<Append> for Replica {
+    type Result = ResponseFuture<Result<Vec<Effect>, Unavailable>>;
+
+    fn handle(&mut self, msg: Append, ctx: &mut Context<Self>) -> Self::Result {
+        let (reply, answer) = oneshot::channel();
+        let records = msg.records.iter().map(serde_json::to_value);
+        // Records hold no map with keys other than text, so none fails.
+        let records = records.filter_map(Result::ok).collect();
+        self.queue.push(Item {
+            reply,
+            records,
+            deadline: msg.deadline,
+        });
+        self.schedule_append(ctx);
+        Box::pin(async { answer.await.unwrap_or(Err(Unavailable::Pending)) })
+    }
+}
+
+impl Handler<Subscribe> for Replica {
+    type Result = ();
+
+    fn handle(&mut self, msg: Subscribe, _: &mut Context<Self>) {
+        self.subscribers.push(msg.0);
+    }
+}
+
+impl Handler<Tail> for Replica {
+    type Result = MessageResult<Tail>;
+
+    fn handle(&mut self, msg: Tail, _: &mut Context<Self>) -> Self::Result {
+        let nothing = peer::Tail {
+            entries: Vec::new(),
+            snapshot: None,
+        };
+        if !self.loaded || msg.from >= self.read(State::next) {
+            return MessageResult(nothing);
+        }
+        MessageResult(match self.ring.from(msg.from, TAIL) {
+            Some(entries) => peer::Tail {
+                entries,
+                snapshot: None,
+            },
+            None => peer::Tail {
+                snapshot: Some(self.read(State::snapshot)),
+                ..nothing
+            },
+        })
+    }
+}
+
+impl Handler<Feed> for Replica {
+    type Result = MessageResult<Feed>;
+
+    fn handle(&mut self, msg: Feed, ctx: &mut Context<Self>) -> Self::Result {
+        let peer::Tail { entries, snapshot } = msg.0;
+        if let Some(snapshot) = snapshot {
+            match State::restore(&snapshot) {
+                Ok(state) => self.replace(state, ctx),
+                Err(e) => ::log::warn!(error:% = e; "a peer sent a snapshot of no use"),
+            }
+        }
+        let next = self.read(State::next);
+        // The first entries make a fresh copy whole, and missed ones a copy that fell behind.
+        self.loaded |= entries.iter().any(|e| e.offset == next);
+        for entry in entries {
+            self.apply(entry, ctx);
+        }
+        MessageResult(self.read(State::next))
+    }
+}
+
+impl Handler<GetStatus> for Replica {
+    type Result = MessageResult<GetStatus>;
+
+    fn handle(&mut self, _: GetStatus, _: &mut Context<Self>) -> Self::Result {
+        MessageResult(Status {
+            next: self.read(State::next),
+            loaded: self.loaded,
+            silent: (self.failures > 0).then(|| self.contact.elapsed()),
+        })
+    }
+}
--- /dev/null
+++ b/src/ledger/ring.rs
@@ -0,0 +1,53 @@
+//! The last committed entries, kept for peers that cannot reach the log.
+
+use std::collections::VecDeque;
+
+use crate::{
+    ids::Offset,
+    wire::log, //
+};
+
+/// Most entries kept.
+pub const ENTRIES: usize = 4_096;
+
+/// Most text kept, in bytes.
+pub const BYTES: usize = 8 * 1_024 * 1_024;
+
+/// Consecutive entries, oldest first.
+#[derive(Debug, Default)]
+pub struct Ring {
+    entries: VecDeque<log::Entry>,
+    bytes: usize,
+}
+
+impl Ring {
+    /// Adds the next entry and drops the oldest ones that exceed the bounds.
+    pub fn push(&mut self, entry: log::Entry) {
+        let last = self.entries.back().map(|e| e.offset.0 + 1);
+        if last.is_some_and(|next| next != entry.offset.0) {
+            self.clear();
+        }
+        self.bytes += entry.payload.len();
+        self.entries.push_back(entry);
+        while self.entries.len() > ENTRIES || self.bytes > BYTES {
+            let Some(oldest) = self.entries.pop_front() else {
+                return;
+            };
+            self.bytes -= oldest.payload.len();
+        }
+    }
+
+    /// Drops everything.
+    pub fn clear(&mut self) {
+        self.entries.clear();
+        self.bytes = 0;
+    }
+
+    /// Up to `most` entries from an offset on, or `None` when the first of them is not kept.
+    #[must_use]
+    pub fn from(&self, offset: Offset, most: usize) -> Option<Vec<log::Entry>> {
+        let first = self.entries.front()?.offset;
+        let skip = usize::try_from(offset.0.checked_sub(first.0)?).ok()?;
+        Some(self.entries.iter().skip(skip).take(most).cloned().collect())
+    }
+}
--- /dev/null
+++ b/src/ledger/state.rs
@@ -0,0 +1,257 @@
+//! The decision state: a pure function of the log's entries in their order.
+
+use quick_error::quick_error;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    findings,
+    ids::{
+        Millis,
+        Offset, //
+    },
+    ledger::{
+        effect::{
+            Applied,
+            Effect, //
+        },
+        keys::Keys,
+        profiles::{
+            self,
+            Profiles, //
+        },
+        record::{
+            self,
+            Record, //
+        }, //
+    },
+    wire::{
+        log,
+        peer, //
+    }, //
+};
+
+quick_error! {
+    /// Why a snapshot cannot be used.
+    #[derive(Debug)]
+    pub enum Error {
+        /// Its content is not a state of this release.
+        Content(e: serde_json::Error) {
+            display("the snapshot cannot be read: {}", e)
+            source(e)
+        }
+        /// It names two different offsets.
+        Mismatch(named: Offset, found: Offset) {
+            display("the snapshot is named for offset {} and holds {}", named, found)
+        }
+    }
+}
+
+/// The last snapshot that stands in the log.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mark {
+    /// The first offset that is not in the snapshot.
+    pub next: Offset,
+    /// Where the snapshot stands.
+    pub offset: Offset,
+}
+
+/// Everything that the log has decided up to an offset.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct State {
+    /// The first offset that is not applied yet.
+    next: Offset,
+    /// The highest time of an entry, on the platform's clock since 1970.
+    clock: Millis,
+    /// The highest format that was seen.
+    format: u32,
+    /// The last snapshot, if there is one.
+    mark: Option<Mark>,
+    /// The profiles.
+    pub profiles: Profiles,
+    /// The idempotency keys.
+    pub keys: Keys,
+}
+
+impl State {
+    /// The state before the first entry.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The first offset that is not applied yet.
+    #[must_use]
+    pub fn next(&self) -> Offset {
+        self.next
+    }
+
+    /// The log's clock at the last entry, since 1970; never falls.
+    #[must_use]
+    pub fn clock(&self) -> Millis {
+        self.clock
+    }
+
+    /// The last snapshot in the log.
+    #[must_use]
+    pub fn mark(&self) -> Option<Mark> {
+        self.mark
+    }
+
+    /// Whether this release understood the format of every entry. A state that skipped newer
+    /// entries decides nothing for others: no snapshots and no changes are made from it.
+    #[must_use]
+    pub fn complete(&self) -> bool {
+        self.format <= record::FORMAT
+    }
+
+    /// Applies the next entry. One that was applied before, or that would leave a gap, does nothing.
+    pub fn apply(&mut self, entry: &log::Entry) -> Applied {
+        let mut applied = Applied {
+            offset: entry.offset,
+            batch: None,
+            effects: Vec::new(),
+            origins: Vec::new(),
+        };
+        if entry.offset != self.next {
+            return applied;
+        }
+        self.next = Offset(entry.offset.0 + 1);
+        self.clock = self.clock.max(entry.at);
+        match self.decode(entry) {
+            Ok(batch) => self.apply_batch(batch, &mut applied),
+            Err(finding) => push(&mut applied, 0, [Effect::Skipped(finding)]),
+        }
+        applied
+    }
+
+    /// The whole state as a message.
+    #[must_use]
+    pub fn snapshot(&self) -> peer::Snapshot {
+        peer::Snapshot {
+            next: self.next,
+            state: serde_json::to_value(self).unwrap_or_default(),
+        }
+    }
+
+    /// The state from a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the snapshot cannot be used.
+    pub fn restore(snapshot: &peer::Snapshot) -> Result<Self, Error> {
+        let state = Self::deserialize(&snapshot.state).map_err(Error::Content)?;
+        if state.next != snapshot.next {
+            return Err(Error::Mismatch(snapshot.next, state.next));
+        }
+        Ok(state)
+    }
+
+    fn decode(&mut self, entry: &log::Entry) -> Result<record::Batch, findings::Finding> {
+        let value: serde_json::Value =
+            serde_json::from_str(&entry.payload).map_err(|e| finding(entry, "/", &e))?;
+        let format = value.get("format").and_then(serde_json::Value::as_u64);
+        let format = format.map_or(0, |f| u32::try_from(f).unwrap_or(u32::MAX));
+        self.format = self.format.max(format);
+        if format > record::FORMAT {
+            let problem = format!(
+                "format {format} is newer than {}, which this release reads",
+                record::FORMAT
+            );
+            return Err(finding(entry, "/format", &problem));
+        }
+        record::Batch::deserialize(value).map_err(|e| finding(entry, "/", &e))
+    }
+
+    fn apply_batch(&mut self, batch: record::Batch, applied: &mut Applied) {
+        applied.batch = Some(batch.id);
+        for (i, value) in batch.records.into_iter().enumerate() {
+            let effects = self.apply_value(value, &batch.by, applied.offset, i);
+            push(applied, i, effects);
+        }
+    }
+
+    fn apply_value(
+        &mut self,
+        value: serde_json::Value,
+        by: &record::Author,
+        offset: Offset,
+        index: usize,
+    ) -> Vec<Effect> {
+        if let Some(next) = snapshot_next(&value) {
+            return self.note_snapshot(next, offset);
+        }
+        match Record::deserialize(value) {
+            Ok(record) => self.apply_record(record, by, offset),
+            Err(e) => {
+                let place = format!("/records/{index}");
+                vec![Effect::Skipped(at_offset(offset, &place, &e))]
+            }
+        }
+    }
+
+    fn apply_record(
+        &mut self,
+        record: Record,
+        _by: &record::Author,
+        offset: Offset,
+    ) -> Vec<Effect> {
+        let at = self.clock;
+        match record {
+            Record::Profile(change) => self.profiles.apply(&change, profiles::Place { offset, at }),
+            Record::Key(key) => vec![self.keys.hold(&key, at)],
+            Record::Answer(answer) => self.keys.answer(&answer, at).into_iter().collect(),
+            Record::Snapshot { next, .. } => self.note_snapshot(next, offset),
+            Record::Accepted(_)
+            | Record::Claim(_)
+            | Record::Ended(_)
+            | Record::Cancel { .. }
+            | Record::Outcomes(_) => Vec::new(),
+        }
+    }
+
+    /// Notes that a snapshot stands in the log; its content adds nothing to this state.
+    fn note_snapshot(&mut self, next: Offset, offset: Offset) -> Vec<Effect> {
+        if next > offset {
+            let problem = format!("the snapshot claims offset {next}, which lies after it");
+            return vec![Effect::Skipped(at_offset(offset, "/records", &problem))];
+        }
+        if self.mark.is_none_or(|m| m.next < next) {
+            self.mark = Some(Mark { next, offset });
+        }
+        Vec::new()
+    }
+}
+
+/// The offset of a snapshot record, found without a look into its state.
+fn snapshot_next(value: &serde_json::Value) -> Option<Offset> {
+    let object = value.as_object()?;
+    if object.get("type")?.as_str()? != "snapshot" || object.len() != 3 {
+        return None;
+    }
+    object.get("state")?;
+    object.get("next")?.as_u64().map(Offset)
+}
+
+fn push(applied: &mut Applied, origin: usize, effects: impl IntoIterator<Item = Effect>) {
+    for effect in effects {
+        applied.effects.push(effect);
+        applied.origins.push(origin);
+    }
+}
+
+fn finding(entry: &log::Entry, place: &str, problem: &dyn std::fmt::Display) -> findings::Finding {
+    at_offset(entry.offset, place, problem)
+}
+
+fn at_offset(offset: Offset, place: &str, problem: &dyn std::fmt::Display) -> findings::Finding {
+    findings::Finding {
+        source: format!("log entry {offset}").into(),
+        place: place.to_owned(),
+        problem: problem.to_string(),
+        hint: String::new(),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod kernel;
 pub mod ledger;
 pub mod modules;
+pub mod platform;
 pub mod profile;
 pub mod resources;
 pub mod settings;
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,3 @@
+//! Clients of what the platform provides.
+
+pub mod log;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -26,3 +26,6 @@
 
 /// Header that names the instance which forwarded a request; a forwarded request stays there.
 pub const FORWARD_HEADER: &str = "x-bamboolock-forwarded";
+
+/// Header that names the availability zone of the sending instance.
+pub const ZONE_HEADER: &str = "x-bamboolock-zone";
--- /dev/null
+++ b/tests/ledger/replay.rs
@@ -0,0 +1,322 @@
+//! What each kind of record does at its place, and what a bad one does not.
+
+use assert_matches::assert_matches;
+use bamboolock::{
+    ledger::{
+        effect::Effect,
+        keys,
+        profiles,
+        record,
+        state::State, //
+    },
+    wire::caller::Ran, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
+
+use crate::common::{
+    answer,
+    apply,
+    batch,
+    body,
+    change,
+    entry,
+    id,
+    in_force,
+    key,
+    snapshot,
+    verdict, //
+};
+
+/// A state in which profile `checks` is at version 1.
+fn published() -> State {
+    let mut state = State::new();
+    apply(&mut state, vec![change("c1", "checks", 0, body(1))]);
+    state
+}
+
+#[test]
+fn bad_entries_are_skipped_with_a_finding_and_stop_nothing() {
+    let newer = json!({"format": record::FORMAT + 1, "id": "b", "by": {"instance": "i", "incarnation": 1},
+        "records": [change("c2", "checks", 1, body(9))]});
+    let stray = json!({"format": 1, "id": "b", "by": {"instance": "i", "incarnation": 1},
+        "records": [], "colour": 1});
+    let mut extra = change("c2", "checks", 1, body(9));
+    extra["colour"] = json!("red");
+    let one = |record: Value| batch("b", vec![record]);
+    let cases = [
+        ("not JSON", "\u{1}{garbage".to_owned(), "/"),
+        ("empty", String::new(), "/"),
+        ("not a batch", "[1, 2]".to_owned(), "/"),
+        ("newer format", newer.to_string(), "/format"),
+        ("unknown batch field", stray.to_string(), "/"),
+        (
+            "unknown record type",
+            one(json!({"type": "holiday"})),
+            "/records/0",
+        ),
+        ("unknown record field", one(extra), "/records/0"),
+        (
+            "missing field",
+            one(json!({"type": "key", "key": "k"})),
+            "/records/0",
+        ),
+        ("bad id", one(key("k k", "r1")), "/records/0"),
+        (
+            "lying snapshot",
+            one(json!({"type": "snapshot", "next": 9, "state": {}})),
+            "/records",
+        ),
+    ];
+    for (name, payload, place) in cases {
+        let mut state = published();
+        let applied = state.apply(&entry(1, &payload));
+        assert_matches!(
+            applied.effects.as_slice(),
+            [Effect::Skipped(f)] if f.place == place,
+            "{name}"
+        );
+        assert_eq!(in_force(&state, "checks"), Some((1, 1)), "{name}");
+        let next = apply(&mut state, vec![change("c3", "checks", 1, body(3))]);
+        assert_matches!(verdict(&next[0]), Some((_, 2, true)), "{name}");
+        assert_eq!(in_force(&state, "checks"), Some((2, 3)), "{name}");
+    }
+}
+
+#[test]
+fn a_bad_record_stops_no_other_record_of_its_batch() {
+    let mut state = State::new();
+    let records = vec![
+        json!({"type": "holiday"}),
+        change("c1", "checks", 0, body(1)),
+    ];
+    let applied = state.apply(&entry(0, &batch("b", records)));
+    assert_eq!(applied.origins, [0, 1]);
+    assert_eq!(in_force(&state, "checks"), Some((1, 1)));
+}
+
+/// A name, changes in log order as (change, base, priority), their verdicts, and what is in force.
+type Race<'a> = (
+    &'a str,
+    &'a [(&'a str, u32, u8)],
+    &'a [(u32, bool)],
+    (u32, u8),
+);
+
+#[test]
+fn the_log_order_decides_every_race() {
+    let cases: [Race<'_>; 6] = [
+        (
+            "one after the other",
+            &[("c2", 1, 2), ("c3", 2, 3)],
+            &[(2, true), (3, true)],
+            (3, 3),
+        ),
+        (
+            "same base",
+            &[("c2", 1, 2), ("c3", 1, 3)],
+            &[(2, true), (2, false)],
+            (2, 2),
+        ),
+        (
+            "same change twice",
+            &[("c2", 1, 2), ("c2", 1, 2)],
+            &[(2, true), (2, true)],
+            (2, 2),
+        ),
+        (
+            "loser twice",
+            &[("c2", 1, 2), ("c3", 1, 3), ("c3", 1, 3)],
+            &[(2, true), (2, false), (2, false)],
+            (2, 2),
+        ),
+        (
+            "base ahead, repeated when it would fit",
+            &[("c3", 2, 3), ("c2", 1, 2), ("c3", 2, 3)],
+            &[(1, false), (2, true), (1, false)],
+            (2, 2),
+        ),
+        (
+            "base zero for a known name",
+            &[("c2", 0, 2)],
+            &[(1, false)],
+            (1, 1),
+        ),
+    ];
+    for (name, changes, verdicts, end) in cases {
+        let mut state = published();
+        for ((change_id, base, priority), expected) in changes.iter().zip(verdicts) {
+            let record = change(change_id, "checks", *base, body(*priority));
+            let effects = apply(&mut state, vec![record]);
+            let (_, version, accepted) = verdict(&effects[0]).unwrap();
+            assert_eq!((version, accepted), *expected, "{name}: {change_id}");
+        }
+        assert_eq!(in_force(&state, "checks"), Some(end), "{name}");
+    }
+}
+
+#[test]
+fn a_withdrawn_profile_keeps_its_versions() {
+    let mut state = published();
+    apply(&mut state, vec![change("c2", "checks", 1, Value::Null)]);
+    assert_eq!(in_force(&state, "checks"), None);
+    let again = apply(&mut state, vec![change("c3", "checks", 2, Value::Null)]);
+    assert_matches!(verdict(&again[0]), Some((_, 2, false)));
+    let fresh = apply(&mut state, vec![change("c4", "checks", 0, body(4))]);
+    assert_matches!(verdict(&fresh[0]), Some((_, 2, false)));
+    apply(&mut state, vec![change("c5", "checks", 2, body(5))]);
+    assert_eq!(in_force(&state, "checks"), Some((3, 5)));
+}
+
+#[test]
+fn an_unreadable_body_takes_its_version_and_leaves_the_last_readable_one_in_force() {
+    let bodies = [
+        json!(5),
+        json!({"kind": "request", "team": "gates", "priority": 11}),
+        json!({"kind": "request", "team": "gates", "policies": {"route": "nearest"}}),
+    ];
+    for bad in bodies {
+        let mut state = published();
+        let effects = apply(&mut state, vec![change("c2", "checks", 1, bad)]);
+        assert_matches!(verdict(&effects[0]), Some((_, 2, true)));
+        assert_matches!(effects[1], Effect::Skipped(_));
+        assert_eq!(in_force(&state, "checks"), Some((1, 1)));
+        apply(&mut state, vec![change("c3", "checks", 2, body(3))]);
+        assert_eq!(in_force(&state, "checks"), Some((3, 3)));
+    }
+}
+
+#[test]
+fn old_versions_stay_readable_for_the_kept_history() {
+    let mut state = published();
+    for base in 1..40 {
+        let record = change(&format!("d{base}"), "checks", base, body(2));
+        apply(&mut state, vec![record]);
+    }
+    let named = state.profiles.named(&id("checks")).unwrap();
+    assert_eq!(named.history.len(), profiles::HISTORY);
+    let oldest = 40 - u32::try_from(profiles::HISTORY).unwrap() + 1;
+    assert_matches!(named.get(oldest), Some(v) if v.profile.is_some());
+    assert_matches!(named.get(oldest - 1), None);
+}
+
+#[test]
+fn a_key_has_one_holder_until_its_request_surely_did_not_run() {
+    // Each case: what is recorded after request r1 took the key, and then r2's turn.
+    let cases: [(&str, Vec<Value>, &str); 6] = [
+        ("nothing", vec![], "r1"),
+        ("unknown", vec![answer("k", "r1", Ran::Unknown)], "r1"),
+        ("ran", vec![answer("k", "r1", Ran::Yes)], "r1"),
+        ("not run", vec![answer("k", "r1", Ran::No)], "r2"),
+        (
+            "not run, by another request",
+            vec![answer("k", "r9", Ran::No)],
+            "r1",
+        ),
+        (
+            "ran, then not run",
+            vec![answer("k", "r1", Ran::Yes), answer("k", "r1", Ran::No)],
+            "r1",
+        ),
+    ];
+    for (name, records, holder) in cases {
+        let mut state = State::new();
+        apply(&mut state, vec![key("k", "r1")]);
+        apply(&mut state, records);
+        let effects = apply(&mut state, vec![key("k", "r2")]);
+        assert_matches!(
+            &effects[0],
+            Effect::Key { holder: found, .. } if found.as_str() == holder,
+            "{name}"
+        );
+        let kept = state.keys.get(&id("checks"), &id("k")).unwrap();
+        assert_eq!(kept.holder.as_str(), holder, "{name}");
+    }
+}
+
+#[test]
+fn a_repeated_key_record_keeps_holder_and_answer() {
+    let mut state = State::new();
+    apply(&mut state, vec![key("k", "r1"), answer("k", "r1", Ran::No)]);
+    apply(&mut state, vec![key("k", "r1")]);
+    let kept = state.keys.get(&id("checks"), &id("k")).unwrap();
+    assert_eq!(kept.holder.as_str(), "r1");
+    assert_matches!(&kept.answer, Some(a) if a.ran == Ran::No);
+}
+
+#[test]
+fn keys_are_forgotten_by_the_logs_clock_alone() {
+    let mut state = State::new();
+    apply(&mut state, vec![key("old", "r1")]);
+    let start = state.clock().0;
+    let at = |offset, millis, name: &str| bamboolock::wire::log::Entry {
+        at: bamboolock::ids::Millis(millis),
+        ..entry(offset, &batch("b", vec![key(name, "r2")]))
+    };
+    state.apply(&at(1, start + keys::WINDOW - 1, "k1"));
+    assert!(state.keys.get(&id("checks"), &id("old")).is_some());
+    state.apply(&at(2, start + keys::WINDOW, "k2"));
+    assert!(state.keys.get(&id("checks"), &id("old")).is_none());
+    // A clock that steps back brings nothing back and forgets nothing twice.
+    state.apply(&at(3, 1, "k3"));
+    assert_eq!(state.clock().0, start + keys::WINDOW);
+    assert_eq!(state.keys.len(), 3);
+}
+
+#[test]
+fn entries_out_of_order_are_not_applied() {
+    let mut state = published();
+    let next = batch("b", vec![change("c2", "checks", 1, body(2))]);
+    for offset in [0, 2, 7] {
+        let before = state.clone();
+        assert_eq!(state.apply(&entry(offset, &next)).effects, []);
+        assert_eq!(state, before, "offset {offset}");
+    }
+    state.apply(&entry(1, &next));
+    assert_eq!(in_force(&state, "checks"), Some((2, 2)));
+}
+
+#[test]
+fn a_snapshot_changes_nothing_for_a_reader_that_has_the_state() {
+    let mut state = published();
+    let stale = snapshot(&state);
+    apply(
+        &mut state,
+        vec![change("c2", "checks", 1, body(2)), key("k", "r1")],
+    );
+    let before = (state.profiles.clone(), state.keys.clone());
+    apply(&mut state, vec![stale]);
+    assert_eq!((state.profiles, state.keys), before);
+}
+
+#[test]
+fn a_state_that_skipped_a_newer_format_says_so_also_after_a_restore() {
+    let mut state = published();
+    assert!(state.complete());
+    let newer = json!({"format": record::FORMAT + 1});
+    state.apply(&entry(1, &newer.to_string()));
+    assert!(!state.complete());
+    assert!(!State::restore(&state.snapshot()).unwrap().complete());
+}
+
+#[test]
+fn a_snapshot_is_restored_whole_or_refused() {
+    let mut state = published();
+    apply(
+        &mut state,
+        vec![key("k", "r1"), change("c2", "runs", 0, body(2))],
+    );
+    let good = state.snapshot();
+    assert_eq!(State::restore(&good).unwrap(), state);
+    let mut misnamed = good.clone();
+    misnamed.next.0 += 1;
+    assert!(State::restore(&misnamed).is_err());
+    let mut foreign = good.clone();
+    foreign.state["colour"] = json!(1);
+    assert!(State::restore(&foreign).is_err());
+    let mut cut = good;
+    cut.state.as_object_mut().unwrap().remove("keys");
+    assert!(State::restore(&cut).is_err());
+}
