--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -37,6 +37,7 @@
 
 /// The content of one log entry.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Batch {
     /// The format of the records.
     pub format: u32,
@@ -59,7 +60,7 @@
 
 /// One fact. Whether it takes effect depends on the state at its place in the log.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(tag = "type", rename_all = "snake_case")]
+#[serde(tag = "type", rename_all = "snake_case", deny_unknown_fields)]
 pub enum Record {
     /// An operator's change of a profile. Takes effect when `base` is the current version.
     Profile(ProfileChange),
@@ -92,6 +93,7 @@
 
 /// An operator's change of a profile.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct ProfileChange {
     /// Unique for each change.
     pub change: ChangeId,
@@ -107,6 +109,7 @@
 
 /// An accepted job.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Accepted {
     /// The job.
     pub run: RunId,
@@ -175,6 +178,7 @@
 
 /// One attempt to start.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Placement {
     /// The task's index.
     pub index: u32,
@@ -192,6 +196,7 @@
 
 /// An intent to start attempts of one job.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Claim {
     /// The job.
     pub run: RunId,
@@ -218,6 +223,7 @@
 
 /// One ended attempt.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Finish {
     /// Which.
     pub id: worker::TaskId,
@@ -231,6 +237,7 @@
 
 /// Proof that attempts have ended.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Ended {
     /// The attempts.
     pub tasks: Vec<Finish>,
@@ -238,6 +245,7 @@
 
 /// An intent to send a non-idempotent request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Key {
     /// The profile; keys of different profiles are different.
     pub profile: ProfileName,
@@ -249,6 +257,7 @@
 
 /// The answer that a key's request got.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Answer {
     /// The profile.
     pub profile: ProfileName,
@@ -266,6 +275,7 @@
 
 /// What became of work under one profile version in one span of time.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Tally {
     /// The profile.
     pub profile: ProfileName,
@@ -305,6 +315,7 @@
 
 /// What became of work since the instance's last record.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Outcomes {
     /// Rises by one with each record of this life; a repeat is skipped.
     pub seq: u64,
--- a/src/platform/log.rs
+++ b/src/platform/log.rs
@@ -115,7 +115,7 @@
         let url = format!("{}/read?from={from}&max={PAGE}&wait={wait}", self.base);
         let request = self.client().get(url);
         let request = request.insert_header((ZONE_HEADER, self.zone.as_str()));
-        self.within(Duration::from_secs(60), answer(request.send()))
+        self.within(self.cfg.poll + self.cfg.timeout, answer(request.send()))
             .await
     }
 
