feat(ledger): count jobs from the log alone

Cause: a job's end is seen by every instance; counting it at the responsible one loses or doubles it when memberships differ. Change: the replayed state counts a job when its end is applied.

--- a/src/entry/scheduler/jobs.rs
+++ b/src/entry/scheduler/jobs.rs
@@ -183,7 +183,7 @@
             let jobs = state.jobs.iter();
             jobs.map(|(run, job)| job.status(run)).collect()
         });
-        all.sort_by(|a, b| b.accepted.cmp(&a.accepted));
+        all.sort_by_key(|status| std::cmp::Reverse(status.accepted));
         all.truncate(MAX_LIST);
         MessageResult(Ok(all))
     }
--- a/src/kernel/tally.rs
+++ b/src/kernel/tally.rs
@@ -128,15 +128,8 @@
 impl Tally {
     /// Counts one piece of work that ended at `now`, on the instance's wall clock since 1970.
     pub fn ended(&mut self, now: Millis, work: &Work) {
-        let cause = work.cause();
         let rows = self.rows(now.0 / SPAN);
-        let row = record::Tally::entry(rows, &work.profile, work.version);
-        row.total += 1;
-        row.waited = row.waited.saturating_add(work.waited);
-        match cause {
-            None => row.good += 1,
-            Some(cause) => row.blame(cause, 1),
-        }
+        record::Tally::entry(rows, &work.profile, work.version).count(work);
     }
 
     /// The record to append next, if any. Until it is committed, the same one again.
@@ -198,3 +191,15 @@
         at.saturating_sub(1)
     }
 }
+
+impl record::Tally {
+    /// Counts one piece of work as good or under its one cause.
+    pub fn count(&mut self, work: &Work) {
+        self.total += 1;
+        self.waited = self.waited.saturating_add(work.waited);
+        match work.cause() {
+            None => self.good += 1,
+            Some(cause) => self.blame(cause, 1),
+        }
+    }
+}
--- a/src/ledger/jobs.rs
+++ b/src/ledger/jobs.rs
@@ -93,7 +93,7 @@
         self.prune(at);
         match record {
             record::Record::Accepted(accepted) => vec![self.accept(at, accepted)],
-            record::Record::Claim(claim) => vec![self.claim(author, claim)],
+            record::Record::Claim(claim) => vec![self.claim(at, author, claim)],
             record::Record::Ended(ended) => {
                 let finishes = ended.tasks.iter();
                 finishes.flat_map(|finish| self.end(at, finish)).collect()
@@ -165,9 +165,9 @@
         Effect::Accepted { run, proposed }
     }
 
-    fn claim(&mut self, author: &record::Author, claim: &record::Claim) -> Effect {
+    fn claim(&mut self, at: Millis, author: &record::Author, claim: &record::Claim) -> Effect {
         let job = self.find(&claim.run);
-        let won = job.is_some_and(|job| job.claim(&claim.tasks));
+        let won = job.is_some_and(|job| job.claim(at, &claim.tasks));
         if won {
             for task in &claim.tasks {
                 self.claims.add(&task.worker, &claim.run, task.index);
--- a/src/ledger/jobs/job.rs
+++ b/src/ledger/jobs/job.rs
@@ -72,6 +72,9 @@
     pub spec: record::Accepted,
     /// When it was accepted, on the platform's clock.
     pub accepted: Millis,
+    /// When its first attempt was claimed, on the platform's clock.
+    #[serde(default)]
+    pub started: Option<Millis>,
     /// How it stands.
     pub state: JobState,
     /// Why it failed; empty otherwise.
@@ -114,6 +117,7 @@
         let mut job = Self {
             spec,
             accepted,
+            started: None,
             state: JobState::Waiting,
             reason: CompactString::default(),
             tasks,
@@ -196,10 +200,11 @@
     }
 
     /// Claims attempts, all or none. Returns whether it did.
-    pub(super) fn claim(&mut self, tasks: &[record::Placement]) -> bool {
+    pub(super) fn claim(&mut self, at: Millis, tasks: &[record::Placement]) -> bool {
         if !self.claimable(tasks) {
             return false;
         }
+        self.started.get_or_insert(at);
         for placement in tasks {
             let task = &mut self.tasks[placement.index as usize];
             task.attempt = placement.attempt;
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -3,6 +3,7 @@
 //! The log's order is the only authority for profiles, jobs and idempotency keys. [`record`] holds
 //! what is written, [`effect`] what it did.
 
+pub mod accounts;
 pub mod effect;
 pub mod jobs;
 pub mod keys;
--- a/src/ledger/outcomes.rs
+++ b/src/ledger/outcomes.rs
@@ -13,6 +13,7 @@
         Millis,
         ProfileName, //
     },
+    kernel::tally,
     ledger::record::{
         self,
         Author,
@@ -146,6 +147,13 @@
         Taken::Counted
     }
 
+    /// Counts one piece of work that ended at `at`, on the platform's clock.
+    pub fn count(&mut self, at: Millis, work: &tally::Work) {
+        self.advance(at);
+        let bucket = self.bucket(at);
+        record::Tally::entry(bucket, &work.profile, work.version).count(work);
+    }
+
     /// The sums of every bucket that ends after `since`, by time, profile and version.
     pub fn rows(&self, since: Millis) -> impl Iterator<Item = Row> + '_ {
         let from = self
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -144,6 +144,8 @@
     pub kind: profile::Kind,
     /// 0 to 9; a higher value goes first.
     pub priority: u8,
+    /// The longest promised wait from acceptance to the first start, in milliseconds.
+    pub wait: u64,
     /// Attempts of a task that may fail before its job has failed.
     pub attempts: u32,
     /// How far from home tasks may be placed.
@@ -157,6 +159,7 @@
         Self {
             kind: profile::Kind::Run,
             priority: 0,
+            wait: profile::Objective::default().wait,
             attempts: 5,
             spill: profile::Spill::Region,
             racks: profile::Racks::Any,
@@ -169,6 +172,7 @@
         Self {
             kind: profile.kind,
             priority: profile.priority,
+            wait: profile.objective.wait,
             attempts: profile.attempts,
             spill: profile.spill,
             racks: profile.racks,
--- a/src/ledger/state.rs
+++ b/src/ledger/state.rs
@@ -13,6 +13,7 @@
         Offset, //
     },
     ledger::{
+        accounts,
         effect::{
             Applied,
             Effect, //
@@ -207,7 +208,9 @@
             Record::Answer(answer) => self.keys.answer(&answer, at).into_iter().collect(),
             Record::Snapshot { next, .. } => self.note_snapshot(next, offset),
             Record::Accepted(_) | Record::Claim(_) | Record::Ended(_) | Record::Cancel { .. } => {
-                self.jobs.apply(at, by, &record)
+                let effects = self.jobs.apply(at, by, &record);
+                self.count_jobs(&effects);
+                effects
             }
             Record::Outcomes(outcomes) => {
                 self.outcomes.apply(by, &outcomes, at);
@@ -216,6 +219,20 @@
         }
     }
 
+    /// Counts the jobs that have ended.
+    fn count_jobs(&mut self, effects: &[Effect]) {
+        for effect in effects {
+            let Effect::Stopped { run, state } = effect else {
+                continue;
+            };
+            let job = self.jobs.get(run);
+            let work = job.and_then(|job| accounts::work(job, *state, self.clock));
+            if let Some(work) = work {
+                self.outcomes.count(self.clock, &work);
+            }
+        }
+    }
+
     /// Notes that a snapshot stands in the log; its content adds nothing to this state.
     fn note_snapshot(&mut self, next: Offset, offset: Offset) -> Vec<Effect> {
         if next > offset {
