--- /dev/null
+++ b/tests/process/cell.rs
@@ -0,0 +1,385 @@
+//! A stand-in inside the test and entry instances as processes of their own.
+
+use std::{
+    net::{
+        Ipv4Addr,
+        SocketAddr, //
+    },
+    path::PathBuf,
+    process::{
+        Child,
+        Command as Process,
+        Stdio, //
+    },
+    sync::atomic::{
+        AtomicU32,
+        Ordering, //
+    },
+    time::Duration, //
+};
+
+use bamboolock::{
+    resources::Resources,
+    standin::{
+        self,
+        Running,
+        command::Command,
+        judge::Verdict,
+        settings::{
+            Entry,
+            Group,
+            Service,
+            Settings, //
+        }, //
+    },
+    wire::{
+        caller::Status,
+        log::Append, //
+    }, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
+use tokio::time::{
+    Instant,
+    sleep, //
+};
+
+/// Longer than anything that is to happen takes on a busy machine.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(40);
+
+/// How often a condition is looked at.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// An availability zone of the cell.
+pub(crate) struct Zone {
+    pub(crate) name: &'static str,
+    pub(crate) region: &'static str,
+    pub(crate) entries: usize,
+    pub(crate) workers: u32,
+}
+
+/// One zone, two instances, four workers.
+pub(crate) const SMALL: &[Zone] = &[Zone {
+    name: "north-a",
+    region: "north",
+    entries: 2,
+    workers: 4,
+}];
+
+/// Two zones of two regions with two instances and three workers each.
+pub(crate) const TWO_ZONES: &[Zone] = &[
+    Zone {
+        name: "north-a",
+        region: "north",
+        entries: 2,
+        workers: 3,
+    },
+    Zone {
+        name: "south-a",
+        region: "south",
+        entries: 2,
+        workers: 3,
+    },
+];
+
+/// An entry instance.
+pub(crate) struct Instance {
+    pub(crate) id: String,
+    pub(crate) address: SocketAddr,
+    settings: PathBuf,
+    child: Option<Child>,
+}
+
+/// A running cell. Every process is killed when it is dropped.
+pub(crate) struct Cell {
+    pub(crate) standin: Running,
+    pub(crate) instances: Vec<Instance>,
+    folder: PathBuf,
+}
+
+/// An address of the loopback range that no other test uses.
+fn host() -> Ipv4Addr {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    let next = NEXT.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id();
+    let [_, a, b, _] = (process << 8).to_be_bytes();
+    Ipv4Addr::new(127, a.max(1), b, u8::try_from(next).unwrap())
+}
+
+impl Cell {
+    pub(crate) async fn start(zones: &[Zone]) -> Self {
+        Self::start_with(zones, |_| {}, json!({})).await
+    }
+
+    /// Starts a cell with changed settings of the stand-in and more settings of the instances.
+    pub(crate) async fn start_with(
+        zones: &[Zone],
+        change: impl FnOnce(&mut Settings),
+        more: Value,
+    ) -> Self {
+        let host = host();
+        let mut settings = standin_settings(host, zones);
+        change(&mut settings);
+        let standin = standin::start(&settings).await.unwrap();
+        let folder = std::env::temp_dir().join(format!("bamboolock-{host}"));
+        std::fs::create_dir_all(&folder).unwrap();
+        let instances = settings.entries.iter();
+        let instances = instances.map(|e| Instance::new(e, standin.platform, &folder, &more));
+        let mut cell = Self {
+            instances: instances.collect(),
+            standin,
+            folder,
+        };
+        for at in 0..cell.instances.len() {
+            cell.spawn(at);
+        }
+        cell.publish_examples().await;
+        cell.settle().await;
+        cell
+    }
+
+    /// Starts the process of an instance.
+    pub(crate) fn spawn(&mut self, at: usize) {
+        let instance = &mut self.instances[at];
+        let log = self.folder.join(format!("{}.log", instance.id));
+        let log = std::fs::File::options().create(true).append(true).open(log);
+        let child = Process::new(env!("CARGO_BIN_EXE_bamboolock-entry"))
+            .arg("--settings")
+            .arg(&instance.settings)
+            .stderr(log.unwrap())
+            .stdout(Stdio::null())
+            .spawn();
+        instance.child = Some(child.unwrap());
+    }
+
+    /// Sends a signal to an instance's process by its shell name.
+    pub(crate) fn signal(&self, at: usize, name: &str) {
+        let child = self.instances[at].child.as_ref().unwrap();
+        let script = format!("kill -{name} {}", child.id());
+        let status = Process::new("sh").arg("-c").arg(script).status();
+        assert!(status.unwrap().success());
+    }
+
+    /// Kills an instance's process at once.
+    pub(crate) fn kill(&mut self, at: usize) {
+        let mut child = self.instances[at].child.take().unwrap();
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    /// Waits until the process of an instance has ended by itself; returns its exit status.
+    pub(crate) async fn ended(&mut self, at: usize) -> i32 {
+        let mut child = self.instances[at].child.take().unwrap();
+        let start = Instant::now();
+        loop {
+            if let Some(status) = child.try_wait().unwrap() {
+                return status.code().unwrap_or(-1);
+            }
+            assert!(start.elapsed() < PATIENCE, "the process does not end");
+            sleep(LOOK).await;
+        }
+    }
+
+    /// Waits until every worker is held and every living instance has the profiles and its peers.
+    pub(crate) async fn settle(&self) {
+        let workers = self.standin.workers.len();
+        let living = self.instances.iter().filter(|i| i.child.is_some());
+        let living = living.count();
+        self.until("the cell settles", async || {
+            let all = self.states().await;
+            let held: usize = all
+                .iter()
+                .map(|s| s["held"].as_array().map_or(0, Vec::len))
+                .sum();
+            let ready = all
+                .iter()
+                .all(|s| s["ready"] == json!(true) && s["next"] != json!(0));
+            held == workers && ready && all.len() == living
+        })
+        .await;
+    }
+
+    /// The states of all instances that answer.
+    pub(crate) async fn states(&self) -> Vec<Value> {
+        let mut states = Vec::new();
+        for instance in &self.instances {
+            if instance.child.is_none() {
+                continue;
+            }
+            if let Some(state) = get(instance.address, "/v1/status").await {
+                states.push(state);
+            }
+        }
+        states
+    }
+
+    /// Waits until a condition holds.
+    pub(crate) async fn until(&self, what: &str, mut holds: impl AsyncFnMut() -> bool) {
+        let start = Instant::now();
+        while !holds().await {
+            assert!(start.elapsed() < PATIENCE, "not in time: {what}");
+            sleep(LOOK).await;
+        }
+    }
+
+    pub(crate) async fn command(&self, command: &Command) {
+        let url = format!("http://{}/control", self.standin.platform);
+        let answer = client().post(url).send_json(command).await.unwrap();
+        assert!(answer.status().is_success(), "{command:?}");
+    }
+
+    /// Appends a profile change to the log.
+    pub(crate) async fn publish(&self, change: &str, name: &str, base: u32, body: &Value) {
+        let record = json!({"type": "profile", "change": change, "name": name, "base": base,
+            "body": body, "operator": "test"});
+        let by = json!({"instance": "test", "incarnation": 1});
+        let batch = json!({"format": 1, "id": change, "by": by, "records": [record]});
+        let append = Append {
+            payload: batch.to_string(),
+        };
+        let url = format!("http://{}/v1/log/append", self.standin.platform);
+        let answer = client().post(url).send_json(&append).await.unwrap();
+        assert!(answer.status().is_success());
+    }
+
+    async fn publish_examples(&self) {
+        let check = json!({"kind": "request", "team": "gates", "idempotent": true,
+            "priority": 9, "objective": {"deadline": 4000, "wait": 1000}});
+        let once = json!({"kind": "request", "team": "gates",
+            "objective": {"deadline": 8000, "wait": 4000}});
+        let run = json!({"kind": "run", "team": "plans",
+            "demand": {"millicores": 500, "memory": 64, "slots": 1}});
+        let gang = json!({"kind": "gang", "team": "plans",
+            "demand": {"millicores": 500, "memory": 64, "slots": 1}});
+        for (name, body) in [
+            ("check", check),
+            ("once", once),
+            ("run", run),
+            ("gang", gang),
+        ] {
+            self.publish(&format!("first-{name}"), name, 0, &body).await;
+        }
+    }
+
+    /// Submits a job through an instance and returns its id.
+    pub(crate) async fn submit(&self, at: usize, job: &Value) -> String {
+        let url = format!("http://{}/v1/jobs", self.instances[at].address);
+        let mut answer = client().post(url).send_json(job).await.unwrap();
+        let body: Value = answer.json().await.unwrap();
+        assert_eq!(answer.status(), 202, "{body}");
+        body["id"].as_str().unwrap().to_owned()
+    }
+
+    /// The status of a job, by the first instance that knows it.
+    pub(crate) async fn job(&self, id: &str) -> Option<Status> {
+        for instance in self.instances.iter().filter(|i| i.child.is_some()) {
+            if let Some(found) = get(instance.address, &format!("/v1/jobs/{id}")).await
+                && let Ok(status) = serde_json::from_value(found)
+            {
+                return Some(status);
+            }
+        }
+        None
+    }
+
+    /// Asserts that the judge saw no broken promise, and returns what it saw.
+    pub(crate) fn verdict(&self) -> Verdict {
+        let verdict = self.standin.verdict();
+        assert!(verdict.violations.is_empty(), "{:?}", verdict.violations);
+        verdict
+    }
+}
+
+impl Drop for Cell {
+    fn drop(&mut self) {
+        for instance in &mut self.instances {
+            if let Some(mut child) = instance.child.take() {
+                // It may have ended already.
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+impl Instance {
+    fn new(entry: &Entry, platform: SocketAddr, folder: &std::path::Path, more: &Value) -> Self {
+        let admin = SocketAddr::new(entry.address.ip(), entry.address.port() + 2);
+        let mut settings = json!({
+            "id": entry.id, "zone": entry.zone, "region": entry.region,
+            "listen": entry.address, "peer": entry.peer, "admin": admin,
+            "platform": platform, "threads": 1,
+        });
+        for (name, value) in more.as_object().unwrap() {
+            settings[name] = value.clone();
+        }
+        let path = folder.join(format!("{}.json", entry.id));
+        std::fs::write(&path, settings.to_string()).unwrap();
+        Self {
+            id: entry.id.to_string(),
+            address: entry.address,
+            settings: path,
+            child: None,
+        }
+    }
+}
+
+fn standin_settings(host: Ipv4Addr, zones: &[Zone]) -> Settings {
+    let mut entries = Vec::new();
+    for zone in zones {
+        for number in 1..=zone.entries {
+            let port = 10_000 + 10 * u16::try_from(entries.len()).unwrap();
+            entries.push(Entry {
+                id: format!("{}-entry-{number}", zone.name).parse().unwrap(),
+                zone: zone.name.parse().unwrap(),
+                region: zone.region.parse().unwrap(),
+                rack: "rack1".parse().unwrap(),
+                address: SocketAddr::from((host, port)),
+                peer: SocketAddr::from((host, port + 1)),
+            });
+        }
+    }
+    let group = |zone: &Zone| Group {
+        region: zone.region.parse().unwrap(),
+        zone: zone.name.parse().unwrap(),
+        rack: "rack".into(),
+        count: zone.workers,
+        size: 8,
+        capacity: Resources::from_parts([16_000, 65_536, 0, 8, 64]),
+    };
+    Settings {
+        listen: SocketAddr::from((host, 9_000)),
+        workers: SocketAddr::from((host, 9_100)),
+        threads: 1,
+        groups: zones.iter().map(group).collect(),
+        entries,
+        service: Service {
+            median: 5,
+            spread: 0,
+        },
+        ..Settings::default()
+    }
+}
+
+/// A client whose connections nobody else uses.
+pub(crate) fn client() -> awc::Client {
+    awc::Client::builder()
+        .timeout(Duration::from_secs(15))
+        .finish()
+}
+
+/// A JSON answer, if there is one with a good status.
+pub(crate) async fn get(address: SocketAddr, path: &str) -> Option<Value> {
+    let request = client().get(format!("http://{address}{path}"));
+    let asked = tokio::time::timeout(Duration::from_secs(2), request.send()).await;
+    let mut answer = asked.ok()?.ok()?;
+    if !answer.status().is_success() {
+        return None;
+    }
+    answer.json().await.ok()
+}
--- /dev/null
+++ b/tests/process/jobs.rs
@@ -0,0 +1,118 @@
+//! Jobs under faults of workers and instances.
+
+use std::time::Duration;
+
+use bamboolock::{
+    standin::command::{
+        Command,
+        Select, //
+    },
+    wire::caller::JobState, //
+};
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::cell::{
+    self,
+    Cell,
+    client, //
+};
+
+async fn done(cell: &Cell, id: &str) {
+    cell.until("the job is done", async || {
+        cell.job(id)
+            .await
+            .is_some_and(|s| s.state == JobState::Done)
+    })
+    .await;
+}
+
+#[actix_web::test]
+async fn a_run_goes_on_when_its_instance_dies_and_is_not_started_again() {
+    let mut cell = Cell::start(cell::SMALL).await;
+    let job = json!({"profile": "run", "tasks": 6, "payload": {"run_ms": 4_000}});
+    let id = cell.submit(0, &job).await;
+    cell.until("all tasks run", async || {
+        cell.job(&id).await.is_some_and(|s| s.running == 6)
+    })
+    .await;
+    cell.kill(0);
+    done(&cell, &id).await;
+    assert_eq!(cell.verdict().counters.starts, 6);
+}
+
+#[actix_web::test]
+async fn tasks_of_a_restarted_worker_run_again_and_never_twice_at_once() {
+    let cell = Cell::start(cell::SMALL).await;
+    let job = json!({"profile": "run", "tasks": 12, "payload": {"run_ms": 2_500}});
+    let id = cell.submit(0, &job).await;
+    cell.until("all tasks run", async || {
+        cell.job(&id).await.is_some_and(|s| s.running == 12)
+    })
+    .await;
+    let target = Select {
+        workers: vec![cell.standin.workers[0].0.clone()],
+        ..Select::default()
+    };
+    cell.command(&Command::Restart { target }).await;
+    done(&cell, &id).await;
+    let starts = cell.verdict().counters.starts;
+    assert!((12..=20).contains(&starts), "{starts}");
+}
+
+#[actix_web::test]
+async fn two_gangs_that_do_not_fit_together_both_end() {
+    let cell = Cell::start(cell::SMALL).await;
+    // 32 slots in all: each gang fits alone, the two do not fit together.
+    let job = json!({"profile": "gang", "tasks": 8, "payload": {"run_ms": 1_000}});
+    let mut ids = Vec::new();
+    for at in [0, 1, 0, 1] {
+        ids.push(cell.submit(at, &job).await);
+    }
+    for id in &ids {
+        done(&cell, id).await;
+    }
+    assert_eq!(cell.verdict().counters.starts, 32);
+}
+
+#[actix_web::test]
+async fn a_wave_of_cancellations_ends_what_runs_and_what_waits() {
+    let cell = Cell::start(cell::SMALL).await;
+    let job = json!({"profile": "run", "tasks": 20, "payload": {"run_ms": 600_000}});
+    let mut ids = Vec::new();
+    for number in 0..40 {
+        ids.push(cell.submit(number % 2, &job).await);
+    }
+    let cancels = ids.iter().map(|id| {
+        let url = format!("http://{}/v1/jobs/{id}", cell.instances[0].address);
+        async move { client().delete(url).send().await.unwrap().status() }
+    });
+    for status in futures_util::future::join_all(cancels).await {
+        assert_eq!(status, 202);
+    }
+    for id in &ids {
+        cell.until("the job is cancelled", async || {
+            let status = cell.job(id).await;
+            status.is_some_and(|s| s.state == JobState::Cancelled && s.running == 0)
+        })
+        .await;
+    }
+    let before = cell.verdict().counters.starts;
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(cell.verdict().counters.starts, before);
+}
+
+#[actix_web::test]
+async fn a_job_that_can_never_run_is_refused_with_its_reason() {
+    let cell = Cell::start(cell::SMALL).await;
+    let url = format!("http://{}/v1/jobs", cell.instances[0].address);
+    let job = json!({"profile": "run", "demand": {"memory": 1_000_000, "slots": 1}});
+    let mut answer = client().post(url).send_json(&job).await.unwrap();
+    assert_eq!(answer.status(), 422);
+    let body: serde_json::Value = answer.json().await.unwrap();
+    assert_eq!(body["code"], "impossible");
+    assert!(
+        body["message"].as_str().unwrap().contains("memory"),
+        "{body}"
+    );
+}
--- /dev/null
+++ b/tests/process/outages.rs
@@ -0,0 +1,146 @@
+//! The platform is out, or an availability zone is cut off.
+
+use std::time::Duration;
+
+use bamboolock::{
+    standin::{
+        command::Command,
+        faults::Mode, //
+    },
+    wire::caller::JobState, //
+};
+use serde_json::json;
+use tokio::time::{
+    Instant,
+    sleep, //
+};
+
+use crate::{
+    cell::{
+        self,
+        Cell,
+        get, //
+    },
+    load, //
+};
+
+#[actix_web::test]
+async fn a_platform_outage_of_60_s_costs_short_checks_nothing() {
+    let cell = Cell::start(cell::SMALL).await;
+    let addresses: Vec<_> = cell.instances.iter().map(|i| i.address).collect();
+    cell.command(&Command::Log { mode: Mode::Hang }).await;
+    cell.command(&Command::List { mode: Mode::Hang }).await;
+    let end = Instant::now() + Duration::from_secs(60);
+    let seen = load::run(
+        addresses.clone(),
+        "check",
+        4,
+        Duration::from_millis(40),
+        end,
+    )
+    .await;
+    assert!(seen.bad.is_empty(), "{:?}", seen.bad);
+    assert!(seen.good > 1_000, "{}", seen.good);
+    assert_eq!(seen.late, 0, "longest {:?}", seen.longest);
+    // What needs the log says that it did not run.
+    let keyed = load::once(addresses[0], "once", Some("k"), &json!({"mark": "k"})).await;
+    let (not_run, reason) = keyed.unwrap_err();
+    assert!(not_run, "{reason}");
+    let before = cell.verdict().counters.nonidempotent;
+    assert_eq!(before, 0);
+    cell.command(&Command::Log { mode: Mode::Up }).await;
+    cell.command(&Command::List { mode: Mode::Up }).await;
+    let keyed = load::request(&addresses, 0, "once", Some("k2"), &json!({"mark": "k"})).await;
+    assert!(keyed.is_ok(), "{keyed:?}");
+    cell.verdict();
+}
+
+#[actix_web::test]
+async fn a_zone_that_is_cut_off_serves_checks_and_doubles_no_job() {
+    let cell = Cell::start(cell::TWO_ZONES).await;
+    let north = [cell.instances[0].address, cell.instances[1].address];
+    // A job of the north runs when its zone is cut off.
+    let job = json!({"profile": "run", "tasks": 4, "payload": {"run_ms": 3_000}});
+    let id = cell.submit(0, &job).await;
+    cell.until("the job runs", async || {
+        cell.job(&id).await.is_some_and(|s| s.running > 0)
+    })
+    .await;
+    let zone = "north-a".parse().unwrap();
+    cell.command(&Command::CutZone { zone, on: true }).await;
+    let end = Instant::now() + Duration::from_secs(8);
+    let seen = load::run(north.to_vec(), "check", 4, Duration::from_millis(20), end).await;
+    assert!(seen.bad.is_empty(), "{:?}", seen.bad);
+    assert_eq!(seen.late, 0, "longest {:?}", seen.longest);
+    let zone = "north-a".parse().unwrap();
+    cell.command(&Command::CutZone { zone, on: false }).await;
+    cell.until("the job is done", async || {
+        cell.job(&id)
+            .await
+            .is_some_and(|s| s.state == JobState::Done)
+    })
+    .await;
+    let verdict = cell.verdict();
+    assert_eq!(verdict.counters.starts, 4);
+}
+
+#[actix_web::test]
+async fn a_fresh_instance_starts_from_its_peers_while_the_log_is_out() {
+    let host = json!({});
+    let mut cell = Cell::start_with(cell::SMALL, |_| {}, host).await;
+    cell.kill(0);
+    cell.settle().await;
+    cell.command(&Command::Log { mode: Mode::Refuse }).await;
+    cell.spawn(0);
+    cell.settle().await;
+    let address = [cell.instances[0].address];
+    let answer = load::request(&address, 0, "check", None, &json!({"mark": "x"})).await;
+    assert!(answer.is_ok(), "{answer:?}");
+    cell.verdict();
+}
+
+#[actix_web::test]
+async fn an_accepted_profile_change_is_in_force_within_8_s_and_never_reverts() {
+    let mut cell = Cell::start(cell::TWO_ZONES).await;
+    let tight = json!({"kind": "request", "team": "gates", "idempotent": true,
+        "limits": {"body": 4}});
+    let start = Instant::now();
+    cell.publish("tight", "check", 1, &tight).await;
+    // The loser of a race has no effect anywhere.
+    let wide = json!({"kind": "request", "team": "gates", "idempotent": true,
+        "limits": {"body": 1000}});
+    cell.publish("wide", "check", 1, &wide).await;
+    let body = json!({"mark": "longer than four bytes"});
+    for instance in &cell.instances {
+        let address = instance.address;
+        cell.until("the change is in force", async || {
+            refuses(address, &body).await
+        })
+        .await;
+    }
+    assert!(start.elapsed() < Duration::from_secs(8));
+    // Neither a restart nor an outage brings the old version back.
+    cell.kill(0);
+    cell.command(&Command::Log { mode: Mode::Refuse }).await;
+    cell.spawn(0);
+    let address = cell.instances[0].address;
+    let end = Instant::now() + Duration::from_secs(4);
+    while Instant::now() < end {
+        let answer = load::once(address, "check", None, &body).await;
+        assert!(answer.is_err(), "{answer:?}");
+        sleep(Duration::from_millis(50)).await;
+    }
+    cell.command(&Command::Log { mode: Mode::Up }).await;
+    cell.settle().await;
+    assert!(refuses(address, &body).await);
+    assert!(
+        get(address, "/healthz").await.is_none(),
+        "health is no JSON"
+    );
+    cell.verdict();
+}
+
+async fn refuses(address: std::net::SocketAddr, body: &serde_json::Value) -> bool {
+    let answer = load::once(address, "check", None, body).await;
+    matches!(answer, Err((true, reason)) if reason.contains("too_large"))
+}
--- /dev/null
+++ b/tests/process/takeover.rs
@@ -0,0 +1,104 @@
+//! Instances that die, pause and are replaced.
+
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::time::{
+    Instant,
+    sleep, //
+};
+
+use crate::{
+    cell::{
+        self,
+        Cell, //
+    },
+    load, //
+};
+
+/// The target for the take-over of a dead holder's workers.
+const TAKE_OVER: Duration = Duration::from_secs(5);
+
+#[actix_web::test]
+async fn workers_of_a_killed_holder_are_placeable_again_in_5_s() {
+    let mut cell = Cell::start(cell::SMALL).await;
+    cell.kill(0);
+    let start = Instant::now();
+    cell.settle().await;
+    let took = start.elapsed();
+    assert!(took < TAKE_OVER, "took {took:?}");
+    let address = [cell.instances[1].address];
+    let answer = load::request(&address, 0, "check", None, &json!({"mark": "x"})).await;
+    assert!(answer.is_ok(), "{answer:?}");
+    cell.verdict();
+}
+
+#[actix_web::test]
+async fn a_holder_paused_past_its_lease_does_no_harm_when_it_wakes() {
+    let cell = Cell::start(cell::SMALL).await;
+    let addresses: Vec<_> = cell.instances.iter().map(|i| i.address).collect();
+    // Slow requests are waiting and in progress at both when one is paused.
+    let end = Instant::now() + Duration::from_secs(9);
+    let load = load::run(
+        vec![addresses[1]],
+        "check",
+        40,
+        Duration::from_millis(1),
+        end,
+    );
+    let paused = load::run(
+        vec![addresses[0]],
+        "once",
+        40,
+        Duration::from_millis(1),
+        end,
+    );
+    let pause = async {
+        for _ in 0..2 {
+            sleep(Duration::from_millis(500)).await;
+            cell.signal(0, "STOP");
+            sleep(Duration::from_millis(3_600)).await;
+            cell.signal(0, "CONT");
+        }
+    };
+    let (seen, _, ()) = futures_util::join!(load, paused, pause);
+    assert!(seen.good > 100, "{seen:?}");
+    assert!(seen.bad.is_empty(), "{:?}", seen.bad);
+    cell.settle().await;
+    let verdict = cell.verdict();
+    assert!(verdict.counters.nonidempotent > 0);
+}
+
+#[actix_web::test]
+async fn a_rolling_restart_under_load_fails_and_doubles_nothing() {
+    let mut cell = Cell::start(cell::TWO_ZONES).await;
+    let addresses: Vec<_> = cell.instances.iter().map(|i| i.address).collect();
+    let end = Instant::now() + Duration::from_secs(14);
+    let checks = load::run(
+        addresses.clone(),
+        "check",
+        8,
+        Duration::from_millis(10),
+        end,
+    );
+    let once = load::run(addresses, "once", 4, Duration::from_millis(10), end);
+    let restart = async {
+        for at in 0..cell.instances.len() {
+            cell.signal(at, "TERM");
+            assert_eq!(cell.ended(at).await, 0);
+            cell.spawn(at);
+            sleep(Duration::from_millis(1_500)).await;
+        }
+    };
+    let (checks, once, ()) = futures_util::join!(checks, once, restart);
+    assert!(checks.bad.is_empty(), "{:?}", checks.bad);
+    assert!(once.bad.is_empty(), "{:?}", once.bad);
+    assert!(
+        checks.good > 200 && once.good > 50,
+        "{} {}",
+        checks.good,
+        once.good
+    );
+    let verdict = cell.verdict();
+    assert_eq!(verdict.counters.nonidempotent, once.good as u64);
+}
