--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -4,7 +4,9 @@
 //! what is written, [`effect`] what it did.
 
 pub mod effect;
+pub mod jobs;
 pub mod keys;
+pub mod outcomes;
 pub mod profiles;
 pub mod queue;
 pub mod record;
--- a/src/ledger/queue.rs
+++ b/src/ledger/queue.rs
@@ -246,7 +246,7 @@
 fn effects(applied: &Applied, first: usize, end: usize) -> Vec<Effect> {
     let pairs = applied.effects.iter().zip(&applied.origins);
     pairs
-        .filter(|(_, origin)| (first..end).contains(origin))
+        .filter(|(_, origin)| (first..end).contains(*origin))
         .map(|(effect, _)| effect.clone())
         .collect()
 }
--- a/src/ledger/state.rs
+++ b/src/ledger/state.rs
@@ -17,7 +17,12 @@
             Applied,
             Effect, //
         },
+        jobs::Jobs,
         keys::Keys,
+        outcomes::{
+            Outcomes,
+            Taken, //
+        },
         profiles::{
             self,
             Profiles, //
@@ -74,6 +79,10 @@
     pub profiles: Profiles,
     /// The idempotency keys.
     pub keys: Keys,
+    /// The jobs.
+    pub jobs: Jobs,
+    /// What became of work.
+    pub outcomes: Outcomes,
 }
 
 impl State {
@@ -193,23 +202,20 @@
         }
     }
 
-    fn apply_record(
-        &mut self,
-        record: Record,
-        _by: &record::Author,
-        offset: Offset,
-    ) -> Vec<Effect> {
+    fn apply_record(&mut self, record: Record, by: &record::Author, offset: Offset) -> Vec<Effect> {
         let at = self.clock;
         match record {
             Record::Profile(change) => self.profiles.apply(&change, profiles::Place { offset, at }),
             Record::Key(key) => vec![self.keys.hold(&key, at)],
             Record::Answer(answer) => self.keys.answer(&answer, at).into_iter().collect(),
             Record::Snapshot { next, .. } => self.note_snapshot(next, offset),
-            Record::Accepted(_)
-            | Record::Claim(_)
-            | Record::Ended(_)
-            | Record::Cancel { .. }
-            | Record::Outcomes(_) => Vec::new(),
+            Record::Accepted(_) | Record::Claim(_) | Record::Ended(_) | Record::Cancel { .. } => {
+                self.jobs.apply(at, by, &record)
+            }
+            Record::Outcomes(outcomes) => {
+                let taken = self.outcomes.apply(by, &outcomes, at);
+                doubt(taken, offset).into_iter().collect()
+            }
         }
     }
 
@@ -226,6 +232,16 @@
     }
 }
 
+/// What is to be said of a record of outcomes that does not count.
+fn doubt(taken: Taken, offset: Offset) -> Option<Effect> {
+    let problem = match taken {
+        Taken::Counted | Taken::Repeat => return None,
+        Taken::Doubtful => "outcomes of an unknown author may have counted before",
+        Taken::Inconsistent => "good and bad work do not add up to the total",
+    };
+    Some(Effect::Skipped(at_offset(offset, "/records", &problem)))
+}
+
 /// The offset of a snapshot record, found without a look into its state.
 fn snapshot_next(value: &serde_json::Value) -> Option<Offset> {
     let object = value.as_object()?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,8 +3,10 @@
 //! The programs under `src/bin` are thin shells over this library. Decisions are pure functions
 //! over a state and a clock in [`kernel`] and [`ledger`]; everything else moves bytes.
 
+pub mod bench;
 pub mod configs;
 pub mod context;
+pub mod entry;
 pub mod findings;
 pub mod ids;
 pub mod kernel;
@@ -12,6 +14,8 @@
 pub mod modules;
 pub mod platform;
 pub mod profile;
+pub mod program;
 pub mod resources;
 pub mod settings;
+pub mod standin;
 pub mod wire;
