fix(link): a connection that closed before its answer may have carried the message

Cause: awc reports a connection that closes after the request went out as Connect(Disconnected). Link took every Connect error for "nothing was sent", and the exchange with backend servers answered "not run" for it, so that a non-idempotent request could have been sent twice.

Ruled out: taking every Connect error for a lost answer; a refused connection would then cost callers the outcome.

Change: link::unsent decides in one place; link, exchange and the log's client use it. The log's client stands on Link, which removes a second copy of deadlines and pools. A connection must open within 300 ms (awc's default is 5 s), so that an exchange which was never sent is told apart, and a request cannot leave seconds after its lease was checked. After failures in a row a read of the log asks for fewer entries.

Red first: with Disconnected taken as unsent, both tests of tests/link.rs fail (row Close).

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -6,7 +6,6 @@
 };
 
 use actix_web::http::StatusCode;
-use awc::error::SendRequestError;
 use bytes::Bytes;
 use compact_str::CompactString;
 use tokio::time::Instant;
@@ -148,7 +147,7 @@
     let request = prepare(&client, message, route, zone);
     let mut answer = match request.send_body(message.body.clone()).await {
         Ok(answer) => answer,
-        Err(SendRequestError::Connect(_)) => return End::NotRun,
+        Err(e) if link::unsent(&e) => return End::NotRun,
         Err(_) => return End::Cut,
     };
     let ran = ran(answer.headers());
--- a/src/ledger/replica.rs
+++ b/src/ledger/replica.rs
@@ -123,12 +123,11 @@
     #[must_use]
     pub fn start(entry: &settings::Entry, by: record::Author) -> Handle {
         let state = Arc::new(RwLock::new(State::new()));
-        let zone = entry.zone.clone();
         let cfg = entry.log.clone();
         let replica = Self {
             log: Rc::new(platform::log::Client::new(
                 entry.platform,
-                zone,
+                &entry.zone,
                 cfg.clone(),
             )),
             state: state.clone(),
@@ -165,7 +164,8 @@
     fn poll(&mut self, ctx: &mut Context<Self>) {
         let log = self.log.clone();
         let from = self.next();
-        let read = async move { log.read(from).await };
+        let failures = self.failures;
+        let read = async move { log.read(from, failures).await };
         ctx.spawn(read.into_actor(self).map(move |result, actor, ctx| {
             match result {
                 Ok(page) => actor.take_page(from, page, ctx),
@@ -174,7 +174,7 @@
         }));
     }
 
-    fn take_failure(&mut self, e: &platform::log::Error, ctx: &mut Context<Self>) {
+    fn take_failure(&mut self, e: &platform::link::Error, ctx: &mut Context<Self>) {
         self.failures = self.failures.saturating_add(1);
         if self.failures == 1 {
             ::log::warn!(error:% = e; "cannot read the log");
--- a/src/ledger/replica/append.rs
+++ b/src/ledger/replica/append.rs
@@ -57,7 +57,7 @@
         self.appending = Some(outgoing.id.clone());
         let log = self.log.clone();
         let append = async move {
-            let result = log.append(&outgoing.text).await;
+            let result = log.append(outgoing.text).await;
             (outgoing.id, result)
         };
         let append = append.into_actor(self);
@@ -69,7 +69,7 @@
     fn take_append(
         &mut self,
         id: ChangeId,
-        result: Result<log::Appended, platform::log::Error>,
+        result: Result<log::Appended, platform::link::Error>,
         failures: u32,
         ctx: &mut Context<Self>,
     ) {
--- a/src/platform/link.rs
+++ b/src/platform/link.rs
@@ -8,7 +8,13 @@
     time::Duration, //
 };
 
-use awc::http::Method;
+use awc::{
+    error::{
+        ConnectError,
+        SendRequestError, //
+    },
+    http::Method, //
+};
 use compact_str::CompactString;
 use quick_error::quick_error;
 use serde::{
@@ -24,6 +30,10 @@
 /// Largest answer that is read, in bytes.
 const MAX_ANSWER: usize = 64 << 20;
 
+/// How long a connection may take to open. Shorter than the deadline of any exchange, so that a
+/// message which was never sent is told from one whose answer was lost.
+const CONNECT: Duration = Duration::from_millis(300);
+
 quick_error! {
     /// Why an exchange failed.
     #[derive(Debug, Clone, PartialEq, Eq)]
@@ -47,6 +57,33 @@
     }
 }
 
+impl Error {
+    /// Whether the message may have been acted upon.
+    #[must_use]
+    pub fn pending(&self) -> bool {
+        *self != Error::Unreachable
+    }
+}
+
+/// Whether an exchange failed before a byte could leave.
+///
+/// Only an error of the connection's opening says so. [`ConnectError::Disconnected`] does not: the
+/// library reports it for a connection that closed after the request went out, too.
+#[must_use]
+pub fn unsent(error: &SendRequestError) -> bool {
+    let SendRequestError::Connect(cause) = error else {
+        return false;
+    };
+    !matches!(cause, ConnectError::Disconnected)
+}
+
+fn failure(error: &SendRequestError) -> Error {
+    match unsent(error) {
+        true => Error::Unreachable,
+        false => Error::Silent,
+    }
+}
+
 /// Connections to one address.
 pub struct Link {
     address: CompactString,
@@ -59,6 +96,7 @@
 #[must_use]
 pub fn client(idle: Duration) -> awc::Client {
     let connector = awc::Connector::new()
+        .timeout(CONNECT)
         .conn_keep_alive(idle)
         .conn_lifetime(idle * 20)
         .limit(0);
@@ -132,7 +170,7 @@
             .insert_header((wire::ZONE_HEADER, self.zone.as_str()))
             .insert_header(("content-type", "application/json"));
         let sent = request.send_body(body).await;
-        let mut answer = sent.map_err(|e| self.failure(&e))?;
+        let mut answer = sent.map_err(|e| failure(&e))?;
         let status = answer.status();
         let bytes = answer.body().limit(MAX_ANSWER).await;
         if !status.is_success() {
@@ -141,13 +179,6 @@
         bytes.map_err(|_| Error::Silent)
     }
 
-    fn failure(&self, error: &awc::error::SendRequestError) -> Error {
-        if let awc::error::SendRequestError::Connect(_) = error {
-            return Error::Unreachable;
-        }
-        Error::Silent
-    }
-
     /// Leaves all open connections behind.
     fn renew(&self) {
         self.client.replace(client(self.idle));
