--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -138,7 +138,7 @@
 
 /// What decides on a job, copied from its profile version.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default)]
+#[serde(deny_unknown_fields, default)]
 pub struct Terms {
     /// The form of work.
     pub kind: profile::Kind,
