feat(requests): route, order and shed plug-ins; contract tables and stateful fuzzing

Cause: the kernel's promises were not proved, and the policies had only baselines. Change: plug-ins two_choices, random, zone_aware, fair_share and priority; ejected workers come back through one idempotent probe at a time; run times that are not learned yet refuse nothing (a guess of a tenth of the deadline had refused first requests); 31 contract and one fuzz test. Fault found by the soak (20 x 600 cases) and mended: a request that a peer may be running was evicted as "not run" because only sends to workers counted. Regression case: a_request_that_may_run_at_a_peer_is_not_evicted. Red first, each guard removed once and seen to fail (fuzz = promises_hold_in_any_order): idempotency of retries: fuzz, a_failed_attempt...; hand-back by a peer: fuzz; eviction of sent work: fuzz, a_request_that_was_sent...; eviction among equals: a_full_house...; slot of silent and of cut attempts: fuzz, the_slot_of_an_unknown...; ejection, its floor, single probe, idempotent probe: ejection tests; reserve, re-classing, learned class, quota, owner before borrower, spill, forwarding once, after a send, past the deadline: room tests; retry budget, attempts, backoff past the deadline, other worker: retries tests; hedge idempotent, once, budget, other worker, displacing: hedges tests; live and unknown attempts in `ran`, phase: fuzz; deadline, drain, queue and house bounds, hopeless heads, cancellation: admission tests, most of them fuzz too. The guard against a repeated silent report changed nothing and is dropped.

--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -3,5 +3,7 @@
 pub mod lease;
 pub mod log;
 pub mod membership;
+pub mod priority;
 pub mod requests;
 pub mod runs;
+pub mod zone_aware;
--- /dev/null
+++ b/src/configs/zone_aware.rs
@@ -0,0 +1,39 @@
+//! Settings of the `zone_aware` route plug-in.
+
+use std::time::Duration;
+
+use schemars::JsonSchema;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use serde_with::{
+    DurationMilliSeconds,
+    serde_as, //
+};
+
+/// Times are in milliseconds.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct ZoneAware {
+    /// Added to the answer time of a worker in another availability zone of the region.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub region: Duration,
+    /// Added to the answer time of a worker in another region.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub remote: Duration,
+    /// How many times its answer time a worker that fails everything counts for.
+    #[schemars(range(min = 1.0))]
+    pub errors: f64,
+}
+
+impl Default for ZoneAware {
+    fn default() -> Self {
+        Self {
+            region: Duration::from_millis(2),
+            remote: Duration::from_millis(24),
+            errors: 20.0,
+        }
+    }
+}
--- a/src/context.rs
+++ b/src/context.rs
@@ -53,6 +53,9 @@
     pub priority: u8,
     /// How long it is expected to run, in milliseconds.
     pub estimate: u64,
+    /// The slot time that the work's team had used at the arrival, in milliseconds of a virtual
+    /// time that passes at the pace of the team served least.
+    pub share: u64,
 }
 
 /// What a `shed` plug-in sees of a request that asks for admission.
--- a/src/kernel/requests/admit.rs
+++ b/src/kernel/requests/admit.rs
@@ -87,11 +87,13 @@
         if backlog == 0 && self.slots.held < self.slots.total {
             return 0;
         }
-        (backlog + class.estimate.mean()) / usable
+        (backlog + class.estimate.cost()) / usable
     }
 
     fn admit(&mut self, now: Millis, key: ClassKey, deadline: Millis) -> Result<(), Refusal> {
-        let order = self.classes[key].order(now, deadline);
+        let class = &self.classes[key];
+        let share = self.teams[class.team].share(self.pace);
+        let order = class.order(now, deadline, share);
         let wait = self.expected_wait(key, order);
         let class = &self.classes[key];
         let queued = class.queue.len() as u32;
@@ -103,7 +105,7 @@
                 wait,
             ));
         }
-        let estimate = class.estimate.quantile(0.5);
+        let estimate = class.estimate.typical();
         let ctx = context::Shed {
             now,
             deadline,
@@ -135,12 +137,12 @@
         else {
             return false;
         };
-        let unsent = |key: &RequestKey| self.requests[*key].sent == 0;
+        let unsent = |key: &RequestKey| self.requests[*key].is_fresh();
         let mut waiting = class.queue.iter().map(|(_, key)| *key);
         let Some(victim) = waiting.find(unsent) else {
             return false;
         };
-        let retry = Some(class.estimate.mean().max(RETRY_AFTER));
+        let retry = Some(class.estimate.cost().max(RETRY_AFTER));
         let message = "more urgent work took its place";
         let refusal = request::refusal(Code::QueueFull, Ran::No, message, retry);
         self.refuse(victim, refusal);
@@ -175,7 +177,7 @@
     pub(super) fn enqueue(&mut self, key: RequestKey) {
         let request = &mut self.requests[key];
         let class = &mut self.classes[request.class];
-        let order = class.order(request.arrived, request.deadline);
+        let order = class.order(request.arrived, request.deadline, request.share);
         let place = Place {
             order,
             seq: request.seq,
@@ -193,6 +195,7 @@
         arrival: Arrival,
     ) -> RequestKey {
         self.seq += 1;
+        let share = self.charge(class);
         let key = self.requests.insert(Request {
             id: arrival.id,
             class,
@@ -203,6 +206,7 @@
             forwarded: arrival.forwarded,
             phase: Phase::Delayed,
             seq: self.seq,
+            share,
             sent: 0,
             live: Vec::new(),
             unknown: false,
@@ -214,6 +218,17 @@
         key
     }
 
+    /// Charges the expected slot time of a request to its team. Returns the virtual time at which
+    /// the request starts.
+    fn charge(&mut self, key: ClassKey) -> u64 {
+        let class = &self.classes[key];
+        let slots = u64::from(class.profile.demand.slots);
+        let team = &mut self.teams[class.team];
+        let start = team.share(self.pace);
+        team.used = start.saturating_add(class.estimate.cost() * slots);
+        start
+    }
+
     /// The state of the arrival's profile, with the arrival's version in force.
     fn class_of(&mut self, arrival: &Arrival) -> ClassKey {
         let found = self.names.binary_search_by(|(n, _)| n.cmp(&arrival.name));
@@ -274,7 +289,7 @@
         return class.backlog();
     }
     let after = class.queue.partition_point(|(p, _)| p.0.order > order);
-    (class.queue.len() - after) as u64 * class.estimate.mean()
+    (class.queue.len() - after) as u64 * class.estimate.cost()
 }
 
 fn not_run(code: Code, message: &str, wait: u64) -> Refusal {
--- a/src/kernel/requests/class.rs
+++ b/src/kernel/requests/class.rs
@@ -31,7 +31,7 @@
     resources::Resources, //
 };
 
-/// The share of a profile's deadline that is taken for its run time until something is learned.
+/// The part of a profile's deadline that is taken for its run time until something is learned.
 const PRIOR: u64 = 10;
 
 slotmap::new_key_type! {
@@ -178,17 +178,18 @@
     /// Work that waits, in milliseconds of slot time.
     #[must_use]
     pub fn backlog(&self) -> u64 {
-        self.queue.len() as u64 * self.estimate.mean()
+        self.queue.len() as u64 * self.estimate.cost()
     }
 
     /// What the `order` plug-in sees of a request.
     #[must_use]
-    pub fn order(&self, arrived: Millis, deadline: Millis) -> u64 {
+    pub fn order(&self, arrived: Millis, deadline: Millis, share: u64) -> u64 {
         (self.deciders.order)(&context::Order {
             arrived,
             deadline,
             priority: self.profile.priority,
-            estimate: self.estimate.quantile(0.5),
+            estimate: self.estimate.typical(),
+            share,
         })
     }
 
@@ -215,7 +216,8 @@
     #[must_use]
     pub fn hedge_after(&self) -> Option<u64> {
         let hedge = &self.profile.hedge;
-        (hedge.budget > 0.0).then(|| self.estimate.quantile(hedge.quantile))
+        let wanted = hedge.budget > 0.0 && self.estimate.is_known();
+        wanted.then(|| self.estimate.quantile(hedge.quantile))
     }
 
     /// Figures for metrics.
--- a/src/kernel/requests/dispatch.rs
+++ b/src/kernel/requests/dispatch.rs
@@ -103,17 +103,32 @@
             return false;
         };
         let request = &self.requests[head];
-        let end = now.plus(class.estimate.quantile(0.5));
-        if end <= request.deadline || class.estimate.samples() == 0 {
+        let end = now.plus(class.estimate.typical());
+        if end <= request.deadline {
             return false;
         }
+        if !request.live.is_empty() {
+            self.unqueue(head);
+            return true;
+        }
         let message = "the deadline cannot be met any more";
-        let retry = Some(class.estimate.mean());
+        let retry = Some(class.estimate.cost());
         let refusal = request::refusal(Code::Deadline, request.ran(), message, retry);
         self.refuse(head, refusal);
         true
     }
 
+    /// Takes a request out of its queue that waits for the answer of an attempt from now on.
+    pub(super) fn unqueue(&mut self, key: RequestKey) {
+        let request = &mut self.requests[key];
+        if let Phase::Queued(place) = request.phase
+            && self.classes[request.class].dequeue(place)
+        {
+            self.queued -= 1;
+        }
+        request.phase = Phase::Active;
+    }
+
     /// Sends the head of a queue, if a worker can be found.
     fn send_head(&mut self, now: Millis, key: ClassKey, room: &mut dyn Room) -> Option<Dispatch> {
         let (place, head) = self.classes[key].head()?;
@@ -122,9 +137,9 @@
         if self.classes[key].dequeue(place) {
             self.queued -= 1;
         }
-        let kind = match self.requests[head].sent {
-            0 => Kind::First,
-            _ => Kind::Retry,
+        let kind = match self.requests[head].is_fresh() {
+            true => Kind::First,
+            false => Kind::Retry,
         };
         Some(self.send(now, head, worker, kind))
     }
@@ -143,7 +158,7 @@
             let random = self.draw();
             room.sample(now, &demand, random, most, &mut self.offers);
             let full = self.offers.len() < most;
-            self.keep_allowed(key, avoid);
+            self.keep_allowed(now, key, avoid);
             if let Some(worker) = self.route(key)
                 && room.reserve(worker, &demand)
             {
@@ -157,15 +172,16 @@
     }
 
     /// Leaves only the offers that this class may use.
-    fn keep_allowed(&mut self, key: ClassKey, avoid: Option<WorkerKey>) {
+    fn keep_allowed(&mut self, now: Millis, key: ClassKey, avoid: Option<WorkerKey>) {
         let class = &self.classes[key];
         let slots = class.profile.demand.slots;
         let reserve = class.reserve;
+        let idempotent = class.profile.idempotent;
         let workers = &self.workers;
         self.offers.retain(|offer| {
             let long = workers.get(offer.worker).long;
             let kept = long + slots + reserve <= offer.capacity.slots;
-            workers.usable(offer.worker) && (reserve == 0 || kept)
+            workers.usable(now, offer.worker, idempotent) && (reserve == 0 || kept)
         });
         let others = self.offers.iter().any(|o| Some(o.worker) != avoid);
         if others {
@@ -238,6 +254,7 @@
             .sent(worker, if long { demand.slots } else { 0 });
         let attempt = self.attempts.insert(attempt);
         request.phase = Phase::Active;
+        self.pace = self.pace.max(request.share);
         request.sent = request.sent.saturating_add(1);
         request.live.push(attempt);
         if !long {
--- a/src/kernel/requests/estimate.rs
+++ b/src/kernel/requests/estimate.rs
@@ -6,6 +6,9 @@
 /// Buckets in all; the last one begins above a day.
 const BUCKETS: usize = 112;
 
+/// Samples before the estimate is relied on.
+const FEWEST: u32 = 8;
+
 /// Samples after which older ones count half.
 const HALF_LIFE: u32 = 2_048;
 
@@ -68,10 +71,29 @@
         }
     }
 
-    /// How many samples the estimate rests on.
+    /// The median run time in milliseconds, or zero while too little is known: a guess must not
+    /// have a request refused.
+    #[must_use]
+    pub fn typical(&self) -> u64 {
+        match self.is_known() {
+            true => self.quantile(0.5),
+            false => 0,
+        }
+    }
+
+    /// The mean run time in milliseconds, or one while too little is known.
+    #[must_use]
+    pub fn cost(&self) -> u64 {
+        match self.is_known() {
+            true => self.mean(),
+            false => 1,
+        }
+    }
+
+    /// Whether enough is learned to decide by it.
     #[must_use]
-    pub fn samples(&self) -> u32 {
-        self.total
+    pub fn is_known(&self) -> bool {
+        self.total >= FEWEST
     }
 
     fn fade(&mut self) {
--- a/src/kernel/requests/finish.rs
+++ b/src/kernel/requests/finish.rs
@@ -64,7 +64,6 @@
                 self.close(attempt, room);
                 self.fail(now, &found)
             }
-            Outcome::Silent if found.silent => Step::Ignore,
             Outcome::Silent => {
                 self.attempts[attempt].silent = true;
                 self.fail(now, &found)
@@ -169,7 +168,7 @@
         let base = retry.backoff << doublings;
         let span = self.random.random_range(base / 2..=base);
         let start = now.plus(span);
-        if start.plus(class.estimate.quantile(0.5)) > request.deadline {
+        if start.plus(class.estimate.typical()) > request.deadline {
             return None;
         }
         class.retry.spend().then_some(start)
@@ -183,7 +182,7 @@
         let ran = request.ran();
         let class = &self.classes[request.class];
         let retry =
-            (ran == Ran::No).then(|| class.estimate.mean().max(request.profile.retry.backoff));
+            (ran == Ran::No).then(|| class.estimate.cost().max(request.profile.retry.backoff));
         let (code, message) = match ran {
             Ran::Yes => (Code::Backend, "the backend server failed"),
             Ran::Unknown => (Code::OutcomeUnknown, "no whole answer came back"),
--- a/src/kernel/requests/forward.rs
+++ b/src/kernel/requests/forward.rs
@@ -32,6 +32,9 @@
     pub fn forward(&mut self, now: Millis, peers: &[Peer]) -> Vec<Forward> {
         let mut free: Vec<u32> = peers.iter().map(|p| p.free).collect();
         let mut found = Vec::new();
+        if self.queued == 0 || free.iter().all(|f| *f == 0) {
+            return found;
+        }
         for key in self.waiting() {
             if free.iter().all(|f| *f == 0) {
                 break;
@@ -75,7 +78,7 @@
         };
         let worth = |i: &usize| {
             let peer = &peers[*i];
-            let end = now.plus(peer.trip).plus(class.estimate.quantile(0.5));
+            let end = now.plus(peer.trip).plus(class.estimate.typical());
             let gain = wait.saturating_sub(peer.trip);
             free[*i] > 0
                 && end <= request.deadline
@@ -87,12 +90,8 @@
     }
 
     fn pass_on(&mut self, now: Millis, key: RequestKey, peer: usize) -> Forward {
+        self.unqueue(key);
         let request = &mut self.requests[key];
-        if let Phase::Queued(place) = request.phase
-            && self.classes[request.class].dequeue(place)
-        {
-            self.queued -= 1;
-        }
         let attempt = self.attempts.insert(Attempt {
             request: key,
             class: request.class,
@@ -104,7 +103,6 @@
             sent: now,
             silent: false,
         });
-        request.phase = Phase::Active;
         request.forwarded = true;
         request.live.push(attempt);
         let left = request.left(now);
@@ -122,7 +120,7 @@
 /// Whether a profile lets its requests go that far. Traffic between regions is billed, so only a
 /// request that would miss its deadline here goes there.
 fn allowed(class: &Class, peer: &Peer, wait: u64, left: u64) -> bool {
-    let lost = wait.saturating_add(class.estimate.quantile(0.5)) > left;
+    let lost = wait.saturating_add(class.estimate.typical()) > left;
     match (peer.distance, class.profile.spill) {
         (Distance::Zone, _) => true,
         (Distance::Region, spill) => spill != Spill::Zone,
--- a/src/kernel/requests/quota.rs
+++ b/src/kernel/requests/quota.rs
@@ -19,6 +19,8 @@
     pub held: Resources,
     /// The sum of its profiles' quotas.
     pub quota: Resources,
+    /// Slot time used, in milliseconds of virtual time.
+    pub used: u64,
 }
 
 /// How a piece of work stands to the quotas; the lower goes first.
@@ -40,9 +42,16 @@
             id,
             held: Resources::default(),
             quota: Resources::default(),
+            used: 0,
         }
     }
 
+    /// The virtual time at which the team's next work starts, when the others are at `floor`.
+    #[must_use]
+    pub fn share(&self, floor: u64) -> u64 {
+        self.used.max(floor)
+    }
+
     /// How `demand` on top of what a profile holds stands to its quota and the team's.
     #[must_use]
     pub fn standing(
--- a/src/kernel/requests/request.rs
+++ b/src/kernel/requests/request.rs
@@ -63,6 +63,8 @@
     pub phase: Phase,
     /// Its arrival's number.
     pub seq: u64,
+    /// Its team's virtual time at the arrival, in milliseconds.
+    pub share: u64,
     /// Sends to workers.
     pub sent: u8,
     /// Attempts of which a word may still come.
@@ -87,6 +89,11 @@
         Ran::No
     }
 
+    /// Whether it was never sent anywhere, or only to a peer that handed it back unrun.
+    pub(super) fn is_fresh(&self) -> bool {
+        self.sent == 0 && self.ran() == Ran::No
+    }
+
     /// Whether another send can do no harm.
     pub(super) fn may_repeat(&self) -> bool {
         self.profile.idempotent || self.ran() == Ran::No
--- a/src/kernel/requests/tick.rs
+++ b/src/kernel/requests/tick.rs
@@ -20,9 +20,6 @@
 /// Time between looks at which profiles are long work, in milliseconds.
 const REVIEW: u64 = 500;
 
-/// Answers before a profile's run time is relied on.
-const FEWEST: u32 = 20;
-
 impl Requests {
     /// Ends what has run out of time. Returns all steps that nobody asked about.
     pub fn tick(&mut self, now: Millis) -> Vec<Notice> {
@@ -88,17 +85,14 @@
 
     /// Learns which profiles are long work.
     fn review(&mut self) {
-        let known = self
-            .classes
-            .values()
-            .filter(|c| c.estimate.samples() >= FEWEST);
+        let known = self.classes.values().filter(|c| c.estimate.is_known());
         let Some(shortest) = known.map(|c| c.estimate.mean()).min() else {
             return;
         };
         let bound = (shortest as f64 * self.cfg.straggler) as u64;
         let spare = self.cfg.spare;
         for class in self.classes.values_mut() {
-            let known = class.estimate.samples() >= FEWEST;
+            let known = class.estimate.is_known();
             let long = known && class.estimate.mean() >= bound;
             let declared = class.profile.limits.reserve;
             class.reserve = if long { declared.max(spare) } else { declared };
--- a/src/kernel/requests/workers.rs
+++ b/src/kernel/requests/workers.rs
@@ -5,7 +5,10 @@
 use crate::{
     configs,
     ids::Millis,
-    kernel::WorkerKey, //
+    kernel::{
+        WorkerKey,
+        requests::timers::Timers, //
+    }, //
 };
 
 /// Weight of a new sample in the moving averages.
@@ -14,8 +17,8 @@
 /// Outcomes before a worker may be ejected.
 const FEWEST: u32 = 5;
 
-/// The longest pause, as a multiple of the first.
-const LONGEST: u32 = 8;
+/// Pauses after which also a request that must not be repeated may be the probe.
+const SURE: u64 = 4;
 
 /// What is known of one worker.
 #[derive(Debug, Clone, Copy, Default)]
@@ -29,15 +32,16 @@
     /// Moving average of the share of failed attempts, 0 to 1.
     pub errors: f64,
     seen: u32,
-    ejected: Option<Millis>,
-    probing: bool,
-    times: u32,
+    ejected: bool,
+    probing: Option<Millis>,
+    probed: bool,
 }
 
 /// All workers that requests were sent to.
 #[derive(Debug, Default)]
 pub struct Workers {
     map: SecondaryMap<WorkerKey, Worker>,
+    pauses: Timers<WorkerKey>,
     ejected: u32,
 }
 
@@ -48,20 +52,25 @@
         self.map.get(key).copied().unwrap_or_default()
     }
 
-    /// Whether a request may be sent there.
+    /// Whether a request may be sent there. A worker that comes back from ejection gets one request
+    /// at a time until one succeeds, at first only such as may be repeated.
     #[must_use]
-    pub fn usable(&self, key: WorkerKey) -> bool {
+    pub fn usable(&self, now: Millis, key: WorkerKey, idempotent: bool) -> bool {
         let Some(worker) = self.map.get(key) else {
             return true;
         };
-        let probe_out = worker.probing && worker.active > 0;
-        worker.ejected.is_none() && !probe_out
+        match worker.probing {
+            _ if worker.ejected => false,
+            None => true,
+            Some(sure) => !worker.probed && (idempotent || now >= sure),
+        }
     }
 
     /// Counts a send.
     pub fn sent(&mut self, key: WorkerKey, long: u32) {
         if let Some(worker) = self.entry(key) {
             worker.active += 1;
+            worker.probed = true;
             worker.long += long;
         }
     }
@@ -77,6 +86,7 @@
     pub fn ended(&mut self, key: WorkerKey, long: u32) {
         if let Some(worker) = self.map.get_mut(key) {
             worker.active = worker.active.saturating_sub(1);
+            worker.probed = false;
             worker.long = worker.long.saturating_sub(long);
         }
     }
@@ -93,10 +103,8 @@
         };
         worker.errors *= 1.0 - WEIGHT;
         worker.seen = worker.seen.saturating_add(1);
-        worker.probing = false;
-        if worker.errors < WEIGHT / 4.0 {
-            worker.times = 0;
-        }
+        worker.probing = None;
+        worker.probed = false;
     }
 
     /// Learns from a failure; ejects the worker when it fails too much and the floor allows it.
@@ -107,28 +115,26 @@
         };
         worker.errors += WEIGHT * (1.0 - worker.errors);
         worker.seen = worker.seen.saturating_add(1);
+        worker.probed = false;
         let failing = worker.seen >= FEWEST && worker.errors >= cfg.eject;
-        let due = failing || worker.probing;
-        if !due || worker.ejected.is_some() || self.ejected >= most {
+        let due = failing || worker.probing.is_some();
+        if !due || worker.ejected || self.ejected >= most {
             return;
         }
-        let factor = 1 << worker.times.min(LONGEST.ilog2());
-        let pause = cfg.pause.as_millis() as u64 * factor;
-        worker.ejected = Some(now.plus(pause));
-        worker.probing = false;
-        worker.times += 1;
+        let pause = cfg.pause.as_millis() as u64;
+        worker.ejected = true;
+        worker.probing = Some(now.plus(pause * SURE));
         self.ejected += 1;
+        self.pauses.add(now.plus(pause), key);
     }
 
     /// Lets workers whose pause is over take one request each, until one succeeds.
     pub fn readmit(&mut self, now: Millis) {
-        if self.ejected == 0 {
-            return;
-        }
-        for worker in self.map.values_mut() {
-            if worker.ejected.is_some_and(|until| until <= now) {
-                worker.ejected = None;
-                worker.probing = true;
+        while let Some(key) = self.pauses.take(now) {
+            if let Some(worker) = self.map.get_mut(key)
+                && worker.ejected
+            {
+                worker.ejected = false;
                 self.ejected -= 1;
             }
         }
@@ -139,7 +145,7 @@
         let Some(worker) = self.map.remove(key) else {
             return;
         };
-        if worker.ejected.is_some() {
+        if worker.ejected {
             self.ejected -= 1;
         }
     }
--- /dev/null
+++ b/src/modules/fair_share.rs
@@ -0,0 +1,29 @@
+//! Orders waiting work so that teams get equal shares of the slots.
+
+use crate::{
+    context,
+    modules::{
+        Plugin,
+        Point, //
+    }, //
+};
+
+/// Keys of one priority span this many milliseconds.
+const PRIORITY_SPAN: u64 = 1 << 56;
+
+/// The highest priority.
+const TOP: u8 = 9;
+
+inventory::submit! {
+    Plugin {
+        name: "fair_share",
+        summary: "priority first, then the team that has used the least slot time",
+        point: Point::Order(decide),
+    }
+}
+
+/// Sorts by priority, then by the team's virtual time at the arrival (start-time fair queueing).
+fn decide(ctx: &context::Order) -> u64 {
+    let rank = u64::from(TOP.saturating_sub(ctx.priority));
+    rank * PRIORITY_SPAN + ctx.share.min(PRIORITY_SPAN - 1)
+}
--- a/src/modules/mod.rs
+++ b/src/modules/mod.rs
@@ -6,11 +6,16 @@
 
 pub mod best_fit;
 pub mod deadline;
+pub mod fair_share;
 pub mod fifo;
 pub mod first_fit;
 pub mod full_queue;
 pub mod least_loaded;
+pub mod priority;
+pub mod random;
 pub mod round_robin;
+pub mod two_choices;
+pub mod zone_aware;
 
 /// The decision that a plug-in makes.
 #[derive(Debug, Clone, Copy)]
--- /dev/null
+++ b/src/modules/priority.rs
@@ -0,0 +1,36 @@
+//! Refuses the lower priorities first as the instance fills with waiting requests.
+
+use crate::{
+    configs::priority::Priority,
+    context,
+    modules::{
+        Plugin,
+        Point, //
+    }, //
+};
+
+/// The highest priority.
+const TOP: f64 = 9.0;
+
+inventory::submit! {
+    Plugin {
+        name: "priority",
+        summary: "refuses low priorities first as the instance fills, and what cannot finish",
+        point: Point::Shed(decide),
+    }
+}
+
+/// Refuses when
+/// - the queue is full,
+/// - waiting and running would end after the deadline, or
+/// - the instance is fuller than the request's priority allows.
+fn decide(ctx: &context::Shed) -> bool {
+    let end = ctx.now.plus(ctx.wait).plus(ctx.estimate);
+    if ctx.queued >= ctx.limit || end > ctx.deadline {
+        return true;
+    }
+    let start = Priority::default().start;
+    let rank = f64::from(ctx.priority) / TOP;
+    let allowed = start + (1.0 - start) * rank;
+    f64::from(ctx.crowd) > allowed * 1_000.0
+}
--- /dev/null
+++ b/src/modules/two_choices.rs
@@ -0,0 +1,33 @@
+//! Routes a request to the better of two random workers.
+
+use std::cmp::Reverse;
+
+use crate::{
+    context,
+    modules::{
+        Plugin,
+        Point, //
+    }, //
+};
+
+inventory::submit! {
+    Plugin {
+        name: "two_choices",
+        summary: "the less loaded of two random workers",
+        point: Point::Route(decide),
+    }
+}
+
+/// Draws two targets, which may be the same, and takes the one with more free slots; of equal
+/// ones, the nearer and then the faster.
+fn decide(ctx: &context::Route<'_>) -> Option<usize> {
+    let count = ctx.targets.len() as u64;
+    let first = (ctx.random >> 32).checked_rem(count)?;
+    let second = (ctx.random & 0xffff_ffff).checked_rem(count)?;
+    let drawn = [first as usize, second as usize];
+    drawn.into_iter().min_by_key(|i| rank(&ctx.targets[*i]))
+}
+
+fn rank(target: &context::Target) -> (context::Distance, Reverse<u32>, u64) {
+    (target.distance, Reverse(target.free.slots), target.latency)
+}
--- /dev/null
+++ b/src/modules/zone_aware.rs
@@ -0,0 +1,47 @@
+//! Routes a request to the worker with the least expected time to a good answer.
+
+use crate::{
+    configs::zone_aware::ZoneAware,
+    context::{
+        self,
+        Distance, //
+    },
+    modules::{
+        Plugin,
+        Point, //
+    }, //
+};
+
+/// The least answer time that counts, in microseconds, so that a fast failure is no advantage.
+const LEAST: f64 = 1_000.0;
+
+inventory::submit! {
+    Plugin {
+        name: "zone_aware",
+        summary: "the least of answer time, distance and load, weighed by failures",
+        point: Point::Route(decide),
+    }
+}
+
+/// Takes the target with the lowest cost:
+/// - the answer time and the way there,
+/// - times the share of its slots in use,
+/// - times a factor that rises with the share of failures.
+fn decide(ctx: &context::Route<'_>) -> Option<usize> {
+    let cfg = ZoneAware::default();
+    let costs = ctx.targets.iter().map(|t| cost(t, &cfg));
+    let least = costs.enumerate().min_by(|(_, a), (_, b)| a.total_cmp(b))?;
+    Some(least.0)
+}
+
+fn cost(target: &context::Target, cfg: &ZoneAware) -> f64 {
+    let way = match target.distance {
+        Distance::Zone => 0,
+        Distance::Region => cfg.region.as_micros() as u64,
+        Distance::Remote => cfg.remote.as_micros() as u64,
+    };
+    let time = (target.latency as f64).max(LEAST) + way as f64;
+    let load = f64::from(target.active + 1) / f64::from(target.free.slots.max(1));
+    let failures = 1.0 + (cfg.errors - 1.0) * target.errors;
+    time * (1.0 + load) * failures
+}
--- /dev/null
+++ b/tests/requests.rs
@@ -0,0 +1,18 @@
+//! The requests kernel: contract tables and stateful fuzzing.
+
+#![expect(clippy::unwrap_used, reason = "a test that cannot go on has failed")]
+
+#[path = "requests/admission.rs"]
+mod admission;
+#[path = "requests/ejection.rs"]
+mod ejection;
+#[path = "requests/fuzz.rs"]
+mod fuzz;
+#[path = "requests/hedges.rs"]
+mod hedges;
+#[path = "requests/retries.rs"]
+mod retries;
+#[path = "requests/room.rs"]
+mod room;
+#[path = "requests/support.rs"]
+mod support;
--- /dev/null
+++ b/tests/requests/retries.rs
@@ -0,0 +1,280 @@
+//! Retries, and what is told of a request that was sent.
+
+use assert_matches::assert_matches;
+use bamboolock::{
+    kernel::requests::{
+        Kind,
+        Outcome,
+        Step, //
+    },
+    wire::caller::{
+        Code,
+        Ran, //
+    },
+};
+
+use crate::support::{
+    Rig,
+    profile, //
+};
+
+const ANSWER: Outcome = Outcome::Answered { took: 5 };
+const BACKEND: Outcome = Outcome::Backend { took: 5 };
+
+/// What is expected after one failed attempt of a request.
+struct Row {
+    name: &'static str,
+    idempotent: bool,
+    budget: f64,
+    attempts: u8,
+    /// How long after the send the attempt ends, in milliseconds; the deadline is at 1,000.
+    after: u64,
+    outcome: Outcome,
+    expected: Expected,
+}
+
+#[derive(Debug, PartialEq)]
+enum Expected {
+    Retry,
+    Refuse(Code, Ran),
+    Ignore,
+}
+
+const fn row(name: &'static str, idempotent: bool, outcome: Outcome, expected: Expected) -> Row {
+    Row {
+        name,
+        idempotent,
+        budget: 1.0,
+        attempts: 3,
+        after: 5,
+        outcome,
+        expected,
+    }
+}
+
+const ROWS: [Row; 14] = [
+    row(
+        "idempotent, not run",
+        true,
+        Outcome::NotRun,
+        Expected::Retry,
+    ),
+    row("idempotent, backend error", true, BACKEND, Expected::Retry),
+    row("idempotent, silent", true, Outcome::Silent, Expected::Retry),
+    row("idempotent, cut", true, Outcome::Cut, Expected::Retry),
+    row("once, not run", false, Outcome::NotRun, Expected::Retry),
+    row(
+        "once, backend error",
+        false,
+        BACKEND,
+        Expected::Refuse(Code::Backend, Ran::Yes),
+    ),
+    row(
+        "once, silent, time left",
+        false,
+        Outcome::Silent,
+        Expected::Ignore,
+    ),
+    row(
+        "once, cut",
+        false,
+        Outcome::Cut,
+        Expected::Refuse(Code::OutcomeUnknown, Ran::Unknown),
+    ),
+    Row {
+        after: 1_300,
+        ..row(
+            "once, silent, past the deadline and the grace",
+            false,
+            Outcome::Silent,
+            Expected::Refuse(Code::OutcomeUnknown, Ran::Unknown),
+        )
+    },
+    Row {
+        budget: 0.0,
+        ..row(
+            "not run, without budget",
+            true,
+            Outcome::NotRun,
+            Expected::Refuse(Code::NoWorker, Ran::No),
+        )
+    },
+    Row {
+        budget: 0.0,
+        ..row(
+            "backend error, without budget",
+            true,
+            BACKEND,
+            Expected::Refuse(Code::Backend, Ran::Yes),
+        )
+    },
+    Row {
+        attempts: 1,
+        ..row(
+            "not run, last attempt",
+            false,
+            Outcome::NotRun,
+            Expected::Refuse(Code::NoWorker, Ran::No),
+        )
+    },
+    Row {
+        after: 995,
+        ..row(
+            "not run, no time for a backoff",
+            false,
+            Outcome::NotRun,
+            Expected::Refuse(Code::NoWorker, Ran::No),
+        )
+    },
+    Row {
+        after: 995,
+        ..row(
+            "cut, no time for a backoff",
+            true,
+            Outcome::Cut,
+            Expected::Refuse(Code::OutcomeUnknown, Ran::Unknown),
+        )
+    },
+];
+
+#[test]
+fn a_failed_attempt_is_retried_only_where_it_is_safe() {
+    for row in ROWS {
+        let profile = profile(serde_json::json!({
+            "idempotent": row.idempotent,
+            "retry": {"budget": row.budget, "attempts": row.attempts, "backoff": 20},
+        }));
+        let mut rig = Rig::new(4, 8);
+        rig.warm("p", &profile, 5, 4);
+        let sent = rig.send("p", &profile, 1_000);
+        rig.now = rig.now.plus(row.after);
+        let step = rig.finish(&sent, row.outcome);
+        let found = match step {
+            Step::Retry { at } => {
+                let backoff = at.since(rig.now);
+                assert!((10..=20).contains(&backoff), "{}: {backoff}", row.name);
+                Expected::Retry
+            }
+            Step::Refuse(refusal) => Expected::Refuse(refusal.code, refusal.ran),
+            Step::Ignore => Expected::Ignore,
+            Step::Answer => panic!("{}: answered", row.name),
+        };
+        assert_eq!(found, row.expected, "{}", row.name);
+    }
+}
+
+#[test]
+fn a_retry_goes_to_another_worker_after_its_backoff() {
+    for route in ["least_loaded", "random", "two_choices"] {
+        let profile = profile(serde_json::json!({
+            "idempotent": true,
+            "retry": {"budget": 1.0},
+            "policies": {"route": route},
+        }));
+        let mut rig = Rig::new(2, 8);
+        for _ in 0..4 {
+            let sent = rig.send("p", &profile, 1_000);
+            let step = rig.finish(&sent, BACKEND);
+            let Step::Retry { at } = step else {
+                panic!("{route}: {step:?}");
+            };
+            assert!(rig.next().is_empty(), "{route}");
+            rig.now = at;
+            let sends = rig.next();
+            assert_eq!(sends.len(), 1, "{route}");
+            assert_eq!(sends[0].kind, Kind::Retry, "{route}");
+            assert_ne!(sends[0].worker, sent.worker, "{route}");
+            assert_eq!(rig.finish(&sends[0], ANSWER), Step::Answer, "{route}");
+        }
+        assert!(rig.kernel.is_idle(), "{route}");
+        assert_eq!(rig.held(), 0, "{route}");
+    }
+}
+
+#[test]
+fn retries_stay_within_their_share_of_first_sends() {
+    let profile = profile(serde_json::json!({
+        "idempotent": true,
+        "retry": {"budget": 0.1, "attempts": 10, "backoff": 1},
+    }));
+    let mut rig = Rig::new(4, 8);
+    let mut retries = 0;
+    for _ in 0..500 {
+        let mut sent = vec![rig.send("p", &profile, 60_000)];
+        while let Some(dispatch) = sent.pop() {
+            let step = rig.finish(&dispatch, Outcome::NotRun);
+            rig.now = rig.now.plus(2);
+            if matches!(step, Step::Retry { .. }) {
+                retries += 1;
+                sent = rig.next();
+            }
+            if rig.kernel.ejected() > 0 {
+                rig.now = rig.now.plus(30_000);
+                sent.extend(rig.next());
+            }
+        }
+        rig.pass(10_000);
+    }
+    assert!((25..=50).contains(&retries), "{retries} retries");
+}
+
+#[test]
+fn the_slot_of_an_unknown_outcome_stays_taken_until_the_worker_speaks() {
+    let profile = profile(serde_json::json!({"idempotent": false}));
+    for outcome in [Outcome::Silent, Outcome::Cut] {
+        let mut rig = Rig::new(1, 1);
+        let sent = rig.send("p", &profile, 100);
+        rig.now = rig.now.plus(400);
+        assert_matches!(rig.finish(&sent, outcome), Step::Refuse(_));
+        assert_eq!(rig.held(), 1, "{outcome:?}");
+        rig.submit("p", &profile, 1_000).unwrap();
+        assert!(rig.next().is_empty(), "{outcome:?}");
+        let step = rig.kernel.settled(rig.now, sent.attempt, &mut rig.pool);
+        assert_eq!(step, Step::Ignore);
+        assert_eq!(rig.held(), 0, "{outcome:?}");
+        assert_eq!(rig.next().len(), 1, "{outcome:?}");
+    }
+}
+
+#[test]
+fn an_answer_that_comes_late_is_passed_on() {
+    let profile = profile(serde_json::json!({"idempotent": false}));
+    let mut rig = Rig::new(1, 1);
+    let sent = rig.send("p", &profile, 100);
+    rig.now = rig.now.plus(90);
+    assert_eq!(rig.finish(&sent, Outcome::Silent), Step::Ignore);
+    rig.now = rig.now.plus(60);
+    assert!(rig.kernel.tick(rig.now).is_empty());
+    assert_eq!(rig.finish(&sent, ANSWER), Step::Answer);
+    assert_eq!(rig.finish(&sent, ANSWER), Step::Ignore);
+    assert_eq!(rig.held(), 0);
+}
+
+#[test]
+fn a_request_that_nobody_reports_on_is_refused_as_unknown() {
+    let profile = profile(serde_json::json!({"idempotent": true}));
+    let mut rig = Rig::new(1, 1);
+    let sent = rig.send("p", &profile, 100);
+    assert!(rig.pass(300).is_empty());
+    let notices = rig.pass(250);
+    assert_eq!(notices.len(), 1);
+    assert_matches!(&notices[0].step, Step::Refuse(r) if r.ran == Ran::Unknown);
+    assert_eq!(rig.held(), 1);
+    assert_eq!(rig.finish(&sent, ANSWER), Step::Ignore);
+    assert_eq!(rig.held(), 0);
+}
+
+#[test]
+fn a_retry_that_finds_no_room_still_takes_the_late_answer() {
+    let profile = profile(serde_json::json!({"idempotent": true, "retry": {"budget": 1.0}}));
+    let mut rig = Rig::new(1, 1);
+    rig.warm("p", &profile, 100, 10);
+    let sent = rig.send("p", &profile, 1_000);
+    rig.now = rig.now.plus(500);
+    assert_matches!(rig.finish(&sent, Outcome::Silent), Step::Retry { .. });
+    rig.now = rig.now.plus(450);
+    rig.pool.add(crate::support::worker(1));
+    assert!(rig.next().is_empty(), "too late for another run");
+    assert!(rig.kernel.notices().is_empty());
+    assert_eq!(rig.finish(&sent, ANSWER), Step::Answer);
+}
