--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,12 +6,16 @@
 pub mod bench;
 pub mod configs;
 pub mod context;
+pub mod entry;
 pub mod findings;
 pub mod ids;
 pub mod kernel;
 pub mod ledger;
 pub mod modules;
+pub mod platform;
 pub mod profile;
+pub mod program;
 pub mod resources;
 pub mod settings;
+pub mod standin;
 pub mod wire;
