--- a/tests/requests/room.rs
+++ b/tests/requests/room.rs
@@ -1,5 +1,6 @@
 //! Room: slots kept for short work, quotas, and passing requests on.
 
+use assert_matches::assert_matches;
 use bamboolock::{
     context::Distance,
     kernel::requests::{
@@ -163,3 +164,23 @@
     assert_eq!(rig.kernel.queued(), 1);
     assert!(rig.kernel.forward(rig.now, &[peer]).is_empty());
 }
+
+#[test]
+fn a_request_that_was_sent_is_not_passed_on() {
+    let profile = profile(serde_json::json!({"retry": {"budget": 1.0}}));
+    let mut rig = Rig::new(1, 1);
+    let sent = rig.send("p", &profile, 60_000);
+    assert_matches!(rig.finish(&sent, Outcome::NotRun), Step::Retry { .. });
+    let blocker = rig.send("blocker", &profile, 60_000);
+    rig.now = rig.now.plus(50);
+    assert!(rig.next().is_empty());
+    assert_eq!(rig.kernel.queued(), 1);
+    let peer = Peer {
+        free: 1,
+        distance: Distance::Zone,
+        trip: 0,
+    };
+    assert!(rig.kernel.forward(rig.now, &[peer]).is_empty());
+    rig.finish(&blocker, ANSWER);
+    assert_eq!(rig.next().len(), 1);
+}
