feat(load): an open-loop load tool that checks every answer

Ruled out: closed-loop workers (a slow answer would hide later ones); trusting the HTTP client's end of body (awc ends a truncated body without an error) and its connect errors (awc reports a connection closed after the send as Connect(Disconnected)), so only the other connect errors count as unsent.

Change: arrivals drawn from a mix or recorded, sent through a balancer over entry instances or straight to the backend servers; every answer is compared with its request, keys with their executions. The judge learns by POST /control/witness what was refused as not run, and checks it.

--- /dev/null
+++ b/src/bin/bamboolock-load.rs
@@ -0,0 +1,242 @@
+//! The load tool.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::PathBuf,
+    process::ExitCode,
+    rc::Rc,
+    time::{
+        Duration,
+        SystemTime,
+        UNIX_EPOCH, //
+    }, //
+};
+
+use bamboolock::{
+    load::{
+        Error,
+        balancer::Balancer,
+        direct::Pool,
+        mix::Mix,
+        plot,
+        report::Report,
+        run::{
+            self,
+            Plan,
+            Target, //
+        },
+        schedule::{
+            self,
+            Arrival, //
+        },
+        table,
+        witness, //
+    },
+    settings, //
+};
+use clap::{
+    Arg,
+    ArgAction,
+    ArgGroup,
+    ArgMatches,
+    Command,
+    value_parser, //
+};
+use tokio::signal::unix::{
+    SignalKind,
+    signal, //
+};
+
+/// Exit code when an answer was wrong or doubled or the judge found a violation.
+const BROKEN: u8 = 1;
+
+/// Exit code for input that is not valid.
+const INVALID: u8 = 2;
+
+/// Exit code when the tool could not do its work.
+const FAILED: u8 = 3;
+
+/// How long an answer is waited for by default, in milliseconds.
+const PATIENCE: &str = "30000";
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let level = env_logger::Env::default().default_filter_or("info");
+    env_logger::Builder::from_env(level).init();
+    let arrivals = match arrivals(&matches) {
+        Ok(arrivals) => arrivals,
+        Err(message) => {
+            eprintln!("{message}");
+            return ExitCode::from(INVALID);
+        }
+    };
+    match actix_web::rt::System::new().block_on(work(&matches, arrivals)) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(BROKEN),
+        Err(e) => {
+            log::error!(error:% = e; "load tool failed");
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+fn command() -> Command {
+    let file = |name: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("FILE")
+            .value_parser(value_parser!(PathBuf))
+            .help(help)
+    };
+    let address = |name: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("IP:PORT")
+            .value_parser(value_parser!(SocketAddr))
+            .help(help)
+    };
+    let entry = address("entry", "An entry instance; may be given many times");
+    let platform = address(
+        "platform",
+        "The stand-in's platform, whose judge is asked at the end",
+    );
+    Command::new("bamboolock-load")
+        .about("Sends work at its intended times and checks every answer")
+        .arg(file("mix", "A mix of work to draw arrivals from (JSON)"))
+        .arg(file("arrivals", "Recorded arrivals (JSON lines)"))
+        .group(
+            ArgGroup::new("input")
+                .args(["mix", "arrivals"])
+                .required(true),
+        )
+        .arg(entry.action(ArgAction::Append))
+        .arg(platform)
+        .arg(direct())
+        .arg(scale())
+        .arg(patience())
+        .arg(file("record", "Write the arrivals (JSON lines)"))
+        .arg(file("json", "Write the report (JSON)"))
+        .arg(file("plot", "Draw latency and goodput over time (SVG)"))
+        .after_help(
+            "Examples:\n  \
+             bamboolock-load --mix mix.json --entry 127.0.0.1:7001 --entry 127.0.0.1:7002\n  \
+             bamboolock-load --arrivals morning.jsonl --entry 127.0.0.1:7001 --json report.json\n  \
+             bamboolock-load --mix mix.json --direct --platform 127.0.0.1:18080\n  \
+             bamboolock-load --mix mix.json --record morning.jsonl\n\n\
+             Without --entry and --direct nothing is sent.\n\n\
+             Exit codes: 0 all held, 1 a wrong or doubled answer or a violation,\n\
+             2 the input is not valid, 3 the tool could not do its work.",
+        )
+}
+
+fn direct() -> Arg {
+    Arg::new("direct")
+        .long("direct")
+        .action(ArgAction::SetTrue)
+        .requires("platform")
+        .conflicts_with("entry")
+        .help("Send requests straight to the backend servers, without jobs")
+}
+
+fn scale() -> Arg {
+    Arg::new("scale")
+        .long("scale")
+        .value_name("FACTOR")
+        .value_parser(value_parser!(f64))
+        .default_value("1")
+        .help("Multiply all rates of the mix")
+}
+
+fn patience() -> Arg {
+    Arg::new("patience")
+        .long("patience")
+        .value_name("MS")
+        .value_parser(value_parser!(u64))
+        .default_value(PATIENCE)
+        .help("How long an answer or the end of a job is waited for")
+}
+
+/// The arrivals that the arguments name. The error is a text for people.
+fn arrivals(matches: &ArgMatches) -> Result<Vec<Arrival>, String> {
+    if let Some(path) = matches.get_one::<PathBuf>("arrivals") {
+        return schedule::read(path).map_err(|e| e.to_string());
+    }
+    let Some(path) = matches.get_one::<PathBuf>("mix") else {
+        return Err("--mix or --arrivals is needed".to_owned());
+    };
+    let mix: Mix = settings::load(path).map_err(|e| e.to_string())?;
+    let scale = matches.get_one::<f64>("scale").copied().unwrap_or(1.0);
+    Ok(schedule::draw(&mix, scale, &run_name()))
+}
+
+/// Keeps the names of work apart from those of earlier runs.
+fn run_name() -> String {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    format!("{:x}", since.unwrap_or_default().as_millis())
+}
+
+/// Does all the work. Returns whether everything held.
+async fn work(matches: &ArgMatches, arrivals: Vec<Arrival>) -> Result<bool, Error> {
+    if let Some(path) = matches.get_one::<PathBuf>("record") {
+        schedule::write(path, &arrivals)?;
+    }
+    let Some(target) = target(matches).await? else {
+        log::info!(arrivals = arrivals.len(); "nothing was sent");
+        return Ok(true);
+    };
+    let patience = matches.get_one::<u64>("patience").copied();
+    let plan = Plan {
+        target,
+        patience: Duration::from_millis(patience.unwrap_or_default()),
+    };
+    let arrivals = Rc::new(arrivals);
+    let samples = run::run(plan, &arrivals, stopped()).await;
+    let judge = match matches.get_one::<SocketAddr>("platform") {
+        Some(platform) => {
+            let refused = witness::refused(&arrivals, &samples);
+            Some(witness::ask(&run::client(), *platform, refused).await?)
+        }
+        None => None,
+    };
+    let report = Report::new(&arrivals, &samples, judge);
+    publish(matches, &report)?;
+    Ok(report.holds())
+}
+
+async fn target(matches: &ArgMatches) -> Result<Option<Target>, Error> {
+    if matches.get_flag("direct") {
+        let Some(platform) = matches.get_one::<SocketAddr>("platform") else {
+            return Ok(None);
+        };
+        let pool = Pool::take(&run::client(), *platform).await?;
+        return Ok(Some(Target::Direct(pool)));
+    }
+    let entries = matches.get_many::<SocketAddr>("entry");
+    Ok(entries.map(|e| Target::Entries(Balancer::new(e.copied().collect()))))
+}
+
+fn publish(matches: &ArgMatches, report: &Report) -> Result<(), Error> {
+    print!("{}", table::text(report));
+    if let Some(path) = matches.get_one::<PathBuf>("json") {
+        let text = serde_json::to_string_pretty(report).map_err(Error::Json)?;
+        fs::write(path, text).map_err(|e| Error::File(path.clone(), e))?;
+    }
+    if let Some(path) = matches.get_one::<PathBuf>("plot") {
+        plot::draw(path, report)?;
+    }
+    Ok(())
+}
+
+/// Waits for SIGTERM or SIGINT; for ever when they cannot be listened for.
+async fn stopped() {
+    let term = signal(SignalKind::terminate());
+    let int = signal(SignalKind::interrupt());
+    let (Ok(mut term), Ok(mut int)) = (term, int) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod ids;
 pub mod kernel;
 pub mod ledger;
+pub mod load;
 pub mod modules;
 pub mod profile;
 pub mod resources;
--- /dev/null
+++ b/src/load/direct.rs
@@ -0,0 +1,155 @@
+//! Sends requests straight to the backend servers: the measure of what the system itself adds.
+//!
+//! One queue for all workers, no instance between, and the least busy worker next: as good as a
+//! dispatcher that knows everything can be.
+
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    time::{
+        Duration,
+        SystemTime,
+        UNIX_EPOCH, //
+    }, //
+};
+
+use serde::de::DeserializeOwned;
+use tokio::sync::{
+    Semaphore,
+    SemaphorePermit, //
+};
+
+use crate::{
+    ids::{
+        Incarnation,
+        InstanceId,
+        Token, //
+    },
+    load::Error,
+    wire::{
+        list::{
+            Listing,
+            Role,
+            State, //
+        },
+        worker::{
+            Grant,
+            Lease, //
+        }, //
+    }, //
+};
+
+/// How long the leases last, in milliseconds: longer than any run of the tool.
+const TTL: u64 = 86_400_000;
+
+/// How long the platform or a worker may take to answer.
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// A worker whose lease the tool holds.
+#[derive(Debug, Clone)]
+struct Held {
+    address: SocketAddr,
+    token: Token,
+    slots: u32,
+    active: u32,
+}
+
+/// The workers, and room on them.
+#[derive(Debug)]
+pub struct Pool {
+    workers: RefCell<Vec<Held>>,
+    room: Semaphore,
+}
+
+/// A slot on a worker, given back by [`Pool::release`].
+#[derive(Debug)]
+pub struct Slot<'a> {
+    /// The worker's address.
+    pub address: SocketAddr,
+    /// The token to carry.
+    pub token: Token,
+    index: usize,
+    _permit: SemaphorePermit<'a>,
+}
+
+impl Pool {
+    /// Takes the lease of every live worker that grants it.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no worker.
+    pub async fn take(client: &awc::Client, platform: SocketAddr) -> Result<Self, Error> {
+        let url = format!("http://{platform}/v1/instances");
+        let sent = client.get(url).timeout(LIMIT).send();
+        let listing: Listing = json(sent).await?;
+        let workers = listing.instances.into_iter();
+        let live = workers.filter(|i| i.role == Role::Worker && i.state == State::Live);
+        let mut held = Vec::new();
+        for worker in live {
+            if let Ok(address) = worker.address.parse() {
+                held.extend(lease(client, address).await?);
+            }
+        }
+        if held.is_empty() {
+            return Err(Error::NoWorker);
+        }
+        let slots: usize = held.iter().map(|h| h.slots as usize).sum();
+        Ok(Self {
+            workers: RefCell::new(held),
+            room: Semaphore::new(slots),
+        })
+    }
+
+    /// Waits for a slot on the least busy worker, first come, first served.
+    pub async fn acquire(&self) -> Option<Slot<'_>> {
+        let permit = self.room.acquire().await.ok()?;
+        let mut workers = self.workers.borrow_mut();
+        let free = |w: &(usize, &mut Held)| w.1.active < w.1.slots;
+        let open = workers.iter_mut().enumerate().filter(free);
+        let (index, worker) = open.min_by_key(|w| w.1.active)?;
+        worker.active += 1;
+        Some(Slot {
+            address: worker.address,
+            token: worker.token,
+            index,
+            _permit: permit,
+        })
+    }
+
+    /// Gives a slot back.
+    pub fn release(&self, slot: Slot<'_>) {
+        let mut workers = self.workers.borrow_mut();
+        workers[slot.index].active -= 1;
+    }
+}
+
+async fn lease(client: &awc::Client, address: SocketAddr) -> Result<Option<Held>, Error> {
+    let holder: Result<InstanceId, _> = "load".parse();
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let lease = Lease {
+        holder: holder.map_err(|_| Error::NoWorker)?,
+        incarnation: Incarnation(since.unwrap_or_default().as_secs()),
+        token: None,
+        ttl: TTL,
+        task_ttl: TTL,
+    };
+    let url = format!("http://{address}/v1/lease");
+    let sent = client.post(url).timeout(LIMIT).send_json(&lease);
+    let grant: Grant = json(sent).await?;
+    let Grant::Granted(report) = grant else {
+        log::warn!(worker:% = address; "placement lease was not granted");
+        return Ok(None);
+    };
+    Ok(Some(Held {
+        address,
+        token: report.token,
+        slots: report.capacity.slots.min(report.capacity.connections),
+        active: 0,
+    }))
+}
+
+async fn json<T: DeserializeOwned>(sent: awc::SendClientRequest) -> Result<T, Error> {
+    let mut answer = sent.await.map_err(|e| Error::Platform(e.to_string()))?;
+    let body = answer.json::<T>().limit(64 << 20).await;
+    body.map_err(|e| Error::Platform(e.to_string()))
+}
--- /dev/null
+++ b/src/load/run.rs
@@ -0,0 +1,272 @@
+//! Sends the arrivals at their intended times and gathers what becomes of them.
+
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::Duration, //
+};
+
+use actix_web::rt;
+use awc::Connector;
+use tokio::time::{
+    Instant,
+    sleep_until,
+    timeout_at, //
+};
+
+use crate::{
+    ids::{
+        IdempotencyKey,
+        Token, //
+    },
+    load::{
+        answer::{
+            self,
+            Failure,
+            Verdict, //
+        },
+        balancer::Balancer,
+        direct::Pool,
+        jobs,
+        sample::{
+            Class,
+            Sample, //
+        },
+        schedule::Arrival, //
+    },
+    wire, //
+};
+
+/// How often progress is logged.
+const PROGRESS: Duration = Duration::from_secs(5);
+
+/// Where the work is sent.
+#[derive(Debug)]
+pub enum Target {
+    /// To entry instances.
+    Entries(Balancer),
+    /// Straight to the backend servers; jobs are left out.
+    Direct(Pool),
+}
+
+/// How the work is sent.
+#[derive(Debug)]
+pub struct Plan {
+    /// Where to.
+    pub target: Target,
+    /// How long an answer, or the end of a job, is waited for after the intended time.
+    pub patience: Duration,
+}
+
+/// One run.
+struct Run {
+    plan: Plan,
+    client: awc::Client,
+    start: Instant,
+    samples: RefCell<Vec<Sample>>,
+}
+
+/// A client without a bound on connections.
+#[must_use]
+pub fn client() -> awc::Client {
+    let connector = Connector::new().limit(0);
+    awc::Client::builder()
+        .connector(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .finish()
+}
+
+/// Sends all arrivals, which are in order of time. Returns a sample for each one that was sent, in
+/// the order of the arrivals, once the last has ended. `stop` ends the sending early.
+pub async fn run(
+    plan: Plan,
+    arrivals: &Rc<Vec<Arrival>>,
+    stop: impl Future<Output = ()>,
+) -> Vec<Sample> {
+    let run = Rc::new(Run {
+        plan,
+        client: client(),
+        start: Instant::now(),
+        samples: RefCell::new(Vec::with_capacity(arrivals.len())),
+    });
+    let mut handles = Vec::with_capacity(arrivals.len());
+    let sending = send_all(&run, arrivals, &mut handles);
+    tokio::select! {
+        () = sending => {}
+        () = stop => log::info!("sending was stopped early"),
+    }
+    for handle in handles {
+        if let Err(e) = handle.await {
+            log::error!(error:% = e; "an exchange was aborted");
+        }
+    }
+    let mut samples = run.samples.take();
+    samples.sort_by_key(|s| s.index);
+    mark_doubled(arrivals, &mut samples);
+    samples
+}
+
+async fn send_all(
+    run: &Rc<Run>,
+    arrivals: &Rc<Vec<Arrival>>,
+    handles: &mut Vec<rt::task::JoinHandle<()>>,
+) {
+    let mut shown = run.start;
+    for index in 0..arrivals.len() {
+        sleep_until(run.intended(&arrivals[index])).await;
+        let (run, arrivals) = (Rc::clone(run), Rc::clone(arrivals));
+        if shown.elapsed() >= PROGRESS {
+            shown = Instant::now();
+            let ended = run.samples.borrow().len();
+            log::info!(sent = index, ended = ended, of = arrivals.len(); "progress");
+        }
+        handles.push(rt::spawn(async move {
+            let sample = run.one(index, &arrivals[index]).await;
+            run.samples.borrow_mut().push(sample);
+        }));
+    }
+}
+
+impl Run {
+    fn intended(&self, arrival: &Arrival) -> Instant {
+        self.start + Duration::from_micros(arrival.at)
+    }
+
+    async fn one(&self, index: usize, arrival: &Arrival) -> Sample {
+        let intended = self.intended(arrival);
+        let lag = intended.elapsed();
+        let mut sample = Sample {
+            index,
+            at: arrival.at,
+            lag: micros(lag),
+            latency: 0,
+            wait: None,
+            class: Class::Open,
+            code: None,
+            execution: Default::default(),
+            detail: String::new(),
+        };
+        match arrival.job {
+            Some(_) => self.job(arrival, &mut sample).await,
+            None => {
+                let verdict = self.request(arrival, lag).await;
+                sample.class = verdict.class;
+                sample.code = verdict.code;
+                sample.execution = verdict.execution;
+                sample.detail = verdict.detail;
+            }
+        }
+        sample.latency = micros(intended.elapsed());
+        let limit = arrival.deadline.unwrap_or(u64::MAX).saturating_mul(1_000);
+        if sample.class == Class::Good && sample.latency > limit {
+            sample.class = Class::Late;
+        }
+        sample
+    }
+
+    async fn request(&self, arrival: &Arrival, lag: Duration) -> Verdict {
+        match &self.plan.target {
+            Target::Entries(balancer) => self.by_entry(balancer, arrival, lag).await,
+            Target::Direct(pool) => self.directly(pool, arrival).await,
+        }
+    }
+
+    async fn by_entry(&self, balancer: &Balancer, arrival: &Arrival, lag: Duration) -> Verdict {
+        let body = arrival.body();
+        for _ in 0..balancer.len() {
+            let Some(entry) = balancer.next() else {
+                break;
+            };
+            let url = format!("http://{entry}/v1/requests/{}", arrival.profile);
+            let mut request = keyed(self.client.post(url), arrival.key.as_ref());
+            if let Some(deadline) = arrival.deadline {
+                let spent = u64::try_from(lag.as_millis()).unwrap_or(u64::MAX);
+                let left = deadline.saturating_sub(spent);
+                request = request.insert_header((wire::DEADLINE_HEADER, left.to_string()));
+            }
+            match answer::exchange(request, &body, self.plan.patience).await {
+                Ok(answer) => return answer::judge(&answer, &body),
+                Err(Failure::Lost(detail)) => return unanswered(Class::Unknown, detail),
+                Err(Failure::Unsent(_)) => balancer.avoid(entry),
+            }
+        }
+        unanswered(Class::Refused, "no entry instance".to_owned())
+    }
+
+    async fn directly(&self, pool: &Pool, arrival: &Arrival) -> Verdict {
+        let until = self.intended(arrival) + self.plan.patience;
+        let Ok(Some(slot)) = timeout_at(until, pool.acquire()).await else {
+            return unanswered(Class::Refused, "no slot in time".to_owned());
+        };
+        let body = arrival.body();
+        let url = format!("http://{}/v1/serve/{}", slot.address, arrival.profile);
+        let request = keyed(self.client.post(url), arrival.key.as_ref());
+        let Token(token) = slot.token;
+        let request = request
+            .insert_header((wire::TOKEN_HEADER, token.to_string()))
+            .insert_header((wire::REQUEST_HEADER, arrival.work.as_str()));
+        let result = answer::exchange(request, &body, self.plan.patience).await;
+        pool.release(slot);
+        match result {
+            Ok(answer) => answer::judge(&answer, &body),
+            Err(Failure::Unsent(detail)) => unanswered(Class::Refused, detail),
+            Err(Failure::Lost(detail)) => unanswered(Class::Unknown, detail),
+        }
+    }
+
+    async fn job(&self, arrival: &Arrival, sample: &mut Sample) {
+        let (Target::Entries(balancer), Some(job)) = (&self.plan.target, arrival.submission())
+        else {
+            sample.class = Class::Refused;
+            sample.detail = "jobs are not sent directly".to_owned();
+            return;
+        };
+        let intended = self.intended(arrival);
+        let until = intended + self.plan.patience;
+        let ended = jobs::run(&self.client, balancer, &job, until).await;
+        let wait = ended.started.map(|s| s.saturating_duration_since(intended));
+        sample.wait = wait.map(micros);
+        sample.class = ended.class;
+        sample.code = ended.code;
+        sample.execution = ended.run.map(Into::into).unwrap_or_default();
+        sample.detail = ended.detail;
+    }
+}
+
+/// Marks later answers to a key that came from another execution than the first.
+fn mark_doubled(arrivals: &[Arrival], samples: &mut [Sample]) {
+    let answered = |s: &Sample| matches!(s.class, Class::Good | Class::Late);
+    let keyed = |s: &&mut Sample| arrivals[s.index].key.is_some() && answered(s);
+    let mut keyed: Vec<_> = samples.iter_mut().filter(keyed).collect();
+    keyed.sort_by(|a, b| arrivals[a.index].key.cmp(&arrivals[b.index].key));
+    for pair in keyed.chunk_by_mut(|a, b| arrivals[a.index].key == arrivals[b.index].key) {
+        let Some((first, rest)) = pair.split_first_mut() else {
+            continue;
+        };
+        for other in rest.iter_mut().filter(|o| o.execution != first.execution) {
+            other.class = Class::Doubled;
+            other.detail = format!("executed as {} and {}", first.execution, other.execution);
+        }
+    }
+}
+
+fn keyed(request: awc::ClientRequest, key: Option<&IdempotencyKey>) -> awc::ClientRequest {
+    match key {
+        Some(key) => request.insert_header((wire::KEY_HEADER, key.as_str())),
+        None => request,
+    }
+}
+
+fn unanswered(class: Class, detail: String) -> Verdict {
+    Verdict {
+        class,
+        code: None,
+        execution: Default::default(),
+        detail,
+    }
+}
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/load/schedule.rs
@@ -0,0 +1,256 @@
+//! Arrivals: drawn from a mix, or recorded as JSON lines.
+
+use std::{
+    fs,
+    path::Path, //
+};
+
+use compact_str::CompactString;
+use rand::{
+    Rng,
+    SeedableRng,
+    rngs::SmallRng, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use serde_json::{
+    Map,
+    Value, //
+};
+
+use crate::{
+    ids::{
+        IdempotencyKey,
+        ProfileName, //
+    },
+    load::{
+        Error,
+        mix::{
+            self,
+            Mix,
+            Stream,
+            Time, //
+        }, //
+    },
+    resources::Resources,
+    wire::caller, //
+};
+
+/// Microseconds in a millisecond.
+const MICROS: f64 = 1_000.0;
+
+/// A repeat follows its first this much later, in milliseconds.
+const REPEAT: std::ops::Range<f64> = 1.0..500.0;
+
+/// One piece of work to send.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Arrival {
+    /// The intended time, in microseconds from the start.
+    pub at: u64,
+    /// The profile.
+    pub profile: ProfileName,
+    /// Names the work; a repeat has the same name.
+    pub work: CompactString,
+    /// How long it takes, in milliseconds.
+    pub time: u64,
+    /// From the intended time to the end, in milliseconds.
+    #[serde(default)]
+    pub deadline: Option<u64>,
+    /// Its idempotency key.
+    #[serde(default)]
+    pub key: Option<IdempotencyKey>,
+    /// Bytes of padding.
+    #[serde(default)]
+    pub padding: u32,
+    /// Whether it falls into the high part of a burst.
+    #[serde(default)]
+    pub crest: bool,
+    /// Set for a job.
+    #[serde(default)]
+    pub job: Option<Job>,
+}
+
+/// What a job has beside the fields of every arrival.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Job {
+    /// How many tasks.
+    pub tasks: u32,
+    /// What each takes.
+    #[serde(default)]
+    pub demand: Option<Resources>,
+    /// The declared run time, in milliseconds.
+    #[serde(default)]
+    pub estimate: u64,
+    /// Words for the tasks beside their run time.
+    #[serde(default)]
+    pub payload: Map<String, Value>,
+}
+
+impl Arrival {
+    /// The body of a request.
+    #[must_use]
+    pub fn body(&self) -> Value {
+        serde_json::json!({
+            "work": self.work,
+            "service_ms": self.time,
+            "padding": "x".repeat(self.padding as usize),
+        })
+    }
+
+    /// The job to submit, if it is one.
+    #[must_use]
+    pub fn submission(&self) -> Option<caller::Job> {
+        let job = self.job.as_ref()?;
+        let mut payload = job.payload.clone();
+        payload.insert("work".to_owned(), self.work.as_str().into());
+        payload.insert("run_ms".to_owned(), self.time.into());
+        Some(caller::Job {
+            profile: self.profile.clone(),
+            tasks: job.tasks,
+            demand: job.demand,
+            estimate: job.estimate,
+            deadline: self.deadline,
+            key: self.key.clone(),
+            payload: Value::Object(payload),
+        })
+    }
+}
+
+/// Draws the arrivals of a mix, in order of time. `scale` multiplies all rates; `run` keeps the
+/// names of different runs apart.
+#[must_use]
+pub fn draw(mix: &Mix, scale: f64, run: &str) -> Vec<Arrival> {
+    let mut arrivals = Vec::new();
+    for (i, stream) in mix.streams.iter().enumerate() {
+        let seed = mix.seed.wrapping_mul(1_000_003).wrapping_add(i as u64);
+        let mut draw = Draw {
+            random: SmallRng::seed_from_u64(seed),
+            prefix: format!("{run}-{i}"),
+            stream,
+        };
+        draw.stream_into(mix.duration as f64, scale, &mut arrivals);
+    }
+    arrivals.sort_by(|a, b| (a.at, &a.work).cmp(&(b.at, &b.work)));
+    arrivals
+}
+
+/// Reads recorded arrivals, one JSON object a line, and sorts them by time.
+///
+/// # Errors
+///
+/// Returns the first line that is malformed, or why the file cannot be read.
+pub fn read(path: &Path) -> Result<Vec<Arrival>, Error> {
+    let text = fs::read_to_string(path).map_err(|e| Error::File(path.into(), e))?;
+    let lines = text.lines().enumerate();
+    let filled = lines.filter(|(_, line)| !line.trim().is_empty());
+    let parse = |(i, line): (usize, &str)| {
+        serde_json::from_str(line).map_err(|e| Error::Line(path.into(), i + 1, e))
+    };
+    let mut arrivals: Vec<Arrival> = filled.map(parse).collect::<Result<_, _>>()?;
+    arrivals.sort_by_key(|a| a.at);
+    Ok(arrivals)
+}
+
+/// Writes arrivals, one JSON object a line.
+///
+/// # Errors
+///
+/// Returns why the file cannot be written.
+pub fn write(path: &Path, arrivals: &[Arrival]) -> Result<(), Error> {
+    let mut text = String::new();
+    for arrival in arrivals {
+        text += &serde_json::to_string(arrival).map_err(Error::Json)?;
+        text.push('\n');
+    }
+    fs::write(path, text).map_err(|e| Error::File(path.into(), e))
+}
+
+/// Draws one stream.
+struct Draw<'a> {
+    random: SmallRng,
+    prefix: String,
+    stream: &'a Stream,
+}
+
+impl Draw<'_> {
+    /// A Poisson process by thinning: candidates at the peak rate, kept by the rate of their time.
+    fn stream_into(&mut self, duration: f64, scale: f64, arrivals: &mut Vec<Arrival>) {
+        let peak = self.stream.peak() * scale;
+        if peak <= 0.0 {
+            return;
+        }
+        let mut at = 0.0;
+        let mut number = 0;
+        loop {
+            at += -self.unit().ln() / peak * 1_000.0;
+            if at >= duration {
+                return;
+            }
+            let kept = self.unit() * peak <= self.stream.rate_at(at) * scale;
+            if kept {
+                self.one_into(at, number, arrivals);
+                number += 1;
+            }
+        }
+    }
+
+    fn one_into(&mut self, at: f64, number: u64, arrivals: &mut Vec<Arrival>) {
+        let stream = self.stream;
+        let work = format!("{}-{number}", self.prefix);
+        let keyed = self.unit() < stream.keyed;
+        let repeated = keyed && self.unit() < stream.repeated;
+        let time = self.time(&stream.time);
+        let arrival = Arrival {
+            at: (at * MICROS) as u64,
+            profile: stream.profile.clone(),
+            key: work.parse().ok().filter(|_| keyed),
+            work: work.into(),
+            time,
+            deadline: stream.deadline,
+            padding: stream.padding,
+            crest: stream.at_crest(at),
+            job: stream.job.as_ref().map(|job| form(job, time)),
+        };
+        if repeated {
+            let later = self.random.random_range(REPEAT) * MICROS;
+            arrivals.push(Arrival {
+                at: arrival.at + later as u64,
+                ..arrival.clone()
+            });
+        }
+        arrivals.push(arrival);
+    }
+
+    fn time(&mut self, time: &Time) -> u64 {
+        let radius = (-2.0 * self.unit().ln()).sqrt();
+        let angle = self.unit() * std::f64::consts::TAU;
+        let factor = (time.spread * radius * angle.cos()).exp();
+        let stretch = match self.unit() < time.stragglers {
+            true => time.stretch,
+            false => 1.0,
+        };
+        (time.median * factor * stretch).round() as u64
+    }
+
+    /// A number above 0 and below 1.
+    fn unit(&mut self) -> f64 {
+        self.random.random_range(f64::MIN_POSITIVE..1.0)
+    }
+}
+
+fn form(job: &mix::Job, time: u64) -> Job {
+    let mut payload = job.payload.clone();
+    if !job.label.is_empty() {
+        payload.insert("label".to_owned(), job.label.as_str().into());
+    }
+    Job {
+        tasks: job.tasks,
+        demand: job.demand,
+        estimate: (job.declared * time as f64) as u64,
+        payload,
+    }
+}
--- a/src/standin/backend.rs
+++ b/src/standin/backend.rs
@@ -60,6 +60,8 @@
     service_ms: Option<u64>,
     /// How it fails; absent when it does not.
     fail: Option<Fail>,
+    /// What the caller calls it.
+    work: String,
 }
 
 /// How a request fails.
@@ -144,10 +146,10 @@
     let Some(worker) = worker_of(&req, &shared) else {
         return HttpResponse::NotFound().finish();
     };
-    let Some(call) = read_call(&req, &profile) else {
+    let wish: Wish = serde_json::from_slice(&body).unwrap_or_default();
+    let Some(call) = read_call(&req, &profile, &wish) else {
         return not_run(StatusCode::BAD_REQUEST, "a header is malformed");
     };
-    let wish: Wish = serde_json::from_slice(&body).unwrap_or_default();
     if wish.fail == Some(Fail::NotRun) {
         return not_run(StatusCode::SERVICE_UNAVAILABLE, "as the body asked");
     }
@@ -197,7 +199,7 @@
     arrived.map_or(now, |a| a.0)
 }
 
-fn read_call(req: &HttpRequest, profile: &str) -> Option<Call> {
+fn read_call(req: &HttpRequest, profile: &str, wish: &Wish) -> Option<Call> {
     let headers = req.headers();
     let token = header(headers, wire::TOKEN_HEADER).parse().ok()?;
     let key = header(headers, wire::KEY_HEADER);
@@ -205,6 +207,7 @@
         token: Token(token),
         request: header(headers, wire::REQUEST_HEADER).to_owned(),
         profile: profile.to_owned(),
+        work: wish.work.clone(),
         key: (!key.is_empty()).then(|| key.to_owned()),
         once: header(headers, wire::NONIDEMPOTENT_HEADER) == "yes",
         demand: demand(header(headers, wire::DEMAND_HEADER))?,
--- a/src/standin/command.rs
+++ b/src/standin/command.rs
@@ -245,3 +245,11 @@
     /// How many.
     pub reached: usize,
 }
+
+/// Work that its callers were told did not run, by the names in the bodies of its requests.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Witness {
+    /// The names.
+    pub refused: Vec<CompactString>,
+}
--- a/src/standin/control.rs
+++ b/src/standin/control.rs
@@ -18,6 +18,7 @@
             Select,
             Unknown,
             View,
+            Witness,
             WorkerView, //
         },
         faults,
@@ -38,6 +39,7 @@
         .route("/state", web::get().to(state))
         .route("/judge", web::get().to(judge))
         .route("/judge/clear", web::post().to(clear))
+        .route("/witness", web::post().to(witness))
         .route("/reset", web::post().to(reset));
 }
 
@@ -64,6 +66,13 @@
     HttpResponse::NoContent().finish()
 }
 
+/// Checks that what was refused as not run did not run. Returns how much did.
+async fn witness(shared: web::Data<Shared>, body: web::Json<Witness>) -> HttpResponse {
+    let now = shared.now();
+    let reached = lock(&shared.world).judge.witness(now, &body.refused);
+    HttpResponse::Ok().json(Reached { reached })
+}
+
 /// Ends every fault that can end; leaving, crashed and gone workers stay so.
 async fn reset(shared: web::Data<Shared>) -> HttpResponse {
     *lock(&shared.faults) = Faults::default();
--- a/src/standin/judge.rs
+++ b/src/standin/judge.rs
@@ -31,6 +31,8 @@
     RepeatedAttempt,
     /// A non-idempotent request, or its key, was executed a second time.
     RepeatedRequest,
+    /// Work that its caller was told did not run was executed.
+    RanThoughRefused,
     /// Work was sent to a worker long after it was shown as leaving.
     SentToLeaving,
 }
@@ -129,6 +131,8 @@
     requests: Vec<CompactString>,
     /// Profiles and keys of non-idempotent requests that executed, sorted.
     keys: Vec<(CompactString, CompactString)>,
+    /// Names of work that executed and on which worker; sorted only when they are looked up.
+    works: Vec<(CompactString, WorkerId)>,
 }
 
 impl Judge {
@@ -206,6 +210,27 @@
         insert(&mut self.keys, (profile.into(), key.into())) && id
     }
 
+    /// Notes the name of work that executes.
+    pub fn execute_work(&mut self, work: &str, worker: &WorkerId) {
+        self.works.push((work.into(), worker.clone()));
+    }
+
+    /// Accuses whoever refused work that executed. Returns how much there was.
+    pub fn witness(&mut self, now: Millis, refused: &[CompactString]) -> usize {
+        self.works.sort();
+        let mut found = Vec::new();
+        for work in refused {
+            if let Ok(at) = self.works.binary_search_by(|w| w.0.cmp(work)) {
+                found.push(self.works[at].clone());
+            }
+        }
+        for (work, worker) in &found {
+            let detail = format!("{work} was refused as not run");
+            self.accuse(Kind::RanThoughRefused, now, worker, detail);
+        }
+        found.len()
+    }
+
     /// Drops the violations and counters; what has executed is still remembered.
     pub fn clear(&mut self) {
         self.counters = Counters::default();
--- a/src/standin/world.rs
+++ b/src/standin/world.rs
@@ -41,6 +41,8 @@
     pub request: String,
     /// Its profile.
     pub profile: String,
+    /// The name that its body gives the work; empty when it gives none.
+    pub work: String,
     /// Its idempotency key.
     pub key: Option<String>,
     /// Whether it must not run twice.
@@ -244,6 +246,10 @@
     /// Judges a request that has just begun to execute.
     fn executed(&mut self, now: Millis, worker: usize, call: &Call) {
         self.judge.counters.requests += 1;
+        if !call.work.is_empty() {
+            let here = &self.workers[worker].spec.id;
+            self.judge.execute_work(&call.work, here);
+        }
         if !call.once {
             return;
         }
--- /dev/null
+++ b/tests/load/run.rs
@@ -0,0 +1,209 @@
+//! Whole runs against a small fake of an entry instance and against the stand-in.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    sync::atomic::{
+        AtomicU64,
+        Ordering, //
+    },
+    time::Duration, //
+};
+
+use actix_web::{
+    App,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    dev::ServerHandle,
+    rt,
+    web, //
+};
+use bamboolock::{
+    load::{
+        balancer::Balancer,
+        direct::Pool,
+        report::Report,
+        run::{
+            self,
+            Plan,
+            Target, //
+        },
+        sample::{
+            Class,
+            Sample, //
+        },
+        schedule::Arrival,
+        witness, //
+    },
+    standin::{
+        self,
+        settings::Settings, //
+    },
+    wire, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Answers a request by what its `work` says.
+async fn fake(executions: web::Data<AtomicU64>, body: web::Json<Value>) -> HttpResponse {
+    let number = executions.fetch_add(1, Ordering::Relaxed);
+    let work = body["work"].as_str().unwrap();
+    let request = format!("q{number}");
+    match work {
+        "swapped" => HttpResponse::Ok().json(json!({"request": request, "echo": {"work": "x"}})),
+        "refused" => HttpResponse::ServiceUnavailable()
+            .insert_header((wire::RAN_HEADER, "no"))
+            .finish(),
+        "once" => HttpResponse::Ok().json(json!({"request": "first", "echo": *body})),
+        _ => HttpResponse::Ok().json(json!({"request": request, "echo": *body})),
+    }
+}
+
+/// A job is accepted, and done when its status is asked for.
+async fn accept() -> HttpResponse {
+    HttpResponse::Accepted().json(json!({"id": "r1", "repeated": false}))
+}
+
+async fn status(req: HttpRequest) -> HttpResponse {
+    let id = req.match_info().get("id").unwrap();
+    HttpResponse::Ok().json(
+        json!({"id": id, "profile": "plan", "version": 1, "zone": "north-a",
+        "state": "done", "waiting": 0, "running": 0, "done": 1, "accepted": 0, "reason": ""}),
+    )
+}
+
+fn serve() -> (SocketAddr, ServerHandle) {
+    let executions = web::Data::new(AtomicU64::new(0));
+    let app = move || {
+        App::new()
+            .app_data(executions.clone())
+            .route("/v1/requests/{profile}", web::post().to(fake))
+            .route("/v1/jobs", web::post().to(accept))
+            .route("/v1/jobs/{id}", web::get().to(status))
+    };
+    let server = HttpServer::new(app).workers(1).disable_signals();
+    let server = server.bind("127.0.0.1:0").unwrap();
+    let address = server.addrs()[0];
+    let server = server.run();
+    let handle = server.handle();
+    rt::spawn(server);
+    (address, handle)
+}
+
+/// An address on which nothing listens: a reserved port.
+fn closed() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+fn arrival(work: &str, key: Option<&str>) -> Arrival {
+    Arrival {
+        at: 0,
+        profile: "check".parse().unwrap(),
+        work: work.into(),
+        time: 1,
+        deadline: None,
+        key: key.map(|k| k.parse().unwrap()),
+        padding: 10,
+        crest: false,
+        job: None,
+    }
+}
+
+async fn send(target: Target, arrivals: Vec<Arrival>) -> (Rc<Vec<Arrival>>, Vec<Sample>) {
+    let arrivals = Rc::new(arrivals);
+    let plan = Plan {
+        target,
+        patience: PATIENCE,
+    };
+    let samples = run::run(plan, &arrivals, std::future::pending()).await;
+    (arrivals, samples)
+}
+
+#[actix_web::test]
+async fn every_answer_is_checked() {
+    let (address, handle) = serve();
+    let late = Arrival {
+        deadline: Some(0),
+        ..arrival("late", None)
+    };
+    let plan = serde_json::from_value(json!({"at": 0, "profile": "plan", "work": "job", "time": 1,
+        "job": {"tasks": 1}}));
+    let cases = [
+        (arrival("own", None), Class::Good),
+        (arrival("swapped", None), Class::Wrong),
+        (arrival("refused", None), Class::Refused),
+        (late, Class::Late),
+        (arrival("once", Some("k1")), Class::Good),
+        (arrival("once", Some("k1")), Class::Good),
+        (plan.unwrap(), Class::Good),
+    ];
+    let (arrivals, expected): (Vec<_>, Vec<_>) = cases.into_iter().unzip();
+    let balancer = Balancer::new(vec![address]);
+    let (arrivals, samples) = send(Target::Entries(balancer), arrivals).await;
+    for (sample, class) in samples.iter().zip(expected) {
+        assert_eq!(sample.class, class, "{}", arrivals[sample.index].work);
+    }
+    assert!(samples[6].wait.is_some());
+    handle.stop(false).await;
+}
+
+#[actix_web::test]
+async fn a_second_execution_of_a_key_is_seen() {
+    let (address, handle) = serve();
+    let repeats = vec![arrival("twice", Some("k1")), arrival("twice", Some("k1"))];
+    let balancer = Balancer::new(vec![address]);
+    let (arrivals, samples) = send(Target::Entries(balancer), repeats).await;
+    let mut classes: Vec<_> = samples.iter().map(|s| s.class).collect();
+    classes.sort();
+    assert_eq!(classes, [Class::Good, Class::Doubled]);
+    assert!(!Report::new(&arrivals, &samples, None).holds());
+    handle.stop(false).await;
+}
+
+#[actix_web::test]
+async fn an_instance_that_refuses_connections_is_passed_over() {
+    let (address, handle) = serve();
+    let balancer = Balancer::new(vec![closed(), address]);
+    let many = (0..20).map(|i| arrival(&format!("w{i}"), None)).collect();
+    let (_, samples) = send(Target::Entries(balancer), many).await;
+    assert!(samples.iter().all(|s| s.class == Class::Good));
+    handle.stop(false).await;
+}
+
+#[actix_web::test]
+async fn nothing_was_sent_when_no_instance_is_there() {
+    let balancer = Balancer::new(vec![closed(), closed()]);
+    let (_, samples) = send(Target::Entries(balancer), vec![arrival("w", None)]).await;
+    assert_eq!(samples[0].class, Class::Refused);
+}
+
+#[actix_web::test]
+async fn work_is_sent_directly_within_the_slots() {
+    let settings = Settings {
+        listen: "127.0.0.1:0".parse().unwrap(),
+        workers: "127.0.0.1:0".parse().unwrap(),
+        groups: Settings::default().groups[..1].to_vec(),
+        threads: 1,
+        ..Settings::default()
+    };
+    let running = standin::start(&settings).await.unwrap();
+    let client = run::client();
+    let pool = Pool::take(&client, running.platform).await.unwrap();
+    let many = (0..300).map(|i| arrival(&format!("w{i}"), None)).collect();
+    let (arrivals, samples) = send(Target::Direct(pool), many).await;
+    assert!(samples.iter().all(|s| s.class == Class::Good));
+    let refused = vec!["w7".into(), "never sent".into()];
+    let verdict = witness::ask(&client, running.platform, refused)
+        .await
+        .unwrap();
+    assert_eq!(verdict.counters.requests, 300);
+    assert_eq!(verdict.counters.violations, 1, "{:?}", verdict.violations);
+    assert!(verdict.violations[0].detail.contains("w7"));
+    assert!(witness::refused(&arrivals, &samples).is_empty());
+    running.stop().await;
+}
--- a/tests/standin/judge.rs
+++ b/tests/standin/judge.rs
@@ -78,6 +78,7 @@
         token: Token(1),
         request: request.to_owned(),
         profile: "letters".to_owned(),
+        work: format!("work of {request}"),
         key: key.map(str::to_owned),
         once,
         demand: Resources::from_parts([0, 0, 0, 1, 1]),
@@ -222,6 +223,18 @@
     }
 }
 
+#[test]
+fn work_refused_as_not_run_did_not_run() {
+    let mut world = world();
+    world
+        .admit(Millis(0), Millis(0), 1, &call("q1", None, false))
+        .unwrap();
+    let refused = ["work of q1".into(), "work of q2".into()];
+    assert_eq!(world.judge.witness(Millis(1), &refused), 1);
+    assert_eq!(kinds(&world), [Kind::RanThoughRefused]);
+    assert_eq!(world.judge.verdict().violations[0].worker.as_str(), "w1");
+}
+
 #[test]
 fn work_for_a_leaving_worker_is_refused_and_late_work_is_seen() {
     let cases = [("in time", 4_000, 0), ("too late", 4_001, 2)];
