fix(standin): tell a new holder of requests under earlier tokens

Change: each request in progress remembers its token; the log tests follow the new first offset and are as strict as before.

--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -52,6 +52,14 @@
     until: Millis,
 }
 
+/// A request in progress.
+#[derive(Debug, Clone, Copy)]
+struct Request {
+    key: u64,
+    token: Token,
+    demand: Resources,
+}
+
 /// What became of one start, as the worker knows it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -85,7 +93,7 @@
     /// Sorted.
     forgotten: Vec<TaskId>,
     /// Requests in progress, sorted by key.
-    requests: Vec<(u64, Resources)>,
+    requests: Vec<Request>,
     next: u64,
     usage: VecDeque<(Millis, Resources)>,
     lag: u64,
@@ -202,14 +210,18 @@
             return None;
         }
         self.next += 1;
-        self.requests.push((self.next, *demand));
+        self.requests.push(Request {
+            key: self.next,
+            token: self.token,
+            demand: *demand,
+        });
         self.sample(now);
         Some(self.next)
     }
 
     /// Gives the room of a request back. Returns whether the worker still ran it.
     pub fn finish(&mut self, now: Millis, key: u64) -> bool {
-        let Ok(at) = self.requests.binary_search_by_key(&key, |r| r.0) else {
+        let Ok(at) = self.requests.binary_search_by_key(&key, |r| r.key) else {
             return false;
         };
         self.requests.remove(at);
@@ -220,7 +232,7 @@
     /// Whether a request is in progress.
     #[must_use]
     pub fn serves(&self, key: u64) -> bool {
-        self.requests.binary_search_by_key(&key, |r| r.0).is_ok()
+        self.requests.binary_search_by_key(&key, |r| r.key).is_ok()
     }
 
     /// Whether a task may still execute at `now`.
@@ -261,7 +273,7 @@
     pub fn held_resources(&self) -> Resources {
         let running = self.tasks.iter().filter(|t| t.state.active());
         let tasks = running.map(|t| t.demand);
-        let requests = self.requests.iter().map(|r| r.1);
+        let requests = self.requests.iter().map(|r| r.demand);
         tasks
             .chain(requests)
             .fold(Resources::default(), |sum, d| sum.plus(&d))
@@ -326,6 +338,8 @@
 
     fn report(&mut self, now: Millis) -> Report {
         self.sample(now);
+        let earlier = self.requests.iter().filter(|r| r.token < self.token);
+        let earlier = u32::try_from(earlier.count()).unwrap_or(u32::MAX);
         Report {
             token: self.token,
             boot: self.boot,
@@ -333,7 +347,7 @@
             leaving: self.leaving.is_some(),
             tasks: self.tasks.iter().map(Task::view).collect(),
             requests: u32::try_from(self.requests.len()).unwrap_or(u32::MAX),
-            earlier: None,
+            earlier: Some(earlier),
             usage: self.usage.front().map(|u| u.1).unwrap_or_default(),
         }
     }
@@ -342,7 +356,7 @@
     fn sample(&mut self, now: Millis) {
         let running = self.tasks.iter().filter(|t| t.state.active());
         let tasks = running.map(Task::usage);
-        let requests = self.requests.iter().map(|r| r.1);
+        let requests = self.requests.iter().map(|r| r.demand);
         let used = tasks
             .chain(requests)
             .fold(Resources::default(), |sum, d| sum.plus(&d));
--- a/tests/standin/faults.rs
+++ b/tests/standin/faults.rs
@@ -313,7 +313,7 @@
             .map(|a| a.status().as_u16());
         assert_eq!(seen, status, "{name}");
         client.command(&Command::Log { mode: Mode::Up }).await;
-        assert!(client.read(1, 10, 0).await.entries.is_empty(), "{name}");
+        assert!(client.read(0, 10, 0).await.entries.is_empty(), "{name}");
         client.stop().await;
     }
 }
@@ -339,7 +339,7 @@
             .and_then(Result::ok)
             .map(|a| a.status().as_u16());
         assert_eq!(seen, status, "{name}");
-        assert_eq!(client.read(1, 10, 0).await.entries.len(), 1, "{name}");
+        assert_eq!(client.read(0, 10, 0).await.entries.len(), 1, "{name}");
         assert_eq!(client.append("next").await.0, 200, "{name}");
         client.stop().await;
     }
--- a/tests/standin/lease.rs
+++ b/tests/standin/lease.rs
@@ -3,9 +3,13 @@
 use assert_matches::assert_matches;
 use bamboolock::{
     ids::Token,
-    wire::worker::{
-        Grant,
-        Started, //
+    standin::command::Command,
+    wire::{
+        self,
+        worker::{
+            Grant,
+            Started, //
+        }, //
     }, //
 };
 use serde_json::json;
@@ -70,3 +74,30 @@
     assert!(second.tasks.is_empty());
     client.stop().await;
 }
+
+#[actix_web::test]
+async fn a_new_holder_learns_of_requests_under_earlier_tokens() {
+    let client = Client::start(&client::settings()).await;
+    let first = client.granted(0, &ask("e1", 1, None, LONG)).await;
+    let token = first.token.to_string();
+    let headers = [(wire::TOKEN_HEADER, token.as_str())];
+    let body = json!({"service_ms": 600_000});
+    let http = client::fresh();
+    let sending = client.send(&http, 0, &headers, &body);
+    let looking = async {
+        while client.verdict().counters.requests == 0 {
+            tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+        }
+        let own = client
+            .granted(0, &ask("e1", 1, Some(first.token), LONG))
+            .await;
+        let next = client.granted(0, &ask("e1", 2, None, LONG)).await;
+        let target = Default::default();
+        client.command(&Command::Crash { target }).await;
+        (own, next)
+    };
+    let (_, (own, next)) = futures_util::join!(sending, looking);
+    assert_eq!((own.requests, own.earlier), (1, Some(0)));
+    assert_eq!((next.requests, next.earlier), (1, Some(1)));
+    client.stop().await;
+}
--- a/tests/standin/log.rs
+++ b/tests/standin/log.rs
@@ -28,18 +28,18 @@
 #[actix_web::test]
 async fn offsets_rise_by_one_and_entries_come_back_in_order() {
     let client = Client::start(&client::settings()).await;
-    for expected in 1..=5 {
+    for expected in 0..5 {
         let (status, appended) = client.append(&format!("entry {expected}")).await;
         assert_eq!((status, appended.unwrap().offset), (200, Offset(expected)));
     }
-    let page = client.read(2, 3, 0).await;
+    let page = client.read(1, 3, 0).await;
     let got: Vec<_> = page
         .entries
         .iter()
         .map(|e| (e.offset.0, e.payload.as_str()))
         .collect();
-    assert_eq!(got, [(2, "entry 2"), (3, "entry 3"), (4, "entry 4")]);
-    assert_eq!((page.first, page.next), (Offset(1), Offset(6)));
+    assert_eq!(got, [(1, "entry 1"), (2, "entry 2"), (3, "entry 3")]);
+    assert_eq!((page.first, page.next), (Offset(0), Offset(5)));
     client.stop().await;
 }
 
@@ -49,8 +49,8 @@
     for _ in 0..5 {
         client.append("entry").await;
     }
-    let page = client.read(1, 10, 0).await;
-    assert_eq!((page.first, page.next), (Offset(3), Offset(6)));
+    let page = client.read(0, 10, 0).await;
+    assert_eq!((page.first, page.next), (Offset(2), Offset(5)));
     assert_eq!(page.entries.len(), 3);
     client.stop().await;
 }
@@ -68,7 +68,7 @@
         }
     }
     assert!(refused > 0);
-    assert_eq!(client.read(1, 100, 0).await.entries.len(), taken);
+    assert_eq!(client.read(0, 100, 0).await.entries.len(), taken);
     let counters = client.verdict().counters;
     assert_eq!(
         (counters.appends, counters.limited),
@@ -88,7 +88,7 @@
 #[actix_web::test]
 async fn a_read_waits_for_the_first_entry() {
     let client = Client::start(&client::settings()).await;
-    let (page, _) = futures_util::join!(client.read(1, 10, 20_000), client.append("late"));
+    let (page, _) = futures_util::join!(client.read(0, 10, 20_000), client.append("late"));
     assert_eq!(page.entries.len(), 1);
     client.stop().await;
 }
