test(load): lost and cut answers against the stand-in's faults

Cause: that a closed connection after the send and a truncated body are told apart from answers was only checked on made-up answers.

Change: two runs against the stand-in, with answers cut short and with a crash in mid-request.

--- a/tests/load/run.rs
+++ b/tests/load/run.rs
@@ -38,6 +38,8 @@
     },
     standin::{
         self,
+        Running,
+        command::Command,
         settings::Settings, //
     },
     wire, //
@@ -182,8 +184,7 @@
     assert_eq!(samples[0].class, Class::Refused);
 }
 
-#[actix_web::test]
-async fn work_is_sent_directly_within_the_slots() {
+async fn stand_in() -> Running {
     let settings = Settings {
         listen: "127.0.0.1:0".parse().unwrap(),
         workers: "127.0.0.1:0".parse().unwrap(),
@@ -191,7 +192,12 @@
         threads: 1,
         ..Settings::default()
     };
-    let running = standin::start(&settings).await.unwrap();
+    standin::start(&settings).await.unwrap()
+}
+
+#[actix_web::test]
+async fn work_is_sent_directly_within_the_slots() {
+    let running = stand_in().await;
     let client = run::client();
     let pool = Pool::take(&client, running.platform).await.unwrap();
     let many = (0..300).map(|i| arrival(&format!("w{i}"), None)).collect();
@@ -207,3 +213,42 @@
     assert!(witness::refused(&arrivals, &samples).is_empty());
     running.stop().await;
 }
+
+async fn command(running: &Running, command: &Command) {
+    let url = format!("http://{}/control", running.platform);
+    let answer = run::client().post(url).send_json(command).await;
+    assert!(answer.unwrap().status().is_success());
+}
+
+#[actix_web::test]
+async fn an_answer_that_is_cut_short_is_no_answer() {
+    let running = stand_in().await;
+    let pool = Pool::take(&run::client(), running.platform).await.unwrap();
+    let target = Default::default();
+    command(&running, &Command::CutAnswers { target, on: true }).await;
+    let (_, samples) = send(Target::Direct(pool), vec![arrival("w", None)]).await;
+    assert_eq!(samples[0].class, Class::Unknown);
+    assert_eq!(running.verdict().counters.cut, 1);
+    running.stop().await;
+}
+
+#[actix_web::test]
+async fn a_connection_closed_after_the_send_leaves_the_outcome_unknown() {
+    let running = stand_in().await;
+    let pool = Pool::take(&run::client(), running.platform).await.unwrap();
+    let long = Arrival {
+        time: 600_000,
+        ..arrival("w", None)
+    };
+    let crash = async {
+        while running.verdict().counters.requests == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let target = Default::default();
+        command(&running, &Command::Crash { target }).await;
+    };
+    let sending = send(Target::Direct(pool), vec![long]);
+    let ((_, samples), ()) = futures_util::join!(sending, crash);
+    assert_eq!(samples[0].class, Class::Unknown);
+    running.stop().await;
+}
