--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod ids;
 pub mod kernel;
 pub mod ledger;
+pub mod load;
 pub mod modules;
 pub mod platform;
 pub mod profile;
