feat(report): the line, error-budget burn, and which profile moved the line from which version on

Cause: a reader of the one line has to see which profile moved it, by how much and from which version on, in numbers that add up.

Ruled out: a contribution by version (a published version takes all work from the one before, so that every change would show as volume); floating-point contributions (their sum differs from the change in the last digits that are shown); a single window for burn alerts (a short one fires on a blip, a long one goes on for an hour after the end).

Change: shares in parts per million. Quality is the later weight times the change of the profile's own share, volume the change of weight times the distance of its earlier share from the line; both are rounded by largest remainder to the change of the line. The origin is the split that separates good from bad work best: by version when that explains four fifths of the best split in time, otherwise the time, with the version in force. Burn over 5m/1h, 30m/6h, 2h/1d and 6h/3d. Text, JSON and an HTML page with plots inside. Work cancelled inside its promise is not counted. jiff, which env_logger brings already, formats times.

Figures: 500 random pairs of spans sum exactly to the change; each part is within 4 parts per million of its exact value.

The page was not looked at as a picture: no renderer here.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod ledger;
 pub mod modules;
 pub mod profile;
+pub mod report;
 pub mod resources;
 pub mod settings;
 pub mod wire;
--- /dev/null
+++ b/src/report/mod.rs
@@ -0,0 +1,129 @@
+//! The service-level report: one line, what burns the error budgets, and which profile moved the
+//! line.
+//!
+//! Everything here is a pure function over the sums of [`crate::ledger::outcomes`]. Shares are in
+//! parts per million, so that what is shown adds up exactly.
+
+pub mod burn;
+pub mod html;
+pub mod line;
+pub mod moved;
+pub mod plot;
+pub mod series;
+pub mod table;
+pub mod text;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    ids::{
+        Millis,
+        ProfileName, //
+    },
+    ledger::outcomes::{
+        HOUR,
+        Row, //
+    }, //
+};
+
+/// The span that the line covers unless the reader asks for another, in milliseconds.
+pub const DEFAULT_SPAN: u64 = HOUR;
+
+/// The share that a profile version promises.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Target {
+    /// The profile.
+    pub profile: ProfileName,
+    /// The version.
+    pub version: u32,
+    /// The objective's share, 0 to 1.
+    pub share: f64,
+}
+
+/// What the report is made from. Answer to `GET /v1/outcomes`.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Input {
+    /// The latest time of the log, since 1970.
+    pub now: Millis,
+    /// The sums, by time, profile and version.
+    pub rows: Vec<Row>,
+    /// The promises, sorted by profile and version; a version that is no longer known may miss.
+    pub targets: Vec<Target>,
+}
+
+impl Input {
+    /// The promise of a version, or of the latest known version of its profile.
+    #[must_use]
+    pub fn target(&self, profile: &ProfileName, version: u32) -> Option<f64> {
+        let mine = self.targets.iter().filter(|t| t.profile == *profile);
+        let exact = mine.clone().find(|t| t.version == version);
+        exact
+            .or_else(|| mine.max_by_key(|t| t.version))
+            .map(|t| t.share)
+    }
+
+    /// The rows of buckets that start in a span.
+    pub fn between(&self, from: Millis, to: Millis) -> impl Iterator<Item = &Row> + Clone {
+        let inside = move |row: &&Row| row.start >= from && row.start < to;
+        self.rows.iter().filter(inside)
+    }
+}
+
+/// The whole report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// When it was true, in milliseconds since 1970.
+    pub at: Millis,
+    /// The span that the line covers, in milliseconds.
+    pub span: u64,
+    /// All work together.
+    pub line: line::Line,
+    /// Each profile and its versions, the worst first.
+    pub profiles: Vec<line::Profile>,
+    /// Error-budget burn, the fastest first.
+    pub burn: Vec<burn::Burn>,
+    /// The line against the span before.
+    pub moved: moved::Moved,
+    /// The share over both spans: all work first, then the profiles that moved the line most.
+    pub series: Vec<series::Series>,
+}
+
+/// Makes the report for the last `span` milliseconds.
+#[must_use]
+pub fn build(input: &Input, span: u64) -> Report {
+    let edges = Edges::new(input.now, span);
+    let after = input.between(edges.middle, edges.end);
+    let before = input.between(edges.start, edges.middle);
+    let both = input.between(edges.start, edges.end);
+    let moved = moved::compare(before, after.clone());
+    Report {
+        at: input.now,
+        span,
+        line: line::sum(after.clone()),
+        profiles: line::profiles(after),
+        burn: burn::burn(input),
+        series: series::series(both, &moved.parts),
+        moved,
+    }
+}
+
+/// The two spans that are compared.
+struct Edges {
+    start: Millis,
+    middle: Millis,
+    end: Millis,
+}
+
+impl Edges {
+    /// The last `span` milliseconds and as much before. The bucket in progress belongs to the later.
+    fn new(now: Millis, span: u64) -> Self {
+        Self {
+            start: Millis(now.0.saturating_sub(span.saturating_mul(2))),
+            middle: Millis(now.0.saturating_sub(span)),
+            end: now.plus(1),
+        }
+    }
+}
--- /dev/null
+++ b/src/report/plot.rs
@@ -0,0 +1,231 @@
+//! Plots of the report as SVG text.
+
+use std::ops::Range;
+
+use plotters::{
+    backend::SVGBackend,
+    chart::ChartBuilder,
+    drawing::{
+        DrawingAreaErrorKind,
+        IntoDrawingArea, //
+    },
+    element::{
+        Circle,
+        PathElement,
+        Rectangle, //
+    },
+    series::LineSeries,
+    style::{
+        BLACK,
+        Color,
+        RGBColor,
+        WHITE, //
+    }, //
+};
+use quick_error::quick_error;
+
+use crate::{
+    ids::Millis,
+    report::{
+        line::WHOLE,
+        moved::Moved,
+        series::{
+            Point,
+            Series, //
+        },
+        text, //
+    }, //
+};
+
+/// Width of a plot, in pixels.
+const WIDTH: u32 = 860;
+
+/// Height of the plot of shares, in pixels.
+const HEIGHT: u32 = 320;
+
+/// Height of one bar, in pixels.
+const BAR: u32 = 34;
+
+/// Height of a plot of bars beside its bars, in pixels.
+const FRAME: u32 = 70;
+
+/// Most bars in a plot.
+pub const MAX_BARS: usize = 12;
+
+/// Share of a plot's range that stays free at its ends.
+const PADDING: f64 = 0.08;
+
+/// Colours of series, told apart also by readers who do not see red and green as different.
+const COLOURS: [RGBColor; 5] = [
+    RGBColor(0, 0, 0),
+    RGBColor(213, 94, 0),
+    RGBColor(0, 114, 178),
+    RGBColor(0, 158, 115),
+    RGBColor(204, 121, 167),
+];
+
+/// Colour of what raised the line.
+const UP: RGBColor = RGBColor(0, 114, 178);
+
+/// Colour of what lowered the line.
+const DOWN: RGBColor = RGBColor(213, 94, 0);
+
+quick_error! {
+    /// Why a plot could not be drawn.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The plotting library refused.
+        Draw(reason: String) {
+            display("a plot could not be drawn: {}", reason)
+        }
+    }
+}
+
+impl<E: std::error::Error + Send + Sync> From<DrawingAreaErrorKind<E>> for Error {
+    fn from(e: DrawingAreaErrorKind<E>) -> Self {
+        Self::Draw(e.to_string())
+    }
+}
+
+/// Draws shares over time, in percent. Empty without work.
+///
+/// # Errors
+///
+/// Returns what the plotting library says.
+pub fn shares(series: &[Series]) -> Result<String, Error> {
+    let points: Vec<_> = series.iter().flat_map(|s| &s.points).collect();
+    let Some(times) = times(&points) else {
+        return Ok(String::new());
+    };
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, (WIDTH, HEIGHT)).into_drawing_area();
+        area.fill(&WHITE)?;
+        let mut chart = ChartBuilder::on(&area)
+            .margin(12)
+            .x_label_area_size(34)
+            .y_label_area_size(74)
+            .build_cartesian_2d(times, percents(&points))?;
+        chart
+            .configure_mesh()
+            .light_line_style(WHITE)
+            .x_labels(6)
+            .x_label_formatter(&|at| clock(*at))
+            .y_label_formatter(&|share| format!("{share:.2}%"))
+            .draw()?;
+        for (one, colour) in series.iter().zip(COLOURS) {
+            let line = one.points.iter().map(place);
+            chart
+                .draw_series(LineSeries::new(line, colour.stroke_width(2)))?
+                .label(name(one))
+                .legend(move |(x, y)| {
+                    PathElement::new([(x, y), (x + 18, y)], colour.stroke_width(2))
+                });
+            let dots = one.points.iter().map(place);
+            chart.draw_series(dots.map(|at| Circle::new(at, 2, colour.filled())))?;
+        }
+        chart
+            .configure_series_labels()
+            .position(plotters::chart::SeriesLabelPosition::LowerLeft)
+            .background_style(WHITE.mix(0.85))
+            .border_style(BLACK.mix(0.3))
+            .draw()?;
+        area.present()?;
+    }
+    Ok(svg)
+}
+
+/// Draws each profile's part in the line's change, in percentage points. Empty without a change.
+///
+/// # Errors
+///
+/// Returns what the plotting library says.
+pub fn parts(moved: &Moved) -> Result<String, Error> {
+    let bars = moved.parts.iter().filter(|p| p.total() != 0);
+    let bars: Vec<_> = bars.take(MAX_BARS).collect();
+    if bars.is_empty() {
+        return Ok(String::new());
+    }
+    let sizes: Vec<_> = bars.iter().map(|p| in_points(p.total())).collect();
+    let rows = bars.len();
+    let mut svg = String::new();
+    {
+        let height = FRAME + BAR * u32::try_from(rows).unwrap_or(u32::MAX / BAR);
+        let area = SVGBackend::with_string(&mut svg, (WIDTH, height)).into_drawing_area();
+        area.fill(&WHITE)?;
+        let mut chart = ChartBuilder::on(&area)
+            .margin(12)
+            .x_label_area_size(34)
+            .y_label_area_size(190)
+            .build_cartesian_2d(around_zero(&sizes), 0.0..rows as f64)?;
+        let label = |row: &f64| {
+            let at = rows.checked_sub(1 + row.floor() as usize);
+            let part = at.and_then(|at| bars.get(at));
+            part.map_or_else(String::new, |p| p.profile.to_string())
+        };
+        chart
+            .configure_mesh()
+            .disable_y_mesh()
+            .light_line_style(WHITE)
+            .y_labels(rows)
+            .y_label_offset(-(i32::try_from(BAR / 2).unwrap_or(0)))
+            .y_label_formatter(&label)
+            .x_label_formatter(&|size| format!("{size:+.3}"))
+            .draw()?;
+        chart.draw_series(sizes.iter().enumerate().map(|(at, size)| {
+            let low = (rows - 1 - at) as f64;
+            let colour = if *size < 0.0 { DOWN } else { UP };
+            Rectangle::new([(0.0, low + 0.15), (*size, low + 0.85)], colour.filled())
+        }))?;
+        area.present()?;
+    }
+    Ok(svg)
+}
+
+fn name(series: &Series) -> String {
+    let all = || "all work".to_owned();
+    series
+        .profile
+        .as_ref()
+        .map_or_else(all, ToString::to_string)
+}
+
+/// Parts per million as percentage points.
+fn in_points(change: i64) -> f64 {
+    change as f64 * 100.0 / WHOLE as f64
+}
+
+fn place(point: &Point) -> (f64, f64) {
+    let share = point.share as f64 * 100.0 / WHOLE as f64;
+    (point.start.0 as f64, share)
+}
+
+/// Hours and minutes in UTC.
+fn clock(at: f64) -> String {
+    let text = text::time(Millis(at as u64));
+    text.get(5..16).unwrap_or(&text).to_owned()
+}
+
+/// The range of times, or `None` without points.
+fn times(points: &[&Point]) -> Option<Range<f64>> {
+    let first = points.iter().map(|p| p.start.0).min()?;
+    let last = points.iter().map(|p| p.start.0).max()?;
+    Some(first as f64..last.max(first + 1) as f64)
+}
+
+/// A range that holds all shares, in percent.
+fn percents(points: &[&Point]) -> Range<f64> {
+    let values = || points.iter().map(|p| place(p).1);
+    let low = values().fold(100.0, f64::min);
+    let high = values().fold(0.0, f64::max);
+    let padding = ((high - low) * PADDING).max(0.02);
+    (low - padding).max(0.0)..(high + padding).min(100.0 + padding)
+}
+
+/// A range that holds all sizes and zero.
+fn around_zero(sizes: &[f64]) -> Range<f64> {
+    let low = sizes.iter().copied().fold(0.0, f64::min);
+    let high = sizes.iter().copied().fold(0.0, f64::max);
+    let padding = ((high - low) * PADDING).max(0.000_1);
+    low - padding..high + padding
+}
--- /dev/null
+++ b/src/report/series.rs
@@ -0,0 +1,78 @@
+//! Shares over time, for plots.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    ids::{
+        Millis,
+        ProfileName, //
+    },
+    ledger::outcomes::Row,
+    report::{
+        line::Line,
+        moved::Part, //
+    }, //
+};
+
+/// Most profiles that get a series of their own.
+pub const MAX_PROFILES: usize = 4;
+
+/// The share in one bucket of time.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Point {
+    /// Start of the bucket, since 1970.
+    pub start: Millis,
+    /// Pieces of work that count.
+    pub counted: u64,
+    /// The share of good work in parts per million.
+    pub share: u64,
+}
+
+/// Shares over time.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Series {
+    /// The profile; `None` for all work.
+    pub profile: Option<ProfileName>,
+    /// The buckets that had work, in order.
+    pub points: Vec<Point>,
+}
+
+/// The series of all work, and of the profiles with the largest parts.
+pub fn series<'a>(rows: impl Iterator<Item = &'a Row> + Clone, parts: &[Part]) -> Vec<Series> {
+    let mut found = vec![Series {
+        profile: None,
+        points: points(rows.clone()),
+    }];
+    for part in parts.iter().take(MAX_PROFILES) {
+        let mine = rows.clone().filter(|r| r.tally.profile == part.profile);
+        found.push(Series {
+            profile: Some(part.profile.clone()),
+            points: points(mine),
+        });
+    }
+    found
+}
+
+fn points<'a>(rows: impl Iterator<Item = &'a Row>) -> Vec<Point> {
+    let mut sums: Vec<(Millis, Line)> = Vec::new();
+    for row in rows {
+        if sums.last().is_none_or(|(start, _)| *start != row.start) {
+            sums.push((row.start, Line::default()));
+        }
+        if let Some((_, line)) = sums.last_mut() {
+            line.add(&row.tally);
+        }
+    }
+    sums.into_iter().filter_map(point).collect()
+}
+
+fn point((start, line): (Millis, Line)) -> Option<Point> {
+    Some(Point {
+        start,
+        counted: line.counted,
+        share: line.share()?,
+    })
+}
--- /dev/null
+++ b/src/report/text.rs
@@ -0,0 +1,140 @@
+//! Numbers, times and tables as text.
+
+use crate::{
+    ids::Millis,
+    ledger::{
+        outcomes::{
+            DAY,
+            HOUR,
+            MINUTE, //
+        },
+        record::Cause, //
+    },
+    report::{
+        burn::Severity,
+        line::WHOLE, //
+    }, //
+};
+
+/// Stands for a value that is not known.
+pub const NONE: &str = "-";
+
+/// Parts per million of one percent.
+const PERCENT: u64 = WHOLE / 100;
+
+/// A share in parts per million, in percent.
+#[must_use]
+pub fn percent(share: Option<u64>) -> String {
+    let Some(share) = share else {
+        return NONE.to_owned();
+    };
+    format!("{}.{:04}%", share / PERCENT, share % PERCENT)
+}
+
+/// A change in parts per million, in percentage points with its sign.
+#[must_use]
+pub fn points(change: Option<i64>) -> String {
+    let Some(change) = change else {
+        return NONE.to_owned();
+    };
+    let sign = match change {
+        ..0 => "-",
+        0 => "",
+        1.. => "+",
+    };
+    let size = change.unsigned_abs();
+    format!("{sign}{}.{:04}", size / PERCENT, size % PERCENT)
+}
+
+/// A number with a comma between thousands.
+#[must_use]
+pub fn count(number: u64) -> String {
+    let digits = number.to_string();
+    let mut text = String::with_capacity(digits.len() * 4 / 3);
+    for (at, digit) in digits.chars().enumerate() {
+        if at > 0 && (digits.len() - at).is_multiple_of(3) {
+            text.push(',');
+        }
+        text.push(digit);
+    }
+    text
+}
+
+/// A burn rate or another factor.
+#[must_use]
+pub fn factor(rate: Option<f64>) -> String {
+    rate.map_or_else(|| NONE.to_owned(), |r| format!("{r:.2}"))
+}
+
+/// A span in its largest whole unit.
+#[must_use]
+pub fn span(millis: u64) -> String {
+    let units = [(DAY, "d"), (HOUR, "h"), (MINUTE, "m"), (1_000, "s")];
+    let whole = |unit: &&(u64, &str)| millis >= unit.0 && millis.is_multiple_of(unit.0);
+    match units.iter().find(whole) {
+        Some((unit, name)) => format!("{}{name}", millis / unit),
+        None => format!("{millis}ms"),
+    }
+}
+
+/// A point of time in UTC, to the second.
+#[must_use]
+pub fn time(at: Millis) -> String {
+    let millis = i64::try_from(at.0).unwrap_or(i64::MAX);
+    match jiff::Timestamp::from_millisecond(millis) {
+        Ok(time) => time.strftime("%Y-%m-%d %H:%M:%SZ").to_string(),
+        Err(_) => format!("{at} ms"),
+    }
+}
+
+/// A cause in words.
+#[must_use]
+pub fn cause(cause: Cause) -> &'static str {
+    match cause {
+        Cause::Refused => "refused",
+        Cause::Unplaced => "not placed in time",
+        Cause::Waited => "started late",
+        Cause::Late => "finished late",
+        Cause::Failed => "failed",
+        Cause::Repeated => "ran more than once",
+        Cause::Unknown => "outcome unknown",
+        Cause::Cancelled => "cancelled (not counted)",
+    }
+}
+
+/// A severity in words.
+#[must_use]
+pub fn severity(severity: Severity) -> &'static str {
+    match severity {
+        Severity::Page => "page",
+        Severity::Ticket => "ticket",
+    }
+}
+
+/// Lays rows out in columns below a header. The first column is aligned to the left, as is the last
+/// one when `words` is set; the others to the right.
+#[must_use]
+pub fn columns(header: &[&str], rows: &[Vec<String>], words: bool) -> String {
+    let mut widths: Vec<_> = header.iter().map(|h| h.chars().count()).collect();
+    for row in rows {
+        for (width, cell) in widths.iter_mut().zip(row) {
+            *width = (*width).max(cell.chars().count());
+        }
+    }
+    let left = |at: usize| at == 0 || (words && at + 1 == header.len());
+    let mut text = String::new();
+    let head: Vec<_> = header.iter().map(|h| (*h).to_owned()).collect();
+    for row in std::iter::once(&head).chain(rows) {
+        let mut line = String::new();
+        for (at, (cell, width)) in row.iter().zip(&widths).enumerate() {
+            let cell = match left(at) {
+                true => format!("{cell:<width$}  "),
+                false => format!("{cell:>width$}  "),
+            };
+            line.push_str(&cell);
+        }
+        text.push_str(line.trim_end());
+        text.push('\n');
+    }
+    text
+}
--- /dev/null
+++ b/tests/report/burn.rs
@@ -0,0 +1,117 @@
+//! Burn of error budgets.
+
+use bamboolock::{
+    ids::Millis,
+    ledger::outcomes::{
+        HOUR,
+        MINUTE,
+        Row, //
+    },
+    report::{
+        Input,
+        Target,
+        burn::{
+            self,
+            Burn,
+            MAX_RATE,
+            Severity, //
+        }, //
+    }, //
+};
+
+use crate::rows;
+
+fn burn_of(rows: Vec<Row>, share: f64) -> Burn {
+    let target = Target {
+        profile: "check".parse().unwrap(),
+        version: 1,
+        share,
+    };
+    let input = Input {
+        now: Millis(rows::NOW),
+        rows,
+        targets: vec![target],
+    };
+    burn::burn(&input).remove(0)
+}
+
+/// A row a minute for `minutes`, with `late` of 1,000 late.
+fn minutes(minutes: std::ops::Range<u64>, late: u64) -> Vec<Row> {
+    let row = |ago| rows::row(ago, "check", 1, 1_000 - late, late);
+    minutes.rev().map(row).collect()
+}
+
+#[test]
+fn a_rate_of_one_is_just_the_objective() {
+    let burn = burn_of(minutes(0..60, 10), 0.99);
+    for span in [5 * MINUTE, HOUR] {
+        assert!((burn.rate(span) - 1.0).abs() < 1e-9, "{burn:?}");
+    }
+    assert!(burn.left.unwrap().abs() < 1e-9);
+    assert!(burn.alerts.is_empty());
+}
+
+#[test]
+fn a_page_needs_the_short_and_the_long_window() {
+    // An hour at 20 times the budget: both windows of the first two pairs.
+    let severities = |b: &Burn| b.alerts.iter().map(|a| a.severity).collect::<Vec<_>>();
+    let hot = burn_of(minutes(0..60, 200), 0.99);
+    let all = [
+        Severity::Page,
+        Severity::Page,
+        Severity::Ticket,
+        Severity::Ticket,
+    ];
+    assert_eq!(severities(&hot), all);
+    // The same hour, but over since ten minutes: the shortest window is cool again.
+    let mut over = minutes(10..60, 200);
+    over.extend(minutes(0..10, 0));
+    let over = burn_of(over, 0.99);
+    assert!(over.rate(HOUR) > 14.4 && over.rate(5 * MINUTE) < 14.4);
+    assert_eq!(severities(&over), all[1..]);
+    // A minute of trouble in a long quiet time: the long windows stay cool.
+    let mut blip = minutes(1..400, 0);
+    blip.extend(minutes(0..1, 900));
+    let blip = burn_of(blip, 0.99);
+    assert!(blip.rate(5 * MINUTE) > 14.4, "{blip:?}");
+    assert!(blip.alerts.is_empty(), "{blip:?}");
+}
+
+#[test]
+fn an_objective_of_one_allows_nothing() {
+    let clean = burn_of(minutes(0..60, 0), 1.0);
+    assert!(clean.rate(HOUR).abs() < f64::EPSILON);
+    let dirty = burn_of(minutes(0..60, 1), 1.0);
+    assert!((dirty.rate(HOUR) - MAX_RATE).abs() < f64::EPSILON);
+}
+
+#[test]
+fn each_version_counts_against_its_own_objective() {
+    let target = |version, share| Target {
+        profile: "check".parse().unwrap(),
+        version,
+        share,
+    };
+    let input = Input {
+        now: Millis(rows::NOW),
+        rows: vec![
+            rows::row(2, "check", 1, 900, 100),
+            rows::row(1, "check", 2, 990, 10),
+        ],
+        targets: vec![target(1, 0.9), target(2, 0.99)],
+    };
+    let burn = burn::burn(&input).remove(0);
+    assert!((burn.rate(HOUR) - 1.0).abs() < 1e-9, "{burn:?}");
+}
+
+#[test]
+fn without_an_objective_there_is_no_rate() {
+    let input = Input {
+        now: Millis(rows::NOW),
+        rows: vec![rows::row(1, "check", 1, 9, 1)],
+        targets: Vec::new(),
+    };
+    let burn = burn::burn(&input).remove(0);
+    assert!(burn.windows.iter().all(|w| w.rate.is_none()));
+    assert_eq!(burn.left, None);
+}
--- /dev/null
+++ b/tests/report/moved.rs
@@ -0,0 +1,151 @@
+//! Which profile moved the line.
+
+use assert_matches::assert_matches;
+use bamboolock::{
+    ledger::{
+        outcomes::Row,
+        record::Cause, //
+    },
+    report::moved::{
+        self,
+        Moved,
+        Origin, //
+    }, //
+};
+use proptest::prelude::*;
+
+use crate::rows;
+
+/// Compares the hour before the last one with the last one.
+fn compare(rows: &[Row]) -> Moved {
+    let middle = rows::row(60, "check", 1, 0, 0).start;
+    let (before, after) = rows.split_at(rows.partition_point(|r| r.start < middle));
+    moved::compare(before.iter(), after.iter())
+}
+
+/// A row a minute for two hours, with what `of` makes of each minute's age.
+fn two_hours(of: impl Fn(u64) -> Vec<Row>) -> Vec<Row> {
+    (0..120).rev().flat_map(of).collect()
+}
+
+#[test]
+fn the_profile_that_fell_is_named_with_the_version_it_began_at() {
+    let found = compare(&two_hours(|ago| {
+        let (version, late) = if ago < 40 { (4, 30) } else { (3, 2) };
+        vec![
+            rows::row(ago, "check", version, 100 - late, late),
+            rows::row(ago, "plan", 1, 99, 1),
+        ]
+    }));
+    let part = &found.parts[0];
+    assert_eq!(
+        (part.profile.as_str(), part.cause),
+        ("check", Some(Cause::Late))
+    );
+    let since = rows::row(39, "check", 1, 0, 0).start;
+    let origin = Origin {
+        version: 4,
+        published: true,
+        since,
+    };
+    assert_eq!(part.origin, Some(origin));
+    assert_eq!(found.change, Some(part.total()));
+    assert_eq!(found.parts[1].total(), 0);
+}
+
+#[test]
+fn a_fall_inside_a_version_names_the_time() {
+    // Version 4 came 50 minutes ago and was as good as 3; the fault began 20 minutes ago.
+    let found = compare(&two_hours(|ago| {
+        let version = if ago < 50 { 4 } else { 3 };
+        let late = if ago < 20 { 40 } else { 2 };
+        vec![rows::row(ago, "check", version, 100 - late, late)]
+    }));
+    let since = rows::row(19, "check", 1, 0, 0).start;
+    let origin = Origin {
+        version: 4,
+        published: false,
+        since,
+    };
+    assert_eq!(found.parts[0].origin, Some(origin));
+}
+
+#[test]
+fn a_rise_before_the_fall_is_not_the_origin() {
+    // Nothing was good until 70 minutes ago, all until 60 minutes ago, a tenth since.
+    let found = compare(&two_hours(|ago| {
+        let good = match ago {
+            70.. => 0,
+            60.. => 100,
+            _ => 10,
+        };
+        vec![rows::row(ago, "check", 1, good, 100 - good)]
+    }));
+    assert!(found.change.unwrap() < 0);
+    let since = rows::row(59, "check", 1, 0, 0).start;
+    assert_matches!(found.parts[0].origin, Some(o) if o.since == since);
+}
+
+#[test]
+fn more_work_of_a_worse_profile_is_volume_and_not_quality() {
+    let found = compare(&two_hours(|ago| {
+        let plans = if ago < 60 { 10 } else { 1 };
+        vec![
+            rows::row(ago, "check", 1, 1_000, 0),
+            rows::row(ago, "plan", 1, 80 * plans, 20 * plans),
+        ]
+    }));
+    assert!(found.change.unwrap() < 0);
+    let plan = &found.parts[0];
+    assert_eq!((plan.profile.as_str(), plan.quality), ("plan", 0));
+    assert!(plan.volume < 0);
+    assert_eq!((plan.origin, plan.cause), (None, None));
+}
+
+#[test]
+fn a_new_profile_counts_by_its_distance_from_the_line() {
+    let found = compare(&two_hours(|ago| {
+        let mut rows = vec![rows::row(ago, "check", 1, 100, 0)];
+        if ago <= 60 {
+            rows.push(rows::row(ago, "letter", 1, 50, 50));
+        }
+        rows
+    }));
+    assert_eq!(found.change, Some(-250_000));
+    assert_matches!(&found.parts[0], p if p.profile.as_str() == "letter" && p.quality == -250_000);
+}
+
+#[test]
+fn a_span_without_work_explains_nothing() {
+    let late = vec![rows::row(1, "check", 1, 5, 5)];
+    assert_matches!(compare(&late), m if m.change.is_none() && m.parts.is_empty());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(6),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn contributions_sum_exactly_to_the_change(rows in rows::any_rows()) {
+        let found = compare(&rows);
+        let Some(change) = found.change else { return Ok(()) };
+        let sum: i64 = found.parts.iter().map(moved::Part::total).sum();
+        prop_assert_eq!(sum, change);
+        let share = |line: &moved::Part| {
+            let weight = |part: u64, whole: u64| part as f64 / whole as f64;
+            let after = weight(line.after.good, found.after.counted);
+            let before = weight(line.before.good, found.before.counted);
+            let more = weight(line.after.counted, found.after.counted)
+                - weight(line.before.counted, found.before.counted);
+            1e6 * (after - before - more * weight(found.before.good, found.before.counted))
+        };
+        for part in &found.parts {
+            // Each part is the exact one but for rounding to parts per million.
+            prop_assert!((part.total() as f64 - share(part)).abs() <= 4.0, "{:?}", part);
+        }
+    }
+}
