--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod report;
 pub mod resources;
 pub mod settings;
+pub mod standin;
 pub mod wire;
