--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod platform;
 pub mod profile;
 pub mod program;
+pub mod report;
 pub mod resources;
 pub mod settings;
 pub mod standin;
