--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod members;
 pub mod runs;
+pub mod tally;
 pub mod workers;
 
 use crate::{
@@ -10,6 +11,8 @@
     resources::Resources, //
 };
 
+pub mod requests;
+
 slotmap::new_key_type! {
     /// A worker in this instance's arena.
     pub struct WorkerKey;
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -37,6 +37,7 @@
 
 /// The content of one log entry.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Batch {
     /// The format of the records.
     pub format: u32,
@@ -59,7 +60,7 @@
 
 /// One fact. Whether it takes effect depends on the state at its place in the log.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(tag = "type", rename_all = "snake_case")]
+#[serde(tag = "type", rename_all = "snake_case", deny_unknown_fields)]
 pub enum Record {
     /// An operator's change of a profile. Takes effect when `base` is the current version.
     Profile(ProfileChange),
@@ -92,6 +93,7 @@
 
 /// An operator's change of a profile.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct ProfileChange {
     /// Unique for each change.
     pub change: ChangeId,
@@ -107,6 +109,7 @@
 
 /// An accepted job.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Accepted {
     /// The job.
     pub run: RunId,
@@ -135,12 +138,14 @@
 
 /// What decides on a job, copied from its profile version.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default)]
+#[serde(deny_unknown_fields, default)]
 pub struct Terms {
     /// The form of work.
     pub kind: profile::Kind,
     /// 0 to 9; a higher value goes first.
     pub priority: u8,
+    /// The longest promised wait from acceptance to the first start, in milliseconds.
+    pub wait: u64,
     /// Attempts of a task that may fail before its job has failed.
     pub attempts: u32,
     /// How far from home tasks may be placed.
@@ -154,6 +159,7 @@
         Self {
             kind: profile::Kind::Run,
             priority: 0,
+            wait: profile::Objective::default().wait,
             attempts: 5,
             spill: profile::Spill::Region,
             racks: profile::Racks::Any,
@@ -166,6 +172,7 @@
         Self {
             kind: profile.kind,
             priority: profile.priority,
+            wait: profile.objective.wait,
             attempts: profile.attempts,
             spill: profile.spill,
             racks: profile.racks,
@@ -175,6 +182,7 @@
 
 /// One attempt to start.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Placement {
     /// The task's index.
     pub index: u32,
@@ -192,6 +200,7 @@
 
 /// An intent to start attempts of one job.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Claim {
     /// The job.
     pub run: RunId,
@@ -218,6 +227,7 @@
 
 /// One ended attempt.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Finish {
     /// Which.
     pub id: worker::TaskId,
@@ -231,6 +241,7 @@
 
 /// Proof that attempts have ended.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Ended {
     /// The attempts.
     pub tasks: Vec<Finish>,
@@ -238,6 +249,7 @@
 
 /// An intent to send a non-idempotent request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Key {
     /// The profile; keys of different profiles are different.
     pub profile: ProfileName,
@@ -249,6 +261,7 @@
 
 /// The answer that a key's request got.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Answer {
     /// The profile.
     pub profile: ProfileName,
@@ -266,6 +279,7 @@
 
 /// What became of work under one profile version in one span of time.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Tally {
     /// The profile.
     pub profile: ProfileName,
@@ -305,6 +319,7 @@
 
 /// What became of work since the instance's last record.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Outcomes {
     /// Rises by one with each record of this life; a repeat is skipped.
     pub seq: u64,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,14 +3,21 @@
 //! The programs under `src/bin` are thin shells over this library. Decisions are pure functions
 //! over a state and a clock in [`kernel`] and [`ledger`]; everything else moves bytes.
 
+pub mod bench;
 pub mod configs;
 pub mod context;
+pub mod entry;
 pub mod findings;
 pub mod ids;
 pub mod kernel;
 pub mod ledger;
+pub mod load;
 pub mod modules;
+pub mod platform;
 pub mod profile;
+pub mod program;
+pub mod report;
 pub mod resources;
 pub mod settings;
+pub mod standin;
 pub mod wire;
--- /dev/null
+++ b/src/platform/log.rs
@@ -0,0 +1,80 @@
+//! Client of the platform's append-only log.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use rand::Rng;
+
+use crate::{
+    configs,
+    ids::{
+        Offset,
+        ZoneId, //
+    },
+    platform::link::{
+        self,
+        Link, //
+    },
+    wire::log, //
+};
+
+/// Most entries asked for in one read.
+const PAGE: u32 = 1_000;
+
+/// How long an idle connection is kept.
+const IDLE: Duration = Duration::from_secs(5);
+
+/// How often the backoff doubles, and the size of a page is halved, at most.
+const DOUBLINGS: u32 = 5;
+
+/// A client of the log. It stays on the thread that made it.
+pub struct Client {
+    link: Link,
+    cfg: configs::log::Log,
+}
+
+impl Client {
+    /// A client of the log at an address, for an instance in `zone`.
+    #[must_use]
+    pub fn new(platform: SocketAddr, zone: &ZoneId, cfg: configs::log::Log) -> Self {
+        Self {
+            link: Link::new(&platform.to_string(), zone, IDLE),
+            cfg,
+        }
+    }
+
+    /// Appends one entry.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no whole answer came. Unless nothing was sent, the entry may stand in the log.
+    pub async fn append(&self, payload: String) -> Result<log::Appended, link::Error> {
+        let body = log::Append { payload };
+        let limit = self.cfg.timeout;
+        self.link.post("/v1/log/append", &body, limit).await
+    }
+
+    /// Reads the entries from an offset on; waits at the log for a first one. After failures in a
+    /// row it asks for fewer, in case they were too large for one answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no whole answer came.
+    pub async fn read(&self, from: Offset, failures: u32) -> Result<log::Page, link::Error> {
+        let wait = self.cfg.poll.as_millis();
+        let most = PAGE >> failures.min(DOUBLINGS);
+        let path = format!("/v1/log/read?from={from}&max={most}&wait={wait}");
+        let limit = self.cfg.poll + self.cfg.timeout;
+        self.link.get(&path, limit).await
+    }
+}
+
+/// How long to wait after the `failures`th failure in a row: doubles, with jitter.
+#[must_use]
+pub fn backoff(first: Duration, failures: u32) -> Duration {
+    let doublings = failures.saturating_sub(1).min(DOUBLINGS);
+    let longest = first * 2_u32.pow(doublings);
+    longest.mul_f64(rand::rng().random_range(0.5..=1.0))
+}
