feat(kernel): bring workers together for a gang that no instance can hold

Cause: a gang is claimed whole by one instance on workers that it holds. The fuzz showed that one larger than any instance's share waited for ever.

Ruled out: claims of parts by several instances, since parts that hold room for each other's rest can block each other and need a way back.

Change: after a second of waiting, every instance of the availability zone works out the same gang (accepted first in the log) and the same workers for it; these go to the instance that should look after the gang, and back to their usual holders when it is placed. Their number doubles every 4 s; after 20 s they are let go for a minute, so that a gang that never fits does not keep them. The lease steps are one type now in place of functions with six arguments.

--- a/src/kernel/runs.rs
+++ b/src/kernel/runs.rs
@@ -30,6 +30,7 @@
 
 mod effects;
 mod ends;
+mod gather;
 mod health;
 mod lost;
 mod pack;
--- a/src/kernel/runs/plan.rs
+++ b/src/kernel/runs/plan.rs
@@ -11,6 +11,7 @@
         runs::{
             Profiles,
             Runs,
+            gather,
             pack,
             queue::Waiting, //
         },
@@ -57,6 +58,7 @@
     pub(super) profiles: &'a P,
     /// Demands that found no room in this round; what asks for more is not tried.
     misses: Vec<Resources>,
+    gather: gather::Chooser,
 }
 
 /// What became of a look at a job.
@@ -81,7 +83,7 @@
         members: &Members,
         profiles: &P,
     ) -> Vec<record::Claim> {
-        if workers.held() == 0 || members.is_leaving() {
+        if members.is_leaving() {
             return Vec::new();
         }
         let mut round = Round {
@@ -91,6 +93,7 @@
             members,
             profiles,
             misses: Vec::new(),
+            gather: gather::Chooser::default(),
         };
         let mut claims = Vec::new();
         let mut done = Vec::new();
@@ -114,6 +117,7 @@
             }
         }
         self.queue.remove(&done);
+        round.gather.finish(round.workers);
         claims
     }
 
@@ -157,6 +161,8 @@
         (rank, waited): (usize, u64),
     ) -> Look {
         let away = millis(self.cfg.away);
+        let home = job.spec.zone == self.me.zone;
+        round.gather.offer(&waiting.run, job, waited, home);
         if waited < away.saturating_mul(rank as u64) {
             return Look::Waits;
         }
--- a/src/kernel/workers.rs
+++ b/src/kernel/workers.rs
@@ -6,12 +6,14 @@
 
 use compact_str::CompactString;
 use slotmap::SlotMap;
+use xxhash_rust::xxh3;
 
 use crate::{
     configs::lease,
     ids::{
         Boot,
         Millis,
+        RunId,
         Token,
         WorkerId, //
     },
@@ -60,6 +62,15 @@
     pub sent: Millis,
 }
 
+/// Workers to bring together in the hands of the instance that should look after a gang.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Gather {
+    /// The gang.
+    pub run: RunId,
+    /// How many workers.
+    pub count: usize,
+}
+
 /// The table of workers.
 #[derive(Debug, Clone)]
 pub struct Workers {
@@ -70,6 +81,7 @@
     shapes: Vec<(Resources, u32)>,
     index: index::Index,
     unit: Resources,
+    gather: Option<Gather>,
     taken: u32,
     total: u32,
 }
@@ -91,6 +103,7 @@
             shapes: Vec::new(),
             index: index::Index::default(),
             unit,
+            gather: None,
             taken: 0,
             total: 0,
         }
@@ -344,7 +357,15 @@
                 continue;
             }
             let before = entry.life;
-            let message = steps::step(&self.cfg, &self.me, entry, now, members);
+            let gang = self.gather.as_ref().filter(|_| entry.gathered);
+            let step = steps::Context {
+                cfg: &self.cfg,
+                me: &self.me,
+                now,
+                members,
+                gang: gang.map(|g| &g.run),
+            };
+            let message = step.step(entry);
             if let Some(message) = message {
                 actions.push(Action {
                     worker: key,
@@ -360,6 +381,33 @@
         actions
     }
 
+    /// Brings workers together for a gang, or lets them go again.
+    pub fn gather(&mut self, gather: Option<Gather>) {
+        if self.gather == gather {
+            return;
+        }
+        self.gather = gather;
+        let mut ranked = Vec::new();
+        for (key, entry) in &mut self.arena {
+            entry.gathered = false;
+            let Some(gather) = &self.gather else {
+                continue;
+            };
+            if entry.zone == self.me.zone && entry.listed == list::State::Live {
+                let seed = xxh3::xxh3_64(gather.run.as_str().as_bytes());
+                let weight = xxh3::xxh3_64_with_seed(entry.id.as_str().as_bytes(), seed);
+                ranked.push((weight, key));
+            }
+        }
+        ranked.sort_unstable();
+        let count = self.gather.as_ref().map_or(0, |g| g.count);
+        for (_, key) in ranked.into_iter().take(count) {
+            if let Some(entry) = self.arena.get_mut(key) {
+                entry.gathered = true;
+            }
+        }
+    }
+
     /// Whether no lease is held, so that a shutdown may go on.
     #[must_use]
     pub fn released(&self) -> bool {
--- a/src/kernel/workers/worker.rs
+++ b/src/kernel/workers/worker.rs
@@ -154,6 +154,8 @@
     pub errors: f64,
     /// How often in a row the lease was given up for rebalancing and came back.
     pub yields: u8,
+    /// Whether it is brought together with others for a gang.
+    pub gathered: bool,
     /// How often in a row it did not answer.
     pub misses: u8,
     pub(super) spot: Option<Counted>,
@@ -187,6 +189,7 @@
             free: Resources::default(),
             errors: 0.0,
             yields: 0,
+            gathered: false,
             misses: 0,
             spot: None,
             shape: None,
--- a/tests/kernel/fuzz.rs
+++ b/tests/kernel/fuzz.rs
@@ -59,7 +59,7 @@
 
     fn transitions(_: &()) -> BoxedStrategy<Op> {
         let i = 0..4usize;
-        let w = 0..4usize;
+        let w = 0..5usize;
         let at = 0..64usize;
         prop_oneof![
             30 => (10..400u64).prop_map(|ms| Op::Round { ms }),
--- a/tests/kernel/world.rs
+++ b/tests/kernel/world.rs
@@ -34,8 +34,9 @@
 /// Availability zones and clock rates (local milliseconds in 100 real ones) of the instances.
 const INSTANCES: [(&str, u64); 4] = [("a", 100), ("a", 95), ("a", 105), ("b", 100)];
 
-/// Availability zones of the workers. The first and the last are never taken away for good.
-const WORKERS: [&str; 4] = ["a", "a", "a", "b"];
+/// Availability zones of the workers. The second may end for good and the third may
+/// leave.
+const WORKERS: [&str; 5] = ["a", "a", "a", "b", "a"];
 
 /// Rounds within which all must come right once nothing fails any more.
 const CALM: u64 = 1_200;
@@ -600,7 +601,6 @@
         if self.shells[at].paused {
             return;
         }
-        let slots = if kind == Kind::Gang { 1 } else { slots };
         self.count += 1;
         let name = format!("job-{:04}", self.count);
         let mut job = values::accepted(&name, kind, tasks);
