test(kernel): contract tables of leases, members and jobs

Cause: each interface needs its fault cases in a table, one named row a case; some guards stand behind another one, so that the fuzz alone cannot turn red without them.

--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -5,6 +5,9 @@
 mod kernel {
     mod fake;
     mod fuzz;
+    mod jobs;
+    mod leases;
+    mod members;
     mod network;
     mod oracle;
     mod regressions;
--- /dev/null
+++ b/tests/kernel/leases.rs
@@ -0,0 +1,374 @@
+//! Contract of the lease table: when a lease counts, and what room it gives.
+
+use assert_matches::assert_matches;
+use bamboolock::{
+    ids::{
+        Boot,
+        Millis,
+        Token, //
+    },
+    kernel::{
+        Room,
+        WorkerKey,
+        members::Members,
+        workers::Workers, //
+    },
+    resources::Resources,
+    wire::{
+        list,
+        worker::{
+            Grant,
+            Lease,
+            Report,
+            State,
+            Task,
+            TaskId, //
+        }, //
+    }, //
+};
+
+use super::values;
+
+/// One worker and the table of one instance.
+struct Bench {
+    members: Members,
+    workers: Workers,
+    key: WorkerKey,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let me = values::me(0, "a", 1);
+        let mut workers = Workers::new(values::lease(), me.clone());
+        let row = values::listed("worker-0", list::Role::Worker, "a");
+        workers.listed(Millis(0), &values::listing(vec![row]));
+        let key = workers.key(&values::worker(0)).unwrap();
+        Self {
+            members: Members::new(values::membership(), me),
+            workers,
+            key,
+        }
+    }
+
+    /// A table that has held the worker since 0 under token 1.
+    fn held(report: Report) -> Self {
+        let mut bench = Self::new();
+        assert_matches!(bench.tick(0), Some(Lease { token: None, .. }));
+        let token = report.token;
+        assert!(bench.granted(0, 10, report));
+        assert_eq!(bench.workers.may_send(Millis(10), bench.key), Some(token));
+        bench
+    }
+
+    fn tick(&mut self, now: u64) -> Option<Lease> {
+        let actions = self.workers.tick(Millis(now), &self.members);
+        actions.into_iter().next().map(|a| a.message)
+    }
+
+    /// Takes in a grant; returns whether its report counts.
+    fn granted(&mut self, sent: u64, now: u64, report: Report) -> bool {
+        let grant = Grant::Granted(report);
+        let taken = self
+            .workers
+            .answered(Millis(sent), Millis(now), self.key, grant);
+        taken.is_some()
+    }
+
+    fn token(&self, now: u64) -> Option<Token> {
+        self.workers.may_send(Millis(now), self.key)
+    }
+
+    fn free(&self) -> u32 {
+        self.workers.get(self.key).unwrap().free.slots
+    }
+
+    fn reserve(&mut self, count: usize) -> usize {
+        let demand = values::request_demand();
+        (0..count)
+            .filter(|_| self.workers.reserve(self.key, &demand))
+            .count()
+    }
+}
+
+fn report(token: u64) -> Report {
+    Report {
+        token: Token(token),
+        boot: Boot(1),
+        capacity: values::capacity(),
+        leaving: false,
+        tasks: Vec::new(),
+        requests: 0,
+        earlier: Some(0),
+        usage: Resources::default(),
+    }
+}
+
+fn task(name: &str, state: State) -> Task {
+    Task {
+        id: id(name),
+        demand: values::demand(1, 500),
+        state,
+        checkpoint: 0,
+        reason: "".into(),
+    }
+}
+
+fn id(name: &str) -> TaskId {
+    TaskId {
+        run: values::run(name),
+        index: 0,
+        attempt: 1,
+    }
+}
+
+#[test]
+fn a_lease_counts_from_its_sending_less_the_margin() {
+    for (name, sent, arrived, now, expect) in [
+        ("at once", 100, 101, 101, true),
+        ("just inside", 100, 101, 2_799, true),
+        ("at the margin", 100, 101, 2_800, false),
+        ("a slow answer shortens it", 100, 2_700, 2_799, true),
+        (
+            "an answer after its end gives nothing",
+            100,
+            2_800,
+            2_800,
+            false,
+        ),
+    ] {
+        let mut bench = Bench::new();
+        bench.tick(sent);
+        bench.granted(sent, arrived, report(1));
+        assert_eq!(bench.token(now).is_some(), expect, "{name}");
+    }
+}
+
+#[test]
+fn answers_that_are_late_or_come_twice_change_nothing() {
+    let mut bench = Bench::held(report(5));
+    assert!(!bench.granted(0, 20, report(4)), "an earlier token");
+    assert_eq!(bench.token(20), Some(Token(5)));
+    bench.tick(700);
+    assert!(bench.granted(700, 710, report(5)));
+    let mut late = report(5);
+    late.tasks = vec![task("late", State::Running)];
+    assert!(!bench.granted(0, 720, late), "an earlier report");
+    assert_eq!(bench.free(), 4);
+    bench
+        .workers
+        .answered(Millis(0), Millis(730), bench.key, Grant::Fenced);
+    assert_eq!(
+        bench.token(730),
+        Some(Token(5)),
+        "a refusal of an earlier message"
+    );
+    bench
+        .workers
+        .answered(Millis(700), Millis(740), bench.key, Grant::Fenced);
+    assert_eq!(bench.token(740), None, "a refusal of a renewal");
+    assert!(!bench.granted(700, 750, report(5)), "a token that was lost");
+    assert_eq!(bench.token(750), None);
+}
+
+#[test]
+fn a_lease_that_was_given_up_is_not_taken_back_by_a_late_answer() {
+    let mut bench = Bench::held(report(1));
+    bench.tick(700);
+    bench.workers.refresh(Millis(710), bench.key);
+    assert_eq!(bench.reserve(1), 0, "no new work while it is given up");
+    assert_matches!(
+        bench.tick(720),
+        Some(Lease {
+            token: Some(Token(1)),
+            ttl: 0,
+            ..
+        })
+    );
+    assert!(!bench.granted(700, 730, report(1)));
+    assert_eq!(bench.token(730), None);
+    assert_matches!(bench.tick(740), Some(Lease { token: None, .. }));
+    assert!(bench.granted(740, 750, report(2)));
+    assert_eq!(bench.token(750), Some(Token(2)));
+    assert!(!bench.workers.may_start(Millis(750), bench.key, Token(1)));
+}
+
+#[test]
+fn a_renewal_goes_out_in_time_and_again_when_its_answer_is_lost() {
+    let mut bench = Bench::held(report(1));
+    assert_matches!(bench.tick(699), None);
+    assert_matches!(
+        bench.tick(700),
+        Some(Lease {
+            token: Some(Token(1)),
+            ..
+        })
+    );
+    assert_matches!(bench.tick(800), None);
+    bench.workers.silent(Millis(700), Millis(1_300), bench.key);
+    assert_matches!(
+        bench.tick(1_400),
+        Some(Lease {
+            token: Some(Token(1)),
+            ..
+        })
+    );
+    assert_matches!(
+        bench.tick(2_700),
+        Some(Lease { token: None, .. }),
+        "lapsed: asks anew"
+    );
+    assert_eq!(bench.token(2_700), None);
+}
+
+#[test]
+fn another_holder_is_asked_again_when_its_lease_ends() {
+    let mut bench = Bench::new();
+    bench.tick(0);
+    let held = Grant::Held {
+        holder: values::instance(1),
+        left: 40,
+    };
+    bench
+        .workers
+        .answered(Millis(0), Millis(10), bench.key, held);
+    assert_matches!(bench.tick(49), None);
+    assert_matches!(bench.tick(50), Some(Lease { token: None, .. }));
+}
+
+#[test]
+fn what_the_worker_reports_is_taken_before_anything_is_placed() {
+    let mut first = report(1);
+    first.tasks = vec![
+        task("a", State::Running),
+        task("b", State::Stopping),
+        task("c", State::Done),
+    ];
+    first.requests = 1;
+    first.earlier = Some(1);
+    first.usage = Resources::default();
+    let mut bench = Bench::held(first);
+    assert_eq!(bench.free(), 1);
+    assert_eq!(bench.reserve(3), 1);
+}
+
+#[test]
+fn room_comes_back_only_on_proof() {
+    let mut bench = Bench::held(report(1));
+    let demand = values::demand(1, 500);
+    let planned = bench.workers.plan(Millis(20), bench.key, &id("a"), &demand);
+    assert_eq!(planned, Some((Token(1), Boot(1))));
+    bench.granted(100, 110, report(1));
+    assert_eq!(bench.free(), 3, "absent: its start may be on the way");
+    let mut running = report(1);
+    running.tasks = vec![task("a", State::Running)];
+    bench.granted(200, 210, running);
+    bench.workers.unplan(bench.key, &id("a"));
+    assert_eq!(bench.free(), 3, "it runs, whoever started it");
+    let mut done = report(1);
+    done.tasks = vec![task("a", State::Done)];
+    bench.granted(300, 310, done);
+    assert_eq!(bench.free(), 4);
+}
+
+#[test]
+fn requests_of_earlier_tokens_are_counted_once_and_until_the_worker_says_less() {
+    let mut bench = Bench::held(report(1));
+    assert_eq!(bench.reserve(2), 2);
+    bench.workers.refresh(Millis(20), bench.key);
+    bench.tick(30);
+    bench.tick(40);
+    let mut taken = report(2);
+    taken.requests = 2;
+    taken.earlier = Some(2);
+    bench.granted(40, 50, taken);
+    assert_eq!(bench.free(), 2, "the two are in the report's number");
+    assert_eq!(bench.reserve(2), 2);
+    bench.workers.release(bench.key, &values::request_demand());
+    assert_eq!(
+        bench.free(),
+        0,
+        "an answer to an early one frees nothing by itself"
+    );
+    let mut later = report(2);
+    later.requests = 3;
+    later.earlier = Some(1);
+    bench.granted(60, 70, later);
+    assert_eq!(bench.free(), 1);
+}
+
+#[test]
+fn a_request_without_an_answer_holds_its_room_until_a_new_token() {
+    let mut bench = Bench::held(report(1));
+    assert_eq!(bench.reserve(1), 1);
+    bench.workers.orphan(bench.key, &values::request_demand());
+    bench.granted(100, 110, report(1));
+    assert_eq!(bench.free(), 3, "it may arrive late");
+    let mut gave_up = false;
+    for now in (200..4_000).step_by(100) {
+        let Some(message) = bench.tick(now) else {
+            continue;
+        };
+        gave_up |= message.ttl == 0;
+        match message.token {
+            Some(token) if !gave_up => bench.granted(now, now + 1, report(token.0)),
+            Some(_) => false,
+            None => bench.granted(now, now + 1, report(2)),
+        };
+    }
+    assert!(gave_up);
+    assert_eq!(bench.free(), 4);
+}
+
+#[test]
+fn a_leaving_worker_gets_no_work_but_keeps_its_lease() {
+    for (name, by_list) in [("by its own word", false), ("by the list", true)] {
+        let mut bench = Bench::held(report(1));
+        let mut word = report(1);
+        word.leaving = !by_list;
+        bench.granted(100, 110, word);
+        if by_list {
+            let mut row = values::listed("worker-0", list::Role::Worker, "a");
+            row.state = list::State::Leaving;
+            bench
+                .workers
+                .listed(Millis(120), &values::listing(vec![row]));
+        }
+        assert_eq!(bench.reserve(1), 0, "{name}");
+        assert_eq!(bench.token(130), None, "{name}");
+        let signal = bench.workers.may_signal(Millis(130), bench.key);
+        assert_eq!(signal, Some(Token(1)), "{name}");
+        assert_matches!(
+            bench.tick(800),
+            Some(Lease {
+                token: Some(Token(1)),
+                ttl: 3_000,
+                ..
+            })
+        );
+    }
+}
+
+#[test]
+fn a_restart_of_the_worker_ends_the_tenure() {
+    let mut bench = Bench::held(report(1));
+    let mut row = values::listed("worker-0", list::Role::Worker, "a");
+    row.boot = Boot(2);
+    bench
+        .workers
+        .listed(Millis(100), &values::listing(vec![row]));
+    assert_eq!(bench.token(100), None);
+    assert!(
+        !bench.granted(90, 110, report(2)),
+        "a report of the earlier life"
+    );
+}
+
+#[test]
+fn a_shutdown_gives_every_lease_up() {
+    let mut bench = Bench::held(report(1));
+    bench.members.leave();
+    assert_matches!(bench.tick(20), None);
+    assert_matches!(bench.tick(30), Some(Lease { ttl: 0, .. }));
+    assert!(bench.workers.released());
+    assert_matches!(bench.tick(9_000), None, "it asks for none any more");
+}
