feat(kernel): rack preferences, balanced_fit and spread; contract of the planner

Cause: a profile's racks setting reached only plug-ins that looked at it; packing knew no measure of uneven room.

Change: offers are cut down to the racks that the profile prefers before the plug-in chooses; workers of the fullest rack join the offers when tasks are wanted together. Two pack plug-ins. tests/kernel/planner.rs: home and away, won and lost claims, late wins, answers to starts, order, quota, gangs with work behind them held back, racks under each plug-in, backoff and resume, ejection with its floor, 2,000 stops in a wave of cancellations, impossible jobs, restart.

--- a/src/kernel/runs/pack.rs
+++ b/src/kernel/runs/pack.rs
@@ -19,9 +19,9 @@
     },
     profile::{
         Policies,
-        Profile, //
-    },
-    resources::Resources, //
+        Profile,
+        Racks, //
+    }, //
 };
 
 /// Workers that a plug-in chooses from: half of them those with the least room, half random ones.
@@ -81,18 +81,33 @@
     }
 }
 
-/// Workers with room for a demand that are not ejected.
+/// Workers with room for a job's next task that are not ejected. Of them only those in the racks
+/// that the job's profile prefers, whatever the plug-in.
 pub(super) fn offers(
     now: Millis,
     workers: &Workers,
-    demand: &Resources,
+    job: &Job,
+    racks: &Peers,
     random: u64,
     ejected: impl Fn(WorkerKey) -> bool,
 ) -> Vec<Offer> {
-    let mut offers = Vec::with_capacity(CANDIDATES);
+    let demand = &job.spec.demand;
+    let mut offers = Vec::with_capacity(CANDIDATES * 2);
     workers.sample_tight(now, demand, random, CANDIDATES / 2, &mut offers);
     workers.sample(now, demand, random, CANDIDATES / 2, &mut offers);
+    if let Racks::Together = job.spec.terms.racks
+        && let Some(rack) = racks.fullest()
+    {
+        workers.sample_rack(now, demand, rack, CANDIDATES, &mut offers);
+    }
     offers.retain(|o| !ejected(o.worker));
+    let peers = |o: &Offer| workers.get(o.worker).map_or(0, |w| racks.at(&w.rack));
+    let best = match job.spec.terms.racks {
+        Racks::Any => None,
+        Racks::Spread => offers.iter().map(peers).min(),
+        Racks::Together => offers.iter().map(peers).max(),
+    };
+    offers.retain(|o| best.is_none_or(|best| peers(o) == best));
     offers
 }
 
@@ -121,6 +136,12 @@
         }
     }
 
+    /// The rack with the most tasks.
+    fn fullest(&self) -> Option<&RackId> {
+        let most = self.rows.iter().max_by_key(|row| row.1);
+        most.map(|row| &row.0)
+    }
+
     /// The tasks in a rack.
     fn at(&self, rack: &RackId) -> u32 {
         let found = self.rows.binary_search_by(|row| row.0.cmp(rack));
--- a/src/kernel/runs/plan.rs
+++ b/src/kernel/runs/plan.rs
@@ -278,7 +278,7 @@
             let random = pack::scramble(self.turn);
             let health = &self.health;
             let ejected = |worker| health.ejected(round.now, worker);
-            let offers = pack::offers(round.now, round.workers, &job.spec.demand, random, ejected);
+            let offers = pack::offers(round.now, round.workers, job, &racks, random, ejected);
             let Some(worker) = chooser.choose(&offers, job, &racks, round.workers, random) else {
                 break;
             };
--- a/src/kernel/workers.rs
+++ b/src/kernel/workers.rs
@@ -13,6 +13,7 @@
     ids::{
         Boot,
         Millis,
+        RackId,
         RunId,
         Token,
         WorkerId, //
@@ -78,6 +79,7 @@
     me: Me,
     arena: SlotMap<WorkerKey, Worker>,
     ids: Vec<(WorkerId, WorkerKey)>,
+    racks: Vec<(RackId, Vec<WorkerKey>)>,
     shapes: Vec<(Resources, u32)>,
     index: index::Index,
     unit: Resources,
@@ -100,6 +102,7 @@
             me,
             arena: SlotMap::with_key(),
             ids: Vec::new(),
+            racks: Vec::new(),
             shapes: Vec::new(),
             index: index::Index::default(),
             unit,
@@ -143,6 +146,15 @@
         self.ids.get(at).map(|e| e.1)
     }
 
+    /// The workers of a rack.
+    #[must_use]
+    pub fn rack(&self, rack: &RackId) -> &[WorkerKey] {
+        match self.racks.binary_search_by(|r| r.0.cmp(rack)) {
+            Ok(at) => &self.racks[at].1,
+            Err(_) => &[],
+        }
+    }
+
     /// How many workers are known.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -481,6 +493,10 @@
         };
         let key = self.arena.insert(Worker::new(now, id.clone(), instance));
         self.ids.insert(at, (id, key));
+        match self.racks.binary_search_by(|r| r.0.cmp(&instance.rack)) {
+            Ok(at) => self.racks[at].1.push(key),
+            Err(at) => self.racks.insert(at, (instance.rack.clone(), vec![key])),
+        }
     }
 
     fn learn(&mut self, now: Millis, key: WorkerKey, instance: &list::Instance) {
@@ -518,6 +534,10 @@
             self.arena.remove(key);
         }
         self.ids.retain(|e| self.arena.contains_key(e.1));
+        for rack in &mut self.racks {
+            rack.1.retain(|key| self.arena.contains_key(*key));
+        }
+        self.racks.retain(|rack| !rack.1.is_empty());
     }
 
     /// Counts a worker under the capacity that it reported.
--- a/src/kernel/workers/room.rs
+++ b/src/kernel/workers/room.rs
@@ -1,12 +1,18 @@
 //! The room on the held workers, for requests and tasks.
 
 use crate::{
-    ids::Millis,
+    ids::{
+        Millis,
+        RackId, //
+    },
     kernel::{
         Offer,
         Room,
         WorkerKey,
-        workers::Workers, //
+        workers::{
+            Workers,
+            worker::Worker, //
+        }, //
     },
     resources::Resources, //
 };
@@ -68,6 +74,20 @@
         offers.extend(self.offers(now, demand, most, found));
     }
 
+    /// Like [`Room::sample`], but among the workers of one rack.
+    pub fn sample_rack(
+        &self,
+        now: Millis,
+        demand: &Resources,
+        rack: &RackId,
+        most: usize,
+        offers: &mut Vec<Offer>,
+    ) {
+        let found = self.rack(rack).iter().copied();
+        let usable = found.filter(|key| self.arena.get(*key).is_some_and(Worker::usable));
+        offers.extend(self.offers(now, demand, most, usable));
+    }
+
     fn offers<'a>(
         &'a self,
         now: Millis,
--- /dev/null
+++ b/src/modules/balanced_fit.rs
@@ -0,0 +1,49 @@
+//! Places a task where processors, memory and the rest are used up evenly.
+
+use crate::{
+    context,
+    modules::{
+        Plugin,
+        Point, //
+    }, //
+};
+
+/// Weight of the unevenness against the room left over, in parts of 4.
+const SKEW: u64 = 3;
+
+inventory::submit! {
+    Plugin {
+        name: "balanced_fit",
+        summary: "the worker that is left with the least and the most even room",
+        point: Point::Pack(decide),
+    }
+}
+
+/// Takes the node with the lowest cost after placement:
+/// - the more even the free shares of its dimensions are, the less room is stranded;
+/// - the less room it has left, the more whole workers stay free for large tasks.
+fn decide(ctx: &context::Pack<'_>) -> Option<usize> {
+    (0..ctx.nodes.len()).min_by_key(|at| cost(&ctx.nodes[*at], ctx))
+}
+
+/// The cost of a node: its room after placement and the spread between the dimensions, both in
+/// thousandths of the capacity.
+fn cost(node: &context::Node, ctx: &context::Pack<'_>) -> u64 {
+    let Some(room) = node.free.minus(&ctx.demand) else {
+        return u64::MAX;
+    };
+    let parts = room.parts().into_iter().zip(node.capacity.parts());
+    let asked = parts.zip(ctx.demand.parts());
+    let shares = asked
+        .filter(|((_, all), need)| *all > 0 && *need > 0)
+        .map(|((free, all), _)| u64::from(free) * 1_000 / u64::from(all));
+    let (mut low, mut high, mut sum, mut count) = (u64::MAX, 0, 0, 0);
+    for share in shares {
+        low = low.min(share);
+        high = high.max(share);
+        sum += share;
+        count += 1;
+    }
+    let mean = sum.checked_div(count).unwrap_or(0);
+    mean + high.saturating_sub(low) * SKEW / 4
+}
--- a/src/modules/mod.rs
+++ b/src/modules/mod.rs
@@ -4,6 +4,7 @@
 
 use crate::context;
 
+pub mod balanced_fit;
 pub mod best_fit;
 pub mod deadline;
 pub mod fair_share;
@@ -14,6 +15,7 @@
 pub mod priority;
 pub mod random;
 pub mod round_robin;
+pub mod spread;
 pub mod two_choices;
 pub mod zone_aware;
 
--- /dev/null
+++ b/src/modules/spread.rs
@@ -0,0 +1,37 @@
+//! Spreads the tasks of a job over racks and workers.
+
+use std::cmp::Reverse;
+
+use crate::{
+    context,
+    modules::{
+        Plugin,
+        Point, //
+    },
+    profile::Racks, //
+};
+
+inventory::submit! {
+    Plugin {
+        name: "spread",
+        summary: "the rack with the fewest tasks of the job, then the emptiest worker",
+        point: Point::Pack(decide),
+    }
+}
+
+/// Takes the node
+/// - in the rack with the fewest tasks of the job, or the most when the profile wants its tasks
+///   together,
+/// - with the most free slots, and then the most free processors.
+fn decide(ctx: &context::Pack<'_>) -> Option<usize> {
+    let key = |at: &usize| {
+        let node = &ctx.nodes[*at];
+        let peers = match ctx.racks {
+            Racks::Together => u32::MAX - node.rack_peers,
+            Racks::Any | Racks::Spread => node.rack_peers,
+        };
+        let room = (node.free.slots, node.free.millicores);
+        (peers, Reverse(room))
+    };
+    (0..ctx.nodes.len()).min_by_key(key)
+}
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -10,6 +10,7 @@
     mod members;
     mod network;
     mod oracle;
+    mod planner;
     mod regressions;
     mod shell;
     mod values;
