fix(kernel): all instances gather workers for the same gang; a large task is not starved

Besides, small tasks that keep coming took every worker on which a large task could have found room.

Change: the order among gangs depends on the log's time alone (fewest minutes waited, then accepted first), there are no spells, and the number of workers doubles at most four times.

Red first: a_large_task_is_placed_although_small_ones_keep_coming fails ("the large task starves") without the kept worker.

--- a/src/kernel/runs.rs
+++ b/src/kernel/runs.rs
@@ -32,6 +32,7 @@
 mod ends;
 mod gather;
 mod health;
+mod hold;
 mod lost;
 mod pack;
 mod pending;
@@ -90,6 +91,7 @@
     rests: queue::Rests,
     quota: quota::Held,
     health: health::Health,
+    hold: hold::Hold,
     turn: u64,
 }
 
@@ -108,6 +110,7 @@
             rests: queue::Rests::default(),
             quota: quota::Held::default(),
             health: health::Health::default(),
+            hold: hold::Hold::default(),
             turn: 0,
         }
     }
--- a/src/kernel/runs/effects.rs
+++ b/src/kernel/runs/effects.rs
@@ -142,6 +142,7 @@
     pub fn tick(&mut self, now: Millis, workers: &mut Workers) {
         self.ends.tick(now);
         self.rests.tick(now);
+        self.hold.tick(now);
         self.withdraw(now, workers);
         let (limit, floor) = (self.cfg.eject, self.cfg.floor);
         self.health.tick(now, workers, limit, floor);
--- a/src/kernel/runs/gather.rs
+++ b/src/kernel/runs/gather.rs
@@ -26,37 +26,48 @@
 /// How long it takes for the number of workers to double, in milliseconds.
 const DOUBLING: u64 = 4_000;
 
-/// How long workers are brought together for one gang in each period, in milliseconds.
-const SPELL: u64 = 20_000;
+/// The most doublings.
+const DOUBLINGS: u64 = 4;
 
-/// The period, in milliseconds. For the rest of it others may hold the workers again.
-const PERIOD: u64 = 80_000;
+/// How long a gang goes before those accepted later, in milliseconds of log time. One that cannot be
+/// placed for some other reason then lets the next one have its turn.
+const TURN: u64 = 60_000;
 
 /// Slots that a worker is taken to have. All instances must work out the same number of workers.
 const SLOTS: u64 = 8;
 
-/// Chooses the gang of one round.
+/// Chooses the gang of one round. The order depends on the log alone, so that all instances choose
+/// the same one, also one that has just started.
 #[derive(Debug, Default)]
 pub(super) struct Chooser {
-    best: Option<(Millis, RunId, Gather)>,
+    best: Option<(u64, Millis, Gather)>,
 }
 
 impl Chooser {
-    /// Looks at a gang that waits. The one that was accepted first is chosen.
-    pub(super) fn offer(&mut self, run: &RunId, job: &Job, waited: u64, home: bool) {
+    /// Looks at a gang that waits at the log's time `clock`. The one with the fewest turns is chosen,
+    /// and of those the one that was accepted first.
+    pub(super) fn offer(
+        &mut self,
+        run: &RunId,
+        job: &Job,
+        clock: Millis,
+        (waited, home): (u64, bool),
+    ) {
         let delay = if home { WAIT } else { WAIT + AWAY };
-        let Some(spell) = waited.checked_sub(delay).map(|w| w % PERIOD) else {
+        let Some(late) = waited.checked_sub(delay) else {
             return;
         };
-        let older = |best: &(Millis, RunId, Gather)| (best.0, &best.1) <= (job.accepted, run);
-        if spell >= SPELL || self.best.as_ref().is_some_and(older) {
+        let turns = clock.since(job.accepted) / TURN;
+        let order = (turns, job.accepted, run);
+        let best = self.best.as_ref();
+        if best.is_some_and(|best| (best.0, best.1, &best.2.run) <= order) {
             return;
         }
         let gather = Gather {
             run: run.clone(),
-            count: count(job, spell),
+            count: count(job, late),
         };
-        self.best = Some((job.accepted, run.clone(), gather));
+        self.best = Some((turns, job.accepted, gather));
     }
 
     /// Tells the lease table which workers to bring together.
@@ -66,9 +77,9 @@
 }
 
 /// How many workers a gang gets: twice what it needs, and twice as many again with time.
-fn count(job: &Job, spell: u64) -> usize {
+fn count(job: &Job, late: u64) -> usize {
     let slots = u64::from(job.spec.demand.slots) * u64::from(job.spec.tasks);
     let base = (slots * 2).div_ceil(SLOTS).max(1);
-    let count = base << (spell / DOUBLING);
+    let count = base << (late / DOUBLING).min(DOUBLINGS);
     usize::try_from(count).unwrap_or(usize::MAX)
 }
--- a/src/kernel/runs/pack.rs
+++ b/src/kernel/runs/pack.rs
@@ -81,7 +81,7 @@
     }
 }
 
-/// Workers with room for a job's next task that are not ejected. Of them only those in the racks
+/// Workers with room for a job's next task that are not barred. Of them only those in the racks
 /// that the job's profile prefers, whatever the plug-in.
 pub(super) fn offers(
     now: Millis,
@@ -89,7 +89,7 @@
     job: &Job,
     racks: &Peers,
     random: u64,
-    ejected: impl Fn(WorkerKey) -> bool,
+    barred: impl Fn(WorkerKey) -> bool,
 ) -> Vec<Offer> {
     let demand = &job.spec.demand;
     let mut offers = Vec::with_capacity(CANDIDATES * 2);
@@ -100,7 +100,7 @@
     {
         workers.sample_rack(now, demand, rack, CANDIDATES, &mut offers);
     }
-    offers.retain(|o| !ejected(o.worker));
+    offers.retain(|o| !barred(o.worker));
     let peers = |o: &Offer| workers.get(o.worker).map_or(0, |w| racks.at(&w.rack));
     let best = match job.spec.terms.racks {
         Racks::Any => None,
--- a/src/kernel/runs/plan.rs
+++ b/src/kernel/runs/plan.rs
@@ -147,7 +147,13 @@
         let indexes = self.share(round, job, &waiting.run, (rank, waited), most);
         let tasks = self.place(round, job, &waiting.run, &indexes);
         if tasks.len() < indexes.len() {
-            round.misses.push(job.spec.demand);
+            let demand = job.spec.demand;
+            round.misses.push(demand);
+            self.hold
+                .missed(round.now, &waiting.run, &demand, waited, round.workers);
+        }
+        if !tasks.is_empty() {
+            self.hold.placed(&waiting.run);
         }
         claim(&waiting.run, tasks)
     }
@@ -162,7 +168,9 @@
     ) -> Look {
         let away = millis(self.cfg.away);
         let home = job.spec.zone == self.me.zone;
-        round.gather.offer(&waiting.run, job, waited, home);
+        let clock = round.jobs.clock();
+        let wait = (waited, home);
+        round.gather.offer(&waiting.run, job, clock, wait);
         if waited < away.saturating_mul(rank as u64) {
             return Look::Waits;
         }
@@ -276,9 +284,9 @@
         for index in indexes {
             self.turn = self.turn.wrapping_add(1);
             let random = pack::scramble(self.turn);
-            let health = &self.health;
-            let ejected = |worker| health.ejected(round.now, worker);
-            let offers = pack::offers(round.now, round.workers, job, &racks, random, ejected);
+            let (health, hold) = (&self.health, &self.hold);
+            let barred = |worker| health.ejected(round.now, worker) || hold.blocks(run, worker);
+            let offers = pack::offers(round.now, round.workers, job, &racks, random, barred);
             let Some(worker) = chooser.choose(&offers, job, &racks, round.workers, random) else {
                 break;
             };
--- a/src/ledger/jobs.rs
+++ b/src/ledger/jobs.rs
@@ -40,6 +40,7 @@
 pub struct Jobs {
     entries: Vec<Entry>,
     ended: VecDeque<(Millis, RunId)>,
+    clock: Millis,
     #[serde(skip)]
     keys: Vec<(ProfileName, IdempotencyKey, RunId)>,
     #[serde(skip)]
@@ -58,6 +59,8 @@
 struct Stored {
     entries: Vec<Entry>,
     ended: VecDeque<(Millis, RunId)>,
+    #[serde(default)]
+    clock: Millis,
 }
 
 impl From<Stored> for Jobs {
@@ -65,6 +68,7 @@
         let mut jobs = Self {
             entries: stored.entries,
             ended: stored.ended,
+            clock: stored.clock,
             ..Self::default()
         };
         for entry in &mut jobs.entries {
@@ -92,6 +96,7 @@
         author: &record::Author,
         record: &record::Record,
     ) -> Vec<Effect> {
+        self.clock = self.clock.max(at);
         self.prune(at);
         match record {
             record::Record::Accepted(accepted) => vec![self.accept(at, accepted)],
@@ -105,6 +110,12 @@
         }
     }
 
+    /// The time of the latest record, on the platform's clock.
+    #[must_use]
+    pub fn clock(&self) -> Millis {
+        self.clock
+    }
+
     /// A job by its id.
     #[must_use]
     pub fn get(&self, run: &RunId) -> Option<&job::Job> {
--- a/tests/kernel/planner.rs
+++ b/tests/kernel/planner.rs
@@ -412,6 +412,26 @@
     assert_eq!(names.len(), 2, "two of four stay in service");
 }
 
+#[test]
+fn a_large_task_is_placed_although_small_ones_keep_coming() {
+    let mut bench = Bench::new(3);
+    bench.accept("small", Kind::Service, 12);
+    let mut small = bench.start();
+    let mut large = values::accepted("large", Kind::Run, 1);
+    large.demand = values::demand(4, 500);
+    large.terms.priority = 9;
+    bench.apply(0, &Record::Accepted(large));
+    let mut waited = 0;
+    while !small.iter().any(|id| id.run == values::run("large")) {
+        assert!(waited < 5_000, "the large task starves");
+        let id = small.remove(0);
+        bench.end(&id, End::Done, 0);
+        bench.pass(100);
+        waited += 100;
+        small.extend(bench.start());
+    }
+}
+
 #[test]
 fn a_wave_of_cancellations_stops_everything_that_was_started() {
     let mut bench = Bench::new(500);
