--- a/tests/kernel/fuzz.rs
+++ b/tests/kernel/fuzz.rs
@@ -71,6 +71,8 @@
             2 => (i.clone(), 0..4_000u64).prop_map(|(instance, ms)| Op::Pause { instance, ms }),
             4 => i.clone().prop_map(|instance| Op::Wake { instance }),
             1 => i.clone().prop_map(|instance| Op::Restart { instance }),
+            1 => (i.clone(), i.clone()).prop_map(|(instance, peer)| Op::Replace { instance, peer }),
+            1 => i.clone().prop_map(|instance| Op::Leave { instance }),
             2 => (i.clone(), w.clone())
                 .prop_map(|(instance, worker)| Op::CutWorker { instance, worker }),
             1 => i.clone().prop_map(|instance| Op::CutLog { instance }),
--- a/tests/kernel/shell.rs
+++ b/tests/kernel/shell.rs
@@ -142,6 +142,13 @@
         self.commands.extend(commands);
     }
 
+    /// Takes in a snapshot of the jobs.
+    pub(super) fn adopt(&mut self, now: Millis, jobs: Jobs, next: usize) {
+        self.jobs = jobs;
+        self.next = next;
+        self.runs.rebuild(now, &self.jobs, &self.profiles);
+    }
+
     /// Applies entries of the log that were not applied yet.
     pub(super) fn read(&mut self, now: Millis, log: &[Entry]) {
         for entry in &log[self.next..] {
--- a/tests/kernel/world.rs
+++ b/tests/kernel/world.rs
@@ -77,6 +77,15 @@
     Restart {
         instance: usize,
     },
+    /// An instance is replaced, and the new one starts from a peer's snapshot.
+    Replace {
+        instance: usize,
+        peer: usize,
+    },
+    /// An instance begins its graceful shutdown.
+    Leave {
+        instance: usize,
+    },
     CutWorker {
         instance: usize,
         worker: usize,
@@ -193,6 +202,14 @@
                 self.send(at);
             }
             Op::Restart { instance } => self.restart(instance % self.shells.len()),
+            Op::Replace { instance, peer } => {
+                let count = self.shells.len();
+                self.replace(instance % count, peer % count);
+            }
+            Op::Leave { instance } => {
+                let at = instance % self.shells.len();
+                self.shells[at].members.leave();
+            }
             Op::Finish { worker, at, failed } => {
                 let count = self.workers.len();
                 self.workers[worker % count].finish(at, failed);
@@ -253,8 +270,11 @@
     /// Lets all faults end and checks that everything accepted comes to its end.
     pub(super) fn settle(&mut self) {
         self.cuts = Cuts::default();
-        for shell in &mut self.shells {
-            shell.paused = false;
+        for at in 0..self.shells.len() {
+            self.shells[at].paused = false;
+            if self.shells[at].members.is_leaving() {
+                self.restart(at);
+            }
         }
         for round in 0..CALM {
             if round % 5 == 0 {
@@ -597,6 +617,14 @@
         self.shells[at] = Shell::new(at, life, old.zone, old.rate);
     }
 
+    fn replace(&mut self, at: usize, peer: usize) {
+        let text = serde_json::to_string(&self.shells[peer].jobs).unwrap();
+        let next = self.shells[peer].next;
+        self.restart(at);
+        let now = self.clock(at);
+        self.shells[at].adopt(now, serde_json::from_str(&text).unwrap(), next);
+    }
+
     fn submit(&mut self, at: usize, kind: Kind, tasks: u32, slots: u32) {
         if self.shells[at].paused {
             return;
