fix(kernel): end own claims that won unseen

Change: an attempt under the token held that the report lacks, that holds no room and is not under way is ended as not started by its claimant.

--- a/src/kernel/runs/reports.rs
+++ b/src/kernel/runs/reports.rs
@@ -11,7 +11,10 @@
             lost,
             pending, //
         },
-        workers::Workers, //
+        workers::{
+            Workers,
+            worker::Worker, //
+        }, //
     },
     ledger::{
         jobs::{
@@ -73,6 +76,9 @@
             let found = tasks.binary_search_by(|t| t.id.cmp(&id)).ok();
             let finish = match found {
                 Some(at) => finished(tasks[at]),
+                None if self.abandoned(&id, place, report, entry) => {
+                    Some(ends::unstarted(id, "this instance did not start it"))
+                }
                 None => absent(id, place, report),
             };
             finishes.extend(finish.filter(|f| self.ends.propose(now, &f.id)));
@@ -80,6 +86,15 @@
         finishes
     }
 
+    /// Whether an attempt is an own one that this instance did not start and will not: its claim won
+    /// after it was withdrawn, or stood in a part of the log that a snapshot took the place of. What
+    /// was started is held or under way until its end.
+    fn abandoned(&self, id: &TaskId, place: &job::Place, report: &Report, worker: &Worker) -> bool {
+        let own = place.token == report.token && place.boot == report.boot;
+        let held = worker.holds().binary_search_by(|h| h.id.cmp(id)).is_ok();
+        own && !held && !self.pending.has(&id.run, id.index, id.attempt)
+    }
+
     /// Settles own starts of unknown outcome, by the report or by a new token.
     fn settle_starts(
         &mut self,
--- a/tests/kernel/fuzz.rs
+++ b/tests/kernel/fuzz.rs
@@ -72,6 +72,7 @@
             4 => i.clone().prop_map(|instance| Op::Wake { instance }),
             1 => i.clone().prop_map(|instance| Op::Restart { instance }),
             1 => (i.clone(), i.clone()).prop_map(|(instance, peer)| Op::Replace { instance, peer }),
+            2 => (i.clone(), i.clone()).prop_map(|(instance, peer)| Op::Adopt { instance, peer }),
             1 => i.clone().prop_map(|instance| Op::Leave { instance }),
             2 => (i.clone(), w.clone())
                 .prop_map(|(instance, worker)| Op::CutWorker { instance, worker }),
--- a/tests/kernel/world.rs
+++ b/tests/kernel/world.rs
@@ -82,6 +82,11 @@
         instance: usize,
         peer: usize,
     },
+    /// An instance takes in a peer's snapshot in place of the records that it has not read.
+    Adopt {
+        instance: usize,
+        peer: usize,
+    },
     /// An instance begins its graceful shutdown.
     Leave {
         instance: usize,
@@ -206,6 +211,13 @@
                 let count = self.shells.len();
                 self.replace(instance % count, peer % count);
             }
+            Op::Adopt { instance, peer } => {
+                let count = self.shells.len();
+                let (at, peer) = (instance % count, peer % count);
+                if self.shells[peer].next > self.shells[at].next {
+                    self.adopt(at, peer);
+                }
+            }
             Op::Leave { instance } => {
                 let at = instance % self.shells.len();
                 self.shells[at].members.leave();
@@ -618,10 +630,17 @@
     }
 
     fn replace(&mut self, at: usize, peer: usize) {
-        let text = serde_json::to_string(&self.shells[peer].jobs).unwrap();
+        let jobs = self.shells[peer].jobs.clone();
         let next = self.shells[peer].next;
         self.restart(at);
         let now = self.clock(at);
+        self.shells[at].adopt(now, jobs, next);
+    }
+
+    fn adopt(&mut self, at: usize, peer: usize) {
+        let text = serde_json::to_string(&self.shells[peer].jobs).unwrap();
+        let next = self.shells[peer].next;
+        let now = self.clock(at);
         self.shells[at].adopt(now, serde_json::from_str(&text).unwrap(), next);
     }
 
