fix(kernel): an ejected worker comes back on probation

Its error average never fell, since it got no tasks, so that it was ejected again at the very end of each pause.

Change: after the pause the average is nine tenths of the limit; the next failure ejects the worker again, a success keeps it.

Red first: without the change the planner's ejection test fails ("all get another chance": 2 of 4).

--- a/src/kernel/runs/health.rs
+++ b/src/kernel/runs/health.rs
@@ -14,6 +14,10 @@
 /// How long an ejected worker gets no tasks, in milliseconds.
 const PAUSE: u64 = 10_000;
 
+/// The share of the limit that a worker's error average has when it comes back: the next failure
+/// ejects it again.
+const PROBATION: f64 = 0.9;
+
 /// What is known of one worker.
 #[derive(Debug, Clone)]
 struct Row {
@@ -60,10 +64,12 @@
 
     /// Ejects workers whose share of failures is at least `limit`, as long as no more than the
     /// share `floor` of all is out.
-    pub(super) fn tick(&mut self, now: Millis, workers: &Workers, limit: f64, floor: f64) {
+    pub(super) fn tick(&mut self, now: Millis, workers: &mut Workers, limit: f64, floor: f64) {
         self.rows.retain(|row| workers.get(row.worker).is_some());
         for row in &mut self.rows {
-            row.out = row.out.filter(|until| now < *until);
+            if row.out.take_if(|until| now >= *until).is_some() {
+                workers.forgive(row.worker, limit * PROBATION);
+            }
         }
         let mut out = self.rows.iter().filter(|row| row.out.is_some()).count();
         let most = share(workers.held(), floor);
--- a/src/kernel/workers.rs
+++ b/src/kernel/workers.rs
@@ -311,6 +311,13 @@
         }
     }
 
+    /// Lowers a worker's error average to `most`.
+    pub fn forgive(&mut self, key: WorkerKey, most: f64) {
+        if let Some(entry) = self.arena.get_mut(key) {
+            entry.errors = entry.errors.min(most);
+        }
+    }
+
     /// Takes in an answer to the message that was sent at `sent`. Returns the report when it is
     /// one under the token that is held now; it may then be used as proof.
     pub fn answered(
--- a/tests/kernel/planner.rs
+++ b/tests/kernel/planner.rs
@@ -398,18 +398,24 @@
         }
         bench.pass(20);
     }
-    let mut names = Vec::new();
-    for round in 0..20 {
-        bench.accept(&format!("after-{round}"), Kind::Run, 1);
-        for id in bench.start() {
-            names.push(bench.jobs.place(&id).unwrap().worker.clone());
-            bench.end(&id, End::Done, 0);
+    let used = |bench: &mut Bench, name: &str| {
+        let mut names = Vec::new();
+        for round in 0..20 {
+            bench.accept(&format!("{name}-{round}"), Kind::Run, 1);
+            for id in bench.start() {
+                names.push(bench.jobs.place(&id).unwrap().worker.clone());
+                bench.end(&id, End::Done, 0);
+            }
         }
-    }
-    names.sort_unstable();
-    names.dedup();
+        names.sort_unstable();
+        names.dedup();
+        names
+    };
+    let names = used(&mut bench, "soon");
     assert!(names.contains(&values::worker(3)));
     assert_eq!(names.len(), 2, "two of four stay in service");
+    bench.pass(11_000);
+    assert_eq!(used(&mut bench, "later").len(), 4, "all get another chance");
 }
 
 #[test]
