fix(entry): an exchange outlives its soft timeout; retries open new connections

Cause: under load an attempt was given up after its short patience while the retry budget was spent, so an idempotent request ended as unknown long before its deadline. A forward that met a paused peer spent budget too. Ruled out: longer patience alone, since it holds up requests on silent connections. Change: the short timeout only allows a retry; the exchange goes on to the deadline. Retries open a new connection. Coming back from a peer costs no budget.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -59,8 +59,12 @@
     pub via: Via,
     /// Nothing is sent after this point: the placement lease may lapse.
     pub until: Instant,
-    /// How long the exchange may take.
+    /// After this time the exchange counts as silent, though it goes on.
     pub timeout: Duration,
+    /// After this time the exchange ends.
+    pub limit: Duration,
+    /// Whether a new connection must be opened: earlier ones may have gone silent.
+    pub fresh: bool,
 }
 
 /// The kind of receiver.
@@ -125,7 +129,7 @@
 }
 
 /// Leaves all of the thread's connections to an address behind.
-fn forget(address: &CompactString) {
+pub fn forget(address: &CompactString) {
     CLIENTS.with_borrow_mut(|clients| clients.retain(|(known, _)| known != address));
 }
 
@@ -134,8 +138,11 @@
     if Instant::now() >= route.until {
         return End::NotRun;
     }
+    if route.fresh {
+        forget(&route.address);
+    }
     let exchange = exchange(message, route, zone, idle);
-    let Ok(end) = tokio::time::timeout(route.timeout, exchange).await else {
+    let Ok(end) = tokio::time::timeout(route.limit, exchange).await else {
         forget(&route.address);
         return End::Silent;
     };
--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -314,7 +314,7 @@
         let alive = peers.filter(|p| self.members.standing(now, p) == members::Standing::Alive);
         let alive: Vec<_> = alive.map(|p| p.id.clone()).collect();
         let next = self.ledger.read(|state| state.next());
-        let useful = !held.is_empty() || !alive.is_empty();
+        let useful = !self.shapes().is_empty() && (!held.is_empty() || !alive.is_empty());
         MessageResult(Status {
             id: self.settings.id.clone(),
             zone: self.settings.zone.clone(),
--- a/src/entry/scheduler/serving.rs
+++ b/src/entry/scheduler/serving.rs
@@ -132,8 +132,10 @@
     NotRun,
     /// It did not run since the lease was lost.
     Fenced,
-    /// No answer in time.
+    /// No answer yet; the exchange goes on.
     Silent,
+    /// No answer before the exchange was ended.
+    Lost,
     /// The exchange broke off.
     Cut,
 }
@@ -147,7 +149,7 @@
             End::Whole(_) => Landing::Answered,
             End::NotRun => Landing::NotRun,
             End::Fenced => Landing::Fenced,
-            End::Silent => Landing::Silent,
+            End::Silent => Landing::Lost,
             End::Cut => Landing::Cut,
         }
     }
@@ -158,7 +160,7 @@
             Landing::Answered => Outcome::Answered { took },
             Landing::Backend => Outcome::Backend { took },
             Landing::NotRun | Landing::Fenced => Outcome::NotRun,
-            Landing::Silent => Outcome::Silent,
+            Landing::Silent | Landing::Lost => Outcome::Silent,
             Landing::Cut => Outcome::Cut,
         }
     }
@@ -256,7 +258,7 @@
             request.runs = request.runs.saturating_sub(1);
         }
         self.step(now, landed.request, step);
-        if matches!(outcome, Outcome::Silent | Outcome::Cut) {
+        if matches!(landed.landing, Landing::Lost | Landing::Cut) {
             self.metrics.unknown.inc();
             let mut room = Orphaning(&mut self.workers);
             let step = self.requests.settled(now, landed.attempt, &mut room);
@@ -349,9 +351,16 @@
             via: Via::Worker(token),
             until: self.instant(until),
             timeout: Duration::from_millis(dispatch.timeout),
+            limit: self.longest(dispatch.left),
+            fresh: dispatch.kind != Kind::First,
         })
     }
 
+    /// How long an exchange may take when `left` milliseconds are left for its request.
+    fn longest(&self, left: u64) -> Duration {
+        Duration::from_millis(left) + self.settings.requests.grace
+    }
+
     /// Passes waiting requests on to peers with room.
     fn forward(&mut self, now: Millis) {
         let (addresses, peers) = self.receivers(now);
@@ -382,6 +391,8 @@
             },
             until: self.instant(now.plus(forward.left)),
             timeout,
+            limit: self.longest(forward.left),
+            fresh: false,
         };
         self.turn(forward.key, Turn::Send(forward.attempt, route));
     }
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -181,14 +181,25 @@
     actix_rt::spawn(async move {
         let sent = Instant::now();
         let idle = settings.requests.idle;
-        let end = exchange::send(&message, &route, &settings.zone, idle).await;
-        let landed = scheduler::Landed {
+        let mut landed = scheduler::Landed {
             request,
             attempt,
             worker: route.worker,
-            landing: scheduler::Landing::of(&end),
-            took: sent.elapsed(),
+            landing: scheduler::Landing::Silent,
+            took: route.timeout,
         };
+        let exchange = exchange::send(&message, &route, &settings.zone, idle);
+        let mut exchange = std::pin::pin!(exchange);
+        let end = match tokio::time::timeout(route.timeout, &mut exchange).await {
+            Ok(end) => end,
+            Err(_) => {
+                scheduler.do_send(landed);
+                exchange::forget(&route.address);
+                exchange.await
+            }
+        };
+        landed.landing = scheduler::Landing::of(&end);
+        landed.took = sent.elapsed();
         // The caller may be gone; the scheduler must know all the same.
         let _ = turns.send(Turn::Landed(end));
         scheduler.do_send(landed);
--- a/src/kernel/requests/finish.rs
+++ b/src/kernel/requests/finish.rs
@@ -133,7 +133,7 @@
         if let Some(step) = self.come_back(now, failed) {
             return step;
         }
-        if let Some(at) = self.backoff(now, key) {
+        if let Some(at) = self.backoff(now, failed) {
             self.requests[key].phase = Phase::Delayed;
             self.delayed.add(at, key);
             return Step::Retry { at };
@@ -157,8 +157,10 @@
     }
 
     /// When a failed request may be sent again, or `None` when it may not.
-    fn backoff(&mut self, now: Millis, key: RequestKey) -> Option<Millis> {
-        let request = &self.requests[key];
+    /// One that another instance left without an answer costs no retry budget: it was never sent
+    /// from here, and is passed on only once.
+    fn backoff(&mut self, now: Millis, failed: &Attempt) -> Option<Millis> {
+        let request = &self.requests[failed.request];
         let class = &mut self.classes[request.class];
         let retry = &request.profile.retry;
         if !request.may_repeat() || request.sent >= retry.attempts {
@@ -171,7 +173,8 @@
         if start.plus(class.estimate.typical()) > request.deadline {
             return None;
         }
-        class.retry.spend().then_some(start)
+        let free = failed.worker.is_none();
+        (free || class.retry.spend()).then_some(start)
     }
 
     /// Ends a request that will not be sent again.
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -108,6 +108,8 @@
             via: exchange::Via::Worker(Token(1)),
             until: Instant::now() + LIMIT,
             timeout: LIMIT,
+            limit: LIMIT,
+            fresh: false,
         };
         let end = exchange::send(&message, &route, &"z1".parse().unwrap(), LIMIT).await;
         match pending {
