--- /dev/null
+++ b/src/admin/access.rs
@@ -0,0 +1,99 @@
+//! Who may do what: bearer tokens by role.
+
+use std::{
+    future::{
+        Ready,
+        ready, //
+    },
+    hint::black_box, //
+};
+
+use actix_web::{
+    FromRequest,
+    HttpRequest,
+    dev::Payload,
+    http::header::AUTHORIZATION,
+    web, //
+};
+use compact_str::CompactString;
+
+use crate::{
+    admin::{
+        Shared,
+        failure::Failure, //
+    },
+    settings::{
+        Access,
+        AccessToken, //
+    }, //
+};
+
+/// A caller that may read. Extracting one refuses everybody else.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reader;
+
+/// A caller that may publish. Extracting one refuses everybody else.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Operator {
+    /// The name under which changes are recorded.
+    pub name: CompactString,
+}
+
+impl FromRequest for Reader {
+    type Error = Failure;
+    type Future = Ready<Result<Self, Failure>>;
+
+    fn from_request(request: &HttpRequest, _: &mut Payload) -> Self::Future {
+        ready(identify(request).map(|_| Reader))
+    }
+}
+
+impl FromRequest for Operator {
+    type Error = Failure;
+    type Future = Ready<Result<Self, Failure>>;
+
+    fn from_request(request: &HttpRequest, _: &mut Payload) -> Self::Future {
+        ready(identify(request).and_then(operator))
+    }
+}
+
+fn operator(token: AccessToken) -> Result<Operator, Failure> {
+    match token.access {
+        Access::Operator => Ok(Operator {
+            name: token.operator,
+        }),
+        Access::ReadOnly => Err(Failure::forbidden()),
+    }
+}
+
+fn identify(request: &HttpRequest) -> Result<AccessToken, Failure> {
+    let shared = request.app_data::<web::Data<Shared>>();
+    let shared = shared.ok_or_else(Failure::unauthorized)?;
+    let header = request.headers().get(AUTHORIZATION);
+    let header = header.and_then(|v| v.to_str().ok()).unwrap_or_default();
+    let secret = header.strip_prefix("Bearer ").unwrap_or_default();
+    find(&shared.settings.tokens, secret)
+        .cloned()
+        .ok_or_else(Failure::unauthorized)
+}
+
+/// The token of that secret. The time it takes does not depend on how much of a secret matches.
+fn find<'a>(tokens: &'a [AccessToken], secret: &str) -> Option<&'a AccessToken> {
+    let mut found = None;
+    for token in tokens {
+        if equal(token.secret.as_bytes(), secret.as_bytes()) && !token.secret.is_empty() {
+            found = Some(token);
+        }
+    }
+    found
+}
+
+/// Whether two texts are equal, in a time that depends on the length of `given` alone.
+fn equal(kept: &[u8], given: &[u8]) -> bool {
+    let mut differs = u8::from(kept.len() != given.len());
+    for (i, byte) in given.iter().enumerate() {
+        differs |= byte ^ kept.get(i).copied().unwrap_or(0);
+        differs = black_box(differs);
+    }
+    differs == 0
+}
--- /dev/null
+++ b/src/admin/instances.rs
@@ -0,0 +1,102 @@
+//! On how many instances a change is in force, and which are cut off.
+
+use std::time::Duration;
+
+use actix_web::{
+    HttpResponse,
+    web, //
+};
+use futures_util::{
+    StreamExt,
+    stream, //
+};
+
+use crate::{
+    admin::{
+        Shared,
+        access::Reader,
+        failure::Failure, //
+    },
+    ids::{
+        InstanceId,
+        Offset,
+        ZoneId, //
+    },
+    ledger::state::State,
+    platform::{
+        link::Link,
+        list, //
+    },
+    wire::{
+        admin::{
+            AskInForce,
+            InForce,
+            Missing,
+            Progress, //
+        },
+        list::{
+            Instance,
+            Role, //
+        }, //
+    }, //
+};
+
+/// How long the platform's list or an instance may take to answer.
+const LIMIT: Duration = Duration::from_millis(500);
+
+/// Most instances that are asked at once.
+const PARALLEL: usize = 64;
+
+/// `GET /v1/instances/in-force`: how far a change has come.
+pub(super) async fn in_force(
+    shared: web::Data<Shared>,
+    query: web::Query<AskInForce>,
+    _: Reader,
+) -> Result<HttpResponse, Failure> {
+    shared.ready().await?;
+    let applied = shared.ledger.read(State::next).0.saturating_sub(1);
+    let offset = query.offset.unwrap_or(Offset(applied));
+    let instances = entries(&shared).await?;
+    let total = u32::try_from(instances.len()).unwrap_or(u32::MAX);
+    let missing = missing(&shared.settings.zone, offset, instances).await;
+    let absent = u32::try_from(missing.len()).unwrap_or(u32::MAX);
+    Ok(HttpResponse::Ok().json(InForce {
+        offset,
+        reached: total - absent,
+        total,
+        missing,
+    }))
+}
+
+/// The entry instances that the platform does not know to be gone.
+async fn entries(shared: &Shared) -> Result<Vec<Instance>, Failure> {
+    let platform = shared.settings.platform.to_string();
+    let link = Link::new(&platform, &shared.settings.zone, LIMIT);
+    let listing = list::read(&link, LIMIT).await;
+    let listing = listing.map_err(|_| Failure::unavailable("the platform's list is out"))?;
+    let mut entries = listing.instances;
+    entries.retain(|i| i.role == Role::Entry && i.state != crate::wire::list::State::Gone);
+    Ok(entries)
+}
+
+async fn missing(zone: &ZoneId, offset: Offset, instances: Vec<Instance>) -> Vec<Missing> {
+    let asked = instances.into_iter().map(|i| ask(zone, i));
+    let answers: Vec<Option<Missing>> = stream::iter(asked)
+        .buffer_unordered(PARALLEL)
+        .collect()
+        .await;
+    let lacks = |m: &Missing| m.next.is_none_or(|next| next <= offset);
+    let mut missing: Vec<Missing> = answers.into_iter().flatten().filter(lacks).collect();
+    missing.sort_by(|a, b| a.id.cmp(&b.id));
+    missing
+}
+
+async fn ask(zone: &ZoneId, instance: Instance) -> Option<Missing> {
+    let link = Link::new(&instance.address, zone, LIMIT);
+    let answer: Result<Progress, _> = link.get("/v1/status", LIMIT).await;
+    Some(Missing {
+        id: InstanceId::try_from(instance.id).ok()?,
+        zone: instance.zone,
+        next: answer.ok().map(|p| p.next),
+    })
+}
--- /dev/null
+++ b/src/admin/metrics.rs
@@ -0,0 +1,90 @@
+//! Metrics of the administration API.
+
+use std::{
+    fmt,
+    sync::Mutex, //
+};
+
+use prometheus_client::{
+    encoding::{
+        EncodeLabelSet,
+        text, //
+    },
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge, //
+    },
+    registry::Registry, //
+};
+
+/// The labels of calls.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Call {
+    /// The method and the route's pattern.
+    pub route: String,
+    /// HTTP status.
+    pub status: u16,
+}
+
+/// All metrics of the process.
+pub struct Metrics {
+    registry: Mutex<Registry>,
+    /// Calls, by route and status.
+    pub calls: Family<Call, Counter>,
+    /// The first log offset that was not applied yet.
+    pub offset: Gauge,
+    /// Whether the state is whole: 0 or 1.
+    pub loaded: Gauge,
+    /// Milliseconds since the log last answered, while it is out.
+    pub silent: Gauge,
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Metrics")
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Metrics that are all zero, registered under the prefix `bamboolock_admin`.
+    #[must_use]
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("bamboolock_admin");
+        let calls = Family::<Call, Counter>::default();
+        let (offset, loaded, silent) = (Gauge::default(), Gauge::default(), Gauge::default());
+        registry.register("calls", "Calls, by route and status", calls.clone());
+        registry.register("offset", "First log offset not applied", offset.clone());
+        registry.register("loaded", "Whether the state is whole", loaded.clone());
+        registry.register(
+            "log_silent_milliseconds",
+            "Time since the log last answered, while it is out",
+            silent.clone(),
+        );
+        Self {
+            registry: Mutex::new(registry),
+            calls,
+            offset,
+            loaded,
+            silent,
+        }
+    }
+
+    /// The metrics in the OpenMetrics text format.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a value cannot be written.
+    pub fn encode(&self) -> Result<String, fmt::Error> {
+        let mut out = String::new();
+        let registry = self.registry.lock().map_err(|_| fmt::Error)?;
+        text::encode(&mut out, &registry)?;
+        Ok(out)
+    }
+}
--- /dev/null
+++ b/src/admin/mod.rs
@@ -0,0 +1,284 @@
+//! The administration API: operators publish and inspect profiles over HTTP.
+
+use std::{
+    io,
+    sync::Arc,
+    time::{
+        Duration,
+        SystemTime,
+        UNIX_EPOCH, //
+    }, //
+};
+
+use actix_web::{
+    App,
+    Error,
+    HttpResponse,
+    HttpServer,
+    body::MessageBody,
+    dev::{
+        ServerHandle,
+        ServiceRequest,
+        ServiceResponse, //
+    },
+    middleware::{
+        Next,
+        from_fn, //
+    },
+    web, //
+};
+use compact_str::format_compact;
+use serde::Deserialize;
+
+use crate::{
+    admin::{
+        access::Reader,
+        failure::Failure, //
+    },
+    ids::{
+        Incarnation,
+        Millis, //
+    },
+    ledger::{
+        outcomes,
+        record,
+        replica::{
+            self,
+            Replica, //
+        },
+        state::State, //
+    },
+    program,
+    settings, //
+};
+
+pub mod access;
+pub mod changes;
+pub mod diff;
+pub mod failure;
+pub mod instances;
+pub mod metrics;
+pub mod openapi;
+pub mod profiles;
+
+/// Largest body of a call, in bytes.
+const MAX_BODY: usize = 1 << 20;
+
+/// How long a graceful shutdown waits for calls in progress.
+const DRAIN: Duration = Duration::from_secs(10);
+
+/// What every handler may use.
+#[derive(Debug, Clone)]
+pub struct Shared {
+    /// The replayed log.
+    pub ledger: replica::Handle,
+    /// The settings.
+    pub settings: Arc<settings::Entry>,
+    /// The metrics.
+    pub metrics: Arc<metrics::Metrics>,
+}
+
+impl Shared {
+    /// Checks that the state is whole, so that it may answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it is not.
+    pub async fn ready(&self) -> Result<replica::Status, Failure> {
+        let status = self.ledger.addr.send(replica::GetStatus).await;
+        let status = status.map_err(|_| Failure::unavailable("the replica has ended"))?;
+        if !status.loaded {
+            return Err(Failure::unavailable("the state is not loaded yet"));
+        }
+        Ok(status)
+    }
+
+    /// Checks that the state is whole and understood, so that a change may be decided from it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it is not.
+    pub async fn may_decide(&self) -> Result<(), Failure> {
+        self.ready().await?;
+        if !self.ledger.read(State::complete) {
+            let message = "the log holds records of a newer release; ask an instance of that one";
+            return Err(Failure::unavailable(message));
+        }
+        Ok(())
+    }
+}
+
+/// A running administration API.
+#[derive(Debug)]
+pub struct Running {
+    server: ServerHandle,
+    /// What its handlers use.
+    pub shared: Shared,
+}
+
+impl Running {
+    /// Stops gracefully: calls in progress get their answers.
+    pub async fn stop(self) {
+        self.server.stop(true).await;
+        log::info!("stopped");
+    }
+}
+
+/// Runs the administration API until the process is asked to stop.
+///
+/// # Errors
+///
+/// Fails when the address cannot be bound.
+pub async fn serve_until_stopped(settings: settings::Entry) -> io::Result<()> {
+    let running = start(settings)?;
+    program::stop_signal().await?;
+    running.stop().await;
+    Ok(())
+}
+
+/// Starts the administration API on this thread's actor system.
+///
+/// # Errors
+///
+/// Fails when the address cannot be bound.
+pub fn start(settings: settings::Entry) -> io::Result<Running> {
+    let settings = Arc::new(settings);
+    let shared = Shared {
+        ledger: Replica::start(&settings, author(&settings)?),
+        settings: settings.clone(),
+        metrics: Arc::new(metrics::Metrics::new()),
+    };
+    let data = web::Data::new(shared.clone());
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(data.clone())
+            .wrap(from_fn(count))
+            .configure(routes)
+    });
+    let server = server
+        .workers(1)
+        .disable_signals()
+        .shutdown_timeout(DRAIN.as_secs())
+        .bind(settings.admin)?
+        .run();
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    log::info!(instance:% = settings.id, address:% = settings.admin; "administration API started");
+    Ok(Running {
+        server: handle,
+        shared,
+    })
+}
+
+/// The author of this process's records: not the entry process of the same instance, whose batches
+/// must have other ids.
+fn author(settings: &settings::Entry) -> io::Result<record::Author> {
+    let instance = format_compact!("{}:admin", settings.id);
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let span = since.map_or(0, |span| span.as_millis());
+    Ok(record::Author {
+        instance: instance.parse().map_err(io::Error::other)?,
+        incarnation: Incarnation(u64::try_from(span).unwrap_or(0)),
+    })
+}
+
+/// Adds the routes of [`openapi::ROUTES`].
+pub fn routes(cfg: &mut web::ServiceConfig) {
+    cfg.app_data(web::PayloadConfig::new(MAX_BODY))
+        .route("/v1/profiles", web::get().to(profiles::list))
+        .route("/v1/profiles/check", web::post().to(profiles::check))
+        .route("/v1/profiles/{name}", web::get().to(profiles::show))
+        .route("/v1/profiles/{name}", web::put().to(profiles::publish))
+        .route("/v1/profiles/{name}", web::delete().to(profiles::withdraw))
+        .route(
+            "/v1/profiles/{name}/history",
+            web::get().to(profiles::history),
+        )
+        .route(
+            "/v1/profiles/{name}/diff",
+            web::post().to(profiles::compare),
+        )
+        .route(
+            "/v1/profiles/{name}/rollback",
+            web::post().to(profiles::roll_back),
+        )
+        .route("/v1/instances/in-force", web::get().to(instances::in_force))
+        .route("/v1/outcomes", web::get().to(outcomes))
+        .route("/healthz", web::get().to(health))
+        .route("/readyz", web::get().to(ready))
+        .route("/metrics", web::get().to(exposition));
+}
+
+/// Query of the outcomes.
+#[derive(Debug, Clone, Copy, Deserialize)]
+struct Since {
+    /// The first time of interest, in milliseconds since 1970.
+    #[serde(default)]
+    since: Millis,
+}
+
+/// `GET /v1/outcomes`: what became of work, by span of time, profile and version.
+async fn outcomes(
+    shared: web::Data<Shared>,
+    query: web::Query<Since>,
+    _: Reader,
+) -> Result<HttpResponse, Failure> {
+    shared.ready().await?;
+    let rows: Vec<outcomes::Row> = shared
+        .ledger
+        .read(|state| state.outcomes.rows(query.since).collect());
+    Ok(HttpResponse::Ok().json(rows))
+}
+
+/// `GET /healthz`: the process runs.
+async fn health() -> HttpResponse {
+    HttpResponse::Ok().body("ok\n")
+}
+
+/// `GET /readyz`: the state is whole.
+async fn ready(shared: web::Data<Shared>) -> Result<HttpResponse, Failure> {
+    shared.ready().await?;
+    Ok(HttpResponse::Ok().body("ready\n"))
+}
+
+/// `GET /metrics`: the metrics.
+async fn exposition(shared: web::Data<Shared>) -> Result<HttpResponse, Failure> {
+    let status = shared.ledger.addr.send(replica::GetStatus).await;
+    if let Ok(status) = status {
+        let silent = status.silent.map_or(0, |s| s.as_millis());
+        let metrics = &shared.metrics;
+        metrics
+            .offset
+            .set(i64::try_from(status.next.0).unwrap_or(i64::MAX));
+        metrics.loaded.set(i64::from(status.loaded));
+        metrics
+            .silent
+            .set(i64::try_from(silent).unwrap_or(i64::MAX));
+    }
+    let text = shared.metrics.encode();
+    let text = text.map_err(|_| Failure::internal("the metrics cannot be written"))?;
+    Ok(HttpResponse::Ok()
+        .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
+        .body(text))
+}
+
+/// Counts every call under its route. Headers and bodies are not looked at.
+async fn count(
+    call: ServiceRequest,
+    next: Next<impl MessageBody>,
+) -> Result<ServiceResponse<impl MessageBody>, Error> {
+    let metrics = call
+        .app_data::<web::Data<Shared>>()
+        .map(|s| s.metrics.clone());
+    let method = call.method().clone();
+    let pattern = call.match_pattern();
+    let answer = next.call(call).await?;
+    if let Some(metrics) = metrics {
+        let call = metrics::Call {
+            route: format!("{method} {}", pattern.as_deref().unwrap_or("none")),
+            status: answer.status().as_u16(),
+        };
+        metrics.calls.get_or_create(&call).inc();
+    }
+    Ok(answer)
+}
--- /dev/null
+++ b/src/admin/openapi.rs
@@ -0,0 +1,303 @@
+//! The OpenAPI description of the administration API, made from the routes and the message types.
+
+use schemars::{
+    JsonSchema,
+    generate::SchemaSettings, //
+};
+use serde_json::{
+    Map,
+    Value,
+    json, //
+};
+
+use crate::{
+    findings,
+    profile,
+    wire::{
+        admin,
+        caller, //
+    }, //
+};
+
+/// Who may call a route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Guard {
+    /// Everybody who reaches the port.
+    Open,
+    /// A token of either role.
+    Reader,
+    /// A token of the operator role.
+    Operator,
+}
+
+/// One route.
+#[derive(Debug, Clone, Copy)]
+pub struct Route {
+    /// The method, in lower case.
+    pub method: &'static str,
+    /// The path's pattern.
+    pub path: &'static str,
+    /// Who may call it.
+    pub guard: Guard,
+    /// One line for people.
+    pub summary: &'static str,
+    /// The type of the body, if it takes one.
+    pub body: Option<&'static str>,
+    /// Query parameters, as name and whether it is needed.
+    pub query: &'static [(&'static str, bool)],
+    /// The type of the answer; `Text` for plain text.
+    pub answer: &'static str,
+}
+
+/// A route that takes neither a body nor a query.
+const fn get(path: &'static str, answer: &'static str, summary: &'static str) -> Route {
+    Route {
+        method: "get",
+        path,
+        guard: Guard::Reader,
+        summary,
+        body: None,
+        query: &[],
+        answer,
+    }
+}
+
+/// All routes, sorted by path.
+pub const ROUTES: [Route; 13] = [
+    Route {
+        guard: Guard::Open,
+        ..get("/healthz", "Text", "Whether the process runs.")
+    },
+    Route {
+        guard: Guard::Open,
+        ..get(
+            "/metrics",
+            "Text",
+            "Metrics in the OpenMetrics text format.",
+        )
+    },
+    Route {
+        guard: Guard::Open,
+        ..get("/readyz", "Text", "Whether the state is whole.")
+    },
+    Route {
+        query: &[("offset", false)],
+        ..get(
+            "/v1/instances/in-force",
+            "InForce",
+            "On how many instances a change is in force, and on which it is not.",
+        )
+    },
+    Route {
+        query: &[("since", false)],
+        ..get(
+            "/v1/outcomes",
+            "Outcomes",
+            "What became of work, by span of time, profile and version.",
+        )
+    },
+    get(
+        "/v1/profiles",
+        "Summaries",
+        "All profiles, withdrawn ones too.",
+    ),
+    Route {
+        method: "post",
+        body: Some("Body"),
+        ..get("/v1/profiles/check", "Findings", "All faults of a profile.")
+    },
+    get(
+        "/v1/profiles/{name}",
+        "Profile",
+        "One profile as it stands.",
+    ),
+    Route {
+        method: "put",
+        guard: Guard::Operator,
+        body: Some("Publish"),
+        ..get("/v1/profiles/{name}", "Published", "Publishes a profile.")
+    },
+    Route {
+        method: "delete",
+        guard: Guard::Operator,
+        query: &[("base", true), ("change", true)],
+        ..get("/v1/profiles/{name}", "Published", "Withdraws a profile.")
+    },
+    Route {
+        method: "post",
+        body: Some("Body"),
+        ..get(
+            "/v1/profiles/{name}/diff",
+            "Diff",
+            "What a proposed profile would change.",
+        )
+    },
+    get(
+        "/v1/profiles/{name}/history",
+        "History",
+        "The kept versions, oldest first.",
+    ),
+    Route {
+        method: "post",
+        guard: Guard::Operator,
+        body: Some("Rollback"),
+        ..get(
+            "/v1/profiles/{name}/rollback",
+            "Published",
+            "Publishes the body of an earlier version again.",
+        )
+    },
+];
+
+/// Every refusal that a route can answer with, as HTTP status and text.
+const REFUSALS: [(&str, &str, Guard); 7] = [
+    (
+        "400",
+        "bad_input: the input has faults, all of them listed.",
+        Guard::Open,
+    ),
+    (
+        "401",
+        "forbidden: the token is missing or unknown.",
+        Guard::Reader,
+    ),
+    (
+        "403",
+        "forbidden: the token allows reading alone.",
+        Guard::Operator,
+    ),
+    (
+        "404",
+        "unknown_profile: no such profile or kept version.",
+        Guard::Open,
+    ),
+    (
+        "409",
+        "conflict: another change won; duplicate: the change id is used.",
+        Guard::Operator,
+    ),
+    ("500", "internal: an error inside the system.", Guard::Open),
+    (
+        "503",
+        "log_unavailable: the state or the log is not available; `ran` says whether \
+        a change may still take effect.",
+        Guard::Open,
+    ),
+];
+
+/// The whole description.
+#[must_use]
+pub fn document() -> Value {
+    let mut paths = Map::new();
+    for route in &ROUTES {
+        let path = paths.entry(route.path).or_insert_with(|| json!({}));
+        path[route.method] = operation(route);
+    }
+    json!({
+        "openapi": "3.1.0",
+        "info": {
+            "title": "bamboolock administration API",
+            "version": env!("CARGO_PKG_VERSION"),
+        },
+        "paths": paths,
+        "components": {
+            "securitySchemes": {"token": {"type": "http", "scheme": "bearer"}},
+            "schemas": schemas(),
+        },
+    })
+}
+
+fn operation(route: &Route) -> Value {
+    let mut operation = json!({
+        "summary": route.summary,
+        "parameters": parameters(route),
+        "responses": responses(route),
+    });
+    if route.guard != Guard::Open {
+        operation["security"] = json!([{"token": []}]);
+    }
+    if let Some(body) = route.body {
+        operation["requestBody"] = json!({"required": true, "content": content(body)});
+    }
+    operation
+}
+
+fn parameters(route: &Route) -> Vec<Value> {
+    let text = json!({"type": "string"});
+    let mut all = Vec::new();
+    if route.path.contains("{name}") {
+        all.push(json!({"name": "name", "in": "path", "required": true, "schema": text}));
+    }
+    for (name, required) in route.query {
+        all.push(json!({"name": name, "in": "query", "required": required, "schema": text}));
+    }
+    all
+}
+
+fn responses(route: &Route) -> Value {
+    let mut responses = json!({
+        "200": {"description": route.summary, "content": content(route.answer)},
+    });
+    for (status, text, guard) in REFUSALS {
+        let applies = match guard {
+            Guard::Open => route.answer != "Text" || status == "503",
+            Guard::Reader => route.guard != Guard::Open,
+            Guard::Operator => route.guard == Guard::Operator,
+        };
+        if !applies {
+            continue;
+        }
+        let body = match status {
+            "409" => "Conflict",
+            _ => "Refusal",
+        };
+        responses[status] = json!({"description": text, "content": content(body)});
+    }
+    responses
+}
+
+fn content(name: &str) -> Value {
+    match name {
+        "Text" => json!({"text/plain": {"schema": {"type": "string"}}}),
+        "Summaries" => list("Summary"),
+        "History" => list("Version"),
+        "Outcomes" => json!({"application/json": {"schema": {"type": "array",
+            "items": {"type": "object"}}}}),
+        name => json!({"application/json": {"schema": reference(name)}}),
+    }
+}
+
+fn list(name: &str) -> Value {
+    json!({"application/json": {"schema": {"type": "array", "items": reference(name)}}})
+}
+
+fn reference(name: &str) -> Value {
+    json!({"$ref": format!("#/components/schemas/{name}")})
+}
+
+fn schemas() -> Map<String, Value> {
+    let mut all = Map::new();
+    add::<profile::Profile>("Body", &mut all);
+    add::<findings::Findings>("Findings", &mut all);
+    add::<caller::Refusal>("Refusal", &mut all);
+    add::<admin::Conflict>("Conflict", &mut all);
+    add::<admin::Diff>("Diff", &mut all);
+    add::<admin::InForce>("InForce", &mut all);
+    add::<admin::Profile>("Profile", &mut all);
+    add::<admin::Publish>("Publish", &mut all);
+    add::<admin::Published>("Published", &mut all);
+    add::<admin::Rollback>("Rollback", &mut all);
+    add::<admin::Summary>("Summary", &mut all);
+    add::<admin::Version>("Version", &mut all);
+    all
+}
+
+/// Adds the schema of a type, whole and without references.
+fn add<T: JsonSchema>(name: &str, all: &mut Map<String, Value>) {
+    let settings = SchemaSettings::draft2020_12().with(|s| {
+        s.inline_subschemas = true;
+        s.meta_schema = None;
+    });
+    let schema = settings.into_generator().into_root_schema_for::<T>();
+    all.insert(name.to_owned(), schema.to_value());
+}
--- /dev/null
+++ b/src/admin/profiles.rs
@@ -0,0 +1,232 @@
+//! Handlers of profiles.
+
+use actix_web::{
+    HttpResponse,
+    web, //
+};
+use bytes::Bytes;
+use schemars::JsonSchema;
+use serde::de::DeserializeOwned;
+
+use crate::{
+    admin::{
+        Shared,
+        access::{
+            Operator,
+            Reader, //
+        },
+        changes,
+        diff,
+        failure::Failure, //
+    },
+    findings::{
+        self,
+        Check,
+        Findings, //
+    },
+    ids::ProfileName,
+    ledger::{
+        profiles,
+        record, //
+    },
+    wire::admin, //
+};
+
+type Answer = Result<HttpResponse, Failure>;
+
+/// `GET /v1/profiles`: all profiles.
+pub(super) async fn list(shared: web::Data<Shared>, _: Reader) -> Answer {
+    shared.ready().await?;
+    let all: Vec<admin::Summary> = shared.ledger.read(|state| {
+        let list = state.profiles.list().iter();
+        list.filter_map(summary).collect()
+    });
+    Ok(HttpResponse::Ok().json(all))
+}
+
+/// `GET /v1/profiles/{name}`: one profile as it stands.
+pub(super) async fn show(shared: web::Data<Shared>, path: web::Path<String>, _: Reader) -> Answer {
+    shared.ready().await?;
+    let name = name(&path)?;
+    let found = shared.ledger.read(|state| {
+        let named = state.profiles.named(&name)?;
+        Some(admin::Profile {
+            effective: named.current().map(|v| v.change.version),
+            latest: version(&name, named.history.last()?),
+        })
+    });
+    let found = found.ok_or_else(|| unknown(&name))?;
+    Ok(HttpResponse::Ok().json(found))
+}
+
+/// `GET /v1/profiles/{name}/history`: the kept versions, oldest first.
+pub(super) async fn history(
+    shared: web::Data<Shared>,
+    path: web::Path<String>,
+    _: Reader,
+) -> Answer {
+    shared.ready().await?;
+    let name = name(&path)?;
+    let versions: Option<Vec<admin::Version>> = shared.ledger.read(|state| {
+        let versions = state.profiles.named(&name)?.history.iter();
+        Some(versions.map(|v| version(&name, v)).collect())
+    });
+    let versions = versions.ok_or_else(|| unknown(&name))?;
+    Ok(HttpResponse::Ok().json(versions))
+}
+
+/// `POST /v1/profiles/check`: all faults of a profile.
+pub(super) async fn check(_: Reader, body: Bytes) -> Answer {
+    let found = match parse("profile", &body) {
+        Ok(value) => changes::check("profile", &value).err(),
+        Err(findings) => Some(findings),
+    };
+    Ok(HttpResponse::Ok().json(found.unwrap_or_default()))
+}
+
+/// `POST /v1/profiles/{name}/diff`: what a proposed profile would change.
+pub(super) async fn compare(
+    shared: web::Data<Shared>,
+    path: web::Path<String>,
+    _: Reader,
+    body: Bytes,
+) -> Answer {
+    shared.ready().await?;
+    let name = name(&path)?;
+    let proposed = parse("profile", &body).map_err(Failure::input)?;
+    let (version, current) = shared.ledger.read(|state| {
+        let last = state.profiles.named(&name).and_then(|n| n.history.last());
+        last.map_or((0, serde_json::Value::Null), |v| {
+            (v.change.version, v.change.value())
+        })
+    });
+    Ok(HttpResponse::Ok().json(admin::Diff {
+        version,
+        differences: diff::diff(&current, &proposed),
+    }))
+}
+
+/// `PUT /v1/profiles/{name}`: publishes a profile.
+pub(super) async fn publish(
+    shared: web::Data<Shared>,
+    path: web::Path<String>,
+    operator: Operator,
+    body: Bytes,
+) -> Answer {
+    let name = name(&path)?;
+    let publish: admin::Publish = read(&body)?;
+    changes::check("/body", &publish.body).map_err(Failure::input)?;
+    let change = record::ProfileChange {
+        change: publish.change,
+        name,
+        base: publish.base,
+        body: publish.body,
+        operator: operator.name,
+    };
+    apply(&shared, change).await
+}
+
+/// `POST /v1/profiles/{name}/rollback`: publishes the body of an earlier version again.
+pub(super) async fn roll_back(
+    shared: web::Data<Shared>,
+    path: web::Path<String>,
+    operator: Operator,
+    body: Bytes,
+) -> Answer {
+    shared.ready().await?;
+    let name = name(&path)?;
+    let wanted: admin::Rollback = read(&body)?;
+    let version = wanted.version;
+    let kept = shared.ledger.read(|state| {
+        let version = state.profiles.named(&name)?.get(version)?;
+        Some(version.change.value())
+    });
+    let missing = || Failure::unknown(format!("{name} has no kept version {version}"));
+    let body = kept.ok_or_else(missing)?;
+    changes::check("version", &body).map_err(Failure::input)?;
+    let change = record::ProfileChange {
+        change: wanted.change,
+        name: name.clone(),
+        base: wanted.base,
+        body,
+        operator: operator.name,
+    };
+    apply(&shared, change).await
+}
+
+/// `DELETE /v1/profiles/{name}`: withdraws a profile.
+pub(super) async fn withdraw(
+    shared: web::Data<Shared>,
+    path: web::Path<String>,
+    operator: Operator,
+    query: web::Query<admin::Withdraw>,
+) -> Answer {
+    let name = name(&path)?;
+    let query = query.into_inner();
+    let change = record::ProfileChange {
+        change: query.change,
+        name,
+        base: query.base,
+        body: serde_json::Value::Null,
+        operator: operator.name,
+    };
+    apply(&shared, change).await
+}
+
+async fn apply(shared: &Shared, change: record::ProfileChange) -> Answer {
+    let published = changes::publish(shared, change).await?;
+    Ok(HttpResponse::Ok().json(published))
+}
+
+fn summary(named: &profiles::Named) -> Option<admin::Summary> {
+    let last = &named.history.last()?.change;
+    Some(admin::Summary {
+        name: named.name.clone(),
+        effective: named.current().map(|v| v.change.version),
+        version: last.version,
+        operator: last.operator.clone(),
+        at: last.at,
+    })
+}
+
+/// A version as operators see it.
+pub(super) fn version(name: &ProfileName, version: &profiles::Version) -> admin::Version {
+    let change = &version.change;
+    admin::Version {
+        name: name.clone(),
+        version: change.version,
+        base: change.base,
+        change: change.change.clone(),
+        operator: change.operator.clone(),
+        at: change.at,
+        offset: change.offset,
+        readable: version.profile.is_some() || change.withdrawn(),
+        body: change.value(),
+    }
+}
+
+fn name(path: &str) -> Result<ProfileName, Failure> {
+    path.parse().map_err(|e: crate::ids::Error| {
+        let mut found = Findings::default();
+        found.add("request", "/name", e.to_string(), "");
+        Failure::input(found)
+    })
+}
+
+fn unknown(name: &ProfileName) -> Failure {
+    Failure::unknown(format!("no profile is named {name}"))
+}
+
+fn read<T: Check + DeserializeOwned + JsonSchema>(body: &Bytes) -> Result<T, Failure> {
+    let value = parse("request", body).map_err(Failure::input)?;
+    findings::from_value("request", value).map_err(Failure::input)
+}
+
+fn parse(source: &str, body: &Bytes) -> Result<serde_json::Value, Findings> {
+    serde_json::from_slice(body).map_err(|e| {
+        let mut found = Findings::default();
+        let place = format!("line {} column {}", e.line(), e.column());
+        found.add(source, &place, e.to_string(), "the body must be JSON");
+        found
+    })
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! The programs under `src/bin` are thin shells over this library. Decisions are pure functions
 //! over a state and a clock in [`kernel`] and [`ledger`]; everything else moves bytes.
 
+pub mod admin;
 pub mod bench;
 pub mod configs;
 pub mod context;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the programs: one JSON file each, checked whole before anything starts.
 
 use std::{
+    fmt,
     net::SocketAddr,
     path::Path, //
 };
@@ -33,7 +34,7 @@
 }
 
 /// A token of the administration API.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct AccessToken {
     /// The name under which changes are recorded.
@@ -46,6 +47,16 @@
     pub secret: CompactString,
 }
 
+impl fmt::Debug for AccessToken {
+    /// Leaves the secret out, so that no log can hold it.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("AccessToken")
+            .field("operator", &self.operator)
+            .field("access", &self.access)
+            .finish_non_exhaustive()
+    }
+}
+
 /// Settings of an entry instance (`bamboolock-entry`) and of the administration API
 /// (`bamboolock-admin`) that runs on it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
--- a/tests/ledger/fake_log.rs
+++ b/tests/ledger/fake_log.rs
@@ -46,6 +46,10 @@
     pub(crate) entries: Vec<log::Entry>,
     pub(crate) fault: Fault,
     pub(crate) appends: u64,
+    /// The platform's list of instances.
+    pub(crate) instances: serde_json::Value,
+    /// What the log's own address answers as an instance's status.
+    pub(crate) status: u64,
 }
 
 impl Content {
@@ -92,6 +96,8 @@
             entries: Vec::new(),
             fault: Fault::None,
             appends: 0,
+            instances: serde_json::Value::Null,
+            status: 0,
         }));
         let data = web::Data::new(content.clone());
         let server = HttpServer::new(move || {
@@ -100,6 +106,8 @@
                 .app_data(web::JsonConfig::default().limit(1 << 26))
                 .route("/v1/log/append", web::post().to(append))
                 .route("/v1/log/read", web::get().to(read))
+                .route("/v1/instances", web::get().to(instances))
+                .route("/v1/status", web::get().to(status))
         });
         let server = server.workers(1).disable_signals();
         let server = server.bind("127.0.0.1:0").unwrap();
@@ -160,3 +168,12 @@
         tokio::time::sleep(Duration::from_millis(2)).await;
     }
 }
+
+async fn instances(log: web::Data<Shared>) -> HttpResponse {
+    HttpResponse::Ok().json(&log.lock().unwrap().instances)
+}
+
+async fn status(log: web::Data<Shared>) -> HttpResponse {
+    let next = log.lock().unwrap().status;
+    HttpResponse::Ok().json(serde_json::json!({"id": "i1", "next": next, "ready": true}))
+}
--- a/tests/ledger/main.rs
+++ b/tests/ledger/main.rs
@@ -1,10 +1,12 @@
-//! Contract and fuzz tests of the ledger: replay, recovery, group commits and the replica.
+//! Contract and fuzz tests of the ledger: replay, recovery, group commits, the replica and the
+//! administration API on top of it.
 
 #![expect(
     clippy::unwrap_used,
     reason = "a test helper that fails is to fail its test"
 )]
 
+mod admin;
 mod common;
 mod fake_log;
 mod replay;
