--- a/src/kernel/requests/dispatch.rs
+++ b/src/kernel/requests/dispatch.rs
@@ -27,10 +27,7 @@
             },
         }, //
     },
-    wire::caller::{
-        Code,
-        Ran, //
-    }, //
+    wire::caller::Code, //
 };
 
 /// Workers looked at for one decision.
@@ -140,9 +137,10 @@
         if self.classes[key].dequeue(place) {
             self.queued -= 1;
         }
-        let request = &self.requests[head];
-        let fresh = request.sent == 0 && request.ran() == Ran::No;
-        let kind = if fresh { Kind::First } else { Kind::Retry };
+        let kind = match self.requests[head].is_fresh() {
+            true => Kind::First,
+            false => Kind::Retry,
+        };
         Some(self.send(now, head, worker, kind))
     }
 
--- a/tests/requests/admission.rs
+++ b/tests/requests/admission.rs
@@ -3,10 +3,13 @@
 use assert_matches::assert_matches;
 use bamboolock::{
     configs,
+    context::Distance,
     kernel::requests::{
         Outcome,
+        Peer,
         Step, //
     },
+    modules,
     wire::caller::{
         Code,
         Ran, //
@@ -20,6 +23,43 @@
 
 const ANSWER: Outcome = Outcome::Answered { took: 100 };
 
+inventory::submit! {
+    modules::Plugin {
+        name: "test_admits_all",
+        summary: "admits everything, also beyond the bound",
+        point: modules::Point::Shed(|_| false),
+    }
+}
+
+#[test]
+fn the_queue_is_bounded_whatever_the_plugin_says() {
+    let profile = profile(serde_json::json!({
+        "limits": {"queue": 2},
+        "policies": {"shed": "test_admits_all"},
+    }));
+    let mut rig = Rig::new(0, 1);
+    rig.submit("p", &profile, 60_000).unwrap();
+    rig.submit("p", &profile, 60_000).unwrap();
+    let refusal = rig.submit("p", &profile, 60_000).unwrap_err();
+    assert_eq!((refusal.code, refusal.ran), (Code::QueueFull, Ran::No));
+}
+
+#[test]
+fn what_cannot_finish_in_time_any_more_takes_no_slot() {
+    let profile = profile(serde_json::json!({"policies": {"shed": "full_queue"}}));
+    let mut rig = Rig::new(1, 1);
+    rig.warm("p", &profile, 100, 10);
+    let first = rig.send("p", &profile, 60_000);
+    let key = rig.submit("p", &profile, 150).unwrap();
+    rig.now = rig.now.plus(100);
+    assert_eq!(rig.finish(&first, ANSWER), Step::Answer);
+    assert!(rig.next().is_empty());
+    let notices = rig.kernel.notices();
+    assert_eq!(notices.len(), 1);
+    assert_eq!(notices[0].key, key);
+    assert_matches!(&notices[0].step, Step::Refuse(r) if r.ran == Ran::No);
+}
+
 #[test]
 fn refusals_at_admission_are_not_run() {
     let plain = profile(serde_json::json!({"limits": {"queue": 2}}));
@@ -144,6 +184,37 @@
     assert!(rig.kernel.notices().is_empty());
 }
 
+/// Found by the soak: such a request has no sends to workers, but may have run at the peer.
+#[test]
+fn a_request_that_may_run_at_a_peer_is_not_evicted() {
+    let cfg = configs::requests::Requests {
+        waiting: 1,
+        ..Default::default()
+    };
+    let low = profile(serde_json::json!({"idempotent": true, "retry": {"budget": 1.0}}));
+    let high = profile(serde_json::json!({"priority": 9}));
+    let mut rig = Rig::with(cfg, 1, 1);
+    rig.send("low", &low, 60_000);
+    rig.submit("low", &low, 60_000).unwrap();
+    let peer = Peer {
+        free: 1,
+        distance: Distance::Zone,
+        trip: 0,
+    };
+    let passed = rig.kernel.forward(rig.now, &[peer]);
+    assert_eq!(passed.len(), 1);
+    let step = rig
+        .kernel
+        .finished(rig.now, passed[0].attempt, Outcome::Silent, &mut rig.pool);
+    assert_matches!(step, Step::Retry { .. });
+    rig.now = rig.now.plus(50);
+    assert!(rig.next().is_empty());
+    assert_eq!(rig.kernel.queued(), 1);
+    let refusal = rig.submit("high", &high, 60_000).unwrap_err();
+    assert_eq!((refusal.code, refusal.ran), (Code::QueueFull, Ran::No));
+    assert!(rig.kernel.notices().is_empty());
+}
+
 #[test]
 fn the_most_urgent_goes_first() {
     let rows = [
