feat(bench): experiments on the decision logic beside plain baselines

Change: bamboolock-bench and scripts/bench run blocking, crest, decide, storm and wait in-process on simulated time: our kernel, the same kernel as one FIFO queue without shedding, and baselines that bind on arrival (random, round robin, least loaded), all on the same generated arrivals.

--- /dev/null
+++ b/src/bench/measures/crest.rs
@@ -0,0 +1,88 @@
+//! How service holds at the crest of a tenfold swing.
+
+use crate::bench::{
+    arrivals,
+    early::Choice,
+    measures::{
+        self,
+        Error,
+        Options, //
+    },
+    report::{
+        Line,
+        Target, //
+    },
+    tally::Tally,
+};
+
+/// When the swing begins, in milliseconds.
+const RISE: u64 = 10_000;
+
+/// How long it rises, in milliseconds.
+const RAMP: u64 = 2_000;
+
+/// The factor of the swing.
+const SWING: f64 = 10.0;
+
+/// Runs the measure.
+///
+/// # Errors
+///
+/// Returns what is wrong with the experiment's own profiles.
+pub fn run(options: &Options) -> Result<Vec<Line>, Error> {
+    let works = [
+        measures::checks(0.07)?,
+        measures::notices(0.07)?,
+        measures::plans(0.01)?,
+    ];
+    let top = RISE + RAMP;
+    let fall = top + options.span(30_000, 10_000);
+    let end = fall + 20_000;
+    let rate = |at: u64| match at {
+        at if at < RISE || at >= fall => 1.0,
+        at if at < top => 1.0 + (SWING - 1.0) * (at - RISE) as f64 / RAMP as f64,
+        _ => SWING,
+    };
+    let jobs = arrivals::generate(&works, measures::ALL, end, options.seed, &rate);
+    let span = RISE..fall;
+    let ours = measures::late(&Default::default(), &works, &jobs, None, end)?;
+    let policies = serde_json::json!({"route": "random", "order": "fifo", "shed": "full_queue"});
+    let plain = measures::plain(&works, &policies)?;
+    let rows = [
+        (
+            "one FIFO queue without shedding",
+            measures::late(&Default::default(), &plain, &jobs, None, end)?,
+        ),
+        (
+            "least loaded",
+            measures::early(Choice::LeastLoaded, &works, &jobs, end),
+        ),
+    ];
+    let mut lines = Vec::new();
+    for (name, baseline) in rows {
+        lines.push(Line {
+            measure: "CREST.goodput",
+            unit: "share of all slot time at the crest spent on work answered in time",
+            ours: share(&ours, top..fall),
+            baseline: share(&baseline, top..fall),
+            against: name.to_owned(),
+            judged: share(&ours, top..fall),
+            target: Target::Least(0.95),
+        });
+        lines.push(Line {
+            measure: "CREST.checks",
+            unit: "share of short checks answered in time during the swing",
+            ours: ours.in_time(Some(0), span.clone()),
+            baseline: baseline.in_time(Some(0), span.clone()),
+            against: name.to_owned(),
+            judged: ours.in_time(Some(0), span.clone()),
+            target: Target::Least(0.99),
+        });
+    }
+    Ok(lines)
+}
+
+fn share(tally: &Tally, span: std::ops::Range<u64>) -> f64 {
+    let all = (span.end - span.start) as f64 * f64::from(measures::ALL);
+    tally.useful(span) / all
+}
--- /dev/null
+++ b/src/bench/measures/decide.rs
@@ -0,0 +1,153 @@
+//! What a decision costs, in real time on one core.
+
+use std::{
+    sync::Arc,
+    time::Instant, //
+};
+
+use hdrhistogram::Histogram;
+
+use crate::{
+    bench::{
+        arrivals::Work,
+        measures::{
+            self,
+            Error,
+            Options, //
+        },
+        report::{
+            Line,
+            Target, //
+        },
+        room::Pool,
+    },
+    ids::Millis,
+    kernel::{
+        Room,
+        requests::{
+            Arrival,
+            AttemptKey,
+            Outcome,
+            Requests, //
+        }, //
+    }, //
+};
+
+/// Workers of the large cell.
+const LARGE: usize = 29_000;
+
+/// Tasks that run there.
+const TASKS: u32 = 220_000;
+
+/// Requests in progress in each cell.
+const OPEN: usize = 12;
+
+/// Decisions after which the clock moves on by a millisecond.
+const PACE: usize = 5;
+
+/// What a run showed.
+struct Cost {
+    /// Decisions a second.
+    rate: f64,
+    /// 99th percentile of one decision, in milliseconds.
+    tail: f64,
+}
+
+/// Runs the measure.
+///
+/// # Errors
+///
+/// Returns what is wrong with the experiment's own profiles.
+pub fn run(options: &Options) -> Result<Vec<Line>, Error> {
+    let works = [measures::checks(0.5)?, measures::notices(0.5)?];
+    let count = options.span(1_000_000, 200_000) as usize;
+    let share = f64::from(TASKS) / (LARGE as f64 * f64::from(measures::SLOTS));
+    let small = cost(&works, measures::WORKERS, share, count)?;
+    let large = cost(&works, LARGE, share, count)?;
+    let plain = measures::plain(
+        &works,
+        &serde_json::json!({"route": "random", "order": "fifo", "shed": "full_queue"}),
+    )?;
+    let baseline = cost(&plain, measures::WORKERS, share, count)?;
+    let against = "random route, FIFO, no shedding".to_owned();
+    Ok(vec![
+        Line {
+            measure: "DECIDE.rate",
+            unit: "requests a second through submit, next and finished, 48 workers, one core",
+            ours: small.rate,
+            baseline: baseline.rate,
+            against: against.clone(),
+            judged: small.rate,
+            target: Target::Least(5_000.0),
+        },
+        Line {
+            measure: "DECIDE.p99",
+            unit: "p99 of submit and next, 48 workers, ms",
+            ours: small.tail,
+            baseline: baseline.tail,
+            against,
+            judged: small.tail,
+            target: Target::Most(1.0),
+        },
+        Line {
+            measure: "DECIDE.scale",
+            unit: "cost of a request at 29,000 workers, over that at 48 (both as microseconds)",
+            ours: 1e6 / large.rate,
+            baseline: 1e6 / small.rate,
+            against: "ours at 48 workers".to_owned(),
+            judged: small.rate / large.rate,
+            target: Target::Most(3.0),
+        },
+    ])
+}
+
+/// Sends `count` requests through a kernel whose workers are filled to `share`.
+fn cost(works: &[Work], workers: usize, share: f64, count: usize) -> Result<Cost, Error> {
+    let mut pool = Pool::new(workers, measures::CAPACITY);
+    fill(&mut pool, works, share);
+    let mut kernel = Requests::new(Default::default(), 1);
+    let mut open: Vec<AttemptKey> = Vec::with_capacity(OPEN);
+    let mut times = Histogram::<u64>::new_with_max(10_000_000_000, 3)
+        .unwrap_or_else(|_| unreachable!("the bounds are constants within the allowed range"));
+    let id: crate::ids::RequestId = "bench".parse()?;
+    let begin = Instant::now();
+    for i in 0..count {
+        let now = Millis((i / PACE) as u64);
+        let work = &works[i % works.len()];
+        let arrival = Arrival {
+            id: id.clone(),
+            name: work.name.clone(),
+            version: 1,
+            profile: Arc::clone(&work.profile),
+            deadline: 10_000,
+            key: None,
+            forwarded: false,
+        };
+        let start = Instant::now();
+        let admitted = kernel.submit(now, arrival).is_ok();
+        let sends = kernel.next(now, &mut pool);
+        times.saturating_record(start.elapsed().as_nanos() as u64);
+        debug_assert!(admitted && sends.len() == 1);
+        open.extend(sends.into_iter().map(|d| d.attempt));
+        if open.len() >= OPEN {
+            let done = open.swap_remove(i % OPEN);
+            kernel.finished(now, done, Outcome::Answered { took: 2 }, &mut pool);
+        }
+        if i % PACE == 0 {
+            kernel.tick(now);
+        }
+    }
+    let rate = count as f64 / begin.elapsed().as_secs_f64();
+    let tail = times.value_at_quantile(0.99) as f64 / 1e6;
+    Ok(Cost { rate, tail })
+}
+
+/// Takes slots for tasks, evenly, up to a share of all.
+fn fill(pool: &mut Pool, works: &[Work], share: f64) {
+    let keys = pool.keys();
+    let demand = works[0].profile.demand;
+    let wanted = (pool.slots().1 as f64 * share) as usize;
+    for i in 0..wanted {
+        pool.reserve(keys[i % keys.len()], &demand);
+    }
+}
--- /dev/null
+++ b/src/bench/measures/storm.rs
@@ -0,0 +1,120 @@
+//! How fast service comes back after an outage of half the workers, and what retries cost.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use crate::{
+    bench::{
+        arrivals::{
+            self,
+            Work, //
+        },
+        measures::{
+            self,
+            Error,
+            Options, //
+        },
+        report::{
+            Line,
+            Target, //
+        },
+        sim::Outage,
+        tally::{
+            BUCKET,
+            Tally, //
+        },
+    },
+    configs,
+    profile::Profile, //
+};
+
+/// How long the outage lasts, in milliseconds.
+const OUTAGE: u64 = 30_000;
+
+/// When it begins, in milliseconds.
+const FROM: u64 = 15_000;
+
+/// Goodput is looked at over so many buckets.
+const BUCKETS: usize = 4;
+
+/// Runs the measure.
+///
+/// # Errors
+///
+/// Returns what is wrong with the experiment's own profiles.
+pub fn run(options: &Options) -> Result<Vec<Line>, Error> {
+    let works = [measures::checks(0.5)?, measures::notices(0.3)?];
+    let end = FROM + OUTAGE + 30_000;
+    let jobs = arrivals::generate(&works, measures::ALL, end, options.seed, &|_| 1.0);
+    let outage = Some(Outage {
+        from: FROM,
+        to: FROM + OUTAGE,
+        below: measures::WORKERS / 2,
+        silent: 2,
+    });
+    let ours = measures::late(&Default::default(), &works, &jobs, outage, end)?;
+    let naive = naive(&works)?;
+    let cfg = configs::requests::Requests {
+        eject: 2.0,
+        pause: Duration::ZERO,
+        ..Default::default()
+    };
+    let baseline = measures::late(&cfg, &naive, &jobs, outage, end)?;
+    let against = "one FIFO queue, three immediate retries, no ejection".to_owned();
+    Ok(vec![
+        Line {
+            measure: "STORM.recovery",
+            unit: "time after the outage until goodput is 95% of that before, ms",
+            ours: recovery(&ours, end),
+            baseline: recovery(&baseline, end),
+            against: against.clone(),
+            judged: recovery(&ours, end),
+            target: Target::Most(5_000.0),
+        },
+        Line {
+            measure: "STORM.retries",
+            unit: "sends beyond the first, as a share of requests",
+            ours: again(&ours),
+            baseline: again(&baseline),
+            against,
+            judged: again(&ours),
+            target: Target::Most(0.1),
+        },
+    ])
+}
+
+/// The same work with retries that no budget bounds.
+fn naive(works: &[Work]) -> Result<Vec<Work>, Error> {
+    let policies = serde_json::json!({"route": "random", "order": "fifo", "shed": "full_queue"});
+    let mut naive = measures::plain(works, &policies)?;
+    for work in &mut naive {
+        let mut profile = Profile::clone(&work.profile);
+        profile.retry.budget = 1.0;
+        profile.retry.attempts = 4;
+        profile.retry.backoff = 0;
+        work.profile = Arc::new(profile);
+    }
+    Ok(naive)
+}
+
+fn again(tally: &Tally) -> f64 {
+    tally.again as f64 / tally.total() as f64
+}
+
+/// The end of the first stretch after the outage whose goodput is that of before, in milliseconds
+/// after the outage; the whole rest of the run when there is none.
+fn recovery(tally: &Tally, end: u64) -> f64 {
+    let goodput = tally.goodput(end);
+    let before = mean(&goodput[(FROM / 2 / BUCKET) as usize..(FROM / BUCKET) as usize]);
+    let first = ((FROM + OUTAGE) / BUCKET) as usize;
+    let after = goodput[first..].windows(BUCKETS);
+    let back = after.take_while(|w| mean(w) < 0.95 * before).count();
+    ((back + BUCKETS) as u64 * BUCKET) as f64
+}
+
+fn mean(counts: &[u32]) -> f64 {
+    let sum: u32 = counts.iter().sum();
+    f64::from(sum) / counts.len().max(1) as f64
+}
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,5 +1,13 @@
-//! Experiments on the decision logic, with simulated time and recorded arrivals.
+//! Experiments on the decision logic, with simulated time and generated arrivals.
 //!
-//! Each measure runs our policies and plain baselines on the same arrivals in the same run.
+//! Each measure runs our policies and plain baselines on the same arrivals in the same run. The
+//! simulation is a queueing experiment: workers are slots that hold a request for its run time.
 
+pub mod arrivals;
+pub mod early;
+pub mod late;
+pub mod measures;
+pub mod report;
 pub mod room;
+pub mod sim;
+pub mod tally;
