test(load): latency counts from the intended time

Cause: removing the lag from the latency left all tests green.

Change: a run whose sending is stalled; it was red with the latency counted from the send.

--- a/tests/load/run.rs
+++ b/tests/load/run.rs
@@ -154,6 +154,28 @@
     handle.stop(false).await;
 }
 
+#[actix_web::test]
+async fn latency_counts_from_the_intended_time() {
+    let (address, handle) = serve();
+    let later = Arrival {
+        at: 10_000,
+        ..arrival("w1", None)
+    };
+    let arrivals = Rc::new(vec![arrival("w0", None), later]);
+    let plan = Plan {
+        target: Target::Entries(Balancer::new(vec![address])),
+        patience: PATIENCE,
+    };
+    let stall = async {
+        std::thread::sleep(Duration::from_millis(100));
+        std::future::pending().await
+    };
+    let samples = run::run(plan, &arrivals, stall).await;
+    assert!(samples[1].lag >= 50_000, "{}", samples[1].lag);
+    assert!(samples[1].latency >= samples[1].lag);
+    handle.stop(false).await;
+}
+
 #[actix_web::test]
 async fn a_second_execution_of_a_key_is_seen() {
     let (address, handle) = serve();
