--- a/src/kernel/requests/admit.rs
+++ b/src/kernel/requests/admit.rs
@@ -137,7 +137,7 @@
         else {
             return false;
         };
-        let unsent = |key: &RequestKey| self.requests[*key].sent == 0;
+        let unsent = |key: &RequestKey| self.requests[*key].is_fresh();
         let mut waiting = class.queue.iter().map(|(_, key)| *key);
         let Some(victim) = waiting.find(unsent) else {
             return false;
--- a/src/kernel/requests/finish.rs
+++ b/src/kernel/requests/finish.rs
@@ -64,7 +64,6 @@
                 self.close(attempt, room);
                 self.fail(now, &found)
             }
-            Outcome::Silent if found.silent => Step::Ignore,
             Outcome::Silent => {
                 self.attempts[attempt].silent = true;
                 self.fail(now, &found)
--- a/src/ledger/state.rs
+++ b/src/ledger/state.rs
@@ -13,13 +13,17 @@
         Offset, //
     },
     ledger::{
+        accounts,
         effect::{
             Applied,
             Effect, //
         },
         jobs::Jobs,
         keys::Keys,
-        outcomes::Outcomes,
+        outcomes::{
+            Outcomes,
+            Taken, //
+        },
         profiles::{
             self,
             Profiles, //
@@ -207,11 +211,27 @@
             Record::Answer(answer) => self.keys.answer(&answer, at).into_iter().collect(),
             Record::Snapshot { next, .. } => self.note_snapshot(next, offset),
             Record::Accepted(_) | Record::Claim(_) | Record::Ended(_) | Record::Cancel { .. } => {
-                self.jobs.apply(at, by, &record)
+                let effects = self.jobs.apply(at, by, &record);
+                self.count_jobs(&effects);
+                effects
             }
             Record::Outcomes(outcomes) => {
-                self.outcomes.apply(by, &outcomes, at);
-                Vec::new()
+                let taken = self.outcomes.apply(by, &outcomes, at);
+                doubt(taken, offset).into_iter().collect()
+            }
+        }
+    }
+
+    /// Counts the jobs that have ended.
+    fn count_jobs(&mut self, effects: &[Effect]) {
+        for effect in effects {
+            let Effect::Stopped { run, state } = effect else {
+                continue;
+            };
+            let job = self.jobs.get(run);
+            let work = job.and_then(|job| accounts::work(job, *state, self.clock));
+            if let Some(work) = work {
+                self.outcomes.count(self.clock, &work);
             }
         }
     }
@@ -229,6 +249,16 @@
     }
 }
 
+/// What is to be said of a record of outcomes that does not count.
+fn doubt(taken: Taken, offset: Offset) -> Option<Effect> {
+    let problem = match taken {
+        Taken::Counted | Taken::Repeat => return None,
+        Taken::Doubtful => "outcomes of an unknown author may have counted before",
+        Taken::Inconsistent => "good and bad work do not add up to the total",
+    };
+    Some(Effect::Skipped(at_offset(offset, "/records", &problem)))
+}
+
 /// The offset of a snapshot record, found without a look into its state.
 fn snapshot_next(value: &serde_json::Value) -> Option<Offset> {
     let object = value.as_object()?;
