feat(cli): submit, status, cancel, request, profiles, report, config check and schema

Cause: operators and callers need one command line with documented exit codes, all findings at once, progress on long work, and an answer to "did it take effect" when an answer was lost.

Ruled out: taking every connect error of awc as "nothing left". awc reports a connection that was closed after the call was sent as `SendRequestError::Connect(ConnectError::Disconnected)`, so that reading would tell an operator that nothing was changed when the change was made. Repeating a change whose answer was lost: the history is asked for its change id.

Change: src/cli (clap builder, awc with one deadline over the whole exchange), typed messages of the administration API in wire::admin, differences by JSON pointer in diff, schemas of ten documents under schemas/ and the settings page, both written by `bamboolock schema` and held fresh by tests/schemas.rs. `config check` finds out by its fields what a file is.

--- a/src/bin/bamboolock.rs
+++ b/src/bin/bamboolock.rs
@@ -1,3 +1,9 @@
 //! The command line of operators and callers.
 
-fn main() {}
+use std::process::ExitCode;
+
+use bamboolock::cli;
+
+fn main() -> ExitCode {
+    cli::run()
+}
--- /dev/null
+++ b/src/cli/config.rs
@@ -0,0 +1,110 @@
+//! `config check`: settings, profiles and jobs, without a server.
+
+use std::{
+    fs,
+    path::PathBuf, //
+};
+
+use clap::ArgMatches;
+
+use crate::{
+    cli::{
+        args,
+        documents::{
+            self,
+            Document, //
+        },
+        exit::Failure,
+        output::Output, //
+    },
+    findings::Findings, //
+};
+
+/// Runs a subcommand of `config`.
+///
+/// # Errors
+///
+/// Returns all findings of all files together.
+pub fn config(matches: &ArgMatches, output: Output) -> Result<(), Failure> {
+    let Some(("check", args)) = matches.subcommand() else {
+        return Err(Failure::Usage("config check is needed".to_owned()));
+    };
+    let kind = args::text(args, "kind").and_then(documents::find);
+    check_files(args, kind, output)
+}
+
+/// Checks the files of a command line as one kind, or each as what its fields say.
+///
+/// # Errors
+///
+/// Returns all findings of all files together.
+pub fn check_files(
+    args: &ArgMatches,
+    kind: Option<&'static Document>,
+    output: Output,
+) -> Result<(), Failure> {
+    let mut checked = Vec::new();
+    let mut findings = Findings::default();
+    let files = args.get_many::<PathBuf>("file").unwrap_or_default();
+    for path in files {
+        let source = path.display().to_string();
+        let text = fs::read_to_string(path).map_err(|e| Failure::File(path.clone(), e))?;
+        match check_text(&source, &text, kind) {
+            Ok(kind) => checked.push((source, kind.name)),
+            Err(found) => findings.list.extend(found.list),
+        }
+    }
+    if !findings.is_empty() {
+        return Err(Failure::Findings(findings));
+    }
+    output.show(&checked, |list| {
+        let lines = list
+            .iter()
+            .map(|(file, kind)| format!("{file}: valid {kind}\n"));
+        lines.collect()
+    });
+    Ok(())
+}
+
+/// Checks a text. Returns what it is.
+///
+/// # Errors
+///
+/// Returns all its findings.
+pub fn check_text(
+    source: &str,
+    text: &str,
+    kind: Option<&'static Document>,
+) -> Result<&'static Document, Findings> {
+    let kind = match kind {
+        Some(kind) => kind,
+        None => detect(source, text)?,
+    };
+    let findings = kind
+        .check
+        .map_or_else(Findings::default, |c| c(source, text));
+    if findings.is_empty() {
+        return Ok(kind);
+    }
+    Err(findings)
+}
+
+fn detect(source: &str, text: &str) -> Result<&'static Document, Findings> {
+    let fault = |place: String, problem: String, hint: &str| {
+        let mut findings = Findings::default();
+        findings.add(source, &place, problem, hint);
+        findings
+    };
+    let value = serde_json::from_str(text).map_err(|e| {
+        let place = format!("line {} column {}", e.line(), e.column());
+        fault(place, e.to_string(), "the file must be JSON")
+    })?;
+    documents::detect(&value).ok_or_else(|| {
+        let known = documents::checkable().join(", ");
+        fault(
+            "/".to_owned(),
+            "its fields fit no known kind".to_owned(),
+            &format!("say what it is with --kind: {known}"),
+        )
+    })
+}
--- /dev/null
+++ b/src/cli/profiles/show.rs
@@ -0,0 +1,133 @@
+//! `profiles list`, `show`, `history` and `diff`.
+
+use std::path::PathBuf;
+
+use actix_web::http::Method;
+use clap::ArgMatches;
+
+use crate::{
+    cli::{
+        client::{
+            Call,
+            Client, //
+        },
+        exit::Failure,
+        output::{
+            self,
+            Output, //
+        },
+        profiles, //
+    },
+    ids::ProfileName,
+    report::text,
+    wire::admin::Published, //
+};
+
+/// Lists the current version of every profile.
+///
+/// # Errors
+///
+/// Returns the refusal.
+pub async fn list(args: &ArgMatches, output: Output) -> Result<(), Failure> {
+    let client = Client::admin(args)?;
+    let call = Call::plain(Method::GET, "/v1/profiles".to_owned());
+    let list: Vec<Published> = client.call(call).await?;
+    output.show(&list, |l| table(l));
+    Ok(())
+}
+
+/// Shows one version of a profile.
+///
+/// # Errors
+///
+/// Returns the refusal.
+pub async fn show(args: &ArgMatches, output: Output) -> Result<(), Failure> {
+    let client = Client::admin(args)?;
+    let name = profiles::named(args)?;
+    let published = match args.get_one::<u32>("version") {
+        Some(version) => versioned(&client, &name, *version).await?,
+        None => {
+            let call = Call::plain(Method::GET, format!("/v1/profiles/{name}"));
+            client.call(call).await?
+        }
+    };
+    output.show(&published, |p| output::json(&p.body));
+    Ok(())
+}
+
+/// Shows the versions of a profile that are kept.
+///
+/// # Errors
+///
+/// Returns the refusal.
+pub async fn history(args: &ArgMatches, output: Output) -> Result<(), Failure> {
+    let client = Client::admin(args)?;
+    let list = versions(&client, &profiles::named(args)?).await?;
+    output.show(&list, |l| table(l));
+    Ok(())
+}
+
+/// Shows what a file would change.
+///
+/// # Errors
+///
+/// Returns the findings of the file, or the refusal.
+pub async fn diff(args: &ArgMatches, output: Output) -> Result<(), Failure> {
+    let Some(path) = args.get_one::<PathBuf>("path") else {
+        return Err(Failure::Usage("a file is needed".to_owned()));
+    };
+    let wanted = profiles::read(path)?;
+    let client = Client::admin(args)?;
+    let current = profiles::current(&client, &profiles::named(args)?).await?;
+    let body = current.map(|c| c.body).unwrap_or_default();
+    let list = profiles::differences(&body, &wanted);
+    output.show(&list, |l| profiles::table(l, "CURRENT", "FILE"));
+    Ok(())
+}
+
+/// The kept versions of a profile.
+///
+/// # Errors
+///
+/// Returns the refusal.
+pub async fn versions(client: &Client, name: &ProfileName) -> Result<Vec<Published>, Failure> {
+    let call = Call::plain(Method::GET, format!("/v1/profiles/{name}/history"));
+    client.call(call).await
+}
+
+async fn versioned(
+    client: &Client,
+    name: &ProfileName,
+    version: u32,
+) -> Result<Published, Failure> {
+    let list = versions(client, name).await?;
+    let found = list.into_iter().find(|p| p.version == version);
+    found.ok_or_else(|| Failure::Failed(format!("version {version} of {name} is not kept")))
+}
+
+fn table(list: &[Published]) -> String {
+    let header = [
+        "PROFILE", "VERSION", "BASE", "KIND", "OPERATOR", "AT", "OFFSET", "CHANGE",
+    ];
+    let rows = list.iter().map(|p| {
+        vec![
+            p.name.to_string(),
+            p.version.to_string(),
+            p.base.to_string(),
+            kind(p).to_owned(),
+            p.operator.to_string(),
+            text::time(p.at),
+            p.offset.to_string(),
+            p.change.to_string(),
+        ]
+    });
+    text::columns(&header, &rows.collect::<Vec<_>>(), 3)
+}
+
+fn kind(published: &Published) -> &str {
+    if published.body.is_null() {
+        return "withdrawn";
+    }
+    let kind = published.body.get("kind").and_then(|k| k.as_str());
+    kind.unwrap_or(text::NONE)
+}
--- /dev/null
+++ b/src/cli/schema.rs
@@ -0,0 +1,67 @@
+//! `schema`: the committed schemas and tables, from the types.
+
+use std::{
+    fs,
+    path::{
+        Path,
+        PathBuf, //
+    }, //
+};
+
+use clap::ArgMatches;
+
+use crate::cli::{
+    args,
+    documents::{
+        self,
+        Document, //
+    },
+    exit::Failure,
+    output,
+    tables, //
+};
+
+/// Runs `schema`.
+///
+/// # Errors
+///
+/// Returns why a file cannot be written.
+pub fn schema(args: &ArgMatches) -> Result<(), Failure> {
+    if let Some(folder) = args.get_one::<PathBuf>("write") {
+        return write(folder);
+    }
+    if args.get_flag("tables") {
+        output::result(&tables::page());
+        return Ok(());
+    }
+    match args::text(args, "name").and_then(documents::find) {
+        Some(document) => output::result(&text(document)),
+        None => output::result(&list()),
+    }
+    Ok(())
+}
+
+/// The schema of a document as its file holds it.
+#[must_use]
+pub fn text(document: &Document) -> String {
+    output::json(&(document.schema)())
+}
+
+fn list() -> String {
+    let lines = documents::ALL.iter().map(|d| {
+        let Document { name, summary, .. } = d;
+        format!("{name:<14}{summary}\n")
+    });
+    lines.collect()
+}
+
+fn write(folder: &Path) -> Result<(), Failure> {
+    let fault = |path: &Path, e| Failure::File(path.to_owned(), e);
+    fs::create_dir_all(folder).map_err(|e| fault(folder, e))?;
+    for document in &documents::ALL {
+        let path = folder.join(format!("{}.json", document.name));
+        fs::write(&path, text(document)).map_err(|e| fault(&path, e))?;
+        output::progress(&format!("wrote {}", path.display()));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/cli/tables.rs
@@ -0,0 +1,148 @@
+//! The settings page: a table of options for each settings struct, from its schema.
+
+use std::fmt::Write;
+
+use serde_json::Value;
+
+use crate::cli::documents::{
+    self,
+    Document, //
+};
+
+const HEAD: &str = "\
+# Settings
+
+Written by `bamboolock schema --tables > docs/operations/settings.md` from the types; a test keeps it in
+step. The programs check a file whole before they start, and so does `bamboolock config check FILE…`.
+Unknown options are findings. The schemas stand under [schemas/](../../schemas).
+";
+
+/// Most characters of a default that is shown in a table.
+const MAX_DEFAULT: usize = 40;
+
+/// The whole page.
+#[must_use]
+pub fn page() -> String {
+    let mut page = HEAD.to_owned();
+    for document in documents::ALL.iter().filter(|d| d.options) {
+        section(&mut page, document);
+    }
+    page
+}
+
+fn section(page: &mut String, document: &Document) {
+    let schema = (document.schema)().to_value();
+    let _ = write!(page, "\n## `{}`\n\n{}.\n", document.name, document.summary);
+    let mut open = vec![(String::new(), schema.clone())];
+    let mut shown: Vec<String> = Vec::new();
+    while !open.is_empty() {
+        let (path, node) = open.remove(0);
+        if !path.is_empty() {
+            let _ = write!(page, "\n### `{path}` of `{}`\n\n", document.name);
+            let _ = writeln!(page, "{}", describe(&node));
+        }
+        page.push_str("\n| Option | Default | Description |\n| --- | --- | --- |\n");
+        for (name, property) in properties(&node) {
+            let row = row(&schema, &node, name, property);
+            let _ = writeln!(page, "{row}");
+            let Some((kind, inner)) = nested(&schema, property) else {
+                continue;
+            };
+            if shown.contains(&kind) {
+                continue;
+            }
+            shown.push(kind);
+            open.push((join(&path, name), inner));
+        }
+    }
+}
+
+fn join(path: &str, name: &str) -> String {
+    match path {
+        "" => name.to_owned(),
+        path => format!("{path}.{name}"),
+    }
+}
+
+fn properties(node: &Value) -> impl Iterator<Item = (&String, &Value)> {
+    let properties = node.get("properties").and_then(Value::as_object);
+    properties.into_iter().flatten()
+}
+
+/// The struct behind a property, its name and its schema: directly, in a list, or as an option.
+fn nested(schema: &Value, property: &Value) -> Option<(String, Value)> {
+    let name = reference(property)?;
+    let node = schema.pointer(&format!("/$defs/{name}"))?;
+    node.get("properties")?;
+    Some((name.to_owned(), node.clone()))
+}
+
+/// The name of the definition that a property refers to.
+fn reference(property: &Value) -> Option<&str> {
+    let direct = property.get("$ref");
+    let item = property.pointer("/items/$ref");
+    let option = property.pointer("/anyOf/0/$ref");
+    let found = direct.or(item).or(option)?.as_str()?;
+    found.strip_prefix("#/$defs/")
+}
+
+fn row(schema: &Value, node: &Value, name: &str, property: &Value) -> String {
+    let mut words = describe(property);
+    if let Some(range) = range(property) {
+        let _ = write!(words, " Allowed: {range}.");
+    }
+    if let Some(choices) = choices(schema, property) {
+        let _ = write!(words, " One of {choices}.");
+    }
+    if nested(schema, property).is_some() {
+        words.push_str(" See its table below.");
+    }
+    let default = default(node, name, property);
+    format!("| `{name}` | {default} | {words} |")
+}
+
+fn describe(node: &Value) -> String {
+    let text = node.get("description").and_then(Value::as_str);
+    text.unwrap_or_default()
+        .replace('\n', " ")
+        .replace('|', "\\|")
+}
+
+fn default(node: &Value, name: &str, property: &Value) -> String {
+    let needed = node.get("required").and_then(Value::as_array);
+    if needed.is_some_and(|list| list.iter().any(|n| n == name)) {
+        return "required".to_owned();
+    }
+    match property.get("default") {
+        None | Some(Value::Null) => "absent".to_owned(),
+        Some(value) => {
+            let text = value.to_string();
+            match text.len() > MAX_DEFAULT {
+                true => "as below".to_owned(),
+                false => format!("`{text}`"),
+            }
+        }
+    }
+}
+
+fn range(property: &Value) -> Option<String> {
+    let bound = |name: &str| property.get(name).filter(|v| v.is_number());
+    match (bound("minimum"), bound("maximum")) {
+        (Some(low), Some(high)) => Some(format!("{low} to {high}")),
+        (Some(low), None) if low.as_f64() != Some(0.0) => Some(format!("{low} or more")),
+        (None, Some(high)) => Some(format!("up to {high}")),
+        (Some(_) | None, None) => None,
+    }
+}
+
+/// The values of an enumeration.
+fn choices(schema: &Value, property: &Value) -> Option<String> {
+    let name = reference(property)?;
+    let node = schema.pointer(&format!("/$defs/{name}"))?;
+    let variants = node.get("oneOf").and_then(Value::as_array)?;
+    let names = variants.iter().filter_map(|v| {
+        let name = v.get("const")?.as_str()?;
+        Some(format!("`{name}` ({})", describe(v).trim_end_matches('.')))
+    });
+    Some(names.collect::<Vec<_>>().join(", "))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,8 +3,10 @@
 //! The programs under `src/bin` are thin shells over this library. Decisions are pure functions
 //! over a state and a clock in [`kernel`] and [`ledger`]; everything else moves bytes.
 
+pub mod cli;
 pub mod configs;
 pub mod context;
+pub mod diff;
 pub mod findings;
 pub mod ids;
 pub mod kernel;
--- a/src/report/table.rs
+++ b/src/report/table.rs
@@ -75,7 +75,7 @@
             rows.push(line_row(String::new(), number, &version.line));
         }
     }
-    text::columns(&header, &rows, false)
+    text::columns(&header, &rows, header.len())
 }
 
 fn line_row(name: String, version: String, line: &Line) -> Vec<String> {
@@ -116,7 +116,7 @@
         text::percent(moved.after.share()),
         String::new(),
     ]);
-    text::columns(&header, &rows, true)
+    text::columns(&header, &rows, header.len() - 1)
 }
 
 fn part_row(part: &Part) -> Vec<String> {
@@ -158,7 +158,7 @@
     header.extend(["LEFT".to_owned(), "ALERTS".to_owned()]);
     let header: Vec<_> = header.iter().map(String::as_str).collect();
     let rows: Vec<_> = burn.iter().map(burn_row).collect();
-    text::columns(&header, &rows, true)
+    text::columns(&header, &rows, header.len() - 1)
 }
 
 fn burn_row(burn: &Burn) -> Vec<String> {
@@ -206,5 +206,5 @@
             ]);
         }
     }
-    text::columns(&["NOT GOOD", "WORK", "CAUSE"], &rows, true)
+    text::columns(&["NOT GOOD", "WORK", "CAUSE"], &rows, 2)
 }
--- a/src/report/text.rs
+++ b/src/report/text.rs
@@ -111,30 +111,27 @@
     }
 }
 
-/// Lays rows out in columns below a header. The first column is aligned to the left, as is the last
-/// one when `words` is set; the others to the right.
+/// Lays rows out in columns below a header. The first column and those from `words` on are aligned to
+/// the left, the others to the right.
 #[must_use]
-pub fn columns(header: &[&str], rows: &[Vec<String>], words: bool) -> String {
+pub fn columns(header: &[&str], rows: &[Vec<String>], words: usize) -> String {
     let mut widths: Vec<_> = header.iter().map(|h| h.chars().count()).collect();
     for row in rows {
         for (width, cell) in widths.iter_mut().zip(row) {
             *width = (*width).max(cell.chars().count());
         }
     }
-    let left = |at: usize| at == 0 || (words && at + 1 == header.len());
-    let mut text = String::new();
     let head: Vec<_> = header.iter().map(|h| (*h).to_owned()).collect();
-    for row in std::iter::once(&head).chain(rows) {
-        let mut line = String::new();
-        for (at, (cell, width)) in row.iter().zip(&widths).enumerate() {
-            let cell = match left(at) {
-                true => format!("{cell:<width$}  "),
-                false => format!("{cell:>width$}  "),
-            };
-            line.push_str(&cell);
-        }
-        text.push_str(line.trim_end());
-        text.push('\n');
-    }
-    text
+    let all = std::iter::once(&head).chain(rows);
+    all.map(|row| line(row, &widths, words)).collect()
+}
+
+fn line(row: &[String], widths: &[usize], words: usize) -> String {
+    let cells = row.iter().zip(widths).enumerate();
+    let cells = cells.map(|(at, (cell, width))| match at == 0 || at >= words {
+        true => format!("{cell:<width$}  "),
+        false => format!("{cell:>width$}  "),
+    });
+    let line: String = cells.collect();
+    format!("{}\n", line.trim_end())
 }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,5 +1,6 @@
 //! The messages that processes exchange. docs/INTERFACES.md describes them in words.
 
+pub mod admin;
 pub mod caller;
 pub mod list;
 pub mod log;
--- /dev/null
+++ b/tests/cli/fake.rs
@@ -0,0 +1,156 @@
+//! A fake of the servers that the command line talks to: scripted answers by method and path.
+
+use std::{
+    io::{
+        BufRead,
+        BufReader,
+        Read,
+        Write, //
+    },
+    net::{
+        SocketAddr,
+        TcpListener,
+        TcpStream, //
+    },
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    thread,
+    time::Duration, //
+};
+
+use serde_json::Value;
+
+/// What the fake does with a call.
+#[derive(Debug, Clone)]
+pub(crate) enum Reply {
+    /// Answers with a status and JSON; `$change` stands for the last change that arrived.
+    Json(u16, Value),
+    /// Answers with headers and text.
+    Text(u16, &'static str, &'static str),
+    /// Reads the call and closes the connection.
+    Close,
+    /// Reads the call and stays silent.
+    Silence,
+}
+
+/// A call that arrived.
+#[derive(Debug, Clone)]
+pub(crate) struct Seen {
+    /// Method and path.
+    pub(crate) line: String,
+    /// The headers in lower case.
+    pub(crate) headers: String,
+    /// The body as JSON, or null.
+    pub(crate) body: Value,
+}
+
+/// Answers for calls, in order; the last of a call's answers stays.
+type Script = Vec<(&'static str, Vec<Reply>)>;
+
+/// The fake.
+pub(crate) struct Fake {
+    pub(crate) address: SocketAddr,
+    seen: Arc<Mutex<Vec<Seen>>>,
+}
+
+impl Fake {
+    /// Starts on a free port of loopback.
+    pub(crate) fn start(script: &[(&'static str, &[Reply])]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let script: Script = script.iter().map(|(l, r)| (*l, r.to_vec())).collect();
+        let (script, calls) = (Mutex::new(script), Arc::clone(&seen));
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                serve(stream, &script, &calls);
+            }
+        });
+        Self { address, seen }
+    }
+
+    /// The address as text.
+    pub(crate) fn at(&self) -> String {
+        self.address.to_string()
+    }
+
+    /// The calls that arrived.
+    pub(crate) fn seen(&self) -> Vec<Seen> {
+        self.seen.lock().unwrap().clone()
+    }
+
+    /// Method and path of the calls that arrived.
+    pub(crate) fn lines(&self) -> Vec<String> {
+        self.seen().into_iter().map(|s| s.line).collect()
+    }
+}
+
+fn serve(stream: TcpStream, script: &Mutex<Script>, calls: &Mutex<Vec<Seen>>) {
+    let call = read(&stream);
+    let reply = next(&mut script.lock().unwrap(), &call.line);
+    calls.lock().unwrap().push(call);
+    match reply {
+        Reply::Json(status, value) => {
+            let text = value.to_string().replace("$change", &last_change(calls));
+            write(&stream, status, "content-type: application/json\r\n", &text);
+        }
+        Reply::Text(status, headers, text) => write(&stream, status, headers, text),
+        Reply::Close => {}
+        Reply::Silence => {
+            thread::spawn(move || {
+                thread::sleep(Duration::from_secs(5));
+                drop(stream);
+            });
+        }
+    }
+}
+
+fn last_change(calls: &Mutex<Vec<Seen>>) -> String {
+    let calls = calls.lock().unwrap();
+    let mut changes = calls.iter().filter_map(|c| c.body["change"].as_str());
+    changes.next_back().unwrap_or_default().to_owned()
+}
+
+fn next(script: &mut Script, line: &str) -> Reply {
+    match script.iter_mut().find(|(known, _)| *known == line) {
+        Some((_, replies)) if replies.len() > 1 => replies.remove(0),
+        Some((_, replies)) => replies[0].clone(),
+        None => Reply::Text(404, "", "no such path"),
+    }
+}
+
+fn read(stream: &TcpStream) -> Seen {
+    let mut reader = BufReader::new(stream);
+    let mut first = String::new();
+    reader.read_line(&mut first).unwrap();
+    let mut headers = String::new();
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).unwrap();
+        if line.trim().is_empty() {
+            break;
+        }
+        headers.push_str(&line.to_lowercase());
+    }
+    let length = headers
+        .lines()
+        .find_map(|l| l.strip_prefix("content-length: "));
+    let length = length.map_or(0, |l| l.parse().unwrap());
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).unwrap();
+    Seen {
+        line: first.trim().trim_end_matches(" HTTP/1.1").to_owned(),
+        headers,
+        body: serde_json::from_slice(&body).unwrap_or_default(),
+    }
+}
+
+fn write(mut stream: &TcpStream, status: u16, headers: &str, body: &str) {
+    let length = body.len();
+    let _ = write!(
+        stream,
+        "HTTP/1.1 {status} x\r\n{headers}content-length: {length}\r\nconnection: close\r\n\r\n{body}"
+    );
+}
--- /dev/null
+++ b/tests/cli/profiles.rs
@@ -0,0 +1,276 @@
+//! Operators' commands against a fake administration API.
+
+use std::fs;
+
+use serde_json::{
+    Value,
+    json, //
+};
+
+use crate::{
+    fake::{
+        Fake,
+        Reply, //
+    },
+    run::{
+        self,
+        folder, //
+    }, //
+};
+
+fn body(priority: u8) -> Value {
+    json!({"kind": "request", "team": "ramp", "priority": priority})
+}
+
+fn published(version: u32, change: &str, body: &Value) -> Value {
+    json!({"name": "ramp-check", "version": version, "base": version - 1, "change": change,
+        "operator": "avery", "at": 0, "offset": 40 + version, "body": body})
+}
+
+fn unknown() -> Reply {
+    let refusal = json!({"code": "unknown_profile", "ran": "no", "message": "not published",
+        "retry": null});
+    Reply::Json(404, refusal)
+}
+
+fn changed(version: u32) -> Reply {
+    Reply::Json(200, json!({"version": version, "offset": 77}))
+}
+
+/// Writes a profile to a file of that name in a folder of the test.
+fn file(test: &str, priority: u8) -> String {
+    let path = folder(test).join("ramp-check.json");
+    fs::write(&path, body(priority).to_string()).unwrap();
+    path.to_str().unwrap().to_owned()
+}
+
+const CURRENT: &str = "GET /v1/profiles/ramp-check";
+const CHANGE: &str = "PUT /v1/profiles/ramp-check";
+const HISTORY: &str = "GET /v1/profiles/ramp-check/history";
+const IN_FORCE: &str = "GET /v1/instances/in-force?offset=77";
+
+#[test]
+fn a_new_profile_is_published_on_base_zero_with_the_token() {
+    let fake = Fake::start(&[(CURRENT, &[unknown()]), (CHANGE, &[changed(1)])]);
+    let file = file("publish-new", 5);
+    let mut program = run::program(&["profiles", "publish", &file, "--admin", &fake.at()]);
+    let run: run::Run = program
+        .env("BAMBOOLOCK_TOKEN", "secret-1")
+        .output()
+        .unwrap()
+        .into();
+    assert_eq!(run.code, 0, "{run:?}");
+    assert!(
+        run.out.contains("ramp-check        1      77  published"),
+        "{run:?}"
+    );
+    let put = &fake.seen()[1];
+    assert_eq!(
+        (&put.body["base"], &put.body["body"]["priority"]),
+        (&json!(0), &json!(5))
+    );
+    assert!(
+        put.headers.contains("authorization: bearer secret-1"),
+        "{put:?}"
+    );
+    assert!(!run.out.contains("secret-1") && !run.err.contains("secret-1"));
+}
+
+#[test]
+fn the_token_file_goes_before_the_environment() {
+    let fake = Fake::start(&[("GET /v1/profiles", &[Reply::Json(200, json!([]))])]);
+    let token = folder("token-file").join("token");
+    fs::write(&token, "from-file\n").unwrap();
+    let args = ["profiles", "list", "--admin", &fake.at(), "--token-file"];
+    let mut program = run::program(&[&args[..], &[token.to_str().unwrap()]].concat());
+    assert!(
+        program
+            .env("BAMBOOLOCK_TOKEN", "other")
+            .status()
+            .unwrap()
+            .success()
+    );
+    assert!(
+        fake.seen()[0]
+            .headers
+            .contains("authorization: bearer from-file")
+    );
+}
+
+#[test]
+fn what_is_published_already_is_not_published_again() {
+    // The current version spells a default out, which is no difference.
+    let mut current = body(5);
+    current["idempotent"] = json!(false);
+    let current = Reply::Json(200, published(3, "c3", &current));
+    let fake = Fake::start(&[(CURRENT, &[current]), (CHANGE, &[changed(4)])]);
+    let file = file("publish-same", 5);
+    let run = run::run(&["profiles", "publish", &file, "--admin", &fake.at()]);
+    assert_eq!(run.code, 0);
+    assert!(run.out.contains("unchanged"), "{run:?}");
+    assert_eq!(fake.lines(), [CURRENT]);
+}
+
+#[test]
+fn no_file_is_published_when_one_has_findings() {
+    let fake = Fake::start(&[(CURRENT, &[unknown()]), (CHANGE, &[changed(1)])]);
+    let good = file("publish-faulty", 5);
+    let bad = "examples/faulty/jet-bridge-assign.json";
+    let run = run::run(&["profiles", "publish", &good, bad, "--admin", &fake.at()]);
+    assert_eq!(run.code, 1);
+    assert!(run.err.contains("6 findings"), "{run:?}");
+    assert!(fake.lines().is_empty());
+}
+
+#[test]
+fn the_loser_of_a_race_is_told_who_won_and_what_differs() {
+    let refusal = json!({"code": "conflict", "ran": "no", "message": "version 4 is current",
+        "retry": null});
+    let winner = published(4, "c4", &body(2));
+    let fake = Fake::start(&[
+        (CURRENT, &[Reply::Json(200, winner)]),
+        (CHANGE, &[Reply::Json(409, refusal)]),
+    ]);
+    let file = file("publish-lost", 5);
+    let args = [
+        "profiles",
+        "publish",
+        &file,
+        "--base",
+        "3",
+        "--admin",
+        &fake.at(),
+    ];
+    let run = run::run(&args);
+    assert_eq!(run.code, 4, "{run:?}");
+    assert_eq!(fake.seen()[1].body["base"], 3);
+    for part in [
+        "version 4 by avery",
+        "/priority  2        5",
+        "version 4 is current",
+    ] {
+        assert!(run.err.contains(part), "{part:?} in {}", run.err);
+    }
+}
+
+#[test]
+fn a_lost_answer_is_resolved_by_the_history_and_never_repeated() {
+    let file = file("publish-unknown", 5);
+    // The change is not in the history yet: it may still take effect.
+    let fake = Fake::start(&[
+        (CURRENT, &[unknown()]),
+        (CHANGE, &[Reply::Close]),
+        (
+            HISTORY,
+            &[Reply::Json(200, json!([published(1, "other", &body(1))]))],
+        ),
+    ]);
+    let run = run::run(&["profiles", "publish", &file, "--admin", &fake.at()]);
+    assert_eq!(run.code, 5, "{run:?}");
+    assert_eq!(fake.lines(), [CURRENT, CHANGE, HISTORY]);
+    // The change is there: the answer alone was lost.
+    let made = json!([published(1, "$change", &body(5))]);
+    let fake = Fake::start(&[
+        (CURRENT, &[unknown()]),
+        (CHANGE, &[Reply::Close]),
+        (HISTORY, &[Reply::Json(200, made)]),
+    ]);
+    let run = run::run(&["profiles", "publish", &file, "--admin", &fake.at()]);
+    assert_eq!(run.code, 0, "{run:?}");
+    assert_eq!(fake.lines(), [CURRENT, CHANGE, HISTORY]);
+}
+
+#[test]
+fn publish_wait_names_who_is_behind_and_who_is_cut_off() {
+    let state = |second: Value, third: Value| {
+        let one = |id: &str, next: Value| json!({"id": id, "zone": "z1", "next": next});
+        let list = [one("e1", json!(78)), one("e2", second), one("e3", third)];
+        Reply::Json(200, json!({"offset": 77, "instances": list}))
+    };
+    let file = file("publish-wait", 5);
+    let publish = |states: &[Reply]| {
+        let fake = Fake::start(&[
+            (CURRENT, &[unknown()]),
+            (CHANGE, &[changed(1)]),
+            (IN_FORCE, states),
+        ]);
+        let at = fake.at();
+        let args = [
+            "profiles", "publish", &file, "--wait", "--within", "1s", "--admin", &at,
+        ];
+        run::run(&args)
+    };
+    let whole = publish(&[state(json!(77), Value::Null), state(json!(78), json!(90))]);
+    assert_eq!(whole.code, 0, "{whole:?}");
+    let first = "in force on 1 of 3 instances; behind: e2; cut off: e3";
+    for part in [first, "in force on all 3 instances after"] {
+        assert!(whole.err.contains(part), "{whole:?}");
+    }
+    let partly = publish(&[state(json!(78), Value::Null)]);
+    assert_eq!(partly.code, 6, "{partly:?}");
+    let last = "after 1s: in force on 2 of 3 instances; cut off: e3";
+    assert!(partly.err.contains(last), "{partly:?}");
+}
+
+#[test]
+fn rollback_and_withdraw_are_changes_too() {
+    let fake = Fake::start(&[
+        ("POST /v1/profiles/ramp-check/rollback", &[changed(5)]),
+        ("DELETE /v1/profiles/ramp-check", &[changed(6)]),
+    ]);
+    let at = fake.at();
+    let back = [
+        "profiles",
+        "rollback",
+        "ramp-check",
+        "--version",
+        "3",
+        "--admin",
+        &at,
+    ];
+    assert_eq!(run::run(&back).code, 0);
+    assert_eq!(fake.seen()[0].body["version"], 3);
+    let gone = run::run(&[
+        "profiles",
+        "withdraw",
+        "ramp-check",
+        "--admin",
+        &at,
+        "-o",
+        "json",
+    ]);
+    assert_eq!(gone.json()[0]["version"], 6);
+}
+
+#[test]
+fn show_history_and_diff_read_what_is_published() {
+    let old = published(1, "c1", &body(1));
+    let new = published(2, "c2", &body(2));
+    let fake = Fake::start(&[
+        (CURRENT, &[Reply::Json(200, new.clone())]),
+        (HISTORY, &[Reply::Json(200, json!([old, new]))]),
+    ]);
+    let at = fake.at();
+    let file = file("show-diff", 9);
+    let cases: [(&[&str], &str); 4] = [
+        (&["show", "ramp-check"], "\"priority\": 2"),
+        (&["show", "ramp-check", "--version", "1"], "\"priority\": 1"),
+        (&["history", "ramp-check"], "avery"),
+        (&["diff", "ramp-check", &file], "/priority  2        9"),
+    ];
+    for (args, part) in cases {
+        let run = run::run(&[&["profiles"], args, &["--admin", &at]].concat());
+        assert_eq!(run.code, 0, "{run:?}");
+        assert!(run.out.contains(part), "{run:?}");
+    }
+    let missing = [
+        "profiles",
+        "show",
+        "ramp-check",
+        "--version",
+        "7",
+        "--admin",
+        &at,
+    ];
+    assert_eq!(run::run(&missing).code, 1);
+}
--- /dev/null
+++ b/tests/cli/run.rs
@@ -0,0 +1,56 @@
+//! Runs the program.
+
+use std::{
+    path::Path,
+    process::{
+        Command,
+        Output, //
+    }, //
+};
+
+/// What a run left behind.
+#[derive(Debug)]
+pub(crate) struct Run {
+    pub(crate) code: i32,
+    pub(crate) out: String,
+    pub(crate) err: String,
+}
+
+impl Run {
+    /// The standard output as JSON.
+    pub(crate) fn json(&self) -> serde_json::Value {
+        serde_json::from_str(&self.out).unwrap_or_else(|e| panic!("{e}: {self:?}"))
+    }
+}
+
+impl From<Output> for Run {
+    fn from(output: Output) -> Self {
+        Self {
+            code: output.status.code().unwrap(),
+            out: String::from_utf8(output.stdout).unwrap(),
+            err: String::from_utf8(output.stderr).unwrap(),
+        }
+    }
+}
+
+/// The program, in the root of the package and without settings from the environment.
+pub(crate) fn program(args: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_bamboolock"));
+    command.args(args).current_dir(env!("CARGO_MANIFEST_DIR"));
+    for variable in ["BAMBOOLOCK_TOKEN", "BAMBOOLOCK_ENTRY", "BAMBOOLOCK_ADMIN"] {
+        command.env_remove(variable);
+    }
+    command
+}
+
+pub(crate) fn run(args: &[&str]) -> Run {
+    program(args).output().unwrap().into()
+}
+
+/// An empty folder of this test.
+pub(crate) fn folder(name: &str) -> std::path::PathBuf {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(&path);
+    std::fs::create_dir_all(&path).unwrap();
+    path
+}
--- /dev/null
+++ b/tests/cli/work.rs
@@ -0,0 +1,239 @@
+//! Callers' commands against a fake entry instance.
+
+use serde_json::json;
+
+use crate::{
+    fake::{
+        Fake,
+        Reply, //
+    },
+    run, //
+};
+
+fn status(state: &str, waiting: u32, done: u32) -> serde_json::Value {
+    json!({"id": "j1", "profile": "gate-plan", "version": 3, "zone": "z1", "state": state,
+        "waiting": waiting, "running": 0, "done": done, "accepted": 0, "reason": ""})
+}
+
+fn accepted() -> Reply {
+    Reply::Json(202, json!({"id": "j1", "repeated": false}))
+}
+
+#[test]
+fn submit_sends_the_options_and_a_key_and_prints_the_id() {
+    let fake = Fake::start(&[("POST /v1/jobs", &[accepted()])]);
+    let args = [
+        "submit",
+        "--entry",
+        &fake.at(),
+        "--profile",
+        "gate-plan",
+        "--tasks",
+        "4",
+        "--estimate",
+        "5m",
+        "--payload",
+        r#"{"day": 7}"#,
+    ];
+    let run = run::run(&args);
+    assert_eq!((run.code, run.out.as_str()), (0, "j1\n"));
+    let body = &fake.seen()[0].body;
+    assert_eq!(body["tasks"], 4);
+    assert_eq!(
+        (&body["estimate"], &body["payload"]["day"]),
+        (&json!(300_000), &json!(7))
+    );
+    let key = body["key"].as_str().unwrap();
+    assert!(run.err.contains(key), "{run:?}");
+}
+
+#[test]
+fn a_faulty_job_is_not_sent() {
+    let fake = Fake::start(&[("POST /v1/jobs", &[accepted()])]);
+    let args = [
+        "submit",
+        "--entry",
+        &fake.at(),
+        "--tasks",
+        "0",
+        "--profile",
+        "a b",
+    ];
+    assert_eq!(run::run(&args).code, 1);
+    assert!(fake.lines().is_empty());
+}
+
+#[test]
+fn submit_wait_shows_progress_until_the_job_has_ended() {
+    let ends = [("done", 0), ("failed", 1), ("cancelled", 1)];
+    for (state, code) in ends {
+        let shown = [
+            Reply::Json(200, status("waiting", 2, 0)),
+            Reply::Close,
+            Reply::Json(200, status("running", 1, 1)),
+            Reply::Json(200, status(state, 0, 2)),
+        ];
+        let fake = Fake::start(&[
+            ("POST /v1/jobs", &[accepted()]),
+            ("GET /v1/jobs/j1", &shown),
+        ]);
+        let args = [
+            "submit",
+            "--entry",
+            &fake.at(),
+            "--profile",
+            "gate-plan",
+            "--wait",
+        ];
+        let run = run::run(&args);
+        assert_eq!(run.code, code, "{run:?}");
+        for line in [
+            "waiting: 2 waiting, 0 running, 0 done",
+            "running: 1 waiting",
+        ] {
+            assert!(run.err.contains(line), "{run:?}");
+        }
+        assert!(run.out.contains(state), "{run:?}");
+    }
+}
+
+#[test]
+fn a_wait_that_takes_too_long_has_its_own_code() {
+    let fake = Fake::start(&[
+        ("POST /v1/jobs", &[accepted()]),
+        (
+            "GET /v1/jobs/j1",
+            &[Reply::Json(200, status("waiting", 2, 0))],
+        ),
+    ]);
+    let args = [
+        "submit",
+        "--entry",
+        &fake.at(),
+        "--profile",
+        "gate-plan",
+        "--wait",
+        "--within",
+        "700ms",
+    ];
+    let run = run::run(&args);
+    assert_eq!(run.code, 6, "{run:?}");
+    assert!(run.err.contains("j1 has not ended within 700ms"), "{run:?}");
+}
+
+#[test]
+fn status_and_cancel_show_jobs() {
+    let fake = Fake::start(&[
+        (
+            "GET /v1/jobs/j1",
+            &[Reply::Json(200, status("running", 0, 1))],
+        ),
+        (
+            "GET /v1/jobs",
+            &[Reply::Json(200, json!([status("done", 0, 1)]))],
+        ),
+        (
+            "DELETE /v1/jobs/j1",
+            &[Reply::Json(202, status("cancelled", 0, 1))],
+        ),
+        (
+            "GET /v1/status",
+            &[Reply::Json(200, json!({"id": "e1", "ready": true}))],
+        ),
+    ]);
+    let at = fake.at();
+    let cases: [(&[&str], &str); 4] = [
+        (&["status", "j1"], "running"),
+        (&["status", "--jobs"], "done"),
+        (&["cancel", "j1"], "cancelled"),
+        (&["status"], "ready"),
+    ];
+    for (args, part) in cases {
+        let run = run::run(&[args, &["--entry", &at]].concat());
+        assert_eq!(run.code, 0, "{run:?}");
+        assert!(run.out.contains(part), "{run:?}");
+    }
+}
+
+#[test]
+fn request_prints_the_whole_answer_and_sends_key_and_deadline() {
+    let headers = "x-bamboolock-ran: yes\r\nx-bamboolock-request: r1\r\n";
+    let fake = Fake::start(&[(
+        "POST /v1/requests/ramp-check",
+        &[Reply::Text(200, headers, "stand B14 is free")],
+    )]);
+    let args = [
+        "request",
+        "ramp-check",
+        "--entry",
+        &fake.at(),
+        "--data",
+        r#"{"stand": "B14"}"#,
+        "--key",
+        "k1",
+        "--deadline",
+        "250ms",
+    ];
+    let run = run::run(&args);
+    assert_eq!((run.code, run.out.as_str()), (0, "stand B14 is free\n"));
+    assert!(
+        run.err.contains("request r1: status 200, ran: yes"),
+        "{run:?}"
+    );
+    let seen = &fake.seen()[0];
+    for header in ["idempotency-key: k1", "x-bamboolock-deadline: 250"] {
+        assert!(seen.headers.contains(header), "{seen:?}");
+    }
+    assert_eq!(seen.body["stand"], "B14");
+}
+
+#[test]
+fn each_way_to_fail_has_its_exit_code() {
+    let refusal = |code: &str, ran: &str| {
+        let message = "the queue is full";
+        json!({"code": code, "ran": ran, "message": message, "retry": 200})
+    };
+    let cases = [
+        (
+            Reply::Json(429, refusal("queue_full", "no")),
+            1,
+            "try again in 200 ms",
+        ),
+        (
+            Reply::Json(504, refusal("outcome_unknown", "unknown")),
+            5,
+            "ran: unknown",
+        ),
+        (
+            Reply::Json(409, refusal("conflict", "no")),
+            4,
+            "refused (conflict",
+        ),
+        (
+            Reply::Text(500, "", "<html>oops"),
+            3,
+            "500 Internal Server Error: <html>oops",
+        ),
+        (Reply::Close, 5, "the call may have taken effect"),
+        (Reply::Silence, 5, "no whole answer in 300 ms"),
+    ];
+    for (reply, code, part) in cases {
+        let told = format!("{reply:?}");
+        let fake = Fake::start(&[("POST /v1/requests/p", &[reply])]);
+        let args = ["request", "p", "--entry", &fake.at(), "--timeout", "300ms"];
+        let run = run::run(&args);
+        assert_eq!(run.code, code, "{told}: {run:?}");
+        assert!(run.err.contains(part), "{told}: {run:?}");
+        assert_eq!(fake.lines().len(), 1, "{told}: sent more than once");
+        let json = run::run(&[&args[..], &["-o", "json"]].concat());
+        assert_eq!(json.json()["exit"], code, "{told}");
+    }
+    // Nothing listens: nothing was changed. A silent read changes nothing either.
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = closed.local_addr().unwrap().to_string();
+    drop(closed);
+    assert_eq!(run::run(&["request", "p", "--entry", &address]).code, 3);
+    let fake = Fake::start(&[("GET /v1/status", &[Reply::Silence])]);
+    let silent = ["status", "--entry", &fake.at(), "--timeout", "300ms"];
+    assert_eq!(run::run(&silent).code, 3);
+}
