feat(cli): speak the administration API's own messages

Cause: the messages of the administration API are defined with its server; the command line had its own.

Ruled out: looking a lost change up in the history, since the server answers a repeat with the same change id by the log's verdict, also while the first append is still undecided.

--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -27,7 +27,13 @@
         args,
         exit::Failure, //
     },
-    wire::caller::Refusal, //
+    wire::{
+        admin::Conflict,
+        caller::{
+            Code,
+            Refusal, //
+        }, //
+    }, //
 };
 
 /// Largest answer that is read, in bytes.
@@ -185,6 +191,12 @@
     /// The failure that an answer with an error status means.
     #[must_use]
     pub fn refusal(&self, answer: &Answer) -> Failure {
+        let conflict = serde_json::from_slice::<Conflict>(&answer.body);
+        if let Ok(conflict) = conflict
+            && conflict.refusal.code == Code::Conflict
+        {
+            return Failure::Lost(Box::new(conflict));
+        }
         match serde_json::from_slice::<Refusal>(&answer.body) {
             Ok(refusal) => Failure::Refused(Box::new(refusal)),
             Err(_) => {
--- a/src/cli/commands.rs
+++ b/src/cli/commands.rs
@@ -178,6 +178,19 @@
 
 fn changes(command: Command) -> Command {
     command
+        .arg(
+            option(
+                "base",
+                "NUMBER",
+                "The version that the change is based on [default: the newest]",
+            )
+            .value_parser(value_parser!(u32)),
+        )
+        .arg(option(
+            "change",
+            "ID",
+            "Id of the change, to repeat one whose outcome is unknown",
+        ))
         .arg(flag(
             "wait",
             "Wait until the change is in force on every instance, and show progress",
@@ -236,15 +249,7 @@
     let command = Command::new("publish")
         .about("Publishes profiles; all files are checked before the first is published")
         .arg(files("Profiles as JSON; a file's name is the profile's"))
-        .arg(option("name", "NAME", "The profile, for a single file"))
-        .arg(
-            option(
-                "base",
-                "NUMBER",
-                "The version that the change is based on [default: the current one]",
-            )
-            .value_parser(value_parser!(u32)),
-        );
+        .arg(option("name", "NAME", "The profile, for a single file"));
     changes(command)
 }
 
--- a/src/cli/documents.rs
+++ b/src/cli/documents.rs
@@ -11,10 +11,7 @@
     profile::Profile,
     settings,
     standin,
-    wire::{
-        admin,
-        caller, //
-    }, //
+    wire::caller, //
 };
 
 /// A kind of document.
@@ -36,7 +33,7 @@
 pub type Checker = fn(source: &str, text: &str) -> Findings;
 
 /// All documents. A new kind needs one more entry here.
-pub const ALL: [Document; 10] = [
+pub const ALL: [Document; 7] = [
     Document {
         name: "entry",
         summary: "Settings of `bamboolock-entry` and `bamboolock-admin`",
@@ -86,27 +83,6 @@
         check: None,
         options: false,
     },
-    Document {
-        name: "profile-published",
-        summary: "One published version of a profile",
-        schema: || schemars::schema_for!(admin::Published),
-        check: None,
-        options: false,
-    },
-    Document {
-        name: "profile-change",
-        summary: "A change of a profile",
-        schema: || schemars::schema_for!(admin::Publish),
-        check: None,
-        options: false,
-    },
-    Document {
-        name: "in-force",
-        summary: "Where an offset of the log is in force",
-        schema: || schemars::schema_for!(admin::InForce),
-        check: None,
-        options: false,
-    },
 ];
 
 fn check<T>(source: &str, text: &str) -> Findings
--- a/src/cli/exit.rs
+++ b/src/cli/exit.rs
@@ -6,10 +6,13 @@
 
 use crate::{
     findings::Findings,
-    wire::caller::{
-        Code,
-        Ran,
-        Refusal, //
+    wire::{
+        admin::Conflict,
+        caller::{
+            Code,
+            Ran,
+            Refusal, //
+        }, //
     }, //
 };
 
@@ -43,6 +46,10 @@
         Refused(refusal: Box<Refusal>) {
             display("{}", refusal.message)
         }
+        /// Another change was faster.
+        Lost(conflict: Box<Conflict>) {
+            display("{}", conflict.refusal.message)
+        }
         /// The work ended, but not well.
         Failed(reason: String) {
             display("{}", reason)
@@ -78,6 +85,7 @@
         match self {
             Self::Findings(_) | Self::Failed(_) => REFUSED,
             Self::Refused(refusal) => refused(refusal),
+            Self::Lost(_) => LOST_RACE,
             Self::Usage(_) | Self::File(..) => USAGE,
             Self::Unreachable(..) => UNREACHABLE,
             Self::Unknown(..) => UNKNOWN,
--- a/src/cli/output.rs
+++ b/src/cli/output.rs
@@ -14,7 +14,10 @@
         Finding,
         Findings, //
     },
-    wire::caller::Refusal, //
+    wire::{
+        admin::Version,
+        caller::Refusal, //
+    }, //
 };
 
 /// The form of a command's result.
@@ -35,6 +38,9 @@
     exit: u8,
     /// One sentence for people.
     message: String,
+    /// The version that won, when another change was faster.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    winner: Option<&'a Version>,
     /// The server's refusal.
     #[serde(skip_serializing_if = "Option::is_none")]
     refusal: Option<&'a Refusal>,
@@ -97,6 +103,11 @@
         message: failure.to_string(),
         refusal: match failure {
             Failure::Refused(refusal) => Some(refusal),
+            Failure::Lost(conflict) => Some(&conflict.refusal),
+            _ => None,
+        },
+        winner: match failure {
+            Failure::Lost(conflict) => conflict.winner.as_ref(),
             _ => None,
         },
         findings: match failure {
@@ -110,6 +121,7 @@
     match failure {
         Failure::Findings(list) => findings(&list.list),
         Failure::Refused(refusal) => refused(refusal),
+        Failure::Lost(conflict) => refused(&conflict.refusal),
         other => format!("error: {other}"),
     }
 }
--- a/src/cli/profiles.rs
+++ b/src/cli/profiles.rs
@@ -10,6 +10,7 @@
     path::Path, //
 };
 
+use actix_web::http::Method;
 use clap::ArgMatches;
 use serde_json::Value;
 
@@ -28,10 +29,7 @@
             Output, //
         }, //
     },
-    diff::{
-        self,
-        Difference, //
-    },
+    diff,
     findings,
     ids::{
         ChangeId,
@@ -40,7 +38,11 @@
     profile::Profile,
     report::text,
     wire::{
-        admin::Published,
+        admin::{
+            self,
+            Difference,
+            Version, //
+        },
         caller::Code, //
     }, //
 };
@@ -73,18 +75,21 @@
     args::identifier("profile", name)
 }
 
-/// The current version, or `None` when the profile was never published.
-async fn current(client: &Client, name: &ProfileName) -> Result<Option<Published>, Failure> {
-    let call = Call::plain(actix_web::http::Method::GET, format!("/v1/profiles/{name}"));
-    match client.call(call).await {
-        Ok(published) => Ok(Some(published)),
+/// The newest version, or `None` when the profile was never published.
+async fn newest(client: &Client, name: &ProfileName) -> Result<Option<Version>, Failure> {
+    let call = Call::plain(Method::GET, format!("/v1/profiles/{name}"));
+    match client.call::<admin::Profile>(call).await {
+        Ok(profile) => Ok(Some(profile.latest)),
         Err(Failure::Refused(r)) if r.code == Code::UnknownProfile => Ok(None),
         Err(failure) => Err(failure),
     }
 }
 
-/// An id that no other change has.
-fn fresh_change() -> Result<ChangeId, Failure> {
+/// The change id of the command line, or one that no other change has.
+fn change_id(args: &ArgMatches) -> Result<ChangeId, Failure> {
+    if let Some(given) = args::text(args, "change") {
+        return args::identifier("change", given);
+    }
     let id = format!("cli-{:032x}", rand::random::<u128>());
     args::identifier("change", &id)
 }
@@ -115,21 +120,28 @@
         return "no difference\n".to_owned();
     }
     let rows = list.iter().map(|d| {
-        let (old, new) = (d.before.to_string(), d.after.to_string());
-        vec![d.place.clone(), old, new]
+        let text = |value: &Option<Value>| value.as_ref().map(Value::to_string);
+        let text = |value| text(value).unwrap_or_else(|| text::NONE.to_owned());
+        vec![d.place.clone(), text(&d.before), text(&d.after)]
     });
     text::columns(&["PLACE", before, after], &rows.collect::<Vec<_>>(), 1)
 }
 
 /// Tells who won a race and what differs from what this operator wanted.
-async fn tell_winner(client: &Client, name: &ProfileName, wanted: &Value) {
-    let Ok(Some(winner)) = current(client, name).await else {
+fn tell_winner(conflict: &admin::Conflict, wanted: &Value) {
+    let Some(winner) = &conflict.winner else {
         return;
     };
+    let Version {
+        name,
+        version,
+        operator,
+        change,
+        ..
+    } = winner;
     let at = text::time(winner.at);
     output::progress(&format!(
-        "{name}: version {} by {} at {at} is current (change {})",
-        winner.version, winner.operator, winner.change
+        "{name}: version {version} by {operator} at {at} is current (change {change})"
     ));
     let list = differences(&winner.body, wanted);
     output::progress(&table(&list, "CURRENT", "YOURS"));
--- a/src/cli/profiles/changes.rs
+++ b/src/cli/profiles/changes.rs
@@ -1,5 +1,7 @@
 //! `profiles rollback` and `withdraw`, and how a change whose answer was lost is resolved.
 
+use std::time::Duration;
+
 use actix_web::http::Method;
 use clap::ArgMatches;
 
@@ -10,7 +12,10 @@
             Call,
             Client, //
         },
-        exit::Failure,
+        exit::{
+            self,
+            Failure, //
+        },
         output::{
             self,
             Output, //
@@ -21,7 +26,6 @@
                 self,
                 Outcome, //
             },
-            show,
             waiting, //
         }, //
     },
@@ -30,11 +34,17 @@
         ProfileName, //
     },
     wire::admin::{
-        Changed,
+        Published,
         Rollback, //
     }, //
 };
 
+/// Sends of one change in all, when its answers are lost.
+const SENDS: u32 = 4;
+
+/// Pause before a change is sent again.
+const PAUSE: Duration = Duration::from_millis(1_000);
+
 /// Publishes an earlier version again, as a new one.
 ///
 /// # Errors
@@ -45,14 +55,15 @@
     let Some(version) = args.get_one::<u32>("version").copied() else {
         return Err(Failure::Usage("--version is needed".to_owned()));
     };
-    let change = profiles::fresh_change()?;
+    let client = Client::admin(args)?;
     let body = Rollback {
+        base: base(args, &client, &name).await?,
+        change: profiles::change_id(args)?,
         version,
-        change: change.clone(),
     };
     let path = format!("/v1/profiles/{name}/rollback");
     let call = Call::json(Method::POST, path, &body)?;
-    finish(args, output, name, call, &change).await
+    finish(args, output, &client, call, &body.change).await
 }
 
 /// Withdraws a profile: no new work is admitted under it.
@@ -62,57 +73,65 @@
 /// Returns the refusal, or that a race was lost.
 pub async fn withdraw(args: &ArgMatches, output: Output) -> Result<(), Failure> {
     let name = profiles::named(args)?;
-    let change = profiles::fresh_change()?;
-    let call = Call::plain(Method::DELETE, format!("/v1/profiles/{name}"));
-    finish(args, output, name, call, &change).await
+    let client = Client::admin(args)?;
+    let base = base(args, &client, &name).await?;
+    let change = profiles::change_id(args)?;
+    let path = format!("/v1/profiles/{name}?base={base}&change={change}");
+    let call = Call::plain(Method::DELETE, path);
+    finish(args, output, &client, call, &change).await
+}
+
+/// The version that a change is based on: the one of the command line, or the newest.
+async fn base(args: &ArgMatches, client: &Client, name: &ProfileName) -> Result<u32, Failure> {
+    if let Some(base) = args.get_one::<u32>("base") {
+        return Ok(*base);
+    }
+    let newest = profiles::newest(client, name).await?;
+    Ok(newest.map_or(0, |v| v.version))
 }
 
 async fn finish(
     args: &ArgMatches,
     output: Output,
-    name: ProfileName,
+    client: &Client,
     call: Call<'_>,
     change: &ChangeId,
 ) -> Result<(), Failure> {
-    let client = Client::admin(args)?;
-    let changed = send(&client, &name, call, change).await?;
-    let outcome = Outcome {
-        name,
-        version: changed.version,
-        offset: changed.offset,
-        changed: true,
-    };
+    let outcome = Outcome::from(send(client, call, change).await?);
+    let offset = outcome.offset;
     output.show(&[outcome], |o| publish::table(o));
     if args.get_flag("wait") {
-        let within = args::span(args, "within")?;
-        waiting::in_force(&client, changed.offset, within).await?;
+        waiting::in_force(client, offset, args::span(args, "within")?).await?;
     }
     Ok(())
 }
 
-/// Makes a change. When its answer was lost, the history says whether it took effect.
+/// Makes a change. One whose answer was lost is sent again with its id, by which it stays the same
+/// change.
 ///
 /// # Errors
 ///
 /// Returns the refusal, or that it is not known yet whether the change took effect.
 pub async fn send(
     client: &Client,
-    name: &ProfileName,
     call: Call<'_>,
     change: &ChangeId,
-) -> Result<Changed, Failure> {
-    let lost = match client.call(call).await {
-        Ok(changed) => return Ok(changed),
-        Err(failure) if failure.code() == crate::cli::exit::UNKNOWN => failure,
-        Err(failure) => return Err(failure),
-    };
-    output::progress(&format!("{lost}; looking it up"));
-    let found = show::versions(client, name).await.unwrap_or_default();
-    let Some(made) = found.into_iter().find(|p| p.change == *change) else {
-        return Err(lost);
-    };
-    Ok(Changed {
-        version: made.version,
-        offset: made.offset,
-    })
+) -> Result<Published, Failure> {
+    let mut sends = 1;
+    loop {
+        let failure = match client.call(call.clone()).await {
+            Ok(published) => return Ok(published),
+            Err(failure) => failure,
+        };
+        if failure.code() != exit::UNKNOWN {
+            return Err(failure);
+        }
+        if sends == SENDS {
+            output::progress(&format!("repeat it later with --change {change}"));
+            return Err(failure);
+        }
+        output::progress(&format!("{failure}; asking again for change {change}"));
+        tokio::time::sleep(PAUSE).await;
+        sends += 1;
+    }
 }
--- a/src/cli/profiles/publish.rs
+++ b/src/cli/profiles/publish.rs
@@ -33,7 +33,8 @@
     report::text,
     wire::admin::{
         Publish,
-        Published, //
+        Published,
+        Version, //
     }, //
 };
 
@@ -63,14 +64,16 @@
 /// Returns the findings of all files, the refusal, or that a race was lost.
 pub async fn publish(args: &ArgMatches, output: Output) -> Result<(), Failure> {
     let wanted = read_all(args)?;
-    let base = args.get_one::<u32>("base").copied();
-    if base.is_some() && wanted.len() > 1 {
-        return Err(Failure::Usage("--base goes with a single file".to_owned()));
+    for option in ["base", "change"] {
+        if wanted.len() > 1 && args.contains_id(option) {
+            let reason = format!("--{option} goes with a single file");
+            return Err(Failure::Usage(reason));
+        }
     }
     let client = Client::admin(args)?;
     let mut outcomes = Vec::new();
     for one in &wanted {
-        outcomes.push(publish_one(&client, one, base).await?);
+        outcomes.push(publish_one(args, &client, one).await?);
     }
     output.show(&outcomes, |o| table(o));
     if args.get_flag("wait") {
@@ -117,46 +120,52 @@
 
 /// Publishes one profile, unless the current version says the same.
 async fn publish_one(
+    args: &ArgMatches,
     client: &Client,
     wanted: &Wanted,
-    base: Option<u32>,
 ) -> Result<Outcome, Failure> {
     let Wanted { name, body } = wanted;
-    let current = profiles::current(client, name).await?;
-    if let Some(current) = &current
-        && base.is_none_or(|base| base == current.version)
-        && profiles::differences(&current.body, body).is_empty()
+    let base = args.get_one::<u32>("base").copied();
+    let newest = profiles::newest(client, name).await?;
+    if let Some(newest) = &newest
+        && base.is_none_or(|base| base == newest.version)
+        && profiles::differences(&newest.body, body).is_empty()
     {
-        return Ok(unchanged(current));
+        return Ok(unchanged(newest));
     }
     let change = Publish {
-        base: base.unwrap_or_else(|| current.map_or(0, |c| c.version)),
+        base: base.unwrap_or_else(|| newest.map_or(0, |v| v.version)),
         body: body.clone(),
-        change: profiles::fresh_change()?,
+        change: profiles::change_id(args)?,
     };
     let call = Call::json(Method::PUT, format!("/v1/profiles/{name}"), &change)?;
-    let changed = changes::send(client, name, call, &change.change).await;
-    if matches!(&changed, Err(failure) if failure.code() == crate::cli::exit::LOST_RACE) {
-        profiles::tell_winner(client, name, body).await;
+    let published = changes::send(client, call, &change.change).await;
+    if let Err(Failure::Lost(conflict)) = &published {
+        profiles::tell_winner(conflict, body);
     }
-    let changed = changed?;
-    Ok(Outcome {
-        name: name.clone(),
-        version: changed.version,
-        offset: changed.offset,
-        changed: true,
-    })
+    published.map(Outcome::from)
 }
 
-fn unchanged(current: &Published) -> Outcome {
+fn unchanged(newest: &Version) -> Outcome {
     Outcome {
-        name: current.name.clone(),
-        version: current.version,
-        offset: current.offset,
+        name: newest.name.clone(),
+        version: newest.version,
+        offset: newest.offset,
         changed: false,
     }
 }
 
+impl From<Published> for Outcome {
+    fn from(published: Published) -> Self {
+        Self {
+            name: published.name,
+            version: published.version,
+            offset: published.offset,
+            changed: true,
+        }
+    }
+}
+
 /// What became of profiles, as a table.
 #[must_use]
 pub fn table(outcomes: &[Outcome]) -> String {
--- a/src/cli/profiles/show.rs
+++ b/src/cli/profiles/show.rs
@@ -20,7 +20,11 @@
     },
     ids::ProfileName,
     report::text,
-    wire::admin::Published, //
+    wire::admin::{
+        Profile,
+        Summary,
+        Version, //
+    }, //
 };
 
 /// Lists the current version of every profile.
@@ -31,8 +35,8 @@
 pub async fn list(args: &ArgMatches, output: Output) -> Result<(), Failure> {
     let client = Client::admin(args)?;
     let call = Call::plain(Method::GET, "/v1/profiles".to_owned());
-    let list: Vec<Published> = client.call(call).await?;
-    output.show(&list, |l| table(l));
+    let list: Vec<Summary> = client.call(call).await?;
+    output.show(&list, |l| summaries(l));
     Ok(())
 }
 
@@ -44,14 +48,14 @@
 pub async fn show(args: &ArgMatches, output: Output) -> Result<(), Failure> {
     let client = Client::admin(args)?;
     let name = profiles::named(args)?;
-    let published = match args.get_one::<u32>("version") {
+    let version = match args.get_one::<u32>("version") {
         Some(version) => versioned(&client, &name, *version).await?,
         None => {
             let call = Call::plain(Method::GET, format!("/v1/profiles/{name}"));
-            client.call(call).await?
+            client.call::<Profile>(call).await?.latest
         }
     };
-    output.show(&published, |p| output::json(&p.body));
+    output.show(&version, |v| output::json(&v.body));
     Ok(())
 }
 
@@ -78,8 +82,8 @@
     };
     let wanted = profiles::read(path)?;
     let client = Client::admin(args)?;
-    let current = profiles::current(&client, &profiles::named(args)?).await?;
-    let body = current.map(|c| c.body).unwrap_or_default();
+    let newest = profiles::newest(&client, &profiles::named(args)?).await?;
+    let body = newest.map(|v| v.body).unwrap_or_default();
     let list = profiles::differences(&body, &wanted);
     output.show(&list, |l| profiles::table(l, "CURRENT", "FILE"));
     Ok(())
@@ -90,22 +94,18 @@
 /// # Errors
 ///
 /// Returns the refusal.
-pub async fn versions(client: &Client, name: &ProfileName) -> Result<Vec<Published>, Failure> {
+pub async fn versions(client: &Client, name: &ProfileName) -> Result<Vec<Version>, Failure> {
     let call = Call::plain(Method::GET, format!("/v1/profiles/{name}/history"));
     client.call(call).await
 }
 
-async fn versioned(
-    client: &Client,
-    name: &ProfileName,
-    version: u32,
-) -> Result<Published, Failure> {
+async fn versioned(client: &Client, name: &ProfileName, version: u32) -> Result<Version, Failure> {
     let list = versions(client, name).await?;
     let found = list.into_iter().find(|p| p.version == version);
     found.ok_or_else(|| Failure::Failed(format!("version {version} of {name} is not kept")))
 }
 
-fn table(list: &[Published]) -> String {
+fn table(list: &[Version]) -> String {
     let header = [
         "PROFILE", "VERSION", "BASE", "KIND", "OPERATOR", "AT", "OFFSET", "CHANGE",
     ];
@@ -124,10 +124,27 @@
     text::columns(&header, &rows.collect::<Vec<_>>(), 3)
 }
 
-fn kind(published: &Published) -> &str {
-    if published.body.is_null() {
-        return "withdrawn";
+fn summaries(list: &[Summary]) -> String {
+    let header = ["PROFILE", "VERSION", "IN FORCE", "OPERATOR", "AT"];
+    let rows = list.iter().map(|s| {
+        let effective = s.effective.map(|v| v.to_string());
+        vec![
+            s.name.to_string(),
+            s.version.to_string(),
+            effective.unwrap_or_else(|| text::NONE.to_owned()),
+            s.operator.to_string(),
+            text::time(s.at),
+        ]
+    });
+    text::columns(&header, &rows.collect::<Vec<_>>(), 3)
+}
+
+fn kind(version: &Version) -> &str {
+    match (version.body.is_null(), version.readable) {
+        (true, _) => return "withdrawn",
+        (false, false) => return "not readable",
+        (false, true) => {}
     }
-    let kind = published.body.get("kind").and_then(|k| k.as_str());
+    let kind = version.body.get("kind").and_then(|k| k.as_str());
     kind.unwrap_or(text::NONE)
 }
--- a/src/cli/profiles/waiting.rs
+++ b/src/cli/profiles/waiting.rs
@@ -16,10 +16,7 @@
     },
     ids::Offset,
     report::text,
-    wire::admin::{
-        InForce,
-        Progress, //
-    }, //
+    wire::admin::InForce, //
 };
 
 /// How often the instances are asked.
@@ -37,7 +34,7 @@
     loop {
         let line = match ask(client, offset).await {
             Ok(state) if everywhere(&state) => {
-                let count = state.instances.len();
+                let count = state.total;
                 let took = start.elapsed().as_millis();
                 output::progress(&format!(
                     "in force on all {count} instances after {took} ms"
@@ -66,24 +63,18 @@
 }
 
 fn everywhere(state: &InForce) -> bool {
-    !state.instances.is_empty() && state.applied().count() == state.instances.len()
+    state.total > 0 && state.missing.is_empty()
 }
 
 fn describe(state: &InForce) -> String {
-    let (applied, all) = (state.applied().count(), state.instances.len());
-    let mut line = format!("in force on {applied} of {all} instances");
-    for (what, list) in [
-        ("behind", names(state.behind())),
-        ("cut off", names(state.cut_off())),
-    ] {
-        if !list.is_empty() {
-            line.push_str(&format!("; {what}: {list}"));
+    let InForce { reached, total, .. } = state;
+    let mut line = format!("in force on {reached} of {total} instances");
+    for (what, answers) in [("behind", true), ("cut off", false)] {
+        let list = state.missing.iter().filter(|m| m.next.is_some() == answers);
+        let names: Vec<_> = list.map(|m| m.id.as_str()).collect();
+        if !names.is_empty() {
+            line.push_str(&format!("; {what}: {}", names.join(", ")));
         }
     }
     line
 }
-
-fn names<'a>(instances: impl Iterator<Item = &'a Progress>) -> String {
-    let names = instances.map(|p| p.id.to_string());
-    names.collect::<Vec<_>>().join(", ")
-}
--- a/src/diff.rs
+++ b/src/diff.rs
@@ -1,21 +1,8 @@
 //! What differs between two JSON values, by JSON pointer.
 
-use serde::{
-    Deserialize,
-    Serialize, //
-};
 use serde_json::Value;
 
-/// One difference.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Difference {
-    /// The JSON pointer of the value; `/` for the whole.
-    pub place: String,
-    /// The value before; null when there was none.
-    pub before: Value,
-    /// The value after; null when there is none.
-    pub after: Value,
-}
+use crate::wire::admin::Difference;
 
 /// The differences between two values, in order of their place. Lists are compared whole.
 #[must_use]
@@ -29,9 +16,9 @@
     let (Value::Object(old), Value::Object(new)) = (before, after) else {
         if before != after {
             found.push(Difference {
-                place: if place.is_empty() { "/" } else { place }.to_owned(),
-                before: before.clone(),
-                after: after.clone(),
+                place: place.to_owned(),
+                before: Some(before.clone()),
+                after: Some(after.clone()),
             });
         }
         return;
--- a/tests/cli/fake.rs
+++ b/tests/cli/fake.rs
@@ -25,7 +25,7 @@
 /// What the fake does with a call.
 #[derive(Debug, Clone)]
 pub(crate) enum Reply {
-    /// Answers with a status and JSON; `$change` stands for the last change that arrived.
+    /// Answers with a status and JSON.
     Json(u16, Value),
     /// Answers with headers and text.
     Text(u16, &'static str, &'static str),
@@ -93,7 +93,7 @@
     calls.lock().unwrap().push(call);
     match reply {
         Reply::Json(status, value) => {
-            let text = value.to_string().replace("$change", &last_change(calls));
+            let text = value.to_string();
             write(&stream, status, "content-type: application/json\r\n", &text);
         }
         Reply::Text(status, headers, text) => write(&stream, status, headers, text),
@@ -107,12 +107,6 @@
     }
 }
 
-fn last_change(calls: &Mutex<Vec<Seen>>) -> String {
-    let calls = calls.lock().unwrap();
-    let mut changes = calls.iter().filter_map(|c| c.body["change"].as_str());
-    changes.next_back().unwrap_or_default().to_owned()
-}
-
 fn next(script: &mut Script, line: &str) -> Reply {
     match script.iter_mut().find(|(known, _)| *known == line) {
         Some((_, replies)) if replies.len() > 1 => replies.remove(0),
--- a/tests/cli/profiles.rs
+++ b/tests/cli/profiles.rs
@@ -22,9 +22,14 @@
     json!({"kind": "request", "team": "ramp", "priority": priority})
 }
 
-fn published(version: u32, change: &str, body: &Value) -> Value {
+fn version(version: u32, change: &str, body: &Value) -> Value {
     json!({"name": "ramp-check", "version": version, "base": version - 1, "change": change,
-        "operator": "avery", "at": 0, "offset": 40 + version, "body": body})
+        "operator": "avery", "at": 0, "offset": 40 + version, "readable": true, "body": body})
+}
+
+fn newest(number: u32, body: &Value) -> Reply {
+    let latest = version(number, "c", body);
+    Reply::Json(200, json!({"effective": number, "latest": latest}))
 }
 
 fn unknown() -> Reply {
@@ -34,7 +39,8 @@
 }
 
 fn changed(version: u32) -> Reply {
-    Reply::Json(200, json!({"version": version, "offset": 77}))
+    let made = json!({"name": "ramp-check", "change": "c", "version": version, "offset": 77});
+    Reply::Json(200, made)
 }
 
 /// Writes a profile to a file of that name in a folder of the test.
@@ -102,8 +108,7 @@
     // The current version spells a default out, which is no difference.
     let mut current = body(5);
     current["idempotent"] = json!(false);
-    let current = Reply::Json(200, published(3, "c3", &current));
-    let fake = Fake::start(&[(CURRENT, &[current]), (CHANGE, &[changed(4)])]);
+    let fake = Fake::start(&[(CURRENT, &[newest(3, &current)]), (CHANGE, &[changed(4)])]);
     let file = file("publish-same", 5);
     let run = run::run(&["profiles", "publish", &file, "--admin", &fake.at()]);
     assert_eq!(run.code, 0);
@@ -124,12 +129,11 @@
 
 #[test]
 fn the_loser_of_a_race_is_told_who_won_and_what_differs() {
-    let refusal = json!({"code": "conflict", "ran": "no", "message": "version 4 is current",
-        "retry": null});
-    let winner = published(4, "c4", &body(2));
+    let conflict = json!({"code": "conflict", "ran": "no", "message": "version 4 is current",
+        "retry": null, "winner": version(4, "c4", &body(2)), "differences": []});
     let fake = Fake::start(&[
-        (CURRENT, &[Reply::Json(200, winner)]),
-        (CHANGE, &[Reply::Json(409, refusal)]),
+        (CURRENT, &[newest(3, &body(1))]),
+        (CHANGE, &[Reply::Json(409, conflict)]),
     ]);
     let file = file("publish-lost", 5);
     let args = [
@@ -144,49 +148,80 @@
     let run = run::run(&args);
     assert_eq!(run.code, 4, "{run:?}");
     assert_eq!(fake.seen()[1].body["base"], 3);
-    for part in [
-        "version 4 by avery",
-        "/priority  2        5",
-        "version 4 is current",
-    ] {
+    let parts = ["version 4 by avery", "(change c4)", "/priority  2        5"];
+    for part in parts.into_iter().chain(["version 4 is current"]) {
         assert!(run.err.contains(part), "{part:?} in {}", run.err);
     }
+    let json = run::run(&[&args[..], &["-o", "json"]].concat()).json();
+    assert_eq!(
+        (&json["exit"], &json["winner"]["version"]),
+        (&json!(4), &json!(4))
+    );
 }
 
 #[test]
-fn a_lost_answer_is_resolved_by_the_history_and_never_repeated() {
+fn a_change_whose_answer_was_lost_is_asked_for_by_its_id() {
     let file = file("publish-unknown", 5);
-    // The change is not in the history yet: it may still take effect.
+    let pending = json!({"code": "log_unavailable", "ran": "unknown", "message": "no word",
+        "retry": 1000});
     let fake = Fake::start(&[
         (CURRENT, &[unknown()]),
-        (CHANGE, &[Reply::Close]),
         (
-            HISTORY,
-            &[Reply::Json(200, json!([published(1, "other", &body(1))]))],
+            CHANGE,
+            &[Reply::Close, Reply::Json(503, pending), changed(1)],
         ),
     ]);
     let run = run::run(&["profiles", "publish", &file, "--admin", &fake.at()]);
+    assert_eq!(run.code, 0, "{run:?}");
+    let seen = fake.seen();
+    assert_eq!(fake.lines(), [CURRENT, CHANGE, CHANGE, CHANGE]);
+    assert!(seen[1..].iter().all(|c| c.body == seen[1].body), "{seen:?}");
+}
+
+#[test]
+fn a_change_that_stays_unknown_can_be_repeated_later() {
+    let file = file("publish-pending", 5);
+    let fake = Fake::start(&[(CURRENT, &[unknown()]), (CHANGE, &[Reply::Close])]);
+    let args = [
+        "profiles",
+        "publish",
+        &file,
+        "--admin",
+        &fake.at(),
+        "--change",
+        "c-9",
+    ];
+    let run = run::run(&args);
     assert_eq!(run.code, 5, "{run:?}");
-    assert_eq!(fake.lines(), [CURRENT, CHANGE, HISTORY]);
-    // The change is there: the answer alone was lost.
-    let made = json!([published(1, "$change", &body(5))]);
+    assert!(
+        run.err.contains("repeat it later with --change c-9"),
+        "{run:?}"
+    );
+    assert_eq!(fake.seen()[1].body["change"], "c-9");
+}
+
+#[test]
+fn a_refused_change_is_not_sent_again() {
+    let file = file("publish-refused", 5);
+    let refusal = json!({"code": "log_unavailable", "ran": "no", "message": "the log is out",
+        "retry": 1000});
     let fake = Fake::start(&[
         (CURRENT, &[unknown()]),
-        (CHANGE, &[Reply::Close]),
-        (HISTORY, &[Reply::Json(200, made)]),
+        (CHANGE, &[Reply::Json(503, refusal)]),
     ]);
     let run = run::run(&["profiles", "publish", &file, "--admin", &fake.at()]);
-    assert_eq!(run.code, 0, "{run:?}");
-    assert_eq!(fake.lines(), [CURRENT, CHANGE, HISTORY]);
+    assert_eq!(run.code, 1, "{run:?}");
+    assert_eq!(fake.lines(), [CURRENT, CHANGE]);
 }
 
 #[test]
 fn publish_wait_names_who_is_behind_and_who_is_cut_off() {
-    let state = |second: Value, third: Value| {
-        let one = |id: &str, next: Value| json!({"id": id, "zone": "z1", "next": next});
-        let list = [one("e1", json!(78)), one("e2", second), one("e3", third)];
-        Reply::Json(200, json!({"offset": 77, "instances": list}))
+    let state = |missing: Value| {
+        let reached = 3 - missing.as_array().unwrap().len();
+        let state = json!({"offset": 77, "reached": reached, "total": 3, "missing": missing});
+        Reply::Json(200, state)
     };
+    let one = |id: &str, next: Value| json!({"id": id, "zone": "z1", "next": next});
     let file = file("publish-wait", 5);
     let publish = |states: &[Reply]| {
         let fake = Fake::start(&[
@@ -200,23 +235,30 @@
         ];
         run::run(&args)
     };
-    let whole = publish(&[state(json!(77), Value::Null), state(json!(78), json!(90))]);
+    let whole = publish(&[
+        state(json!([one("e2", json!(77)), one("e3", Value::Null)])),
+        state(json!([])),
+    ]);
     assert_eq!(whole.code, 0, "{whole:?}");
     let first = "in force on 1 of 3 instances; behind: e2; cut off: e3";
     for part in [first, "in force on all 3 instances after"] {
         assert!(whole.err.contains(part), "{whole:?}");
     }
-    let partly = publish(&[state(json!(78), Value::Null)]);
+    let partly = publish(&[state(json!([one("e3", Value::Null)]))]);
     assert_eq!(partly.code, 6, "{partly:?}");
     let last = "after 1s: in force on 2 of 3 instances; cut off: e3";
     assert!(partly.err.contains(last), "{partly:?}");
 }
 
 #[test]
-fn rollback_and_withdraw_are_changes_too() {
+fn rollback_and_withdraw_are_changes_on_the_newest_version() {
     let fake = Fake::start(&[
+        (CURRENT, &[newest(4, &body(1))]),
         ("POST /v1/profiles/ramp-check/rollback", &[changed(5)]),
-        ("DELETE /v1/profiles/ramp-check", &[changed(6)]),
+        (
+            "DELETE /v1/profiles/ramp-check?base=4&change=c-1",
+            &[changed(6)],
+        ),
     ]);
     let at = fake.at();
     let back = [
@@ -229,33 +271,38 @@
         &at,
     ];
     assert_eq!(run::run(&back).code, 0);
-    assert_eq!(fake.seen()[0].body["version"], 3);
-    let gone = run::run(&[
+    let sent = &fake.seen()[1].body;
+    assert_eq!((&sent["version"], &sent["base"]), (&json!(3), &json!(4)));
+    let gone = [
         "profiles",
         "withdraw",
         "ramp-check",
+        "--change",
+        "c-1",
         "--admin",
         &at,
-        "-o",
-        "json",
-    ]);
+    ];
+    let gone = run::run(&[&gone[..], &["-o", "json"]].concat());
     assert_eq!(gone.json()[0]["version"], 6);
 }
 
 #[test]
-fn show_history_and_diff_read_what_is_published() {
-    let old = published(1, "c1", &body(1));
-    let new = published(2, "c2", &body(2));
+fn list_show_history_and_diff_read_what_is_published() {
+    let versions = json!([version(1, "c1", &body(1)), version(2, "c2", &body(2))]);
+    let list = json!([{"name": "ramp-check", "effective": null, "version": 2,
+        "operator": "avery", "at": 0}]);
     let fake = Fake::start(&[
-        (CURRENT, &[Reply::Json(200, new.clone())]),
-        (HISTORY, &[Reply::Json(200, json!([old, new]))]),
+        ("GET /v1/profiles", &[Reply::Json(200, list)]),
+        (CURRENT, &[newest(2, &body(2))]),
+        (HISTORY, &[Reply::Json(200, versions)]),
     ]);
     let at = fake.at();
     let file = file("show-diff", 9);
-    let cases: [(&[&str], &str); 4] = [
+    let cases: [(&[&str], &str); 5] = [
+        (&["list"], "ramp-check        2         -  avery"),
         (&["show", "ramp-check"], "\"priority\": 2"),
         (&["show", "ramp-check", "--version", "1"], "\"priority\": 1"),
-        (&["history", "ramp-check"], "avery"),
+        (&["history", "ramp-check"], "request  avery"),
         (&["diff", "ramp-check", &file], "/priority  2        9"),
     ];
     for (args, part) in cases {
