--- /dev/null
+++ b/src/cli/profiles/changes.rs
@@ -0,0 +1,137 @@
+//! `profiles rollback` and `withdraw`, and how a change whose answer was lost is resolved.
+
+use std::time::Duration;
+
+use actix_web::http::Method;
+use clap::ArgMatches;
+
+use crate::{
+    cli::{
+        args,
+        client::{
+            Call,
+            Client, //
+        },
+        exit::{
+            self,
+            Failure, //
+        },
+        output::{
+            self,
+            Output, //
+        },
+        profiles::{
+            self,
+            publish::{
+                self,
+                Outcome, //
+            },
+            waiting, //
+        }, //
+    },
+    ids::{
+        ChangeId,
+        ProfileName, //
+    },
+    wire::admin::{
+        Published,
+        Rollback, //
+    }, //
+};
+
+/// Sends of one change in all, when its answers are lost.
+const SENDS: u32 = 4;
+
+/// Pause before a change is sent again.
+const PAUSE: Duration = Duration::from_millis(1_000);
+
+/// Publishes an earlier version again, as a new one.
+///
+/// # Errors
+///
+/// Returns the refusal, or that a race was lost.
+pub async fn rollback(args: &ArgMatches, output: Output) -> Result<(), Failure> {
+    let name = profiles::named(args)?;
+    let Some(version) = args.get_one::<u32>("version").copied() else {
+        return Err(Failure::Usage("--version is needed".to_owned()));
+    };
+    let client = Client::admin(args)?;
+    let body = Rollback {
+        base: base(args, &client, &name).await?,
+        change: profiles::change_id(args)?,
+        version,
+    };
+    let path = format!("/v1/profiles/{name}/rollback");
+    let call = Call::json(Method::POST, path, &body)?;
+    finish(args, output, &client, call, &body.change).await
+}
+
+/// Withdraws a profile: no new work is admitted under it.
+///
+/// # Errors
+///
+/// Returns the refusal, or that a race was lost.
+pub async fn withdraw(args: &ArgMatches, output: Output) -> Result<(), Failure> {
+    let name = profiles::named(args)?;
+    let client = Client::admin(args)?;
+    let base = base(args, &client, &name).await?;
+    let change = profiles::change_id(args)?;
+    let path = format!("/v1/profiles/{name}?base={base}&change={change}");
+    let call = Call::plain(Method::DELETE, path);
+    finish(args, output, &client, call, &change).await
+}
+
+/// The version that a change is based on: the one of the command line, or the newest.
+async fn base(args: &ArgMatches, client: &Client, name: &ProfileName) -> Result<u32, Failure> {
+    if let Some(base) = args.get_one::<u32>("base") {
+        return Ok(*base);
+    }
+    let newest = profiles::newest(client, name).await?;
+    Ok(newest.map_or(0, |v| v.version))
+}
+
+async fn finish(
+    args: &ArgMatches,
+    output: Output,
+    client: &Client,
+    call: Call<'_>,
+    change: &ChangeId,
+) -> Result<(), Failure> {
+    let outcome = Outcome::from(send(client, call, change).await?);
+    let offset = outcome.offset;
+    output.show(&[outcome], |o| publish::table(o));
+    if args.get_flag("wait") {
+        waiting::in_force(client, offset, args::span(args, "within")?).await?;
+    }
+    Ok(())
+}
+
+/// Makes a change. One whose answer was lost is sent again with its id, by which it stays the same
+/// change.
+///
+/// # Errors
+///
+/// Returns the refusal, or that it is not known yet whether the change took effect.
+pub async fn send(
+    client: &Client,
+    call: Call<'_>,
+    change: &ChangeId,
+) -> Result<Published, Failure> {
+    let mut sends = 1;
+    loop {
+        let failure = match client.call(call.clone()).await {
+            Ok(published) => return Ok(published),
+            Err(failure) => failure,
+        };
+        if failure.code() != exit::UNKNOWN {
+            return Err(failure);
+        }
+        if sends == SENDS {
+            output::progress(&format!("repeat it later with --change {change}"));
+            return Err(failure);
+        }
+        output::progress(&format!("{failure}; asking again for change {change}"));
+        tokio::time::sleep(PAUSE).await;
+        sends += 1;
+    }
+}
