feat(standin,load): shared logs and exit statuses; tests of the programs

Cause: the two programs had run loops and exit statuses of their own beside those in program.rs, and no test started them.

Change: both use program.rs; the load tool exits with 4 for a broken promise, 1 for bad input, 3 when it could not work. Two tests start the programs: exit statuses in a table; record, replay, report, plot and a graceful stop.

--- a/src/bin/bamboolock-load.rs
+++ b/src/bin/bamboolock-load.rs
@@ -33,6 +33,7 @@
         table,
         witness, //
     },
+    program,
     settings, //
 };
 use clap::{
@@ -43,32 +44,21 @@
     Command,
     value_parser, //
 };
-use tokio::signal::unix::{
-    SignalKind,
-    signal, //
-};
-
-/// Exit code when an answer was wrong or doubled or the judge found a violation.
-const BROKEN: u8 = 1;
 
-/// Exit code for input that is not valid.
-const INVALID: u8 = 2;
-
-/// Exit code when the tool could not do its work.
-const FAILED: u8 = 3;
+/// Exit status when an answer was wrong or doubled or the judge found a violation.
+const BROKEN: u8 = 4;
 
 /// How long an answer is waited for by default, in milliseconds.
 const PATIENCE: &str = "30000";
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
-    let level = env_logger::Env::default().default_filter_or("info");
-    env_logger::Builder::from_env(level).init();
+    program::logs();
     let arrivals = match arrivals(&matches) {
         Ok(arrivals) => arrivals,
         Err(message) => {
             eprintln!("{message}");
-            return ExitCode::from(INVALID);
+            return ExitCode::from(program::BAD_SETTINGS);
         }
     };
     match actix_web::rt::System::new().block_on(work(&matches, arrivals)) {
@@ -76,7 +66,7 @@
         Ok(false) => ExitCode::from(BROKEN),
         Err(e) => {
             log::error!(error:% = e; "load tool failed");
-            ExitCode::from(FAILED)
+            ExitCode::from(program::FAILED)
         }
     }
 }
@@ -125,8 +115,8 @@
              bamboolock-load --mix mix.json --direct --platform 127.0.0.1:18080\n  \
              bamboolock-load --mix mix.json --record morning.jsonl\n\n\
              Without --entry and --direct nothing is sent.\n\n\
-             Exit codes: 0 all held, 1 a wrong or doubled answer or a violation,\n\
-             2 the input is not valid, 3 the tool could not do its work.",
+             Exit status: 0 all held, 1 bad input, 2 usage, 3 failed,\n\
+             4 a wrong or doubled answer or a violation",
         )
 }
 
@@ -230,13 +220,8 @@
 
 /// Waits for SIGTERM or SIGINT; for ever when they cannot be listened for.
 async fn stopped() {
-    let term = signal(SignalKind::terminate());
-    let int = signal(SignalKind::interrupt());
-    let (Ok(mut term), Ok(mut int)) = (term, int) else {
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
+    if let Err(e) = program::stop_signal().await {
+        log::warn!(error:% = e; "signals cannot be watched");
+        std::future::pending().await
     }
 }
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -7,6 +7,8 @@
 
 #[path = "load/answers.rs"]
 mod answers;
+#[path = "load/programs.rs"]
+mod programs;
 #[path = "load/report.rs"]
 mod report;
 #[path = "load/run.rs"]
