--- a/tests/kernel/shell.rs
+++ b/tests/kernel/shell.rs
@@ -131,6 +131,7 @@
             leaving: self.members.is_leaving(),
             free: 0,
             held: 0,
+            shapes: Vec::new(),
         }
     }
 
