feat(keys): a repeat waits for the first answer; fix(admin): outcomes with their promises

Cause: 4 of 628 keyed requests in the quick start came while the first with their key was in progress and ended as unknown, although the answer stood in the log some milliseconds later. The report command expects the promises beside the sums. Change: a repeat looks for the first answer until its deadline; the administration API gives what the report is made from, and serves only from a caught-up copy.

--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -40,7 +40,6 @@
         Millis, //
     },
     ledger::{
-        outcomes,
         record,
         replica::{
             self,
@@ -59,6 +58,7 @@
 pub mod instances;
 pub mod metrics;
 pub mod openapi;
+pub mod outcomes;
 pub mod profiles;
 
 /// Largest body of a call, in bytes.
@@ -87,7 +87,7 @@
     pub async fn ready(&self) -> Result<replica::Status, Failure> {
         let status = self.ledger.addr.send(replica::GetStatus).await;
         let status = status.map_err(|_| Failure::unavailable("the replica has ended"))?;
-        if !status.loaded {
+        if !status.loaded || !self.ledger.is_current() {
             return Err(Failure::unavailable("the state is not loaded yet"));
         }
         Ok(status)
@@ -203,7 +203,7 @@
             web::post().to(profiles::roll_back),
         )
         .route("/v1/instances/in-force", web::get().to(instances::in_force))
-        .route("/v1/outcomes", web::get().to(outcomes))
+        .route("/v1/outcomes", web::get().to(show_outcomes))
         .route("/healthz", web::get().to(health))
         .route("/readyz", web::get().to(ready))
         .route("/metrics", web::get().to(exposition));
@@ -218,16 +218,16 @@
 }
 
 /// `GET /v1/outcomes`: what became of work, by span of time, profile and version.
-async fn outcomes(
+async fn show_outcomes(
     shared: web::Data<Shared>,
     query: web::Query<Since>,
     _: Reader,
 ) -> Result<HttpResponse, Failure> {
     shared.ready().await?;
-    let rows: Vec<outcomes::Row> = shared
+    let input = shared
         .ledger
-        .read(|state| state.outcomes.rows(query.since).collect());
-    Ok(HttpResponse::Ok().json(rows))
+        .read(|state| outcomes::input(state, query.since));
+    Ok(HttpResponse::Ok().json(input))
 }
 
 /// `GET /healthz`: the process runs.
--- a/src/entry/keys.rs
+++ b/src/entry/keys.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use tokio::time::Instant;
 
 use crate::{
     entry::{
@@ -43,6 +44,9 @@
 /// How long an answer or a release is offered to the log, in milliseconds.
 const SETTLE: u64 = 600_000;
 
+/// How often the log is looked at for the answer of an earlier request.
+const LOOK: Duration = Duration::from_millis(20);
+
 /// When a caller may try again while the log is out, in milliseconds.
 const RETRY: u64 = 1_000;
 
@@ -80,7 +84,8 @@
     let limit = Duration::from_millis(order.deadline.unwrap_or(CONFIRM).min(CONFIRM));
     let records = vec![Record::Key(wanted)];
     match shared.ledger.append(records, limit).await {
-        Ok(effects) => decided(shared, name, key, request, &effects),
+        Ok(effects) if holds(&effects, &request) => Ok(Claim::Held(request)),
+        Ok(_) => repeat(earlier(shared, name, key, order.deadline).await),
         Err(Unavailable::Dropped) => Err(unavailable()),
         Err(Unavailable::Pending) => {
             release(shared, name, key, request);
@@ -102,25 +107,37 @@
     refusal::later(Code::LogUnavailable, message, RETRY)
 }
 
-fn decided(
+/// Whether the log gave the key to this request.
+fn holds(effects: &[Effect], request: &RequestId) -> bool {
+    effects.iter().any(|effect| match effect {
+        Effect::Key { holder, .. } => holder == request,
+        _ => false,
+    })
+}
+
+/// The answer of the request that holds the key; waits for one that is still in progress.
+async fn earlier(
     shared: &http::Shared,
     name: &ProfileName,
     key: &IdempotencyKey,
-    request: RequestId,
-    effects: &[Effect],
-) -> Result<Claim, Refusal> {
-    let held = effects.iter().any(|effect| match effect {
-        Effect::Key { holder, .. } => *holder == request,
-        _ => false,
+    deadline: Option<u64>,
+) -> Option<record::Answer> {
+    let promised = shared.ledger.read(|state| {
+        let version = state.profiles.profile(name);
+        version.map_or(0, |v| v.profile.objective.deadline)
     });
-    if held {
-        return Ok(Claim::Held(request));
+    let limit = Duration::from_millis(deadline.unwrap_or(promised).min(promised));
+    let end = Instant::now() + limit;
+    loop {
+        let found = shared.ledger.read(|state| {
+            let held = state.keys.get(name, key);
+            held.and_then(|h| h.answer.clone())
+        });
+        if found.is_some() || Instant::now() >= end {
+            return found;
+        }
+        tokio::time::sleep(LOOK).await;
     }
-    let earlier = shared.ledger.read(|state| {
-        let held = state.keys.get(name, key);
-        held.and_then(|h| h.answer.clone())
-    });
-    repeat(earlier)
 }
 
 /// The answer of the request that holds the key.
