--- a/src/standin/command.rs
+++ b/src/standin/command.rs
@@ -1,6 +1,7 @@
 //! The commands of the control port, and what it shows.
 
 use compact_str::CompactString;
+use schemars::JsonSchema;
 use serde::{
     Deserialize,
     Serialize, //
@@ -22,7 +23,7 @@
 };
 
 /// Which workers a command is for: those named and those of the zones named; with neither, all.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct Select {
     /// Workers by id.
@@ -32,7 +33,7 @@
 }
 
 /// One command. `on` switches a fault on or off.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(tag = "do", rename_all = "snake_case", deny_unknown_fields)]
 pub enum Command {
     /// Sets how the log behaves.
@@ -182,6 +183,7 @@
         /// Which.
         id: InstanceId,
         /// What the platform believes of it.
+        #[schemars(with = "String")]
         state: list::State,
         /// Its life; absent to leave it as it is.
         #[serde(default)]
--- a/src/standin/faults.rs
+++ b/src/standin/faults.rs
@@ -1,5 +1,6 @@
 //! The faults that can be switched.
 
+use schemars::JsonSchema;
 use serde::{
     Deserialize,
     Serialize, //
@@ -8,7 +9,7 @@
 use crate::ids::ZoneId;
 
 /// How something that is out behaves towards its callers.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
 pub enum Mode {
     /// It works.
--- a/src/standin/judge.rs
+++ b/src/standin/judge.rs
@@ -1,6 +1,7 @@
 //! The judge: an account of broken promises that shares no books with the scheduler.
 
 use compact_str::CompactString;
+use schemars::JsonSchema;
 use serde::{
     Deserialize,
     Serialize, //
@@ -20,7 +21,9 @@
 const KEPT: usize = 1_000;
 
 /// A broken promise.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, JsonSchema,
+)]
 #[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// A worker was sent more than it has room for.
--- a/tests/cli/offline.rs
+++ b/tests/cli/offline.rs
@@ -83,6 +83,10 @@
             "standin",
             r#"{"task": 500, "lag": {"list": 1, "usage": 2}}"#,
         ),
+        (
+            "mix",
+            r#"{"duration": 1000, "streams": [{"profile": "check", "rate": 5}]}"#,
+        ),
     ];
     for (kind, text) in cases {
         let file = folder.join(format!("{kind}-a.json"));
@@ -102,7 +106,8 @@
     let run = run::run(&["config", "check", odd.to_str().unwrap()]);
     assert_eq!(run.code, 1);
     assert!(
-        run.err.contains("--kind: entry, profile, standin, job"),
+        run.err
+            .contains("--kind: entry, profile, standin, mix, job"),
         "{run:?}"
     );
 }
--- a/tests/standin.rs
+++ b/tests/standin.rs
@@ -17,6 +17,10 @@
 mod list;
 #[path = "standin/log.rs"]
 mod log;
+#[path = "standin/page.rs"]
+mod page;
+#[path = "standin/platform.rs"]
+mod platform;
 #[path = "standin/serve.rs"]
 mod serve;
 #[path = "standin/tasks.rs"]
--- /dev/null
+++ b/tests/standin/platform.rs
@@ -0,0 +1,167 @@
+//! Faults of log and list beside outages of the log.
+
+use std::time::Duration;
+
+use bamboolock::{
+    ids::Boot,
+    standin::{
+        command::{
+            Command,
+            Select, //
+        },
+        faults::Mode,
+        settings::{
+            Entry,
+            Lag,
+            Settings, //
+        }, //
+    },
+    wire::list::{
+        Instance,
+        Listing,
+        State, //
+    }, //
+};
+use tokio::time::{
+    Instant,
+    timeout, //
+};
+
+use crate::client::{
+    self,
+    Client,
+    GLIMPSE,
+    fresh, //
+};
+
+const ENTRY: &str = "e1";
+
+/// A list without lag that shows one entry instance.
+fn settings() -> Settings {
+    let entry = Entry {
+        id: ENTRY.parse().unwrap(),
+        zone: "north-a".parse().unwrap(),
+        region: "north".parse().unwrap(),
+        rack: "rack9".parse().unwrap(),
+        address: "127.0.0.1:7001".parse().unwrap(),
+        peer: "127.0.0.1:7002".parse().unwrap(),
+    };
+    Settings {
+        entries: vec![entry],
+        lag: Lag { list: 0, usage: 0 },
+        ..client::settings()
+    }
+}
+
+async fn listed(client: &Client, id: &str) -> Instance {
+    let listing: Listing = client.get("/v1/instances").await.1.unwrap();
+    let found = listing.instances.into_iter().find(|i| i.id == id);
+    found.unwrap()
+}
+
+#[actix_web::test]
+async fn the_list_shows_what_became_of_instances() {
+    let target = || Select {
+        workers: vec!["north-a-w000".parse().unwrap()],
+        zones: Vec::new(),
+    };
+    let entry = |state, boot| Command::Entry {
+        id: ENTRY.parse().unwrap(),
+        state,
+        boot,
+    };
+    let leave = |on| Command::Leaving {
+        target: target(),
+        on,
+    };
+    let worker = "north-a-w000";
+    let cases = [
+        (
+            "crash",
+            worker,
+            vec![Command::Crash { target: target() }],
+            State::Live,
+            1,
+        ),
+        (
+            "restart",
+            worker,
+            vec![Command::Restart { target: target() }],
+            State::Live,
+            2,
+        ),
+        ("leaving", worker, vec![leave(true)], State::Leaving, 1),
+        (
+            "staying",
+            worker,
+            vec![leave(true), leave(false)],
+            State::Live,
+            1,
+        ),
+        (
+            "gone",
+            worker,
+            vec![Command::Gone { target: target() }],
+            State::Gone,
+            1,
+        ),
+        (
+            "entry leaves",
+            ENTRY,
+            vec![entry(State::Leaving, None)],
+            State::Leaving,
+            1,
+        ),
+        (
+            "entry returns",
+            ENTRY,
+            vec![entry(State::Live, Some(Boot(5)))],
+            State::Live,
+            5,
+        ),
+    ];
+    for (name, id, commands, state, boot) in cases {
+        let client = Client::start(&settings()).await;
+        for command in commands {
+            assert_eq!(client.command(&command).await, 200, "{name}");
+        }
+        let shown = listed(&client, id).await;
+        assert_eq!((shown.state, shown.boot), (state, Boot(boot)), "{name}");
+        client.stop().await;
+    }
+}
+
+#[actix_web::test]
+async fn an_outage_of_the_list_leaves_the_log() {
+    let client = Client::start(&settings()).await;
+    client.command(&Command::List { mode: Mode::Refuse }).await;
+    assert_eq!(client.get::<Listing>("/v1/instances").await.0, 503);
+    assert_eq!(client.append("entry").await.0, 200);
+    client.command(&Command::List { mode: Mode::Up }).await;
+    assert_eq!(client.get::<Listing>("/v1/instances").await.0, 200);
+    client.stop().await;
+}
+
+#[actix_web::test]
+async fn appends_wait_and_then_take_effect() {
+    let client = Client::start(&settings()).await;
+    client.command(&Command::DelayAppends { delay: 200 }).await;
+    let start = Instant::now();
+    assert_eq!(client.append("entry").await.0, 200);
+    assert!(start.elapsed() >= Duration::from_millis(200));
+    assert_eq!(client.read(0, 10, 0).await.entries.len(), 1);
+    client.stop().await;
+}
+
+#[actix_web::test]
+async fn connections_to_the_platform_go_silent_and_new_ones_work() {
+    let client = Client::start(&settings()).await;
+    let url = format!("http://{}/v1/instances", client.running.platform);
+    let old = fresh();
+    let first = old.get(&url).send().await.unwrap().body().await;
+    assert!(!first.unwrap().is_empty());
+    client.command(&Command::SilencePlatform).await;
+    assert!(timeout(GLIMPSE, old.get(&url).send()).await.is_err());
+    assert_eq!(listed(&client, ENTRY).await.state, State::Live);
+    client.stop().await;
+}
