--- a/tests/standin/faults.rs
+++ b/tests/standin/faults.rs
@@ -4,13 +4,10 @@
 
 use bamboolock::{
     ids::Token,
-    standin::{
-        command::{
-            Command,
-            Select,
-            View, //
-        },
-        faults::Mode, //
+    standin::command::{
+        Command,
+        Select,
+        View, //
     },
     wire::{
         self,
@@ -293,58 +290,6 @@
     client.stop().await;
 }
 
-#[actix_web::test]
-async fn an_outage_of_the_log_takes_no_entry() {
-    let cases = [
-        ("refuse", Mode::Refuse, Some(503)),
-        ("hang", Mode::Hang, None),
-        ("drop", Mode::Drop, None),
-    ];
-    for (name, mode, status) in cases {
-        let client = Client::start(&client::settings()).await;
-        client.command(&Command::Log { mode }).await;
-        let url = format!("http://{}/v1/log/append", client.running.platform);
-        let body = json!({"payload": "entry"});
-        let http = fresh();
-        let answer = timeout(limit(status.is_none()), http.post(url).send_json(&body)).await;
-        let seen = answer
-            .ok()
-            .and_then(Result::ok)
-            .map(|a| a.status().as_u16());
-        assert_eq!(seen, status, "{name}");
-        client.command(&Command::Log { mode: Mode::Up }).await;
-        assert!(client.read(0, 10, 0).await.entries.is_empty(), "{name}");
-        client.stop().await;
-    }
-}
-
-#[actix_web::test]
-async fn a_lost_append_took_effect() {
-    let cases = [
-        ("refuse", Mode::Refuse, Some(503)),
-        ("hang", Mode::Hang, None),
-        ("drop", Mode::Drop, None),
-    ];
-    for (name, mode, status) in cases {
-        let client = Client::start(&client::settings()).await;
-        client
-            .command(&Command::LoseAppends { count: 1, mode })
-            .await;
-        let url = format!("http://{}/v1/log/append", client.running.platform);
-        let body = json!({"payload": "entry"});
-        let http = fresh();
-        let answer = timeout(limit(status.is_none()), http.post(url).send_json(&body)).await;
-        let seen = answer
-            .ok()
-            .and_then(Result::ok)
-            .map(|a| a.status().as_u16());
-        assert_eq!(seen, status, "{name}");
-        assert_eq!(client.read(0, 10, 0).await.entries.len(), 1, "{name}");
-        assert_eq!(client.append("next").await.0, 200, "{name}");
-        client.stop().await;
-    }
-}
-
 #[actix_web::test]
 async fn a_zone_cut_from_the_platform_gets_no_answer() {
     let client = Client::start(&client::settings()).await;
--- a/tests/standin/platform.rs
+++ b/tests/standin/platform.rs
@@ -1,4 +1,4 @@
-//! Faults of log and list beside outages of the log.
+//! Faults of log and list.
 
 use std::time::Duration;
 
@@ -22,6 +22,7 @@
         State, //
     }, //
 };
+use serde_json::json;
 use tokio::time::{
     Instant,
     timeout, //
@@ -31,6 +32,7 @@
     self,
     Client,
     GLIMPSE,
+    PATIENCE,
     fresh, //
 };
 
@@ -131,6 +133,43 @@
     }
 }
 
+/// The status that an append gets, if it gets one.
+async fn append(client: &Client, expected: Option<u16>) -> Option<u16> {
+    let limit = if expected.is_none() {
+        GLIMPSE
+    } else {
+        PATIENCE
+    };
+    let url = format!("http://{}/v1/log/append", client.running.platform);
+    let http = fresh();
+    let sent = http.post(url).send_json(&json!({"payload": "entry"}));
+    let answer = timeout(limit, sent).await.ok()?;
+    answer.ok().map(|a| a.status().as_u16())
+}
+
+#[actix_web::test]
+async fn an_append_without_a_good_answer_may_have_taken_effect() {
+    let out = |mode| Command::Log { mode };
+    let lose = |mode| Command::LoseAppends { count: 1, mode };
+    let cases = [
+        ("outage, refused", out(Mode::Refuse), Some(503), 0),
+        ("outage, silent", out(Mode::Hang), None, 0),
+        ("outage, closed", out(Mode::Drop), None, 0),
+        ("answer lost, refused", lose(Mode::Refuse), Some(503), 1),
+        ("answer lost, silent", lose(Mode::Hang), None, 1),
+        ("answer lost, closed", lose(Mode::Drop), None, 1),
+    ];
+    for (name, command, status, entries) in cases {
+        let client = Client::start(&settings()).await;
+        client.command(&command).await;
+        assert_eq!(append(&client, status).await, status, "{name}");
+        client.command(&out(Mode::Up)).await;
+        assert_eq!(client.read(0, 10, 0).await.entries.len(), entries, "{name}");
+        assert_eq!(client.append("next").await.0, 200, "{name}");
+        client.stop().await;
+    }
+}
+
 #[actix_web::test]
 async fn an_outage_of_the_list_leaves_the_log() {
     let client = Client::start(&settings()).await;
