--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod accounts;
 pub mod effect;
+pub mod follower;
 pub mod jobs;
 pub mod keys;
 pub mod outcomes;
--- a/src/ledger/recovery.rs
+++ b/src/ledger/recovery.rs
@@ -39,8 +39,8 @@
 
     /// The gathered entries, oldest first.
     #[must_use]
-    pub fn entries(&self) -> &[log::Entry] {
-        &self.entries
+    pub fn into_entries(self) -> Vec<log::Entry> {
+        self.entries
     }
 
     /// Adds the next entry. Returns the state after it, once a usable snapshot was found.
--- a/src/ledger/replica.rs
+++ b/src/ledger/replica.rs
@@ -44,10 +44,9 @@
             Applied,
             Effect, //
         },
+        follower::Follower,
         queue::Queue,
         record,
-        recovery::Recovery,
-        ring::Ring,
         snapshots,
         state::State, //
     },
@@ -118,10 +117,7 @@
 pub struct Replica {
     cfg: configs::log::Log,
     log: Rc<platform::log::Client>,
-    state: Arc<RwLock<State>>,
-    loaded: bool,
-    recovery: Recovery,
-    ring: Ring,
+    follower: Follower,
     queue: Queue<oneshot::Sender<Result<Vec<Effect>, Unavailable>>>,
     /// The batch that is being appended, also between two attempts.
     appending: Option<ChangeId>,
@@ -147,10 +143,7 @@
                 &entry.zone,
                 cfg.clone(),
             )),
-            state: state.clone(),
-            loaded: false,
-            recovery: Recovery::new(),
-            ring: Ring::default(),
+            follower: Follower::new(state.clone()),
             queue: Queue::new(by.clone(), usize::try_from(cfg.batch).unwrap_or(1)),
             appending: None,
             gather: None,
@@ -168,21 +161,9 @@
         }
     }
 
-    /// The first offset that is wanted from the log.
-    fn next(&self) -> Offset {
-        match self.recovery.next() {
-            Some(next) if !self.loaded => next,
-            _ => self.read(State::next),
-        }
-    }
-
-    fn read<T>(&self, look: impl FnOnce(&State) -> T) -> T {
-        look(&self.state.read().unwrap_or_else(PoisonError::into_inner))
-    }
-
     fn poll(&mut self, ctx: &mut Context<Self>) {
         let log = self.log.clone();
-        let from = self.next();
+        let from = self.follower.wanted();
         let failures = self.failures;
         let read = async move { log.read(from, failures).await };
         ctx.spawn(read.into_actor(self).map(move |result, actor, ctx| {
@@ -214,12 +195,12 @@
             ctx.run_later(self.cfg.poll, Self::poll);
             return;
         }
-        self.check_start(from, page.first);
-        for entry in page.entries {
-            self.take_entry(entry, ctx);
+        let end = page.next;
+        for applied in self.follower.take_page(from, page) {
+            self.publish(&applied, ctx);
         }
-        if self.loaded {
-            self.fresh.read(self.read(State::next), page.next);
+        if self.follower.loaded() {
+            self.fresh.read(self.follower.next(), end);
         }
         self.schedule_snapshot(ctx);
         self.poll(ctx);
@@ -227,79 +208,18 @@
 
     /// Looks whether the copy has caught up with its peers.
     fn review(&mut self) {
-        if self.loaded {
-            self.fresh.review(self.read(State::next));
-        }
-    }
-
-    /// Decides whether the log can be replayed from where this copy stands.
-    fn check_start(&mut self, from: Offset, first: Offset) {
-        let next = self.read(State::next);
-        if first > next && self.loaded {
-            ::log::warn!(next = next.0, first = first.0; "entries were dropped before they were read");
-            self.loaded = false;
-            self.recovery = Recovery::new();
-        }
-        if !self.loaded && first <= next && from == next {
-            self.loaded = true;
-        }
-    }
-
-    fn take_entry(&mut self, entry: log::Entry, ctx: &mut Context<Self>) {
-        if self.loaded {
-            self.apply(entry, ctx);
-            return;
+        if self.follower.loaded() {
+            self.fresh.review(self.follower.next());
         }
-        let Some(state) = self.recovery.push(entry) else {
-            return;
-        };
-        let gathered = std::mem::take(&mut self.recovery);
-        self.replace(state, ctx);
-        for entry in gathered.entries() {
-            self.ring.push(entry.clone());
-        }
-    }
-
-    fn apply(&mut self, entry: log::Entry, ctx: &mut Context<Self>) {
-        if entry.offset != self.read(State::next) {
-            return;
-        }
-        let applied = {
-            let mut state = self.state.write().unwrap_or_else(PoisonError::into_inner);
-            state.apply(&entry)
-        };
-        self.ring.push(entry);
-        self.publish(applied, ctx);
-    }
-
-    /// Takes over a state that was built elsewhere, if it is ahead of this one.
-    fn replace(&mut self, state: State, ctx: &mut Context<Self>) {
-        let next = state.next();
-        let own = self.read(State::next);
-        if next < own || (self.loaded && next == own) {
-            return;
-        }
-        self.recovery = Recovery::new();
-        self.ring.clear();
-        *self.state.write().unwrap_or_else(PoisonError::into_inner) = state;
-        self.loaded = true;
-        ::log::info!(next = next.0; "state restored from a snapshot");
-        let applied = Applied {
-            offset: Offset(next.0.saturating_sub(1)),
-            batch: None,
-            effects: vec![Effect::Restored { next }],
-            origins: vec![0],
-        };
-        self.publish(applied, ctx);
     }
 
-    fn publish(&mut self, applied: Applied, ctx: &mut Context<Self>) {
+    fn publish(&mut self, applied: &Applied, ctx: &mut Context<Self>) {
         for effect in &applied.effects {
             if let Effect::Skipped(finding) = effect {
                 ::log::warn!(offset = applied.offset.0; "{finding}");
             }
         }
-        for (reply, effects) in self.queue.applied(&applied) {
+        for (reply, effects) in self.queue.applied(applied) {
             // A party that went away needs no answer.
             let _ = reply.send(Ok(effects));
         }
--- a/src/ledger/replica/append.rs
+++ b/src/ledger/replica/append.rs
@@ -1,7 +1,5 @@
 //! The writing half of the replica: group commits, repeated appends and snapshots.
 
-use std::sync::PoisonError;
-
 use actix::{
     ActorFutureExt,
     AsyncContext,
@@ -21,7 +19,8 @@
     ids::ChangeId,
     ledger::{
         queue::Item,
-        record, //
+        record,
+        state::State, //
     },
     platform,
     wire::log, //
@@ -108,25 +107,22 @@
     }
 
     pub(super) fn schedule_snapshot(&mut self, ctx: &mut Context<Self>) {
-        if !self.loaded {
+        if !self.follower.loaded() {
             return;
         }
-        let state = self.state.read().unwrap_or_else(PoisonError::into_inner);
-        let Some(pause) = self.snapshots.due(&state) else {
+        let due = self.follower.read(|state| self.snapshots.due(state));
+        let Some(pause) = due else {
             return;
         };
-        drop(state);
         ctx.run_later(pause, Self::append_snapshot);
     }
 
     /// Appends a snapshot, unless another instance has done so meanwhile.
     fn append_snapshot(&mut self, _: &mut Context<Self>) {
-        let state = self.state.read().unwrap_or_else(PoisonError::into_inner);
-        if !self.snapshots.fire(&state) {
+        if !self.follower.read(|state| self.snapshots.fire(state)) {
             return;
         }
-        let snapshot = state.snapshot();
-        drop(state);
+        let snapshot = self.follower.read(State::snapshot);
         let record = record::Record::Snapshot {
             next: snapshot.next,
             state: Box::new(snapshot.state),
--- a/src/ledger/replica/messages.rs
+++ b/src/ledger/replica/messages.rs
@@ -25,15 +25,11 @@
             Effect, //
         },
         queue::Item,
-        record,
-        state::State, //
+        record, //
     },
     wire::peer, //
 };
 
-/// Most entries in one answer to a peer.
-const TAIL: usize = 1_000;
-
 quick_error! {
     /// The records were not seen in the log in time.
     #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -135,23 +131,7 @@
     type Result = MessageResult<Tail>;
 
     fn handle(&mut self, msg: Tail, _: &mut Context<Self>) -> Self::Result {
-        let nothing = peer::Tail {
-            entries: Vec::new(),
-            snapshot: None,
-        };
-        if !self.loaded || msg.from >= self.read(State::next) {
-            return MessageResult(nothing);
-        }
-        MessageResult(match self.ring.from(msg.from, TAIL) {
-            Some(entries) => peer::Tail {
-                entries,
-                snapshot: None,
-            },
-            None => peer::Tail {
-                snapshot: Some(self.read(State::snapshot)),
-                ..nothing
-            },
-        })
+        MessageResult(self.follower.tail(msg.from))
     }
 }
 
@@ -159,20 +139,11 @@
     type Result = MessageResult<Feed>;
 
     fn handle(&mut self, msg: Feed, ctx: &mut Context<Self>) -> Self::Result {
-        let peer::Tail { entries, snapshot } = msg.0;
-        if let Some(snapshot) = snapshot {
-            match State::restore(&snapshot) {
-                Ok(state) => self.replace(state, ctx),
-                Err(e) => ::log::warn!(error:% = e; "a peer sent a snapshot of no use"),
-            }
-        }
-        let next = self.read(State::next);
-        // The first entries make a fresh copy whole, and missed ones a copy that fell behind.
-        self.loaded |= entries.iter().any(|e| e.offset == next);
-        for entry in entries {
-            self.apply(entry, ctx);
+        match self.follower.feed(msg.0) {
+            Ok(all) => all.iter().for_each(|applied| self.publish(applied, ctx)),
+            Err(e) => ::log::warn!(error:% = e; "a peer sent a snapshot of no use"),
         }
-        MessageResult(self.read(State::next))
+        MessageResult(self.follower.next())
     }
 }
 
@@ -189,8 +160,8 @@
 
     fn handle(&mut self, _: GetStatus, _: &mut Context<Self>) -> Self::Result {
         MessageResult(Status {
-            next: self.read(State::next),
-            loaded: self.loaded,
+            next: self.follower.next(),
+            loaded: self.follower.loaded(),
             silent: (self.failures > 0).then(|| self.contact.elapsed()),
         })
     }
--- a/tests/ledger/admin.rs
+++ b/tests/ledger/admin.rs
@@ -24,10 +24,7 @@
     },
     ledger::{
         record,
-        replica::{
-            GetStatus,
-            Replica, //
-        }, //
+        replica::Replica, //
     },
     settings, //
 };
@@ -69,7 +66,7 @@
 async fn api(log: &FakeLog) -> Shared {
     let settings = settings(log);
     let ledger = Replica::start(&settings, author("i1:admin"));
-    while !ledger.addr.send(GetStatus).await.unwrap().loaded {
+    while !ledger.is_current() {
         tokio::time::sleep(std::time::Duration::from_millis(5)).await;
     }
     Shared {
@@ -295,6 +292,12 @@
     let (status, answer) = call(&shared, OPERATOR, line, put(0, "c1", 1)).await;
     assert_eq!((status, &answer["version"]), (200, &json!(1)));
     log.fault(Fault::Down);
+    let (status, answer) = call(&shared, OPERATOR, line, put(0, "c1", 1)).await;
+    assert_eq!(
+        (status, &answer["version"]),
+        (200, &json!(1)),
+        "what is decided is known"
+    );
     let (status, answer) = call(&shared, OPERATOR, line, put(1, "c2", 2)).await;
     assert_eq!((status, &answer["ran"]), (503, &json!("unknown")));
     let (status, _) = call(&shared, READER, "GET /v1/profiles/checks", Value::Null).await;
