--- a/tests/ledger/main.rs
+++ b/tests/ledger/main.rs
@@ -9,5 +9,8 @@
 mod admin;
 mod common;
 mod fake_log;
+mod fuzz;
+mod oracle;
 mod replay;
 mod replica;
+mod snapshots;
