refactor: one diff of JSON values for the API and the command line

Cause: src/diff.rs and src/admin/diff.rs did the same. Change: the one that tells a missing member from null stays, as bamboolock::diff. Conclusion: the tests of the command line and of the API pass with it.

--- a/src/admin/changes.rs
+++ b/src/admin/changes.rs
@@ -5,10 +5,10 @@
 use crate::{
     admin::{
         Shared,
-        diff,
         failure::Failure,
         profiles, //
     },
+    diff,
     entry::refusal,
     findings::{
         self,
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -54,7 +54,6 @@
 
 pub mod access;
 pub mod changes;
-pub mod diff;
 pub mod failure;
 pub mod instances;
 pub mod metrics;
--- a/src/admin/profiles.rs
+++ b/src/admin/profiles.rs
@@ -16,9 +16,9 @@
             Reader, //
         },
         changes,
-        diff,
         failure::Failure, //
     },
+    diff,
     findings::{
         self,
         Check,
--- a/tests/ledger/admin.rs
+++ b/tests/ledger/admin.rs
@@ -15,13 +15,13 @@
     admin::{
         self,
         Shared,
-        diff,
         metrics::Metrics,
         openapi::{
             self,
             Guard, //
         }, //
     },
+    diff,
     ledger::{
         record,
         replica::Replica, //
