--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -40,7 +40,6 @@
         Millis, //
     },
     ledger::{
-        outcomes,
         record,
         replica::{
             self,
@@ -58,6 +57,7 @@
 pub mod instances;
 pub mod metrics;
 pub mod openapi;
+pub mod outcomes;
 pub mod profiles;
 
 /// Largest body of a call, in bytes.
@@ -202,7 +202,7 @@
             web::post().to(profiles::roll_back),
         )
         .route("/v1/instances/in-force", web::get().to(instances::in_force))
-        .route("/v1/outcomes", web::get().to(outcomes))
+        .route("/v1/outcomes", web::get().to(show_outcomes))
         .route("/healthz", web::get().to(health))
         .route("/readyz", web::get().to(ready))
         .route("/metrics", web::get().to(exposition));
@@ -217,16 +217,16 @@
 }
 
 /// `GET /v1/outcomes`: what became of work, by span of time, profile and version.
-async fn outcomes(
+async fn show_outcomes(
     shared: web::Data<Shared>,
     query: web::Query<Since>,
     _: Reader,
 ) -> Result<HttpResponse, Failure> {
     shared.ready().await?;
-    let rows: Vec<outcomes::Row> = shared
+    let input = shared
         .ledger
-        .read(|state| state.outcomes.rows(query.since).collect());
-    Ok(HttpResponse::Ok().json(rows))
+        .read(|state| outcomes::input(state, query.since));
+    Ok(HttpResponse::Ok().json(input))
 }
 
 /// `GET /healthz`: the process runs.
