--- a/tests/ledger/fuzz.rs
+++ b/tests/ledger/fuzz.rs
@@ -30,7 +30,8 @@
     },
     wire::{
         caller::Ran,
-        log, //
+        log,
+        peer, //
     }, //
 };
 use proptest::{
@@ -123,10 +124,13 @@
     Arrive {
         node: usize,
     },
-    Feed {
+    Ask {
         from: usize,
         to: usize,
     },
+    Feed {
+        to: usize,
+    },
     Snapshot {
         node: usize,
     },
@@ -185,7 +189,8 @@
             3 => any::<usize>().prop_map(|copy| Op::Deliver { copy }),
             12 => (node.clone(), 1..6_usize).prop_map(|(node, most)| Op::Fetch { node, most }),
             12 => node.clone().prop_map(|node| Op::Arrive { node }),
-            4 => (node.clone(), node.clone()).prop_map(|(from, to)| Op::Feed { from, to }),
+            4 => (node.clone(), node.clone()).prop_map(|(from, to)| Op::Ask { from, to }),
+            4 => node.clone().prop_map(|to| Op::Feed { to }),
             3 => node.clone().prop_map(|node| Op::Snapshot { node }),
             2 => (1..5_usize).prop_map(|entries| Op::Retain { entries }),
             2 => node.clone().prop_map(|node| Op::Restart { node }),
@@ -206,6 +211,8 @@
     now: Instant,
     /// A page that is on its way, and the offset that it was asked from.
     page: Option<(Offset, log::Page)>,
+    /// What a peer sent, on its way.
+    tail: Option<peer::Tail>,
     /// The highest version seen of each name in this life.
     versions: [u32; 2],
 }
@@ -221,6 +228,7 @@
             queue: Queue::new(by, 3),
             now: Instant::now(),
             page: None,
+            tail: None,
             versions: [0; 2],
         }
     }
@@ -387,9 +395,16 @@
         self.resolve(node, &applied);
     }
 
-    fn feed(&mut self, from: usize, to: usize) {
+    fn ask(&mut self, from: usize, to: usize) {
         let wanted = self.nodes[to].follower.next();
         let tail = self.nodes[from].follower.tail(wanted);
+        self.nodes[to].tail.get_or_insert(tail);
+    }
+
+    fn feed(&mut self, to: usize) {
+        let Some(tail) = self.nodes[to].tail.take() else {
+            return;
+        };
         let applied = self.nodes[to].follower.feed(tail).unwrap();
         self.resolve(to, &applied);
     }
@@ -488,7 +503,8 @@
             Op::Deliver { .. } => {}
             Op::Fetch { node, most } => self.fetch(node, most),
             Op::Arrive { node } => self.arrive(node),
-            Op::Feed { from, to } => self.feed(from, to),
+            Op::Ask { from, to } => self.ask(from, to),
+            Op::Feed { to } => self.feed(to),
             Op::Snapshot { node } => self.snapshot(node),
             Op::Retain { entries } => self.first = (self.first + entries).min(self.entries.len()),
             Op::Restart { node } => self.restart(node),
--- a/tests/ledger/main.rs
+++ b/tests/ledger/main.rs
@@ -11,6 +11,7 @@
 mod fake_log;
 mod fuzz;
 mod oracle;
+mod process;
 mod replay;
 mod replica;
 mod snapshots;
