--- a/tests/ledger/main.rs
+++ b/tests/ledger/main.rs
@@ -12,6 +12,7 @@
 mod fuzz;
 mod oracle;
 mod process;
+mod recovery;
 mod replay;
 mod replica;
 mod snapshots;
--- /dev/null
+++ b/tests/ledger/recovery.rs
@@ -0,0 +1,115 @@
+//! From which snapshots a reader behind the retention may start.
+
+use bamboolock::ledger::{
+    record,
+    recovery::Recovery,
+    state::State, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
+
+use crate::common::{
+    apply,
+    batch,
+    body,
+    change,
+    entry,
+    snapshot, //
+};
+
+/// The states after 0 to `count` published versions, and the entries between them.
+fn published(count: u64) -> (Vec<State>, Vec<String>) {
+    let mut states = vec![State::new()];
+    let mut payloads = Vec::new();
+    for base in 0..count {
+        let record = change(
+            &format!("c{base}"),
+            "checks",
+            u32::try_from(base).unwrap(),
+            body(1),
+        );
+        payloads.push(batch(&format!("b{base}"), vec![record.clone()]));
+        let mut state = states.last().unwrap().clone();
+        apply(&mut state, vec![record]);
+        states.push(state);
+    }
+    (states, payloads)
+}
+
+/// Reads entries `first..5` and then one with these records. Returns the state, if one was built.
+fn recover(first: usize, records: Vec<Value>, format: u32) -> Option<State> {
+    let (_, payloads) = published(5);
+    let mut recovery = Recovery::new();
+    for (offset, payload) in payloads.iter().enumerate().skip(first) {
+        assert_eq!(recovery.push(entry(offset as u64, payload)), None);
+    }
+    let mut last: Value = serde_json::from_str(&batch("last", records)).unwrap();
+    last["format"] = json!(format);
+    recovery.push(entry(5, &last.to_string()))
+}
+
+#[test]
+fn a_reader_starts_only_from_a_snapshot_that_covers_the_gap() {
+    let (states, _) = published(5);
+    let whole = snapshot(&states[3]);
+    let mut broken = whole.clone();
+    broken["state"]["profiles"] = json!(1);
+    let mut misnamed = whole.clone();
+    misnamed["next"] = json!(4);
+    let mut later = whole.clone();
+    later["next"] = json!(9);
+    later["state"]["next"] = json!(9);
+    let now = record::FORMAT;
+    let rows = [
+        (
+            "reaches back beyond the first entry",
+            2,
+            vec![whole.clone()],
+            now,
+            true,
+        ),
+        ("ends at the first entry", 3, vec![whole.clone()], now, true),
+        ("leaves a gap", 4, vec![whole.clone()], now, false),
+        ("cannot be read", 2, vec![broken.clone()], now, false),
+        ("is misnamed", 2, vec![misnamed], now, false),
+        ("lies after itself", 2, vec![later], now, false),
+        (
+            "is of a newer format",
+            2,
+            vec![whole.clone()],
+            now + 1,
+            false,
+        ),
+        (
+            "stands behind one of no use",
+            2,
+            vec![broken, whole],
+            now,
+            true,
+        ),
+    ];
+    for (name, first, records, format, found) in rows {
+        let state = recover(first, records.clone(), format);
+        assert_eq!(state.is_some(), found, "{name}");
+        let Some(state) = state else { continue };
+        let mut replay = states[5].clone();
+        replay.apply(&entry(5, &batch("last", records)));
+        assert_eq!(state, replay, "{name}");
+    }
+}
+
+#[test]
+fn a_gap_between_pages_starts_the_search_anew() {
+    let (states, payloads) = published(5);
+    let mut recovery = Recovery::new();
+    recovery.push(entry(1, &payloads[1]));
+    recovery.push(entry(3, &payloads[3]));
+    recovery.push(entry(3, &payloads[3]));
+    let old = batch("old", vec![snapshot(&states[2])]);
+    assert_eq!(recovery.push(entry(4, &old)), None, "entry 2 is missing");
+    let good = batch("good", vec![snapshot(&states[3])]);
+    let state = recovery.push(entry(5, &good)).unwrap();
+    assert_eq!(state.next().0, 6);
+}
