feat(requests): work that has to wait must leave room for long run times

Change: admission and dispatch ask for the 95th percentile of the run time, not the median, as soon as others wait; waiting for lower priorities is reckoned on the slots that higher ones leave.

--- a/src/bench/measures/mod.rs
+++ b/src/bench/measures/mod.rs
@@ -38,6 +38,9 @@
 /// Workers of an experiment.
 pub const WORKERS: usize = 48;
 
+/// Time after the last arrival in which what is open ends, in milliseconds.
+pub const DRAIN: u64 = 70_000;
+
 /// Slots of each.
 pub const SLOTS: u32 = 8;
 
@@ -175,14 +178,14 @@
     let id = "bench".parse()?;
     let mut system = Late::new(cfg.clone(), works, id, WORKERS, CAPACITY);
     let tally = Tally::new(works, jobs);
-    Ok(sim::run(&mut system, jobs, outage, end, tally))
+    Ok(sim::run(&mut system, jobs, outage, end + DRAIN, tally))
 }
 
 /// Runs a baseline that binds on arrival.
 fn early(choice: Choice, works: &[Work], jobs: &[Job], end: u64) -> Tally {
     let mut system = Early::new(choice, works, WORKERS, SLOTS);
     let tally = Tally::new(works, jobs);
-    sim::run(&mut system, jobs, None, end, tally)
+    sim::run(&mut system, jobs, None, end + DRAIN, tally)
 }
 
 /// The same work with other policies, without priorities, reserves and budgets.
--- a/src/context.rs
+++ b/src/context.rs
@@ -67,6 +67,8 @@
     pub deadline: Millis,
     /// How long it is expected to run, in milliseconds.
     pub estimate: u64,
+    /// The run time that nearly all requests of the profile stay within, in milliseconds.
+    pub tail: u64,
     /// How long it is expected to wait for a slot, in milliseconds.
     pub wait: u64,
     /// Requests of the profile that wait already.
--- a/src/kernel/requests/admit.rs
+++ b/src/kernel/requests/admit.rs
@@ -79,6 +79,11 @@
         }
         let class = &self.classes[key];
         let priority = class.profile.priority;
+        let higher = self
+            .classes
+            .values()
+            .filter(|c| c.profile.priority > priority);
+        let taken: u64 = higher.map(|c| u64::from(c.held.slots)).sum();
         let ahead = self
             .classes
             .values()
@@ -87,7 +92,9 @@
         if backlog == 0 && self.slots.held < self.slots.total {
             return 0;
         }
-        (backlog + class.estimate.cost()) / usable
+        // What more urgent work holds now it will go on holding.
+        let left = usable.saturating_sub(taken).max(1);
+        (backlog + class.estimate.cost()) / left
     }
 
     fn admit(&mut self, now: Millis, key: ClassKey, deadline: Millis) -> Result<(), Refusal> {
@@ -110,6 +117,7 @@
             now,
             deadline,
             estimate,
+            tail: class.estimate.likely(),
             wait,
             queued,
             limit,
@@ -298,7 +306,7 @@
 }
 
 fn shed(ctx: &context::Shed) -> Refusal {
-    let end = ctx.now.plus(ctx.wait).plus(ctx.estimate);
+    let end = ctx.now.plus(ctx.wait).plus(ctx.tail);
     if end > ctx.deadline {
         let message = "the deadline cannot be met";
         return not_run(Code::Deadline, message, ctx.wait);
--- a/src/kernel/requests/dispatch.rs
+++ b/src/kernel/requests/dispatch.rs
@@ -103,7 +103,13 @@
             return false;
         };
         let request = &self.requests[head];
-        let end = now.plus(class.estimate.typical());
+        // With others waiting, a slot goes to work that will nearly surely finish in time.
+        let contested = class.queue.len() > 1 && request.arrived < now;
+        let needed = match contested {
+            true => class.estimate.likely(),
+            false => class.estimate.typical(),
+        };
+        let end = now.plus(needed);
         if end <= request.deadline {
             return false;
         }
--- a/src/kernel/requests/estimate.rs
+++ b/src/kernel/requests/estimate.rs
@@ -9,6 +9,9 @@
 /// Samples before the estimate is relied on.
 const FEWEST: u32 = 8;
 
+/// The share of requests that nearly all stands for.
+const LIKELY: f64 = 0.95;
+
 /// Samples after which older ones count half.
 const HALF_LIFE: u32 = 2_048;
 
@@ -81,6 +84,16 @@
         }
     }
 
+    /// The run time that nearly all requests stay within, in milliseconds, or zero while too little
+    /// is known.
+    #[must_use]
+    pub fn likely(&self) -> u64 {
+        match self.is_known() {
+            true => self.quantile(LIKELY),
+            false => 0,
+        }
+    }
+
     /// The mean run time in milliseconds, or one while too little is known.
     #[must_use]
     pub fn cost(&self) -> u64 {
--- a/src/modules/deadline.rs
+++ b/src/modules/deadline.rs
@@ -37,11 +37,18 @@
     rank * PRIORITY_SPAN + start.min(PRIORITY_SPAN - 1)
 }
 
-/// Refuses when waiting and running would end after the deadline.
+/// Refuses when
+/// - the queue is full,
+/// - running alone would most likely end after the deadline, or
+/// - others wait, and the request would be late even if it ran no longer than nearly all do.
 fn shed(ctx: &context::Shed) -> bool {
-    if ctx.queued >= ctx.limit {
-        return true;
-    }
-    let end = ctx.now.plus(ctx.wait).plus(ctx.estimate);
-    end > ctx.deadline
+    ctx.queued >= ctx.limit || is_late(ctx)
+}
+
+/// Whether a request is likely to end after its deadline. Work that has to wait must leave room for
+/// long run times, since the slot could serve other work in time.
+pub(super) fn is_late(ctx: &context::Shed) -> bool {
+    let alone = ctx.now.plus(ctx.wait).plus(ctx.estimate);
+    let behind = ctx.now.plus(ctx.wait).plus(ctx.tail);
+    alone > ctx.deadline || (ctx.wait > 0 && behind > ctx.deadline)
 }
--- a/src/modules/priority.rs
+++ b/src/modules/priority.rs
@@ -5,7 +5,8 @@
     context,
     modules::{
         Plugin,
-        Point, //
+        Point,
+        deadline, //
     }, //
 };
 
@@ -25,8 +26,7 @@
 /// - waiting and running would end after the deadline, or
 /// - the instance is fuller than the request's priority allows.
 fn decide(ctx: &context::Shed) -> bool {
-    let end = ctx.now.plus(ctx.wait).plus(ctx.estimate);
-    if ctx.queued >= ctx.limit || end > ctx.deadline {
+    if ctx.queued >= ctx.limit || deadline::is_late(ctx) {
         return true;
     }
     let start = Priority::default().start;
