feat(bench): seven entry instances that pass requests on, banks of plans, steady and bursty load

Change: ours runs as 7 instances with a seventh of the workers each, heartbeats every 300 ms and 1 ms between them; baselines that bind on arrival run as 7 views that each know their own requests alone. Plans come in banks. Waiting is measured at a steady load and with bursts over capacity.

--- a/src/bench/arrivals.rs
+++ b/src/bench/arrivals.rs
@@ -13,6 +13,9 @@
     profile::Profile, //
 };
 
+/// The highest factor on a load.
+pub const PEAK: f64 = 20.0;
+
 /// One kind of work in an experiment.
 #[derive(Debug, Clone)]
 pub struct Work {
@@ -90,7 +93,7 @@
 
 /// The arrivals of all kinds of work until `end` milliseconds, sorted by time.
 ///
-/// `rate` gives the factor on each kind's load at a point of time; every kind has its own random
+/// `rate` gives the factor on a kind's load, by its index, at a point of time; every kind has its own random
 /// stream, so that adding one kind leaves the others' arrivals as they are.
 #[must_use]
 pub fn generate(
@@ -98,7 +101,7 @@
     slots: u32,
     end: u64,
     seed: u64,
-    rate: &dyn Fn(u64) -> f64,
+    rate: &dyn Fn(usize, u64) -> f64,
 ) -> Vec<Job> {
     let mut jobs = Vec::new();
     for (i, work) in works.iter().enumerate() {
@@ -106,11 +109,14 @@
         let unit = work.load * f64::from(slots) / work.times.mean();
         let mut at = 0.0;
         loop {
-            let now = rate(at as u64).max(1e-6) * unit;
-            at += -(1.0 - random.random::<f64>()).ln() / now;
+            // Candidates come at the highest rate and are kept with the share that is due now.
+            at += -(1.0 - random.random::<f64>()).ln() / (PEAK * unit);
             if at >= end as f64 {
                 break;
             }
+            if random.random::<f64>() * PEAK >= rate(i, at as u64) {
+                continue;
+            }
             jobs.push(Job {
                 at: at as u64,
                 work: i,
--- a/src/bench/late.rs
+++ b/src/bench/late.rs
@@ -1,6 +1,10 @@
-//! The requests kernel as a system under experiment: late binding to free slots.
+//! The requests kernel as a system under experiment: late binding to free slots, by one or more
+//! entry instances that each hold some of the workers and pass requests on to each other.
 
-use std::sync::Arc;
+use std::{
+    collections::VecDeque,
+    sync::Arc, //
+};
 
 use slotmap::SecondaryMap;
 
@@ -18,17 +22,20 @@
         },
     },
     configs,
+    context::Distance,
     ids::{
         Millis,
         RequestId, //
     },
     kernel::{
+        Room,
         WorkerKey,
         requests::{
             Arrival,
             AttemptKey,
             Kind,
             Outcome,
+            Peer,
             RequestKey,
             Requests,
             Step, //
@@ -37,119 +44,259 @@
     resources::Resources, //
 };
 
-/// The kernel, its workers and the arrivals that are open.
+/// Time between heartbeats, which tell of free slots, in milliseconds.
+const HEARTBEAT: u64 = 300;
+
+/// One way between instances, in milliseconds.
+const WAY: u64 = 1;
+
+/// Names an attempt: the instance and its attempt.
+pub type Attempt = (usize, AttemptKey);
+
+/// Where an open request came from.
+#[derive(Debug, Clone, Copy)]
+struct Origin {
+    /// The arrival's index.
+    index: usize,
+    /// The attempt of the instance that passed it on.
+    from: Option<Attempt>,
+}
+
+/// A message between instances.
+#[derive(Debug, Clone, Copy)]
+enum Message {
+    /// A request that is passed on.
+    Request {
+        to: usize,
+        origin: Origin,
+        deadline: Millis,
+    },
+    /// What became of it.
+    Outcome { to: Attempt, outcome: Outcome },
+}
+
+/// One entry instance.
 #[derive(Debug)]
-pub struct Late {
+struct Instance {
     kernel: Requests,
     pool: Pool,
+    workers: SecondaryMap<WorkerKey, usize>,
+    open: SecondaryMap<RequestKey, Origin>,
+    requests: SecondaryMap<AttemptKey, RequestKey>,
+    /// Free slots of every instance, as last heard.
+    heard: Vec<u32>,
+}
+
+/// All entry instances, and the arrivals that are open.
+#[derive(Debug)]
+pub struct Late {
+    instances: Vec<Instance>,
     works: Vec<Work>,
+    jobs: Vec<usize>,
     id: RequestId,
-    indexes: SecondaryMap<RequestKey, usize>,
-    requests: SecondaryMap<AttemptKey, RequestKey>,
-    workers: SecondaryMap<WorkerKey, usize>,
+    messages: VecDeque<(Millis, Message)>,
     finals: Vec<Final>,
 }
 
 impl Late {
-    /// A kernel with so many workers of the same capacity.
+    /// So many instances that share so many workers of the same capacity.
     #[must_use]
     pub fn new(
-        cfg: configs::requests::Requests,
+        cfg: &configs::requests::Requests,
         works: &[Work],
         id: RequestId,
+        instances: usize,
         workers: usize,
         capacity: Resources,
     ) -> Self {
-        let pool = Pool::new(workers, capacity);
-        let keys = pool.keys().into_iter().enumerate();
+        let mut made: Vec<_> = (0..instances)
+            .map(|i| Instance {
+                kernel: Requests::new(cfg.clone(), i as u64),
+                pool: Pool::default(),
+                workers: SecondaryMap::new(),
+                open: SecondaryMap::new(),
+                requests: SecondaryMap::new(),
+                heard: vec![0; instances],
+            })
+            .collect();
+        for worker in 0..workers {
+            let instance = &mut made[worker % instances];
+            let key = instance.pool.add(capacity);
+            instance.workers.insert(key, worker);
+        }
         Self {
-            kernel: Requests::new(cfg, 1),
-            workers: keys.map(|(i, key)| (key, i)).collect(),
-            pool,
+            instances: made,
             works: works.to_vec(),
+            jobs: Vec::new(),
             id,
-            indexes: SecondaryMap::new(),
-            requests: SecondaryMap::new(),
+            messages: VecDeque::new(),
             finals: Vec::new(),
         }
     }
 
-    fn finish(&mut self, key: RequestKey, answered: bool) {
-        if let Some(index) = self.indexes.remove(key) {
-            self.finals.push(Final { index, answered });
-        }
-    }
-
-    fn take(&mut self, key: Option<RequestKey>, step: &Step) {
-        let Some(key) = key else {
-            return;
-        };
-        match step {
-            Step::Answer => self.finish(key, true),
-            Step::Refuse(_) => self.finish(key, false),
-            Step::Retry { .. } | Step::Ignore => {}
-        }
-    }
-}
-
-impl System for Late {
-    type Attempt = AttemptKey;
-
-    fn arrive(&mut self, now: Millis, index: usize, job: &Job) {
-        let work = &self.works[job.work];
+    fn submit(&mut self, now: Millis, to: usize, origin: Origin, deadline: Millis) {
+        let work = &self.works[self.jobs[origin.index]];
         let arrival = Arrival {
             id: self.id.clone(),
             name: work.name.clone(),
             version: 1,
-            deadline: work.profile.objective.deadline,
+            deadline: deadline.since(now),
             profile: Arc::clone(&work.profile),
             key: None,
-            forwarded: false,
+            forwarded: origin.from.is_some(),
         };
-        match self.kernel.submit(now, arrival) {
+        let instance = &mut self.instances[to];
+        match instance.kernel.submit(now, arrival) {
             Ok(key) => {
-                self.indexes.insert(key, index);
+                instance.open.insert(key, origin);
             }
-            Err(_) => self.finals.push(Final {
-                index,
-                answered: false,
-            }),
+            Err(_) => self.close(now, origin, Outcome::NotRun),
         }
     }
 
-    fn start(&mut self, now: Millis, starts: &mut Vec<Start<AttemptKey>>) {
-        for dispatch in self.kernel.next(now, &mut self.pool) {
-            self.requests.insert(dispatch.attempt, dispatch.key);
-            let worker = self.workers.get(dispatch.worker);
-            let index = self.indexes.get(dispatch.key);
-            let (Some(worker), Some(index)) = (worker, index) else {
+    /// Tells where a request came from what became of it.
+    fn close(&mut self, now: Millis, origin: Origin, outcome: Outcome) {
+        let Some(to) = origin.from else {
+            self.finals.push(Final {
+                index: origin.index,
+                answered: matches!(outcome, Outcome::Answered { .. }),
+            });
+            return;
+        };
+        let message = Message::Outcome { to, outcome };
+        self.messages.push_back((now.plus(WAY), message));
+    }
+
+    fn take(&mut self, now: Millis, at: usize, key: Option<RequestKey>, step: &Step) {
+        let outcome = match step {
+            Step::Answer => Outcome::Answered { took: 0 },
+            Step::Refuse(refusal) if refusal.ran == crate::wire::caller::Ran::No => Outcome::NotRun,
+            Step::Refuse(_) => Outcome::Cut,
+            Step::Retry { .. } | Step::Ignore => return,
+        };
+        let open = &mut self.instances[at].open;
+        if let Some(origin) = key.and_then(|key| open.remove(key)) {
+            self.close(now, origin, outcome);
+        }
+    }
+
+    fn deliver(&mut self, now: Millis) {
+        while let Some((at, message)) = self.messages.front().copied() {
+            if at > now {
+                return;
+            }
+            self.messages.pop_front();
+            match message {
+                Message::Request {
+                    to,
+                    origin,
+                    deadline,
+                } => self.submit(now, to, origin, deadline),
+                Message::Outcome { to, outcome } => self.end(now, to, outcome),
+            }
+        }
+    }
+
+    fn heartbeat(&mut self) {
+        let free = self.instances.iter().map(|i| {
+            let (held, total) = i.pool.slots();
+            let waiting = i.kernel.queued();
+            (total - held).saturating_sub(waiting)
+        });
+        let free: Vec<u32> = free.collect();
+        for instance in &mut self.instances {
+            instance.heard.clone_from(&free);
+        }
+    }
+
+    /// Passes waiting requests of one instance on.
+    fn forward(&mut self, now: Millis, at: usize) {
+        let instance = &mut self.instances[at];
+        let others: Vec<usize> = (0..instance.heard.len()).filter(|i| *i != at).collect();
+        let peers = others.iter().map(|i| Peer {
+            free: instance.heard[*i],
+            distance: Distance::Zone,
+            trip: 2 * WAY,
+        });
+        let peers: Vec<Peer> = peers.collect();
+        for forward in instance.kernel.forward(now, &peers) {
+            let to = others[forward.peer];
+            instance.heard[to] = instance.heard[to].saturating_sub(1);
+            instance.requests.insert(forward.attempt, forward.key);
+            let Some(open) = instance.open.get(forward.key) else {
                 continue;
             };
-            starts.push(Start {
-                attempt: dispatch.attempt,
-                index: *index,
-                worker: *worker,
-                timeout: dispatch.timeout,
-                again: dispatch.kind != Kind::First,
-            });
+            let message = Message::Request {
+                to,
+                origin: Origin {
+                    index: open.index,
+                    from: Some((at, forward.attempt)),
+                },
+                deadline: now.plus(forward.left),
+            };
+            self.messages.push_back((now.plus(WAY), message));
         }
     }
+}
 
-    fn end(&mut self, now: Millis, attempt: AttemptKey, outcome: Outcome) {
-        let step = self.kernel.finished(now, attempt, outcome, &mut self.pool);
-        let key = self.requests.get(attempt).copied();
-        self.take(key, &step);
+impl System for Late {
+    type Attempt = Attempt;
+
+    fn arrive(&mut self, now: Millis, index: usize, job: &Job) {
+        debug_assert_eq!(self.jobs.len(), index);
+        self.jobs.push(job.work);
+        let to = super::early::spread(index, self.instances.len());
+        let deadline = now.plus(self.works[job.work].profile.objective.deadline);
+        let origin = Origin { index, from: None };
+        self.submit(now, to, origin, deadline);
     }
 
-    fn settle(&mut self, now: Millis, attempt: AttemptKey) {
-        let step = self.kernel.settled(now, attempt, &mut self.pool);
-        let key = self.requests.get(attempt).copied();
-        self.take(key, &step);
+    fn start(&mut self, now: Millis, starts: &mut Vec<Start<Attempt>>) {
+        for at in 0..self.instances.len() {
+            let instance = &mut self.instances[at];
+            for dispatch in instance.kernel.next(now, &mut instance.pool) {
+                instance.requests.insert(dispatch.attempt, dispatch.key);
+                let worker = instance.workers.get(dispatch.worker);
+                let open = instance.open.get(dispatch.key);
+                let (Some(worker), Some(open)) = (worker, open) else {
+                    continue;
+                };
+                starts.push(Start {
+                    attempt: (at, dispatch.attempt),
+                    index: open.index,
+                    worker: *worker,
+                    timeout: dispatch.timeout,
+                    again: dispatch.kind != Kind::First,
+                });
+            }
+            self.forward(now, at);
+        }
+    }
+
+    fn end(&mut self, now: Millis, (at, attempt): Attempt, outcome: Outcome) {
+        let instance = &mut self.instances[at];
+        let pool = &mut instance.pool;
+        let step = instance.kernel.finished(now, attempt, outcome, pool);
+        let key = instance.requests.get(attempt).copied();
+        self.take(now, at, key, &step);
+    }
+
+    fn settle(&mut self, now: Millis, (at, attempt): Attempt) {
+        let instance = &mut self.instances[at];
+        let step = instance.kernel.settled(now, attempt, &mut instance.pool);
+        let key = instance.requests.get(attempt).copied();
+        self.take(now, at, key, &step);
     }
 
     fn tick(&mut self, now: Millis, finals: &mut Vec<Final>) {
-        for notice in self.kernel.tick(now) {
-            self.take(Some(notice.key), &notice.step);
+        self.deliver(now);
+        for at in 0..self.instances.len() {
+            for notice in self.instances[at].kernel.tick(now) {
+                self.take(now, at, Some(notice.key), &notice.step);
+            }
+        }
+        if now.0.is_multiple_of(HEARTBEAT) {
+            self.heartbeat();
         }
         finals.append(&mut self.finals);
     }
--- a/src/bench/measures/blocking.rs
+++ b/src/bench/measures/blocking.rs
@@ -1,7 +1,11 @@
 //! How much short checks suffer behind stragglers.
 
 use crate::bench::{
-    arrivals,
+    arrivals::{
+        self,
+        Job,
+        Work, //
+    },
     early::Choice,
     measures::{
         self,
@@ -15,6 +19,12 @@
     tally::Tally,
 };
 
+/// A bank of plans comes every so many milliseconds.
+const PERIOD: u64 = 20_000;
+
+/// It lasts that long, in milliseconds.
+const BANK: u64 = 1_000;
+
 /// Runs the measure.
 ///
 /// # Errors
@@ -23,27 +33,38 @@
 pub fn run(options: &Options) -> Result<Vec<Line>, Error> {
     let calm = [measures::checks(0.25)?, measures::notices(0.15)?];
     let [checks, notices] = calm.clone();
-    let mixed = [checks, notices, measures::plans(0.5)?];
+    let mixed = [checks, notices, measures::plans(0.45)?];
     let end = options.span(180_000, 60_000);
-    let steady = |_: u64| 1.0;
-    let without = arrivals::generate(&calm, measures::ALL, end, options.seed, &steady);
-    let with = arrivals::generate(&mixed, measures::ALL, end, options.seed, &steady);
+    // Plans come in banks: all of a period's within its first second.
+    let rate = |work: usize, at: u64| match work {
+        2 if at % PERIOD < BANK => (PERIOD / BANK) as f64,
+        2 => 0.0,
+        _ => 1.0,
+    };
+    let without = arrivals::generate(&calm, measures::ALL, end, options.seed, &rate);
+    let with = arrivals::generate(&mixed, measures::ALL, end, options.seed, &rate);
     let span = end / 3..end;
     let p99 = |tally: &Tally| {
         let totals = tally.totals(Some(0), span.clone());
         totals.value_at_quantile(0.99) as f64
     };
     let cfg = Default::default();
-    let ours = p99(&measures::late(&cfg, &mixed, &with, None, end)?)
-        / p99(&measures::late(&cfg, &calm, &without, None, end)?);
+    let late = |instances, works: &[Work], jobs: &[Job]| {
+        measures::late(instances, &cfg, works, jobs, None, end).map(|t| p99(&t))
+    };
+    let early =
+        |works: &[Work], jobs: &[Job]| p99(&measures::early(Choice::LeastLoaded, works, jobs, end));
+    let count = measures::INSTANCES;
+    let ours = late(count, &mixed, &with)? / late(count, &calm, &without)?;
     let policies = serde_json::json!({"route": "random", "order": "fifo", "shed": "full_queue"});
     let plain_calm = measures::plain(&calm, &policies)?;
     let plain_mixed = measures::plain(&mixed, &policies)?;
-    let fifo = p99(&measures::late(&cfg, &plain_mixed, &with, None, end)?)
-        / p99(&measures::late(&cfg, &plain_calm, &without, None, end)?);
-    let least = p99(&measures::early(Choice::LeastLoaded, &mixed, &with, end))
-        / p99(&measures::early(Choice::LeastLoaded, &calm, &without, end));
-    let rows = [("one FIFO queue", fifo), ("least loaded", least)];
+    let fifo = late(1, &plain_mixed, &with)? / late(1, &plain_calm, &without)?;
+    let least = early(&mixed, &with) / early(&calm, &without);
+    let rows = [
+        ("one FIFO queue of a single instance with all workers", fifo),
+        ("least loaded", least),
+    ];
     let line = |(name, baseline): (&str, f64)| Line {
         measure: "BLOCKING",
         unit: "p99 of short checks with stragglers, over that without",
--- a/src/bench/measures/crest.rs
+++ b/src/bench/measures/crest.rs
@@ -38,20 +38,27 @@
     let top = RISE + RAMP;
     let fall = top + options.span(30_000, 10_000);
     let end = fall + 20_000;
-    let rate = |at: u64| match at {
+    let rate = |_, at: u64| match at {
         at if at < RISE || at >= fall => 1.0,
         at if at < top => 1.0 + (SWING - 1.0) * (at - RISE) as f64 / RAMP as f64,
         _ => SWING,
     };
     let jobs = arrivals::generate(&works, measures::ALL, end, options.seed, &rate);
     let span = RISE..fall;
-    let ours = measures::late(&Default::default(), &works, &jobs, None, end)?;
+    let ours = measures::late(
+        measures::INSTANCES,
+        &Default::default(),
+        &works,
+        &jobs,
+        None,
+        end,
+    )?;
     let policies = serde_json::json!({"route": "random", "order": "fifo", "shed": "full_queue"});
     let plain = measures::plain(&works, &policies)?;
     let rows = [
         (
             "one FIFO queue without shedding",
-            measures::late(&Default::default(), &plain, &jobs, None, end)?,
+            measures::late(1, &Default::default(), &plain, &jobs, None, end)?,
         ),
         (
             "least loaded",
--- a/src/bench/measures/mod.rs
+++ b/src/bench/measures/mod.rs
@@ -41,6 +41,9 @@
 /// Time after the last arrival in which what is open ends, in milliseconds.
 pub const DRAIN: u64 = 70_000;
 
+/// Entry instances of an experiment, all in one availability zone.
+pub const INSTANCES: usize = 7;
+
 /// Slots of each.
 pub const SLOTS: u32 = 8;
 
@@ -167,8 +170,9 @@
     work("plan", load, times, &json)
 }
 
-/// Runs the requests kernel.
+/// Runs the requests kernel on so many entry instances.
 fn late(
+    instances: usize,
     cfg: &configs::requests::Requests,
     works: &[Work],
     jobs: &[Job],
@@ -176,14 +180,14 @@
     end: u64,
 ) -> Result<Tally, Error> {
     let id = "bench".parse()?;
-    let mut system = Late::new(cfg.clone(), works, id, WORKERS, CAPACITY);
+    let mut system = Late::new(cfg, works, id, instances, WORKERS, CAPACITY);
     let tally = Tally::new(works, jobs);
     Ok(sim::run(&mut system, jobs, outage, end + DRAIN, tally))
 }
 
 /// Runs a baseline that binds on arrival.
 fn early(choice: Choice, works: &[Work], jobs: &[Job], end: u64) -> Tally {
-    let mut system = Early::new(choice, works, WORKERS, SLOTS);
+    let mut system = Early::new(choice, works, INSTANCES, WORKERS, SLOTS);
     let tally = Tally::new(works, jobs);
     sim::run(&mut system, jobs, None, end + DRAIN, tally)
 }
--- a/src/bench/measures/storm.rs
+++ b/src/bench/measures/storm.rs
@@ -47,21 +47,28 @@
 pub fn run(options: &Options) -> Result<Vec<Line>, Error> {
     let works = [measures::checks(0.5)?, measures::notices(0.3)?];
     let end = FROM + OUTAGE + 30_000;
-    let jobs = arrivals::generate(&works, measures::ALL, end, options.seed, &|_| 1.0);
+    let jobs = arrivals::generate(&works, measures::ALL, end, options.seed, &|_, _| 1.0);
     let outage = Some(Outage {
         from: FROM,
         to: FROM + OUTAGE,
         below: measures::WORKERS / 2,
         silent: 2,
     });
-    let ours = measures::late(&Default::default(), &works, &jobs, outage, end)?;
+    let ours = measures::late(
+        measures::INSTANCES,
+        &Default::default(),
+        &works,
+        &jobs,
+        outage,
+        end,
+    )?;
     let naive = naive(&works)?;
     let cfg = configs::requests::Requests {
         eject: 2.0,
         pause: Duration::ZERO,
         ..Default::default()
     };
-    let baseline = measures::late(&cfg, &naive, &jobs, outage, end)?;
+    let baseline = measures::late(measures::INSTANCES, &cfg, &naive, &jobs, outage, end)?;
     let against = "one FIFO queue, three immediate retries, no ejection".to_owned();
     Ok(vec![
         Line {
--- a/src/bench/measures/wait.rs
+++ b/src/bench/measures/wait.rs
@@ -1,7 +1,11 @@
-//! How long work waits to be placed, at 80% load with bursts.
+//! How long work waits to be placed, at 80% load, steady and with bursts.
 
 use crate::bench::{
-    arrivals,
+    arrivals::{
+        self,
+        Job,
+        Work, //
+    },
     early::Choice,
     measures::{
         self,
@@ -12,6 +16,7 @@
         Line,
         Target, //
     },
+    tally::Tally,
 };
 
 /// A burst comes every so many milliseconds.
@@ -20,12 +25,23 @@
 /// It lasts that long, in milliseconds.
 const BURST: u64 = 1_000;
 
-/// The factor on the load in a burst.
+/// The factor on the load in a burst; work exceeds room for that time.
 const PEAK: f64 = 1.4;
 
-/// The load outside of bursts, so that the mean is one.
+/// The factor outside of bursts, so that the mean is one.
 const CALM: f64 = (PERIOD as f64 - PEAK * BURST as f64) / (PERIOD - BURST) as f64;
 
+/// The figures at a steady load: all work, and each kind.
+const STEADY: [(&str, Option<usize>); 4] = [
+    ("WAIT", None),
+    ("WAIT.checks", Some(0)),
+    ("WAIT.notices", Some(1)),
+    ("WAIT.plans", Some(2)),
+];
+
+/// The figure with bursts.
+const BURSTS: [(&str, Option<usize>); 1] = [("WAIT.bursts", None)];
+
 /// Runs the measure.
 ///
 /// # Errors
@@ -38,36 +54,50 @@
         measures::plans(0.1)?,
     ];
     let end = options.span(120_000, 30_000);
-    let rate = |at: u64| if at % PERIOD < BURST { PEAK } else { CALM };
-    let jobs = arrivals::generate(&works, measures::ALL, end, options.seed, &rate);
+    let steady = |_, _| 1.0;
+    let bursts = |_, at: u64| if at % PERIOD < BURST { PEAK } else { CALM };
+    let jobs = arrivals::generate(&works, measures::ALL, end, options.seed, &steady);
+    let mut lines = compare(&works, &jobs, end, &STEADY)?;
+    let jobs = arrivals::generate(&works, measures::ALL, end, options.seed, &bursts);
+    lines.extend(compare(&works, &jobs, end, &BURSTS)?);
+    Ok(lines)
+}
+
+/// Runs ours and the baselines on the same arrivals.
+fn compare(
+    works: &[Work],
+    jobs: &[Job],
+    end: u64,
+    kinds: &[(&'static str, Option<usize>)],
+) -> Result<Vec<Line>, Error> {
     let span = end / 6..end;
-    let ours = measures::late(&Default::default(), &works, &jobs, None, end)?;
-    let ours = p99(&ours, &span);
+    let cfg = Default::default();
+    let ours = measures::late(measures::INSTANCES, &cfg, works, jobs, None, end)?;
+    let policies = serde_json::json!({"route": "random", "order": "fifo", "shed": "full_queue"});
+    let plain = measures::plain(works, &policies)?;
+    let early = |choice| measures::early(choice, works, jobs, end);
+    let baselines = [
+        ("random", early(Choice::Random)),
+        ("round robin", early(Choice::RoundRobin)),
+        ("least loaded", early(Choice::LeastLoaded)),
+        (
+            "one FIFO queue of a single instance with all workers",
+            measures::late(1, &cfg, &plain, jobs, None, end)?,
+        ),
+    ];
     let mut lines = Vec::new();
-    for (name, choice) in [
-        ("random", Choice::Random),
-        ("round robin", Choice::RoundRobin),
-        ("least loaded", Choice::LeastLoaded),
-    ] {
-        let tally = measures::early(choice, &works, &jobs, end);
-        lines.push(line(ours, p99(&tally, &span), name));
+    for (name, baseline) in baselines {
+        for (measure, work) in kinds {
+            let waited = (p99(&ours, *work, &span), p99(&baseline, *work, &span));
+            lines.push(line(measure, waited, name));
+        }
     }
-    let policies = serde_json::json!({"route": "random", "order": "fifo", "shed": "full_queue"});
-    let plain = measures::plain(&works, &policies)?;
-    let fifo = measures::late(&Default::default(), &plain, &jobs, None, end)?;
-    lines.push(line(ours, p99(&fifo, &span), "one FIFO queue"));
     Ok(lines)
 }
 
-/// The 99th percentile; a wait under a millisecond counts as one.
-fn p99(tally: &crate::bench::tally::Tally, span: &std::ops::Range<u64>) -> f64 {
-    let waits = tally.waits(None, span.clone());
-    waits.value_at_quantile(0.99).max(1) as f64
-}
-
-fn line(ours: f64, baseline: f64, against: &str) -> Line {
+fn line(measure: &'static str, (ours, baseline): (f64, f64), against: &str) -> Line {
     Line {
-        measure: "WAIT",
+        measure,
         unit: "p99 of time to be placed at 80% load, ms; the target is the ratio",
         ours,
         baseline,
@@ -76,3 +106,9 @@
         target: Target::Most(0.5),
     }
 }
+
+/// The 99th percentile; a wait under a millisecond counts as one.
+fn p99(tally: &Tally, work: Option<usize>, span: &std::ops::Range<u64>) -> f64 {
+    let waits = tally.waits(work, span.clone());
+    waits.value_at_quantile(0.99).max(1) as f64
+}
