--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -1,13 +1,18 @@
 //! Decisions as pure functions over a state and a clock. No I/O, no clock reads, no randomness that
 //! is not passed in.
 
+pub mod members;
+pub mod runs;
 pub mod tally;
+pub mod workers;
 
 use crate::{
     ids::Millis,
     resources::Resources, //
 };
 
+pub mod requests;
+
 slotmap::new_key_type! {
     /// A worker in this instance's arena.
     pub struct WorkerKey;
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     ids::{
+        Boot,
         ChangeId,
         IdempotencyKey,
         Incarnation,
@@ -19,9 +20,11 @@
         ProfileName,
         RequestId,
         RunId,
+        Token,
         WorkerId,
         ZoneId, //
     },
+    profile,
     resources::Resources,
     wire::{
         caller::Ran,
@@ -34,6 +37,7 @@
 
 /// The content of one log entry.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Batch {
     /// The format of the records.
     pub format: u32,
@@ -56,7 +60,7 @@
 
 /// One fact. Whether it takes effect depends on the state at its place in the log.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(tag = "type", rename_all = "snake_case")]
+#[serde(tag = "type", rename_all = "snake_case", deny_unknown_fields)]
 pub enum Record {
     /// An operator's change of a profile. Takes effect when `base` is the current version.
     Profile(ProfileChange),
@@ -89,6 +93,7 @@
 
 /// An operator's change of a profile.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct ProfileChange {
     /// Unique for each change.
     pub change: ChangeId,
@@ -104,6 +109,7 @@
 
 /// An accepted job.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Accepted {
     /// The job.
     pub run: RunId,
@@ -117,6 +123,9 @@
     pub tasks: u32,
     /// What each task takes.
     pub demand: Resources,
+    /// How the profile version treats it.
+    #[serde(default)]
+    pub terms: Terms,
     /// Declared run time of a task, in milliseconds.
     pub estimate: u64,
     /// From acceptance to the end, in milliseconds.
@@ -127,8 +136,53 @@
     pub payload: serde_json::Value,
 }
 
+/// What decides on a job, copied from its profile version.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Terms {
+    /// The form of work.
+    pub kind: profile::Kind,
+    /// 0 to 9; a higher value goes first.
+    pub priority: u8,
+    /// The longest promised wait from acceptance to the first start, in milliseconds.
+    pub wait: u64,
+    /// Attempts of a task that may fail before its job has failed.
+    pub attempts: u32,
+    /// How far from home tasks may be placed.
+    pub spill: profile::Spill,
+    /// How tasks are laid over racks.
+    pub racks: profile::Racks,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Self {
+            kind: profile::Kind::Run,
+            priority: 0,
+            wait: profile::Objective::default().wait,
+            attempts: 5,
+            spill: profile::Spill::Region,
+            racks: profile::Racks::Any,
+        }
+    }
+}
+
+impl From<&profile::Profile> for Terms {
+    fn from(profile: &profile::Profile) -> Self {
+        Self {
+            kind: profile.kind,
+            priority: profile.priority,
+            wait: profile.objective.wait,
+            attempts: profile.attempts,
+            spill: profile.spill,
+            racks: profile.racks,
+        }
+    }
+}
+
 /// One attempt to start.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Placement {
     /// The task's index.
     pub index: u32,
@@ -136,10 +190,17 @@
     pub attempt: u32,
     /// Where.
     pub worker: WorkerId,
+    /// The token under which alone it is started.
+    #[serde(default)]
+    pub token: Token,
+    /// The worker's life in which alone it is started.
+    #[serde(default)]
+    pub boot: Boot,
 }
 
 /// An intent to start attempts of one job.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Claim {
     /// The job.
     pub run: RunId,
@@ -157,7 +218,8 @@
     Failed,
     /// The worker says it was stopped or its lease lapsed.
     Stopped,
-    /// The worker, under a later token, says it never started and now never can.
+    /// It never started and now never can: the worker says so under a later token, or the claimant
+    /// never sent it, or the worker answered its only sending with a refusal.
     Unstarted,
     /// The worker restarted, or the platform ended it.
     Lost,
@@ -165,6 +227,7 @@
 
 /// One ended attempt.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Finish {
     /// Which.
     pub id: worker::TaskId,
@@ -178,6 +241,7 @@
 
 /// Proof that attempts have ended.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Ended {
     /// The attempts.
     pub tasks: Vec<Finish>,
@@ -185,6 +249,7 @@
 
 /// An intent to send a non-idempotent request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Key {
     /// The profile; keys of different profiles are different.
     pub profile: ProfileName,
@@ -196,6 +261,7 @@
 
 /// The answer that a key's request got.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Answer {
     /// The profile.
     pub profile: ProfileName,
@@ -213,6 +279,7 @@
 
 /// What became of work under one profile version in one span of time.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Tally {
     /// The profile.
     pub profile: ProfileName,
@@ -252,6 +319,7 @@
 
 /// What became of work since the instance's last record.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Outcomes {
     /// Rises by one with each record of this life; a repeat is skipped.
     pub seq: u64,
