feat(cli): check the mix of the load tool, and its schema

Cause: the load tool's input is a document that people write. Ruled out: leaving it to the tool alone; its faults would be found only when it starts.

--- a/src/cli/documents.rs
+++ b/src/cli/documents.rs
@@ -8,6 +8,7 @@
         Check,
         Findings, //
     },
+    load,
     profile::Profile,
     settings,
     standin,
@@ -33,7 +34,7 @@
 pub type Checker = fn(source: &str, text: &str) -> Findings;
 
 /// All documents. A new kind needs one more entry here.
-pub const ALL: [Document; 7] = [
+pub const ALL: [Document; 8] = [
     Document {
         name: "entry",
         summary: "Settings of `bamboolock-entry` and `bamboolock-admin`",
@@ -55,6 +56,13 @@
         check: Some(check::<standin::settings::Settings>),
         options: true,
     },
+    Document {
+        name: "mix",
+        summary: "Recorded work for `bamboolock-load`",
+        schema: || schemars::schema_for!(load::mix::Mix),
+        check: Some(check::<load::mix::Mix>),
+        options: true,
+    },
     Document {
         name: "job",
         summary: "A job as a caller submits it",
