feat(admin): outcomes carry the log's time and what the profiles promise

Cause: the report needs the objective of each version and one clock; `GET /v1/outcomes` answered rows alone, so that a reader would have had to ask for every profile's history and guess the time.

Ruled out: the reader's own clock, which may be off against the platform's.

Change: the answer is report::Input, described in the OpenAPI document; the command line uses the server's differences in place of a second copy of that function.

--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -28,19 +28,11 @@
     web, //
 };
 use compact_str::format_compact;
-use serde::Deserialize;
 
 use crate::{
-    admin::{
-        access::Reader,
-        failure::Failure, //
-    },
-    ids::{
-        Incarnation,
-        Millis, //
-    },
+    admin::failure::Failure,
+    ids::Incarnation,
     ledger::{
-        outcomes,
         record,
         replica::{
             self,
@@ -59,6 +51,7 @@
 pub mod instances;
 pub mod metrics;
 pub mod openapi;
+pub mod outcomes;
 pub mod profiles;
 
 /// Largest body of a call, in bytes.
@@ -203,33 +196,12 @@
             web::post().to(profiles::roll_back),
         )
         .route("/v1/instances/in-force", web::get().to(instances::in_force))
-        .route("/v1/outcomes", web::get().to(outcomes))
+        .route("/v1/outcomes", web::get().to(outcomes::outcomes))
         .route("/healthz", web::get().to(health))
         .route("/readyz", web::get().to(ready))
         .route("/metrics", web::get().to(exposition));
 }
 
-/// Query of the outcomes.
-#[derive(Debug, Clone, Copy, Deserialize)]
-struct Since {
-    /// The first time of interest, in milliseconds since 1970.
-    #[serde(default)]
-    since: Millis,
-}
-
-/// `GET /v1/outcomes`: what became of work, by span of time, profile and version.
-async fn outcomes(
-    shared: web::Data<Shared>,
-    query: web::Query<Since>,
-    _: Reader,
-) -> Result<HttpResponse, Failure> {
-    shared.ready().await?;
-    let rows: Vec<outcomes::Row> = shared
-        .ledger
-        .read(|state| state.outcomes.rows(query.since).collect());
-    Ok(HttpResponse::Ok().json(rows))
-}
-
 /// `GET /healthz`: the process runs.
 async fn health() -> HttpResponse {
     HttpResponse::Ok().body("ok\n")
--- a/src/admin/openapi.rs
+++ b/src/admin/openapi.rs
@@ -13,6 +13,7 @@
 use crate::{
     findings,
     profile,
+    report,
     wire::{
         admin,
         caller, //
@@ -93,7 +94,7 @@
         ..get(
             "/v1/outcomes",
             "Outcomes",
-            "What became of work, by span of time, profile and version.",
+            "What became of work, by span of time, profile and version, and what was promised.",
         )
     },
     get(
@@ -261,8 +262,6 @@
         "Text" => json!({"text/plain": {"schema": {"type": "string"}}}),
         "Summaries" => list("Summary"),
         "History" => list("Version"),
-        "Outcomes" => json!({"application/json": {"schema": {"type": "array",
-            "items": {"type": "object"}}}}),
         name => json!({"application/json": {"schema": reference(name)}}),
     }
 }
@@ -282,6 +281,7 @@
     add::<caller::Refusal>("Refusal", &mut all);
     add::<admin::Conflict>("Conflict", &mut all);
     add::<admin::Diff>("Diff", &mut all);
+    add::<report::Input>("Outcomes", &mut all);
     add::<admin::InForce>("InForce", &mut all);
     add::<admin::Profile>("Profile", &mut all);
     add::<admin::Publish>("Publish", &mut all);
--- /dev/null
+++ b/src/admin/outcomes.rs
@@ -0,0 +1,65 @@
+//! What became of work, as the service-level report reads it.
+
+use actix_web::{
+    HttpResponse,
+    web, //
+};
+use serde::Deserialize;
+
+use crate::{
+    admin::{
+        Shared,
+        access::Reader,
+        failure::Failure, //
+    },
+    ids::Millis,
+    ledger::{
+        profiles::Named,
+        state::State, //
+    },
+    report::{
+        Input,
+        Target, //
+    }, //
+};
+
+/// Query of the outcomes.
+#[derive(Debug, Clone, Copy, Deserialize)]
+pub(super) struct Since {
+    /// The first time of interest, in milliseconds since 1970.
+    #[serde(default)]
+    since: Millis,
+}
+
+/// `GET /v1/outcomes`: sums by span of time, profile and version, with what the profiles promise.
+pub(super) async fn outcomes(
+    shared: web::Data<Shared>,
+    query: web::Query<Since>,
+    _: Reader,
+) -> Result<HttpResponse, Failure> {
+    shared.ready().await?;
+    let input = shared.ledger.read(|state| input(state, query.since));
+    Ok(HttpResponse::Ok().json(input))
+}
+
+/// The report's input from the state.
+fn input(state: &State, since: Millis) -> Input {
+    let profiles = state.profiles.list().iter();
+    Input {
+        now: state.clock(),
+        rows: state.outcomes.rows(since).collect(),
+        targets: profiles.flat_map(targets).collect(),
+    }
+}
+
+/// What the kept versions of a profile promise.
+fn targets(named: &Named) -> impl Iterator<Item = Target> + '_ {
+    named.history.iter().filter_map(|version| {
+        let profile = version.profile.as_ref()?;
+        Some(Target {
+            profile: named.name.clone(),
+            version: version.change.version,
+            share: profile.objective.share,
+        })
+    })
+}
--- a/src/cli/profiles.rs
+++ b/src/cli/profiles.rs
@@ -15,6 +15,7 @@
 use serde_json::Value;
 
 use crate::{
+    admin::diff,
     cli::{
         args,
         client::{
@@ -29,7 +30,6 @@
             Output, //
         }, //
     },
-    diff,
     findings,
     ids::{
         ChangeId,
--- a/src/ledger/outcomes.rs
+++ b/src/ledger/outcomes.rs
@@ -3,6 +3,7 @@
 //! Time is cut into buckets that widen with age, so that the state is bounded: see [`TIERS`]. Every
 //! reader of the log gets the same sums, since only times of the log decide what is folded.
 
+use schemars::JsonSchema;
 use serde::{
     Deserialize,
     Serialize, //
@@ -94,7 +95,7 @@
 }
 
 /// Sums for one profile version in one bucket of time.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct Row {
     /// Start of the bucket, in milliseconds since 1970.
     pub start: Millis,
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -3,6 +3,7 @@
 //! One log entry holds a [`Batch`] as JSON, so that many records share one append.
 
 use compact_str::CompactString;
+use schemars::JsonSchema;
 use serde::{
     Deserialize,
     Serialize, //
@@ -278,7 +279,7 @@
 }
 
 /// What became of work under one profile version in one span of time.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Tally {
     /// The profile.
@@ -296,7 +297,9 @@
 }
 
 /// The one reason for which a piece of work does not count as good.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema,
+)]
 #[serde(rename_all = "snake_case")]
 pub enum Cause {
     /// It was refused for want of room.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,7 +8,6 @@
 pub mod cli;
 pub mod configs;
 pub mod context;
-pub mod diff;
 pub mod entry;
 pub mod findings;
 pub mod ids;
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -13,6 +13,7 @@
 pub mod table;
 pub mod text;
 
+use schemars::JsonSchema;
 use serde::{
     Deserialize,
     Serialize, //
@@ -33,7 +34,7 @@
 pub const DEFAULT_SPAN: u64 = HOUR;
 
 /// The share that a profile version promises.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 pub struct Target {
     /// The profile.
     pub profile: ProfileName,
@@ -44,7 +45,7 @@
 }
 
 /// What the report is made from. Answer to `GET /v1/outcomes`.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
 pub struct Input {
     /// The latest time of the log, since 1970.
     pub now: Millis,
--- a/tests/cli/offline.rs
+++ b/tests/cli/offline.rs
@@ -102,7 +102,8 @@
     let run = run::run(&["config", "check", odd.to_str().unwrap()]);
     assert_eq!(run.code, 1);
     assert!(
-        run.err.contains("--kind: entry, profile, standin, mix, job"),
+        run.err
+            .contains("--kind: entry, profile, standin, mix, job"),
         "{run:?}"
     );
 }
