--- /dev/null
+++ b/tests/docs.rs
@@ -0,0 +1,147 @@
+//! The operators' pages keep step with the programs.
+
+#![expect(clippy::unwrap_used, reason = "a test fails by a panic")]
+
+use std::{
+    fs,
+    path::{
+        Path,
+        PathBuf, //
+    }, //
+};
+
+use bamboolock::{
+    admin,
+    cli::{
+        commands,
+        exit, //
+    },
+    entry,
+    ledger::record::Cause,
+    report::text,
+    wire::caller::Code, //
+};
+
+/// The pages that these tests read.
+const PAGES: [&str; 9] = [
+    "CONTRIBUTING.md",
+    "docs/GLOSSARY.md",
+    "docs/cli.md",
+    "docs/operations/alerts.md",
+    "docs/operations/install.md",
+    "docs/operations/profiles.md",
+    "docs/operations/report.md",
+    "docs/operations/security.md",
+    "docs/operations/settings.md",
+];
+
+fn root(path: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join(path)
+}
+
+fn page(path: &str) -> String {
+    fs::read_to_string(root(path)).unwrap()
+}
+
+/// The names under which a program shows its metrics.
+fn metrics() -> Vec<String> {
+    // A family shows once it has a label.
+    let entry = entry::metrics::Metrics::new();
+    entry.refused(Code::Internal);
+    entry.answered("ramp-check", 0.1);
+    let admin = admin::metrics::Metrics::new();
+    let call = admin::metrics::Call {
+        route: "GET /v1/profiles".to_owned(),
+        status: 200,
+    };
+    admin.calls.get_or_create(&call).inc();
+    let shown = entry.encode().unwrap() + &admin.encode().unwrap();
+    let types = shown.lines().filter_map(|l| l.strip_prefix("# TYPE "));
+    let names = types.map(|l| match l.split_once(' ').unwrap() {
+        (name, "counter") => format!("{name}_total"),
+        (name, _) => name.to_owned(),
+    });
+    names.collect()
+}
+
+#[test]
+fn every_metric_is_on_the_alerts_page_and_no_other() {
+    let page = page("docs/operations/alerts.md");
+    let known = metrics();
+    for name in &known {
+        let row = page.lines().find(|l| l.starts_with(&format!("| `{name}")));
+        assert!(row.is_some(), "{name} has no row");
+    }
+    let word = |c: char| c.is_ascii_alphanumeric() || c == '_';
+    for name in page
+        .split(|c| !word(c))
+        .filter(|w| w.starts_with("bamboolock_"))
+    {
+        assert!(known.iter().any(|k| k == name), "{name} does not exist");
+    }
+}
+
+#[test]
+fn every_command_and_exit_code_is_on_the_command_lines_page() {
+    let page = page("docs/cli.md");
+    for command in commands::command().get_subcommands() {
+        let name = command.get_name();
+        assert!(page.contains(&format!("| `{name}")), "{name} has no row");
+        for inner in command.get_subcommands() {
+            assert!(
+                page.contains(inner.get_name()),
+                "{name} {}",
+                inner.get_name()
+            );
+        }
+    }
+    let codes = [
+        0,
+        exit::REFUSED,
+        exit::USAGE,
+        exit::UNREACHABLE,
+        exit::LOST_RACE,
+        exit::UNKNOWN,
+        exit::NOT_YET,
+    ];
+    for code in codes {
+        assert!(
+            page.contains(&format!("\n| {code} |")),
+            "code {code} has no row"
+        );
+    }
+}
+
+#[test]
+fn every_cause_is_on_the_reports_page() {
+    let page = page("docs/operations/report.md");
+    let causes = [
+        Cause::Refused,
+        Cause::Unplaced,
+        Cause::Waited,
+        Cause::Late,
+        Cause::Failed,
+        Cause::Repeated,
+        Cause::Unknown,
+    ];
+    for cause in causes {
+        let row = format!("\n| {} |", text::cause(cause));
+        assert!(page.contains(&row), "{cause:?} has no row");
+    }
+    assert!(page.contains("\n| cancelled |"));
+}
+
+#[test]
+fn every_link_leads_to_a_file() {
+    for name in PAGES {
+        let folder = root(name).parent().unwrap().to_owned();
+        let text = page(name);
+        for link in text.split("](").skip(1).filter_map(|l| l.split(')').next()) {
+            let file = link.split('#').next().unwrap();
+            if file.is_empty() || file.contains("://") {
+                continue;
+            }
+            assert!(folder.join(file).exists(), "{name}: {link}");
+        }
+    }
+}
