--- a/src/cli/documents.rs
+++ b/src/cli/documents.rs
@@ -58,7 +58,7 @@
     },
     Document {
         name: "mix",
-        summary: "A mix of work for `bamboolock-load`",
+        summary: "Recorded work for `bamboolock-load`",
         schema: || schemars::schema_for!(load::mix::Mix),
         check: Some(check::<load::mix::Mix>),
         options: true,
