feat(load): the balancer passes over instances that are not ready

Cause: an instance that shuts down refuses new work as not run while its port is still open; the platform's balancer would not send it any, the tool's did.

Change: every instance is asked for GET /readyz five times a second; one without readiness (404) counts as ready.

--- a/src/load/balancer.rs
+++ b/src/load/balancer.rs
@@ -9,11 +9,19 @@
     time::Duration, //
 };
 
+use awc::http::StatusCode;
+use futures_util::future::join_all;
 use tokio::time;
 
 /// How long an instance that refused a connection is passed over.
 const PENALTY: Duration = Duration::from_millis(1_000);
 
+/// How often every instance is asked whether it is ready.
+const ASK: Duration = Duration::from_millis(200);
+
+/// How long an instance may take to say so.
+const LIMIT: Duration = Duration::from_millis(1_000);
+
 /// The entry instances, taken in turn.
 #[derive(Debug)]
 pub struct Balancer {
@@ -21,17 +29,19 @@
     turn: Cell<usize>,
     /// Until when each is passed over.
     down: RefCell<Vec<Option<time::Instant>>>,
+    /// Whether each was ready when it was asked last.
+    ready: RefCell<Vec<bool>>,
 }
 
 impl Balancer {
     /// A balancer over these instances.
     #[must_use]
     pub fn new(entries: Vec<SocketAddr>) -> Self {
-        let down = RefCell::new(vec![None; entries.len()]);
         Self {
-            entries,
             turn: Cell::new(0),
-            down,
+            down: RefCell::new(vec![None; entries.len()]),
+            ready: RefCell::new(vec![true; entries.len()]),
+            entries,
         }
     }
 
@@ -54,12 +64,23 @@
         self.turn.set(first + 1);
         let now = time::Instant::now();
         let down = self.down.borrow();
-        let up = |i: &usize| down[*i].is_none_or(|until| until <= now);
+        let ready = self.ready.borrow();
+        let up = |i: &usize| ready[*i] && down[*i].is_none_or(|until| until <= now);
         let order = (0..count).map(|i| (first + i) % count);
         let chosen = order.clone().find(up).unwrap_or(first);
         Some(self.entries[chosen])
     }
 
+    /// Asks every instance again and again whether it is ready; never ends.
+    pub async fn watch(&self, client: &awc::Client) {
+        loop {
+            let asked = self.entries.iter().map(|entry| ask(client, *entry));
+            let ready = join_all(asked).await;
+            self.ready.replace(ready);
+            time::sleep(ASK).await;
+        }
+    }
+
     /// Passes an instance over for a while.
     pub fn avoid(&self, entry: SocketAddr) {
         let until = time::Instant::now() + PENALTY;
@@ -69,3 +90,12 @@
         }
     }
 }
+
+/// Whether an instance is ready. One that knows no readiness counts as ready.
+async fn ask(client: &awc::Client, entry: SocketAddr) -> bool {
+    let sent = client.get(format!("http://{entry}/readyz")).send();
+    match time::timeout(LIMIT, sent).await {
+        Ok(Ok(answer)) => answer.status().is_success() || answer.status() == StatusCode::NOT_FOUND,
+        Ok(Err(_)) | Err(_) => false,
+    }
+}
--- a/src/load/run.rs
+++ b/src/load/run.rs
@@ -90,10 +90,21 @@
         start: Instant::now(),
         samples: RefCell::new(Vec::with_capacity(arrivals.len())),
     });
+    tokio::select! {
+        () = exchange_all(&run, arrivals, stop) => {}
+        () = run.watch() => {}
+    }
+    let mut samples = run.samples.take();
+    samples.sort_by_key(|s| s.index);
+    mark_doubled(arrivals, &mut samples);
+    samples
+}
+
+/// Sends the arrivals and waits until all that were sent have ended.
+async fn exchange_all(run: &Rc<Run>, arrivals: &Rc<Vec<Arrival>>, stop: impl Future<Output = ()>) {
     let mut handles = Vec::with_capacity(arrivals.len());
-    let sending = send_all(&run, arrivals, &mut handles);
     tokio::select! {
-        () = sending => {}
+        () = send_all(run, arrivals, &mut handles) => {}
         () = stop => log::info!("sending was stopped early"),
     }
     for handle in handles {
@@ -101,10 +112,6 @@
             log::error!(error:% = e; "an exchange was aborted");
         }
     }
-    let mut samples = run.samples.take();
-    samples.sort_by_key(|s| s.index);
-    mark_doubled(arrivals, &mut samples);
-    samples
 }
 
 async fn send_all(
@@ -129,6 +136,14 @@
 }
 
 impl Run {
+    /// Keeps the balancer's view of the instances fresh; never ends.
+    async fn watch(&self) {
+        match &self.plan.target {
+            Target::Entries(balancer) => balancer.watch(&self.client).await,
+            Target::Direct(_) => std::future::pending().await,
+        }
+    }
+
     fn intended(&self, arrival: &Arrival) -> Instant {
         self.start + Duration::from_micros(arrival.at)
     }
--- a/tests/load/run.rs
+++ b/tests/load/run.rs
@@ -79,12 +79,26 @@
     )
 }
 
+async fn readiness(ready: web::Data<bool>) -> HttpResponse {
+    match **ready {
+        true => HttpResponse::Ok().finish(),
+        false => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
+/// A fake that is ready.
 fn serve() -> (SocketAddr, ServerHandle) {
+    serve_ready(true)
+}
+
+fn serve_ready(ready: bool) -> (SocketAddr, ServerHandle) {
     let executions = web::Data::new(AtomicU64::new(0));
     let app = move || {
         App::new()
             .app_data(executions.clone())
             .route("/v1/requests/{profile}", web::post().to(fake))
+            .app_data(web::Data::new(ready))
+            .route("/readyz", web::get().to(readiness))
             .route("/v1/jobs", web::post().to(accept))
             .route("/v1/jobs/{id}", web::get().to(status))
     };
@@ -199,6 +213,29 @@
     handle.stop(false).await;
 }
 
+#[actix_web::test]
+async fn an_instance_that_is_not_ready_gets_no_work() {
+    let (leaving, first) = serve_ready(false);
+    let (ready, second) = serve();
+    let balancer = Balancer::new(vec![leaving, ready]);
+    let client = run::client();
+    let avoided = async {
+        while (0..6).any(|_| balancer.next() != Some(ready)) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let watched = async {
+        tokio::select! {
+            () = avoided => {}
+            () = balancer.watch(&client) => {}
+        }
+    };
+    let seen = tokio::time::timeout(PATIENCE, watched).await;
+    assert!(seen.is_ok(), "work goes to an instance that is not ready");
+    first.stop(false).await;
+    second.stop(false).await;
+}
+
 #[actix_web::test]
 async fn nothing_was_sent_when_no_instance_is_there() {
     let balancer = Balancer::new(vec![closed(), closed()]);
