--- a/tests/process/requests.rs
+++ b/tests/process/requests.rs
@@ -143,3 +143,24 @@
     sleep(Duration::from_millis(500)).await;
     assert_eq!(cell.verdict().counters.leaving, before);
 }
+
+#[actix_web::test]
+async fn a_request_in_progress_at_a_worker_that_crashes_is_unknown_and_not_sent_again() {
+    let cell = Cell::start(cell::SMALL).await;
+    let body = json!({"service_ms": 1_500, "mark": "bridge"});
+    let sent = {
+        let body = body.clone();
+        let address = cell.instances[0].address;
+        actix_rt::spawn(async move { load::once(address, "once", None, &body).await })
+    };
+    cell.until("the request executes", async || {
+        cell.standin.verdict().counters.nonidempotent == 1
+    })
+    .await;
+    let target = Select::default();
+    cell.command(&Command::Restart { target }).await;
+    let (not_run, reason) = sent.await.unwrap().unwrap_err();
+    assert!(!not_run, "it may have run: {reason}");
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(cell.verdict().counters.nonidempotent, 1);
+}
