feat(standin): bytes between a zone and the platform count as crossing regions

Change: the setting home names the platform's region; absent as before.

Measured: 47 contract tests of the stand-in pass.

--- a/src/standin/settings.rs
+++ b/src/standin/settings.rs
@@ -39,6 +39,9 @@
     /// `IP:port` of the first worker; each next one has the next port. Port 0 takes free ports.
     #[schemars(with = "String")]
     pub workers: SocketAddr,
+    /// The region in which the platform stands, for the account of bytes between regions. Absent:
+    /// bytes to the platform never count as such.
+    pub home: Option<RegionId>,
     /// Threads that serve the workers' ports.
     #[schemars(range(min = 1, max = 64))]
     pub threads: usize,
@@ -168,6 +171,7 @@
         Self {
             listen: SocketAddr::from((Ipv4Addr::LOCALHOST, PLATFORM_PORT)),
             workers: SocketAddr::from((Ipv4Addr::LOCALHOST, WORKER_PORT)),
+            home: None,
             threads: 2,
             groups: default_groups(),
             entries: Vec::new(),
--- a/src/standin/shared.rs
+++ b/src/standin/shared.rs
@@ -88,6 +88,8 @@
     ports: Vec<(u16, usize)>,
     /// The region of each availability zone, sorted.
     regions: Vec<(ZoneId, RegionId)>,
+    /// The region of the platform.
+    home: Option<RegionId>,
     stopping: AtomicBool,
 }
 
@@ -121,6 +123,7 @@
             changed: Notify::new(),
             ports,
             regions: regions(settings),
+            home: settings.home.clone(),
             stopping: AtomicBool::new(false),
         }
     }
@@ -138,7 +141,7 @@
         Some(self.ports[at].1)
     }
 
-    /// Whether two availability zones are known and lie in different regions.
+    /// Whether two places, availability zones or the platform, are known to lie in different regions.
     #[must_use]
     pub fn crossing(&self, one: &str, other: &str) -> bool {
         match (self.region(one), self.region(other)) {
@@ -207,6 +210,9 @@
     }
 
     fn region(&self, zone: &str) -> Option<&RegionId> {
+        if zone == PLATFORM {
+            return self.home.as_ref();
+        }
         let order = |r: &(ZoneId, RegionId)| r.0.as_str().cmp(zone);
         let at = self.regions.binary_search_by(order).ok()?;
         Some(&self.regions[at].1)
--- a/src/standin/traffic.rs
+++ b/src/standin/traffic.rs
@@ -15,7 +15,7 @@
     pub from: CompactString,
     /// The target's availability zone; `platform` for log and list.
     pub to: CompactString,
-    /// Whether both are availability zones and lie in different regions.
+    /// Whether both are known to lie in different regions.
     pub crossing: bool,
     /// Messages.
     pub messages: u64,
--- a/tests/standin/serve.rs
+++ b/tests/standin/serve.rs
@@ -108,3 +108,27 @@
     }
     client.stop().await;
 }
+
+#[actix_web::test]
+async fn bytes_to_the_platform_cross_regions_when_its_region_is_known() {
+    let cases = [
+        (None, [false, false]),
+        (Some("north"), [false, true]),
+        (Some("south"), [true, false]),
+    ];
+    for (home, crossing) in cases {
+        let mut settings = client::settings();
+        settings.home = home.map(|h| h.parse().unwrap());
+        let client = Client::start(&settings).await;
+        let url = format!("http://{}/v1/instances", client.running.platform);
+        for zone in ["north-a", "south-a"] {
+            let http = client::fresh();
+            let request = http.get(&url).insert_header((wire::ZONE_HEADER, zone));
+            request.send().await.unwrap();
+        }
+        let rows = client.verdict().traffic;
+        let found: Vec<_> = rows.iter().map(|r| r.crossing).collect();
+        assert_eq!(found, crossing, "{home:?}");
+        client.stop().await;
+    }
+}
