--- a/src/bench/measures/mod.rs
+++ b/src/bench/measures/mod.rs
@@ -32,6 +32,7 @@
 pub mod blocking;
 pub mod crest;
 pub mod decide;
+pub mod replay;
 pub mod storm;
 pub mod wait;
 
@@ -93,10 +94,11 @@
 pub type Measure = (&'static str, fn(&Options) -> Result<Vec<Line>, Error>);
 
 /// All measures, sorted by name.
-pub const MEASURES: [Measure; 5] = [
+pub const MEASURES: [Measure; 6] = [
     ("blocking", blocking::run),
     ("crest", crest::run),
     ("decide", decide::run),
+    ("replay", replay::run),
     ("storm", storm::run),
     ("wait", wait::run),
 ];
--- a/tests/ledger/fuzz.rs
+++ b/tests/ledger/fuzz.rs
@@ -61,7 +61,8 @@
         change,
         id,
         key,
-        snapshot, //
+        snapshot,
+        verdict, //
     },
     oracle::Oracle, //
 };
@@ -412,7 +413,12 @@
     /// Tells waiting parties what they get, and checks it against the log.
     fn resolve(&mut self, node: usize, all: &[Applied]) {
         for applied in all {
-            for (_, effects) in self.nodes[node].queue.applied(applied) {
+            for (ticket, effects) in self.nodes[node].queue.applied(applied) {
+                let record = &self.tickets[ticket].record;
+                let own = |e: &Effect| {
+                    verdict(e).is_none_or(|(change, ..)| record["change"] == change.as_str())
+                };
+                assert!(effects.iter().all(own), "{effects:?} for {record}");
                 let entry = usize::try_from(applied.offset.0).unwrap();
                 effects.iter().for_each(|effect| self.told(entry, effect));
             }
