perf(requests): decisions look at profiles with waiting work alone

Change: the kernel keeps the profiles that have waiting work, and held slots by priority; passing on looks at 64 waiting requests a call.

--- a/src/bench/measures/decide.rs
+++ b/src/bench/measures/decide.rs
@@ -39,6 +39,9 @@
 /// Tasks that run there.
 const TASKS: u32 = 220_000;
 
+/// Profiles there: three for each of 140 teams.
+const PROFILES: usize = 420;
+
 /// Requests in progress in each cell.
 const OPEN: usize = 12;
 
@@ -63,7 +66,7 @@
     let count = options.span(1_000_000, 200_000) as usize;
     let share = f64::from(TASKS) / (LARGE as f64 * f64::from(measures::SLOTS));
     let small = cost(&works, measures::WORKERS, share, count)?;
-    let large = cost(&works, LARGE, share, count)?;
+    let large = cost(&many(&works)?, LARGE, share, count)?;
     let plain = measures::plain(
         &works,
         &serde_json::json!({"route": "random", "order": "fifo", "shed": "full_queue"}),
@@ -91,7 +94,7 @@
         },
         Line {
             measure: "DECIDE.scale",
-            unit: "cost of a request at 29,000 workers, over that at 48 (both as microseconds)",
+            unit: "cost of a request at 29,000 workers and 420 profiles, over that at 48 workers (both in us)",
             ours: 1e6 / large.rate,
             baseline: 1e6 / small.rate,
             against: "ours at 48 workers".to_owned(),
@@ -101,6 +104,17 @@
     ])
 }
 
+/// As many profiles as the large cell has, of the given kinds.
+fn many(works: &[Work]) -> Result<Vec<Work>, Error> {
+    let mut many = Vec::with_capacity(PROFILES);
+    for (i, work) in works.iter().cycle().take(PROFILES).enumerate() {
+        let mut work = work.clone();
+        work.name = format!("{}-{i}", work.name).parse()?;
+        many.push(work);
+    }
+    Ok(many)
+}
+
 /// Sends `count` requests through a kernel whose workers are filled to `share`.
 fn cost(works: &[Work], workers: usize, share: f64, count: usize) -> Result<Cost, Error> {
     let mut pool = Pool::new(workers, measures::CAPACITY);
--- a/src/configs/zone_aware.rs
+++ b/src/configs/zone_aware.rs
@@ -23,9 +23,10 @@
     /// Added to the answer time of a worker in another region.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub remote: Duration,
-    /// How many times its answer time a worker that fails everything counts for.
-    #[schemars(range(min = 1.0))]
-    pub errors: f64,
+    /// Added to the answer time of a worker that fails everything; to others by their share of
+    /// failures.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub failure: Duration,
 }
 
 impl Default for ZoneAware {
@@ -33,7 +34,7 @@
         Self {
             region: Duration::from_millis(2),
             remote: Duration::from_millis(24),
-            errors: 20.0,
+            failure: Duration::from_millis(500),
         }
     }
 }
--- a/src/kernel/requests/admit.rs
+++ b/src/kernel/requests/admit.rs
@@ -79,15 +79,9 @@
         }
         let class = &self.classes[key];
         let priority = class.profile.priority;
-        let higher = self
-            .classes
-            .values()
-            .filter(|c| c.profile.priority > priority);
-        let taken: u64 = higher.map(|c| u64::from(c.held.slots)).sum();
-        let ahead = self
-            .classes
-            .values()
-            .map(|c| work_ahead(c, priority, order));
+        let taken = self.slots.above(priority);
+        let busy = self.busy.iter().map(|key| &self.classes[*key]);
+        let ahead = busy.map(|c| work_ahead(c, priority, order));
         let backlog: u64 = ahead.sum();
         if backlog == 0 && self.slots.held < self.slots.total {
             return 0;
@@ -140,7 +134,8 @@
     /// was never sent.
     fn evict(&mut self, priority: u8) -> bool {
         let lower = |c: &&Class| c.profile.priority < priority && !c.queue.is_empty();
-        let lowest = self.classes.values().filter(lower);
+        let busy = self.busy.iter().map(|key| &self.classes[*key]);
+        let lowest = busy.filter(lower);
         let Some(class) = lowest.min_by_key(|c| (c.profile.priority, Reverse(c.queue.len())))
         else {
             return false;
@@ -173,10 +168,8 @@
     /// Removes a request from wherever it is. Its attempts stay until they are known to have ended.
     pub(super) fn take_out(&mut self, key: RequestKey) -> Option<Request> {
         let request = self.requests.remove(key)?;
-        if let Phase::Queued(place) = request.phase
-            && self.classes[request.class].dequeue(place)
-        {
-            self.queued -= 1;
+        if let Phase::Queued(place) = request.phase {
+            self.dequeue(request.class, place);
         }
         Some(request)
     }
@@ -193,6 +186,21 @@
         request.phase = Phase::Queued(place);
         class.enqueue(place, key);
         self.queued += 1;
+        if class.queue.len() == 1 {
+            self.busy.push(request.class);
+        }
+    }
+
+    /// Takes a request out of its profile's queue.
+    pub(super) fn dequeue(&mut self, key: ClassKey, place: Place) {
+        let class = &mut self.classes[key];
+        if !class.dequeue(place) {
+            return;
+        }
+        self.queued -= 1;
+        if class.queue.is_empty() {
+            self.busy.retain(|k| *k != key);
+        }
     }
 
     fn accept(
--- a/src/kernel/requests/dispatch.rs
+++ b/src/kernel/requests/dispatch.rs
@@ -71,7 +71,8 @@
     /// The class whose head goes next.
     fn pick(&self, blocked: &[ClassKey]) -> Option<ClassKey> {
         let mut best = None;
-        for (key, class) in &self.classes {
+        for key in self.busy.iter().copied() {
+            let class = &self.classes[key];
             let Some((place, _)) = class.head() else {
                 continue;
             };
@@ -127,12 +128,11 @@
     /// Takes a request out of its queue that waits for the answer of an attempt from now on.
     pub(super) fn unqueue(&mut self, key: RequestKey) {
         let request = &mut self.requests[key];
-        if let Phase::Queued(place) = request.phase
-            && self.classes[request.class].dequeue(place)
-        {
-            self.queued -= 1;
-        }
+        let (class, before) = (request.class, request.phase);
         request.phase = Phase::Active;
+        if let Phase::Queued(place) = before {
+            self.dequeue(class, place);
+        }
     }
 
     /// Sends the head of a queue, if a worker can be found.
@@ -140,9 +140,7 @@
         let (place, head) = self.classes[key].head()?;
         let avoid = self.requests[head].avoid;
         let worker = self.choose(now, key, avoid, room)?;
-        if self.classes[key].dequeue(place) {
-            self.queued -= 1;
-        }
+        self.dequeue(key, place);
         let kind = match self.requests[head].is_fresh() {
             true => Kind::First,
             false => Kind::Retry,
@@ -235,12 +233,14 @@
         class.count(kind);
         let demand = class.profile.demand;
         let long = class.reserve > 0;
+        let priority = class.profile.priority;
         let attempt = Attempt {
             request: key,
             class: request.class,
             team: class.team,
             worker: Some(worker),
             demand,
+            priority,
             long,
             counted: class.profile.quota.is_some(),
             sent: now,
@@ -255,7 +255,7 @@
         let outlived = now.plus(class.outlived(self.cfg.straggler));
         let slow = class.hedge_after().filter(|_| request.profile.idempotent);
         let tail = class.estimate.quantile(0.99);
-        self.slots.own += demand.slots;
+        self.slots.take(priority, demand.slots);
         self.workers
             .sent(worker, if long { demand.slots } else { 0 });
         let attempt = self.attempts.insert(attempt);
--- a/src/kernel/requests/finish.rs
+++ b/src/kernel/requests/finish.rs
@@ -206,7 +206,7 @@
         room.release(worker, demand);
         self.workers
             .ended(worker, if attempt.long { demand.slots } else { 0 });
-        self.slots.own = self.slots.own.saturating_sub(demand.slots);
+        self.slots.give(attempt.priority, demand.slots);
         let class = &mut self.classes[attempt.class];
         class.active = class.active.saturating_sub(1);
         class.held = class.held.minus(demand).unwrap_or_default();
--- a/src/kernel/requests/forward.rs
+++ b/src/kernel/requests/forward.rs
@@ -23,6 +23,9 @@
 /// Time that a slot elsewhere must save beyond the trip, in milliseconds.
 const LEAST_GAIN: u64 = 2;
 
+/// Waiting requests looked at in one call, so that a long queue does not hold up the rest.
+const MOST_LOOKED: usize = 64;
+
 impl Requests {
     /// Passes waiting requests on to peers that have room, as far as their profiles allow it and
     /// the wait here is longer than the trip.
@@ -50,13 +53,14 @@
 
     /// Requests that wait and may be passed on, the most urgent of each profile first.
     fn waiting(&self) -> Vec<RequestKey> {
-        let queues = self.classes.values().map(|c| c.queue.iter().rev());
+        let busy = self.busy.iter().map(|key| &self.classes[*key]);
+        let queues = busy.map(|c| c.queue.iter().rev());
         let keys = queues.flatten().map(|(_, key)| *key);
         let fresh = |key: &RequestKey| {
             let request = &self.requests[*key];
             !request.forwarded && request.sent == 0
         };
-        keys.filter(fresh).collect()
+        keys.filter(fresh).take(MOST_LOOKED).collect()
     }
 
     /// The nearest peer with room that is worth the trip.
@@ -98,6 +102,7 @@
             team: self.classes[request.class].team,
             worker: None,
             demand: Resources::default(),
+            priority: 0,
             long: false,
             counted: false,
             sent: now,
--- a/src/kernel/requests/mod.rs
+++ b/src/kernel/requests/mod.rs
@@ -55,6 +55,9 @@
     Step, //
 };
 
+/// Priorities of profiles, 0 to 9.
+const PRIORITIES: usize = 10;
+
 /// All requests of one entry instance that have not got their final step, and what was learned.
 #[derive(Debug)]
 pub struct Requests {
@@ -62,6 +65,7 @@
     random: SmallRng,
     classes: SlotMap<class::ClassKey, class::Class>,
     names: Vec<(ProfileName, class::ClassKey)>,
+    busy: Vec<class::ClassKey>,
     teams: SlotMap<quota::TeamKey, quota::Team>,
     requests: SlotMap<RequestKey, request::Request>,
     attempts: SlotMap<AttemptKey, request::Attempt>,
@@ -86,8 +90,8 @@
 struct Slots {
     /// Held by all work on the workers.
     held: u32,
-    /// Held by requests.
-    own: u32,
+    /// Held by requests, by their priority.
+    own: [u32; PRIORITIES],
     /// In all.
     total: u32,
 }
@@ -95,9 +99,28 @@
 impl Slots {
     /// Slots that requests hold or could hold.
     fn usable(self) -> u32 {
-        let others = self.held.saturating_sub(self.own);
+        let own: u32 = self.own.iter().sum();
+        let others = self.held.saturating_sub(own);
         self.total.saturating_sub(others)
     }
+
+    /// Slots that requests of a higher priority hold.
+    fn above(self, priority: u8) -> u64 {
+        let higher = self.own.iter().skip(usize::from(priority) + 1);
+        higher.map(|held| u64::from(*held)).sum()
+    }
+
+    fn take(&mut self, priority: u8, slots: u32) {
+        if let Some(own) = self.own.get_mut(usize::from(priority)) {
+            *own += slots;
+        }
+    }
+
+    fn give(&mut self, priority: u8, slots: u32) {
+        if let Some(own) = self.own.get_mut(usize::from(priority)) {
+            *own = own.saturating_sub(slots);
+        }
+    }
 }
 
 impl Requests {
@@ -109,6 +132,7 @@
             random: SmallRng::seed_from_u64(seed),
             classes: SlotMap::with_key(),
             names: Vec::new(),
+            busy: Vec::new(),
             teams: SlotMap::with_key(),
             requests: SlotMap::with_key(),
             attempts: SlotMap::with_key(),
--- a/src/kernel/requests/request.rs
+++ b/src/kernel/requests/request.rs
@@ -118,6 +118,8 @@
     pub worker: Option<WorkerKey>,
     /// What it holds there.
     pub demand: Resources,
+    /// The priority that it was sent with.
+    pub priority: u8,
     /// Whether it counts as long work.
     pub long: bool,
     /// Whether it counts against the team's quota.
--- a/src/modules/zone_aware.rs
+++ b/src/modules/zone_aware.rs
@@ -12,21 +12,20 @@
     }, //
 };
 
-/// The least answer time that counts, in microseconds, so that a fast failure is no advantage.
+/// The least answer time that counts, in microseconds; also that of a worker without answers yet.
 const LEAST: f64 = 1_000.0;
 
 inventory::submit! {
     Plugin {
         name: "zone_aware",
-        summary: "the least of answer time, distance and load, weighed by failures",
+        summary: "the least expected time to a good answer, by distance, load and failures",
         point: Point::Route(decide),
     }
 }
 
 /// Takes the target with the lowest cost:
-/// - the answer time and the way there,
-/// - times the share of its slots in use,
-/// - times a factor that rises with the share of failures.
+/// - the answer time, the way there and the time that failures are expected to cost,
+/// - times a factor that rises with the share of its slots in use.
 fn decide(ctx: &context::Route<'_>) -> Option<usize> {
     let cfg = ZoneAware::default();
     let costs = ctx.targets.iter().map(|t| cost(t, &cfg));
@@ -41,7 +40,7 @@
         Distance::Remote => cfg.remote.as_micros() as u64,
     };
     let time = (target.latency as f64).max(LEAST) + way as f64;
+    let failures = cfg.failure.as_micros() as f64 * target.errors;
     let load = f64::from(target.active + 1) / f64::from(target.free.slots.max(1));
-    let failures = 1.0 + (cfg.errors - 1.0) * target.errors;
-    time * (1.0 + load) * failures
+    (time + failures) * (1.0 + load)
 }
--- /dev/null
+++ b/tests/bench.rs
@@ -0,0 +1,171 @@
+//! The measuring tool: repeatable arrivals, honest counting, verdicts.
+
+use std::sync::Arc;
+
+use bamboolock::{
+    bench::{
+        arrivals::{
+            self,
+            Job,
+            Times,
+            Work, //
+        },
+        report::{
+            Line,
+            Target,
+            Verdict, //
+        },
+        sim::{
+            Final,
+            Start, //
+        },
+        tally::Tally,
+    },
+    profile::Profile, //
+};
+
+fn work(times: Times, load: f64) -> Work {
+    let json = serde_json::json!({
+        "kind": "request", "team": "t", "objective": {"deadline": 100, "wait": 50},
+    });
+    let profile: Result<Profile, _> = serde_json::from_value(json);
+    Work {
+        name: "p".parse().expect("the name is valid"),
+        profile: Arc::new(profile.expect("the profile is valid")),
+        times,
+        load,
+    }
+}
+
+#[test]
+fn arrivals_follow_the_seed_the_load_and_the_rate() {
+    let works = [
+        work(
+            Times::LogNormal {
+                mean: 20.0,
+                sigma: 0.5,
+            },
+            0.5,
+        ),
+        work(
+            Times::Pareto {
+                least: 100.0,
+                most: 5_000.0,
+                alpha: 1.5,
+            },
+            0.3,
+        ),
+    ];
+    let rate = |_, at| if at < 50_000 { 1.0 } else { 2.0 };
+    let jobs = arrivals::generate(&works, 100, 100_000, 1, &rate);
+    assert_eq!(jobs, arrivals::generate(&works, 100, 100_000, 1, &rate));
+    assert_ne!(jobs, arrivals::generate(&works, 100, 100_000, 2, &rate));
+    assert!(jobs.is_sorted_by_key(|j| j.at));
+    for (i, share) in [(0, 0.5), (1, 0.3)] {
+        for (half, factor) in [(0..50_000, 1.0), (50_000..100_000, 2.0)] {
+            let chosen = jobs.iter().filter(|j| j.work == i && half.contains(&j.at));
+            let busy: u64 = chosen.map(|j| j.takes).sum();
+            let load = busy as f64 / (50_000.0 * 100.0) / factor;
+            assert!((load / share - 1.0).abs() < 0.1, "{i}: {load}");
+        }
+    }
+}
+
+#[test]
+fn refusing_does_not_look_like_speed() {
+    let works = [work(
+        Times::LogNormal {
+            mean: 20.0,
+            sigma: 0.5,
+        },
+        0.5,
+    )];
+    let job = |at| Job {
+        at,
+        work: 0,
+        takes: 20,
+    };
+    let jobs = [job(0), job(10), job(20), job(30)];
+    let mut tally = Tally::new(&works, &jobs);
+    let mut serve = |index, placed, ended| {
+        tally.started(
+            placed,
+            &Start {
+                attempt: (),
+                index,
+                worker: 0,
+                timeout: 1,
+                again: false,
+            },
+        );
+        tally.ended(
+            ended,
+            &Final {
+                index,
+                answered: true,
+            },
+        );
+    };
+    serve(0, 5, 25);
+    serve(1, 200, 220);
+    tally.ended(
+        21,
+        &Final {
+            index: 2,
+            answered: false,
+        },
+    );
+    let waits = tally.waits(None, 0..40);
+    assert_eq!((waits.len(), waits.min(), waits.max()), (4, 5, 190));
+    assert_eq!(waits.value_at_quantile(0.5), 100);
+    assert_eq!(tally.totals(None, 0..40).max(), 210);
+    assert!((tally.in_time(None, 0..40) - 0.25).abs() < 1e-9);
+    assert!((tally.useful(0..15) - 10.0).abs() < 1e-9);
+    assert_eq!(tally.goodput(300)[0], 1);
+}
+
+#[test]
+fn a_line_says_whether_its_target_is_met() {
+    let line = |judged, target| Line {
+        measure: "X",
+        unit: "things",
+        ours: judged,
+        baseline: 2.0,
+        against: "nothing".to_owned(),
+        judged,
+        target,
+    };
+    let rows = [
+        ("at most, met", line(1.0, Target::Most(1.0)), Verdict::Held),
+        (
+            "at most, not met",
+            line(1.1, Target::Most(1.0)),
+            Verdict::Short,
+        ),
+        (
+            "at least, met",
+            line(1.0, Target::Least(1.0)),
+            Verdict::Held,
+        ),
+        (
+            "at least, not met",
+            line(0.9, Target::Least(1.0)),
+            Verdict::Short,
+        ),
+        (
+            "not a number",
+            line(f64::NAN, Target::Most(1.0)),
+            Verdict::Short,
+        ),
+    ];
+    for (name, line, expected) in rows {
+        assert_eq!(line.verdict(), expected, "{name}");
+    }
+    let text = line(1.0, Target::Most(1.0)).to_string();
+    assert!(text.starts_with("X ours=1.0000 baseline=2.0000 ratio=0.5000 target=<=1 held"));
+    let json = line(1.0, Target::Most(1.0)).json();
+    assert_eq!(
+        (&json["ratio"], &json["verdict"]),
+        (&0.5.into(), &"held".into())
+    );
+}
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -6,6 +6,8 @@
 mod admission;
 #[path = "requests/ejection.rs"]
 mod ejection;
+#[path = "requests/estimates.rs"]
+mod estimates;
 #[path = "requests/fuzz.rs"]
 mod fuzz;
 #[path = "requests/hedges.rs"]
--- /dev/null
+++ b/tests/requests/estimates.rs
@@ -0,0 +1,128 @@
+//! What is reckoned from learned run times, and what a new profile version changes.
+
+use std::sync::Arc;
+
+use assert_matches::assert_matches;
+use bamboolock::{
+    kernel::requests::{
+        Outcome,
+        Step, //
+    },
+    profile::Profile,
+    wire::caller::Code, //
+};
+
+use crate::support::{
+    Rig,
+    profile, //
+};
+
+const ANSWER: Outcome = Outcome::Answered { took: 100 };
+
+/// Submits a request under a given profile version.
+fn submit(rig: &mut Rig, version: u32, profile: &Arc<Profile>) -> Result<(), Code> {
+    let mut arrival = rig.arrival("p", profile, 60_000);
+    arrival.version = version;
+    let submitted = rig.kernel.submit(rig.now, arrival);
+    submitted.map(|_| ()).map_err(|refusal| refusal.code)
+}
+
+#[test]
+fn waiting_work_is_reckoned_once_however_often_the_queue_was_empty() {
+    let profile = profile(serde_json::json!({"policies": {"order": "fifo"}}));
+    let mut rig = Rig::new(1, 1);
+    rig.warm("p", &profile, 100, 50);
+    rig.send("p", &profile, 60_000);
+    rig.submit("p", &profile, 60_000).unwrap();
+    // One waits before it: 200 ms of waiting and at most 111 ms of running.
+    rig.submit("p", &profile, 320).unwrap();
+}
+
+#[test]
+fn what_more_urgent_work_holds_is_not_reckoned_with() {
+    let rows = [
+        ("low", 0, 250, false),
+        ("low", 0, 450, true),
+        ("high", 9, 250, true),
+    ];
+    for (name, priority, deadline, admitted) in rows {
+        let urgent = profile(serde_json::json!({"priority": 9}));
+        let chosen = profile(serde_json::json!({
+            "priority": priority,
+            "policies": {"order": "fifo"},
+        }));
+        let mut rig = Rig::new(1, 4);
+        rig.warm("urgent", &urgent, 100, 10);
+        rig.warm("chosen", &chosen, 100, 10);
+        for _ in 0..3 {
+            rig.send("urgent", &urgent, 60_000);
+        }
+        rig.send("chosen", &chosen, 60_000);
+        rig.submit("chosen", &chosen, 60_000).unwrap();
+        rig.next();
+        let submitted = rig.submit("chosen", &chosen, deadline);
+        assert_eq!(submitted.is_ok(), admitted, "{name}, {deadline} ms left");
+    }
+}
+
+#[test]
+fn a_contested_slot_goes_to_work_that_will_nearly_surely_finish() {
+    // Half of all runs take 100 ms, the other half 400 ms.
+    for (name, others, expected) in [("alone", 0, 1), ("contested", 1, 0)] {
+        let profile = profile(serde_json::json!({"policies": {"shed": "full_queue"}}));
+        let mut rig = Rig::new(1, 1);
+        for _ in 0..10 {
+            rig.warm("p", &profile, 100, 1);
+            rig.warm("p", &profile, 400, 1);
+        }
+        let first = rig.send("p", &profile, 60_000);
+        let tight = rig.submit("p", &profile, 400).unwrap();
+        for _ in 0..others {
+            rig.submit("p", &profile, 60_000).unwrap();
+        }
+        rig.now = rig.now.plus(100);
+        assert_eq!(rig.finish(&first, ANSWER), Step::Answer, "{name}");
+        let sends = rig.next();
+        assert_eq!(sends.len(), 1, "{name}");
+        let sent = usize::from(sends[0].key == tight);
+        assert_eq!(sent, expected, "{name}");
+        for notice in rig.kernel.notices() {
+            assert_eq!(notice.key, tight, "{name}");
+            assert_matches!(notice.step, Step::Refuse(_), "{name}");
+        }
+    }
+}
+
+#[test]
+fn an_older_version_does_not_come_back_into_force() {
+    let old = profile(serde_json::json!({"limits": {"queue": 3}}));
+    let new = profile(serde_json::json!({"limits": {"queue": 1}}));
+    let mut rig = Rig::new(0, 1);
+    assert_eq!(submit(&mut rig, 2, &new), Ok(()));
+    assert_eq!(submit(&mut rig, 1, &old), Err(Code::QueueFull));
+    assert_eq!(submit(&mut rig, 3, &old), Ok(()));
+}
+
+#[test]
+fn a_quota_that_comes_and_goes_leaves_nothing_behind() {
+    let free = profile(serde_json::json!({}));
+    let quota = profile(serde_json::json!({"quota": {"slots": 2, "connections": 2}}));
+    for (before, after) in [(&quota, &free), (&free, &quota)] {
+        let mut rig = Rig::new(1, 8);
+        submit(&mut rig, 1, before).unwrap();
+        submit(&mut rig, 1, before).unwrap();
+        let sends = rig.next();
+        assert_eq!(sends.len(), 2);
+        submit(&mut rig, 2, after).unwrap();
+        for sent in &sends {
+            rig.finish(sent, ANSWER);
+        }
+        for sent in rig.next() {
+            rig.finish(&sent, ANSWER);
+        }
+        for _ in 0..3 {
+            submit(&mut rig, 3, &quota).unwrap();
+        }
+        assert_eq!(rig.next().len(), 2, "the whole quota and no more");
+    }
+}
