--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -28,10 +28,17 @@
     web, //
 };
 use compact_str::format_compact;
+use serde::Deserialize;
 
 use crate::{
-    admin::failure::Failure,
-    ids::Incarnation,
+    admin::{
+        access::Reader,
+        failure::Failure, //
+    },
+    ids::{
+        Incarnation,
+        Millis, //
+    },
     ledger::{
         record,
         replica::{
@@ -80,7 +87,7 @@
     pub async fn ready(&self) -> Result<replica::Status, Failure> {
         let status = self.ledger.addr.send(replica::GetStatus).await;
         let status = status.map_err(|_| Failure::unavailable("the replica has ended"))?;
-        if !status.loaded {
+        if !status.loaded || !self.ledger.is_current() {
             return Err(Failure::unavailable("the state is not loaded yet"));
         }
         Ok(status)
@@ -196,12 +203,33 @@
             web::post().to(profiles::roll_back),
         )
         .route("/v1/instances/in-force", web::get().to(instances::in_force))
-        .route("/v1/outcomes", web::get().to(outcomes::outcomes))
+        .route("/v1/outcomes", web::get().to(show_outcomes))
         .route("/healthz", web::get().to(health))
         .route("/readyz", web::get().to(ready))
         .route("/metrics", web::get().to(exposition));
 }
 
+/// Query of the outcomes.
+#[derive(Debug, Clone, Copy, Deserialize)]
+struct Since {
+    /// The first time of interest, in milliseconds since 1970.
+    #[serde(default)]
+    since: Millis,
+}
+
+/// `GET /v1/outcomes`: what became of work, by span of time, profile and version.
+async fn show_outcomes(
+    shared: web::Data<Shared>,
+    query: web::Query<Since>,
+    _: Reader,
+) -> Result<HttpResponse, Failure> {
+    shared.ready().await?;
+    let input = shared
+        .ledger
+        .read(|state| outcomes::input(state, query.since));
+    Ok(HttpResponse::Ok().json(input))
+}
+
 /// `GET /healthz`: the process runs.
 async fn health() -> HttpResponse {
     HttpResponse::Ok().body("ok\n")
