feat(findings): hints say what is allowed at the place

Cause: a fault against the schema said "see the schema" and, for an enumeration, "not valid under any of the schemas listed in the 'oneOf' keyword". A long value was quoted whole.

Ruled out: a hint for each field by hand; it would fall behind the types.

Change: the hint is taken from the schema at the value's place: the values of an enumeration, the fields of an object, the documentation of a plain value. What was found is at most 300 characters long.

Conclusion: 2 more tests; three guards taken out (references, optional values, bound), each seen red.

--- a/src/findings.rs
+++ b/src/findings.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use compact_str::CompactString;
+use jsonschema::error::ValidationErrorKind;
 use schemars::JsonSchema;
 use serde::{
     Deserialize,
@@ -10,6 +11,11 @@
     de::DeserializeOwned, //
 };
 
+use crate::hints;
+
+/// Longest description of what was found, in characters: it may quote the input.
+const MAX_PROBLEM: usize = 300;
+
 /// One fault of an input.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct Finding {
@@ -139,16 +145,25 @@
         }
     };
     for e in validator.iter_errors(value) {
-        let place = match e.instance_path.as_str() {
-            "" => "/".to_owned(),
-            path => path.to_owned(),
-        };
-        findings.add(
-            source,
-            &place,
-            e.to_string(),
-            "see the schema under schemas/",
-        );
+        let path = e.instance_path.as_str();
+        let place = if path.is_empty() { "/" } else { path };
+        let hint = hints::hint(schema.as_value(), path);
+        findings.add(source, place, problem(&e), &hint);
     }
     findings
 }
+
+/// What was found, in words.
+fn problem(e: &jsonschema::ValidationError<'_>) -> String {
+    let mut text = match e.kind {
+        ValidationErrorKind::OneOfNotValid { .. } | ValidationErrorKind::Enum { .. } => {
+            format!("{} is none of the allowed values", e.instance)
+        }
+        _ => e.to_string(),
+    };
+    if let Some((end, _)) = text.char_indices().nth(MAX_PROBLEM) {
+        text.truncate(end);
+        text.push('…');
+    }
+    text
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod context;
 pub mod entry;
 pub mod findings;
+pub mod hints;
 pub mod ids;
 pub mod kernel;
 pub mod ledger;
--- a/tests/findings.rs
+++ b/tests/findings.rs
@@ -43,3 +43,28 @@
         Ok(p) if p.demand.slots == 1 && p.attempts == 5
     );
 }
+
+#[test]
+fn hints_say_what_is_allowed_at_the_place() {
+    let text = r#"{"kind": "requests", "team": "gates", "colour": 1, "spill": "far",
+        "objective": {"share": 2, "tint": 3}, "quota": {"slot": 1}}"#;
+    let found = findings::read::<profile::Profile>("p.json", text).unwrap_err();
+    let hint = |place: &str| {
+        let finding = found.list.iter().find(|f| f.place == place);
+        finding.map_or("", |f| f.hint.as_str())
+    };
+    assert_eq!(hint("/kind"), "one of request, run, gang, service");
+    assert_eq!(hint("/spill"), "one of zone, region, anywhere");
+    assert!(hint("/objective/share").contains("0 to 1"));
+    assert_eq!(hint("/objective"), "fields: deadline, share, wait");
+    assert!(hint("/quota").starts_with("fields: accelerators, connections"));
+    assert!(hint("/").contains("priority"));
+}
+
+#[test]
+fn a_long_value_is_not_quoted_whole() {
+    let text = format!(r#"{{"kind": "{}", "team": "gates"}}"#, "é".repeat(9_000));
+    let found = findings::read::<profile::Profile>("p.json", &text).unwrap_err();
+    assert_eq!(found.list.len(), 1);
+    assert!(found.list[0].problem.chars().count() <= 301);
+}
