fix(report): names stand beside their bars

Cause: the plot of contributions put names at the axis' own ticks, which for three bars are 0 and 2: two names for three bars, beside the wrong ones.

Ruled out: an offset of the ticks; the library chooses their number.

Change: each name is drawn at the middle of its bar; labels are larger.

Conclusion: a test compares the place of each name with its bar in the SVG; it was seen red with names at the lower edges of the bars. The page was not looked at as a picture.

--- a/src/report/plot.rs
+++ b/src/report/plot.rs
@@ -18,8 +18,15 @@
     style::{
         BLACK,
         Color,
+        IntoFont,
         RGBColor,
-        WHITE, //
+        TextStyle,
+        WHITE,
+        text_anchor::{
+            HPos,
+            Pos,
+            VPos, //
+        }, //
     }, //
 };
 use quick_error::quick_error;
@@ -49,6 +56,15 @@
 /// Height of a plot of bars beside its bars, in pixels.
 const FRAME: u32 = 70;
 
+/// Width of the space for names beside bars, in pixels.
+const NAMES: i32 = 190;
+
+/// Space between a name and its bar, in pixels.
+const GAP: i32 = 4;
+
+/// Height of labels, in the plotting library's pixels.
+const LABEL: i32 = 15;
+
 /// Most bars in a plot.
 pub const MAX_BARS: usize = 12;
 
@@ -110,6 +126,7 @@
             .configure_mesh()
             .light_line_style(WHITE)
             .x_labels(6)
+            .label_style(label_font())
             .x_label_formatter(&|at| clock(*at))
             .y_label_formatter(&|share| format!("{share:.2}%"))
             .draw()?;
@@ -129,6 +146,7 @@
             .position(plotters::chart::SeriesLabelPosition::LowerLeft)
             .background_style(WHITE.mix(0.85))
             .border_style(BLACK.mix(0.3))
+            .label_font(label_font())
             .draw()?;
         area.present()?;
     }
@@ -156,20 +174,14 @@
         let mut chart = ChartBuilder::on(&area)
             .margin(12)
             .x_label_area_size(34)
-            .y_label_area_size(190)
+            .y_label_area_size(NAMES)
             .build_cartesian_2d(around_zero(&sizes), 0.0..rows as f64)?;
-        let label = |row: &f64| {
-            let at = rows.checked_sub(1 + row.floor() as usize);
-            let part = at.and_then(|at| bars.get(at));
-            part.map_or_else(String::new, |p| p.profile.to_string())
-        };
         chart
             .configure_mesh()
             .disable_y_mesh()
             .light_line_style(WHITE)
-            .y_labels(rows)
-            .y_label_offset(-(i32::try_from(BAR / 2).unwrap_or(0)))
-            .y_label_formatter(&label)
+            .y_labels(0)
+            .label_style(label_font())
             .x_label_formatter(&|size| format!("{size:+.3}"))
             .draw()?;
         chart.draw_series(sizes.iter().enumerate().map(|(at, size)| {
@@ -177,11 +189,21 @@
             let colour = if *size < 0.0 { DOWN } else { UP };
             Rectangle::new([(0.0, low + 0.15), (*size, low + 0.85)], colour.filled())
         }))?;
+        let style = label_font().pos(Pos::new(HPos::Right, VPos::Center));
+        for (at, part) in bars.iter().enumerate() {
+            let middle = (rows - 1 - at) as f64 + 0.5;
+            let (_, y) = chart.backend_coord(&(0.0, middle));
+            area.draw_text(part.profile.as_str(), &style, (NAMES - GAP, y))?;
+        }
         area.present()?;
     }
     Ok(svg)
 }
 
+fn label_font() -> TextStyle<'static> {
+    ("sans-serif", LABEL).into_font().into()
+}
+
 fn name(series: &Series) -> String {
     let all = || "all work".to_owned();
     series
--- a/tests/report/render.rs
+++ b/tests/report/render.rs
@@ -80,6 +80,44 @@
     }
 }
 
+/// The value of an attribute of an SVG element, as a number.
+fn attribute(element: &str, name: &str) -> f64 {
+    let start = element.split_once(&format!(" {name}=\"")).unwrap().1;
+    start.split('"').next().unwrap().parse().unwrap()
+}
+
+#[test]
+fn each_name_stands_beside_its_bar() {
+    let mut rows = Vec::new();
+    for (age, profile, late) in [(90, "check", 2), (90, "plan", 2), (90, "letter", 2)] {
+        rows.push(rows::row(age, profile, 1, 100 - late, late));
+    }
+    for (age, profile, late) in [(9, "check", 40), (9, "plan", 20), (9, "letter", 0)] {
+        rows.push(rows::row(age, profile, 1, 100 - late, late));
+    }
+    let input = Input {
+        now: Millis(rows::NOW),
+        rows,
+        targets: Vec::new(),
+    };
+    let moved = report::build(&input, HOUR).moved;
+    let svg = plot::parts(&moved).unwrap();
+    let bars: Vec<_> = svg.split("<rect").skip(2).collect();
+    assert_eq!(bars.len(), 3);
+    for (part, bar) in moved.parts.iter().zip(bars) {
+        let middle = attribute(bar, "y") + attribute(bar, "height") / 2.0;
+        let (before, _) = svg.split_once(&format!("\n{}\n", part.profile)).unwrap();
+        let label = before.rsplit("<text").next().unwrap();
+        assert!(
+            (attribute(label, "y") - middle).abs() < 3.0,
+            "{label} {bar}"
+        );
+        let falls = part.total() < 0;
+        let zero = attribute(bar, "x") + if falls { attribute(bar, "width") } else { 0.0 };
+        assert!(attribute(label, "x") <= zero - attribute(bar, "width").min(0.0));
+    }
+}
+
 #[test]
 fn no_work_is_said_and_drawn_as_nothing() {
     let empty = report::build(&Input::default(), HOUR);
