--- a/src/cli/profiles.rs
+++ b/src/cli/profiles.rs
@@ -15,7 +15,6 @@
 use serde_json::Value;
 
 use crate::{
-    admin::diff,
     cli::{
         args,
         client::{
@@ -30,6 +29,7 @@
             Output, //
         }, //
     },
+    diff,
     findings,
     ids::{
         ChangeId,
--- a/tests/ledger/main.rs
+++ b/tests/ledger/main.rs
@@ -9,5 +9,10 @@
 mod admin;
 mod common;
 mod fake_log;
+mod fuzz;
+mod oracle;
+mod process;
+mod recovery;
 mod replay;
 mod replica;
+mod snapshots;
