--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -22,18 +22,16 @@
     wire::caller::Code, //
 };
 
-/// The pages that these tests read.
-const PAGES: [&str; 9] = [
-    "CONTRIBUTING.md",
-    "docs/GLOSSARY.md",
-    "docs/cli.md",
-    "docs/operations/alerts.md",
-    "docs/operations/install.md",
-    "docs/operations/profiles.md",
-    "docs/operations/report.md",
-    "docs/operations/security.md",
-    "docs/operations/settings.md",
-];
+/// Every page of the operators, and the others whose links are followed.
+fn pages() -> Vec<PathBuf> {
+    let mut pages: Vec<_> = ["CONTRIBUTING.md", "docs/GLOSSARY.md", "docs/cli.md"]
+        .map(root)
+        .into();
+    for entry in fs::read_dir(root("docs/operations")).unwrap() {
+        pages.push(entry.unwrap().path());
+    }
+    pages
+}
 
 fn root(path: &str) -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join(path)
@@ -133,15 +131,28 @@
 
 #[test]
 fn every_link_leads_to_a_file() {
-    for name in PAGES {
-        let folder = root(name).parent().unwrap().to_owned();
-        let text = page(name);
+    for page in pages() {
+        let text = fs::read_to_string(&page).unwrap();
         for link in text.split("](").skip(1).filter_map(|l| l.split(')').next()) {
             let file = link.split('#').next().unwrap();
             if file.is_empty() || file.contains("://") {
                 continue;
             }
-            assert!(folder.join(file).exists(), "{name}: {link}");
+            let target = page.parent().unwrap().join(file);
+            assert!(target.exists(), "{}: {link}", page.display());
         }
     }
 }
+
+#[test]
+fn every_operators_page_is_in_the_index() {
+    let index = page("docs/operations/README.md");
+    for path in pages()
+        .iter()
+        .filter(|p| p.starts_with(root("docs/operations")))
+    {
+        let name = path.file_name().unwrap().to_str().unwrap();
+        let linked = name == "README.md" || index.contains(&format!("({name})"));
+        assert!(linked, "{name} is not in the index");
+    }
+}
