--- /dev/null
+++ b/src/bench/measures/wait.rs
@@ -0,0 +1,114 @@
+//! How long work waits to be placed, at 80% load, steady and with bursts.
+
+use crate::bench::{
+    arrivals::{
+        self,
+        Job,
+        Work, //
+    },
+    early::Choice,
+    measures::{
+        self,
+        Error,
+        Options, //
+    },
+    report::{
+        Line,
+        Target, //
+    },
+    tally::Tally,
+};
+
+/// A burst comes every so many milliseconds.
+const PERIOD: u64 = 5_000;
+
+/// It lasts that long, in milliseconds.
+const BURST: u64 = 1_000;
+
+/// The factor on the load in a burst; work exceeds room for that time.
+const PEAK: f64 = 1.4;
+
+/// The factor outside of bursts, so that the mean is one.
+const CALM: f64 = (PERIOD as f64 - PEAK * BURST as f64) / (PERIOD - BURST) as f64;
+
+/// The figures at a steady load: all work, and each kind.
+const STEADY: [(&str, Option<usize>); 4] = [
+    ("WAIT", None),
+    ("WAIT.checks", Some(0)),
+    ("WAIT.notices", Some(1)),
+    ("WAIT.plans", Some(2)),
+];
+
+/// The figure with bursts.
+const BURSTS: [(&str, Option<usize>); 1] = [("WAIT.bursts", None)];
+
+/// Runs the measure.
+///
+/// # Errors
+///
+/// Returns what is wrong with the experiment's own profiles.
+pub fn run(options: &Options) -> Result<Vec<Line>, Error> {
+    let works = [
+        measures::checks(0.4)?,
+        measures::notices(0.3)?,
+        measures::plans(0.1)?,
+    ];
+    let end = options.span(120_000, 30_000);
+    let steady = |_, _| 1.0;
+    let bursts = |_, at: u64| if at % PERIOD < BURST { PEAK } else { CALM };
+    let jobs = arrivals::generate(&works, measures::ALL, end, options.seed, &steady);
+    let mut lines = compare(&works, &jobs, end, &STEADY)?;
+    let jobs = arrivals::generate(&works, measures::ALL, end, options.seed, &bursts);
+    lines.extend(compare(&works, &jobs, end, &BURSTS)?);
+    Ok(lines)
+}
+
+/// Runs ours and the baselines on the same arrivals.
+fn compare(
+    works: &[Work],
+    jobs: &[Job],
+    end: u64,
+    kinds: &[(&'static str, Option<usize>)],
+) -> Result<Vec<Line>, Error> {
+    let span = end / 6..end;
+    let cfg = Default::default();
+    let ours = measures::late(measures::INSTANCES, &cfg, works, jobs, None, end)?;
+    let policies = serde_json::json!({"route": "random", "order": "fifo", "shed": "full_queue"});
+    let plain = measures::plain(works, &policies)?;
+    let early = |choice| measures::early(choice, works, jobs, end);
+    let baselines = [
+        ("random", early(Choice::Random)),
+        ("round robin", early(Choice::RoundRobin)),
+        ("least loaded", early(Choice::LeastLoaded)),
+        (
+            "one FIFO queue of a single instance with all workers",
+            measures::late(1, &cfg, &plain, jobs, None, end)?,
+        ),
+    ];
+    let mut lines = Vec::new();
+    for (name, baseline) in baselines {
+        for (measure, work) in kinds {
+            let waited = (p99(&ours, *work, &span), p99(&baseline, *work, &span));
+            lines.push(line(measure, waited, name));
+        }
+    }
+    Ok(lines)
+}
+
+fn line(measure: &'static str, (ours, baseline): (f64, f64), against: &str) -> Line {
+    Line {
+        measure,
+        unit: "p99 of time to be placed at 80% load, ms; the target is the ratio",
+        ours,
+        baseline,
+        against: against.to_owned(),
+        judged: ours / baseline,
+        target: Target::Most(0.5),
+    }
+}
+
+/// The 99th percentile; a wait under a millisecond counts as one.
+fn p99(tally: &Tally, work: Option<usize>, span: &std::ops::Range<u64>) -> f64 {
+    let waits = tally.waits(work, span.clone());
+    waits.value_at_quantile(0.99).max(1) as f64
+}
--- a/src/kernel/requests/admit.rs
+++ b/src/kernel/requests/admit.rs
@@ -79,15 +79,16 @@
         }
         let class = &self.classes[key];
         let priority = class.profile.priority;
-        let ahead = self
-            .classes
-            .values()
-            .map(|c| work_ahead(c, priority, order));
+        let taken = self.slots.above(priority);
+        let busy = self.busy.iter().map(|key| &self.classes[*key]);
+        let ahead = busy.map(|c| work_ahead(c, priority, order));
         let backlog: u64 = ahead.sum();
         if backlog == 0 && self.slots.held < self.slots.total {
             return 0;
         }
-        (backlog + class.estimate.cost()) / usable
+        // What more urgent work holds now it will go on holding.
+        let left = usable.saturating_sub(taken).max(1);
+        (backlog + class.estimate.cost()) / left
     }
 
     fn admit(&mut self, now: Millis, key: ClassKey, deadline: Millis) -> Result<(), Refusal> {
@@ -110,6 +111,7 @@
             now,
             deadline,
             estimate,
+            tail: class.estimate.likely(),
             wait,
             queued,
             limit,
@@ -132,7 +134,8 @@
     /// was never sent.
     fn evict(&mut self, priority: u8) -> bool {
         let lower = |c: &&Class| c.profile.priority < priority && !c.queue.is_empty();
-        let lowest = self.classes.values().filter(lower);
+        let busy = self.busy.iter().map(|key| &self.classes[*key]);
+        let lowest = busy.filter(lower);
         let Some(class) = lowest.min_by_key(|c| (c.profile.priority, Reverse(c.queue.len())))
         else {
             return false;
@@ -165,10 +168,8 @@
     /// Removes a request from wherever it is. Its attempts stay until they are known to have ended.
     pub(super) fn take_out(&mut self, key: RequestKey) -> Option<Request> {
         let request = self.requests.remove(key)?;
-        if let Phase::Queued(place) = request.phase
-            && self.classes[request.class].dequeue(place)
-        {
-            self.queued -= 1;
+        if let Phase::Queued(place) = request.phase {
+            self.dequeue(request.class, place);
         }
         Some(request)
     }
@@ -185,6 +186,21 @@
         request.phase = Phase::Queued(place);
         class.enqueue(place, key);
         self.queued += 1;
+        if class.queue.len() == 1 {
+            self.busy.push(request.class);
+        }
+    }
+
+    /// Takes a request out of its profile's queue.
+    pub(super) fn dequeue(&mut self, key: ClassKey, place: Place) {
+        let class = &mut self.classes[key];
+        if !class.dequeue(place) {
+            return;
+        }
+        self.queued -= 1;
+        if class.queue.is_empty() {
+            self.busy.retain(|k| *k != key);
+        }
     }
 
     fn accept(
@@ -298,7 +314,7 @@
 }
 
 fn shed(ctx: &context::Shed) -> Refusal {
-    let end = ctx.now.plus(ctx.wait).plus(ctx.estimate);
+    let end = ctx.now.plus(ctx.wait).plus(ctx.tail);
     if end > ctx.deadline {
         let message = "the deadline cannot be met";
         return not_run(Code::Deadline, message, ctx.wait);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,11 +3,15 @@
 //! The programs under `src/bin` are thin shells over this library. Decisions are pure functions
 //! over a state and a clock in [`kernel`] and [`ledger`]; everything else moves bytes.
 
+pub mod admin;
 pub mod bench;
+pub mod cli;
 pub mod configs;
 pub mod context;
+pub mod diff;
 pub mod entry;
 pub mod findings;
+pub mod hints;
 pub mod ids;
 pub mod kernel;
 pub mod ledger;
