--- a/src/kernel/members.rs
+++ b/src/kernel/members.rs
@@ -22,6 +22,14 @@
     }, //
 };
 
+pub mod peer;
+
+use peer::Life;
+pub use peer::{
+    Peer,
+    Standing, //
+};
+
 /// Instances of each other availability zone that get heartbeats.
 const REMOTE_FANOUT: usize = 2;
 
@@ -38,49 +46,6 @@
     pub region: RegionId,
 }
 
-/// How a peer stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Standing {
-    /// Listed, never heard.
-    Unknown,
-    /// Heard lately.
-    Alive,
-    /// Silent for a while: it gets no forwarded requests.
-    Suspect,
-    /// Silent for so long that its workers are asked for.
-    Dead,
-}
-
-/// One other entry instance.
-#[derive(Debug, Clone)]
-pub struct Peer {
-    /// Who.
-    pub id: InstanceId,
-    /// Its availability zone.
-    pub zone: ZoneId,
-    /// Its region.
-    pub region: RegionId,
-    /// `IP:port` for callers.
-    pub address: CompactString,
-    /// `IP:port` for peers.
-    pub peer: CompactString,
-    /// Whether it said that it is shutting down.
-    pub leaving: bool,
-    /// Slots that it last reported as free on the workers it holds.
-    pub free: u32,
-    life: Option<Life>,
-    listed: list::State,
-    sent: Option<Millis>,
-}
-
-/// The present life of a peer, as heard.
-#[derive(Debug, Clone, Copy)]
-struct Life {
-    incarnation: Incarnation,
-    since: Millis,
-    heard: Millis,
-}
-
 /// Where a heartbeat goes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Target {
@@ -156,7 +121,7 @@
             return;
         }
         self.learn_region(&beat.zone, &beat.region);
-        let at = self.slot(&beat.id, || from_heartbeat(beat));
+        let at = self.slot(&beat.id, || Peer::from_heartbeat(beat));
         let local = self.peers[at].zone == self.me.zone;
         let dead = self.span(self.cfg.dead, local);
         let peer = &mut self.peers[at];
@@ -331,7 +296,7 @@
         if id == self.me.id {
             return;
         }
-        let at = self.slot(&id, || from_list(id.clone(), instance));
+        let at = self.slot(&id, || Peer::from_list(id.clone(), instance));
         let peer = &mut self.peers[at];
         peer.listed = instance.state;
         if peer.life.is_none() {
@@ -390,33 +355,3 @@
 fn millis(span: std::time::Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
-
-fn from_list(id: InstanceId, instance: &list::Instance) -> Peer {
-    Peer {
-        id,
-        zone: instance.zone.clone(),
-        region: instance.region.clone(),
-        address: instance.address.clone(),
-        peer: instance.peer.clone(),
-        leaving: false,
-        free: 0,
-        life: None,
-        listed: instance.state,
-        sent: None,
-    }
-}
-
-fn from_heartbeat(beat: &Heartbeat) -> Peer {
-    Peer {
-        id: beat.id.clone(),
-        zone: beat.zone.clone(),
-        region: beat.region.clone(),
-        address: beat.address.clone(),
-        peer: beat.peer.clone(),
-        leaving: beat.leaving,
-        free: beat.free,
-        life: None,
-        listed: list::State::Live,
-        sent: None,
-    }
-}
--- a/src/kernel/runs/gather.rs
+++ b/src/kernel/runs/gather.rs
@@ -11,8 +11,8 @@
         RunId, //
     },
     kernel::workers::{
-        Gather,
-        Workers, //
+        Workers,
+        gather::Gather, //
     },
     ledger::jobs::job::Job, //
 };
--- a/src/kernel/workers.rs
+++ b/src/kernel/workers.rs
@@ -6,7 +6,6 @@
 
 use compact_str::CompactString;
 use slotmap::SlotMap;
-use xxhash_rust::xxh3;
 
 use crate::{
     configs::lease,
@@ -14,7 +13,6 @@
         Boot,
         Millis,
         RackId,
-        RunId,
         Token,
         WorkerId, //
     },
@@ -38,11 +36,15 @@
 };
 
 mod answers;
+pub mod gather;
 pub mod index;
+mod listing;
 pub mod room;
+mod settle;
 mod steps;
 pub mod worker;
 
+use gather::Gather;
 use worker::{
     Life,
     Reason,
@@ -63,15 +65,6 @@
     pub sent: Millis,
 }
 
-/// Workers to bring together in the hands of the instance that should look after a gang.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Gather {
-    /// The gang.
-    pub run: RunId,
-    /// How many workers.
-    pub count: usize,
-}
-
 /// The table of workers.
 #[derive(Debug, Clone)]
 pub struct Workers {
@@ -146,15 +139,6 @@
         self.ids.get(at).map(|e| e.1)
     }
 
-    /// The workers of a rack.
-    #[must_use]
-    pub fn rack(&self, rack: &RackId) -> &[WorkerKey] {
-        match self.racks.binary_search_by(|r| r.0.cmp(rack)) {
-            Ok(at) => &self.racks[at].1,
-            Err(_) => &[],
-        }
-    }
-
     /// How many workers are known.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -173,33 +157,6 @@
         self.index.len()
     }
 
-    /// The capacities that were reported, each with the number of workers that have it.
-    #[must_use]
-    pub fn shapes(&self) -> &[(Resources, u32)] {
-        &self.shapes
-    }
-
-    /// Takes in the platform's list.
-    pub fn listed(&mut self, now: Millis, listing: &list::Listing) {
-        let mut named = 0;
-        for instance in &listing.instances {
-            if instance.role != list::Role::Worker {
-                continue;
-            }
-            let found = self
-                .ids
-                .binary_search_by(|e| e.0.as_str().cmp(&instance.id));
-            match found {
-                Ok(at) => self.learn(now, self.ids[at].1, instance),
-                Err(at) => self.insert(now, at, instance),
-            }
-            named += 1;
-        }
-        if named != self.ids.len() {
-            self.forget(listing);
-        }
-    }
-
     /// The token to send new work with at `now`; `None` means that the work must not be sent. To be
     /// asked right before each send. A request carries the token that was held when its room was
     /// reserved, so that it is refused when it comes after a change of token.
@@ -407,162 +364,9 @@
         actions
     }
 
-    /// Brings workers together for a gang, or lets them go again.
-    pub fn gather(&mut self, gather: Option<Gather>) {
-        if self.gather == gather {
-            return;
-        }
-        self.gather = gather;
-        let mut ranked = Vec::new();
-        for (key, entry) in &mut self.arena {
-            entry.gathered = false;
-            let Some(gather) = &self.gather else {
-                continue;
-            };
-            if entry.zone == self.me.zone && entry.listed == list::State::Live {
-                let seed = xxh3::xxh3_64(gather.run.as_str().as_bytes());
-                let weight = xxh3::xxh3_64_with_seed(entry.id.as_str().as_bytes(), seed);
-                ranked.push((weight, key));
-            }
-        }
-        ranked.sort_unstable();
-        let count = self.gather.as_ref().map_or(0, |g| g.count);
-        for (_, key) in ranked.into_iter().take(count) {
-            if let Some(entry) = self.arena.get_mut(key) {
-                entry.gathered = true;
-            }
-        }
-    }
-
     /// Whether no lease is held, so that a shutdown may go on.
     #[must_use]
     pub fn released(&self) -> bool {
         self.arena.values().all(|w| w.life.tenure().is_none())
     }
-
-    /// Brings a worker's free room, its place in the index and the sums up to date.
-    fn settle(&mut self, key: WorkerKey) {
-        let Some(entry) = self.arena.get_mut(key) else {
-            return;
-        };
-        entry.settle_account(&self.unit);
-        let total = entry.capacity.slots;
-        let taken = total - entry.free.slots.min(total);
-        let wanted = entry.usable().then_some(entry.free.slots);
-        if let Some(old) = entry.spot {
-            self.taken -= old.taken;
-            self.total -= old.total;
-        }
-        let stays = match (entry.spot, wanted) {
-            (Some(old), Some(slots)) => self.index.fits(old.spot, slots),
-            (None, None) => true,
-            _ => false,
-        };
-        if !stays {
-            self.move_spot(key, wanted);
-        }
-        if let Some(entry) = self.arena.get_mut(key)
-            && let Some(new) = &mut entry.spot
-        {
-            new.taken = taken;
-            new.total = total;
-            self.taken += taken;
-            self.total += total;
-        }
-    }
-
-    /// Takes a worker out of the index, and puts it in again when it is usable.
-    fn move_spot(&mut self, key: WorkerKey, wanted: Option<u32>) {
-        let old = self.arena.get_mut(key).and_then(|entry| entry.spot.take());
-        if let Some(old) = old
-            && let Some(moved) = self.index.remove(old.spot)
-            && let Some(other) = self.arena.get_mut(moved)
-            && let Some(spot) = &mut other.spot
-        {
-            spot.spot = old.spot;
-        }
-        let Some(slots) = wanted else {
-            return;
-        };
-        let spot = self.index.add(key, slots);
-        if let Some(entry) = self.arena.get_mut(key) {
-            entry.spot = Some(worker::Counted {
-                spot,
-                taken: 0,
-                total: 0,
-            });
-        }
-    }
-
-    fn insert(&mut self, now: Millis, at: usize, instance: &list::Instance) {
-        let Ok(id) = WorkerId::try_from(instance.id.clone()) else {
-            return;
-        };
-        let key = self.arena.insert(Worker::new(now, id.clone(), instance));
-        self.ids.insert(at, (id, key));
-        match self.racks.binary_search_by(|r| r.0.cmp(&instance.rack)) {
-            Ok(at) => self.racks[at].1.push(key),
-            Err(at) => self.racks.insert(at, (instance.rack.clone(), vec![key])),
-        }
-    }
-
-    fn learn(&mut self, now: Millis, key: WorkerKey, instance: &list::Instance) {
-        let Some(entry) = self.arena.get_mut(key) else {
-            return;
-        };
-        let same = instance.boot == entry.boot && instance.state == entry.listed;
-        if instance.boot < entry.boot || (same && instance.address == entry.address) {
-            return;
-        }
-        let ended = instance.state == list::State::Gone || instance.boot > entry.boot;
-        entry.listed = instance.state;
-        entry.boot = instance.boot;
-        entry.address = instance.address.clone();
-        if ended {
-            entry.end_life(now);
-        }
-        self.settle(key);
-    }
-
-    /// Drops workers that the list names no more and that nothing depends on.
-    fn forget(&mut self, listing: &list::Listing) {
-        let named = |id: &WorkerId| {
-            let found = listing
-                .instances
-                .binary_search_by(|i| i.id.as_str().cmp(id.as_str()));
-            found.is_ok()
-        };
-        let arena = &self.arena;
-        let idle = |key: WorkerKey| arena.get(key).is_none_or(Worker::idle);
-        let gone = self.ids.iter().filter(|e| !named(&e.0) && idle(e.1));
-        let gone: Vec<_> = gone.map(|e| e.1).collect();
-        for key in gone {
-            self.move_spot(key, None);
-            self.arena.remove(key);
-        }
-        self.ids.retain(|e| self.arena.contains_key(e.1));
-        for rack in &mut self.racks {
-            rack.1.retain(|key| self.arena.contains_key(*key));
-        }
-        self.racks.retain(|rack| !rack.1.is_empty());
-    }
-
-    /// Counts a worker under the capacity that it reported.
-    fn learn_shape(&mut self, key: WorkerKey, capacity: Resources) {
-        let Some(entry) = self.arena.get_mut(key) else {
-            return;
-        };
-        let old = entry.shape.replace(capacity);
-        if old == Some(capacity) {
-            return;
-        }
-        if let Some(row) = self.shapes.iter_mut().find(|s| Some(s.0) == old) {
-            row.1 -= 1;
-        }
-        match self.shapes.iter_mut().find(|s| s.0 == capacity) {
-            Some(row) => row.1 += 1,
-            None => self.shapes.push((capacity, 1)),
-        }
-        self.shapes.retain(|s| s.1 > 0);
-    }
 }
--- /dev/null
+++ b/src/kernel/workers/gather.rs
@@ -0,0 +1,47 @@
+//! Workers that are brought together for a gang.
+
+use xxhash_rust::xxh3;
+
+use crate::{
+    ids::RunId,
+    kernel::workers::Workers,
+    wire::list, //
+};
+
+/// Workers to bring together in the hands of the instance that should look after a gang.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Gather {
+    /// The gang.
+    pub run: RunId,
+    /// How many workers.
+    pub count: usize,
+}
+
+impl Workers {
+    /// Brings workers together for a gang, or lets them go again.
+    pub fn gather(&mut self, gather: Option<Gather>) {
+        if self.gather == gather {
+            return;
+        }
+        self.gather = gather;
+        let mut ranked = Vec::new();
+        for (key, entry) in &mut self.arena {
+            entry.gathered = false;
+            let Some(gather) = &self.gather else {
+                continue;
+            };
+            if entry.zone == self.me.zone && entry.listed == list::State::Live {
+                let seed = xxh3::xxh3_64(gather.run.as_str().as_bytes());
+                let weight = xxh3::xxh3_64_with_seed(entry.id.as_str().as_bytes(), seed);
+                ranked.push((weight, key));
+            }
+        }
+        ranked.sort_unstable();
+        let count = self.gather.as_ref().map_or(0, |g| g.count);
+        for (_, key) in ranked.into_iter().take(count) {
+            if let Some(entry) = self.arena.get_mut(key) {
+                entry.gathered = true;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/kernel/workers/listing.rs
@@ -0,0 +1,128 @@
+//! What the platform's list and the reports say of the workers there are.
+
+use crate::{
+    ids::{
+        Millis,
+        RackId,
+        WorkerId, //
+    },
+    kernel::{
+        WorkerKey,
+        workers::{
+            Workers,
+            worker::Worker, //
+        }, //
+    },
+    resources::Resources,
+    wire::list, //
+};
+
+impl Workers {
+    /// Takes in the platform's list.
+    pub fn listed(&mut self, now: Millis, listing: &list::Listing) {
+        let mut named = 0;
+        for instance in &listing.instances {
+            if instance.role != list::Role::Worker {
+                continue;
+            }
+            let found = self
+                .ids
+                .binary_search_by(|e| e.0.as_str().cmp(&instance.id));
+            match found {
+                Ok(at) => self.learn(now, self.ids[at].1, instance),
+                Err(at) => self.insert(now, at, instance),
+            }
+            named += 1;
+        }
+        if named != self.ids.len() {
+            self.forget(listing);
+        }
+    }
+
+    /// The workers of a rack.
+    #[must_use]
+    pub fn rack(&self, rack: &RackId) -> &[WorkerKey] {
+        match self.racks.binary_search_by(|r| r.0.cmp(rack)) {
+            Ok(at) => &self.racks[at].1,
+            Err(_) => &[],
+        }
+    }
+
+    /// The capacities that were reported, each with the number of workers that have it.
+    #[must_use]
+    pub fn shapes(&self) -> &[(Resources, u32)] {
+        &self.shapes
+    }
+
+    fn insert(&mut self, now: Millis, at: usize, instance: &list::Instance) {
+        let Ok(id) = WorkerId::try_from(instance.id.clone()) else {
+            return;
+        };
+        let key = self.arena.insert(Worker::new(now, id.clone(), instance));
+        self.ids.insert(at, (id, key));
+        match self.racks.binary_search_by(|r| r.0.cmp(&instance.rack)) {
+            Ok(at) => self.racks[at].1.push(key),
+            Err(at) => self.racks.insert(at, (instance.rack.clone(), vec![key])),
+        }
+    }
+
+    fn learn(&mut self, now: Millis, key: WorkerKey, instance: &list::Instance) {
+        let Some(entry) = self.arena.get_mut(key) else {
+            return;
+        };
+        let same = instance.boot == entry.boot && instance.state == entry.listed;
+        if instance.boot < entry.boot || (same && instance.address == entry.address) {
+            return;
+        }
+        let ended = instance.state == list::State::Gone || instance.boot > entry.boot;
+        entry.listed = instance.state;
+        entry.boot = instance.boot;
+        entry.address = instance.address.clone();
+        if ended {
+            entry.end_life(now);
+        }
+        self.settle(key);
+    }
+
+    /// Drops workers that the list names no more and that nothing depends on.
+    fn forget(&mut self, listing: &list::Listing) {
+        let named = |id: &WorkerId| {
+            let found = listing
+                .instances
+                .binary_search_by(|i| i.id.as_str().cmp(id.as_str()));
+            found.is_ok()
+        };
+        let arena = &self.arena;
+        let idle = |key: WorkerKey| arena.get(key).is_none_or(Worker::idle);
+        let gone = self.ids.iter().filter(|e| !named(&e.0) && idle(e.1));
+        let gone: Vec<_> = gone.map(|e| e.1).collect();
+        for key in gone {
+            self.move_spot(key, None);
+            self.arena.remove(key);
+        }
+        self.ids.retain(|e| self.arena.contains_key(e.1));
+        for rack in &mut self.racks {
+            rack.1.retain(|key| self.arena.contains_key(*key));
+        }
+        self.racks.retain(|rack| !rack.1.is_empty());
+    }
+
+    /// Counts a worker under the capacity that it reported.
+    pub(super) fn learn_shape(&mut self, key: WorkerKey, capacity: Resources) {
+        let Some(entry) = self.arena.get_mut(key) else {
+            return;
+        };
+        let old = entry.shape.replace(capacity);
+        if old == Some(capacity) {
+            return;
+        }
+        if let Some(row) = self.shapes.iter_mut().find(|s| Some(s.0) == old) {
+            row.1 -= 1;
+        }
+        match self.shapes.iter_mut().find(|s| s.0 == capacity) {
+            Some(row) => row.1 += 1,
+            None => self.shapes.push((capacity, 1)),
+        }
+        self.shapes.retain(|s| s.1 > 0);
+    }
+}
