--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -3,6 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a test fails by a panic")]
 
 mod kernel {
+    mod bench;
     mod fake;
     mod fuzz;
     mod jobs;
@@ -11,7 +12,6 @@
     mod network;
     mod oracle;
     mod planner;
-    mod regressions;
     mod shell;
     mod values;
     mod world;
--- a/tests/kernel/planner.rs
+++ b/tests/kernel/planner.rs
@@ -3,186 +3,44 @@
 use assert_matches::assert_matches;
 use bamboolock::{
     ids::{
-        Boot,
         Millis,
         Token, //
     },
-    kernel::{
-        Room,
-        members::Members,
-        runs::{
-            Command,
-            Runs,
-            possible::{
-                self,
-                Impossible, //
-            }, //
-        },
-        workers::Workers, //
-    },
-    ledger::{
-        jobs::Jobs,
-        record::{
+    kernel::runs::{
+        Command,
+        Runs,
+        possible::{
             self,
-            End,
-            Record, //
+            Impossible, //
         }, //
     },
+    ledger::record::{
+        self,
+        End,
+        Record, //
+    },
     profile::{
         Kind,
         Racks,
         Spill, //
     },
     resources::Resources,
-    wire::{
-        list,
-        worker::{
-            Grant,
-            Report,
-            Signal,
-            StartAnswer,
-            Started,
-            TaskId, //
-        }, //
+    wire::worker::{
+        Grant,
+        Signal,
+        StartAnswer,
+        Started,
+        State,
+        Task, //
     }, //
 };
 
 use super::values;
 
-/// One instance that holds all workers of its zone, and its copy of the log.
-struct Bench {
-    members: Members,
-    workers: Workers,
-    runs: Runs,
-    jobs: Jobs,
-    profiles: values::Published,
-    now: u64,
-}
-
-impl Bench {
-    fn new(count: usize) -> Self {
-        let me = values::me(0, "a", 1);
-        let mut workers = Workers::new(values::lease(), me.clone());
-        let rows = (0..count).map(|at| {
-            let id = values::worker(at);
-            let mut row = values::listed(id.as_str(), list::Role::Worker, "a");
-            row.rack = format!("rack-{}", at / 4).parse().unwrap();
-            row
-        });
-        let listing = values::listing(rows.collect());
-        let mut members = Members::new(values::membership(), me.clone());
-        let mut away = values::listed("entry-9", list::Role::Entry, "b");
-        away.region = "island".parse().unwrap();
-        members.listed(Millis(0), &values::listing(vec![away]));
-        workers.listed(Millis(0), &listing);
-        let mut bench = Self {
-            members,
-            workers,
-            runs: Runs::new(values::runs_cfg(), &values::lease(), me),
-            jobs: Jobs::default(),
-            profiles: values::Published::new(),
-            now: 0,
-        };
-        bench.pass(0);
-        bench
-    }
-
-    /// Lets time pass and renews all leases.
-    fn pass(&mut self, ms: u64) {
-        let end = self.now + ms;
-        loop {
-            let now = Millis(self.now);
-            for action in self.workers.tick(now, &self.members) {
-                let grant = Grant::Granted(report(1));
-                self.workers
-                    .answered(action.sent, now, action.worker, grant);
-            }
-            if self.now == end {
-                break;
-            }
-            self.now = (self.now + 700).min(end);
-        }
-        self.runs.tick(Millis(self.now), &mut self.workers);
-    }
-
-    fn plan(&mut self) -> Vec<record::Claim> {
-        let now = Millis(self.now);
-        let (jobs, workers) = (&self.jobs, &mut self.workers);
-        self.runs
-            .plan(now, jobs, workers, &self.members, &self.profiles)
-    }
-
-    fn apply(&mut self, by: usize, record: &Record) -> Vec<Command> {
-        let now = Millis(self.now);
-        let author = values::author(by, 1);
-        let mut commands = Vec::new();
-        for effect in self.jobs.apply(now, &author, record) {
-            let workers = &mut self.workers;
-            commands.extend(
-                self.runs
-                    .applied(now, &effect, &self.jobs, workers, &self.profiles),
-            );
-        }
-        commands
-    }
-
-    fn accept(&mut self, name: &str, kind: Kind, tasks: u32) {
-        let job = values::accepted(name, kind, tasks);
-        self.apply(0, &Record::Accepted(job));
-    }
-
-    /// Plans, wins every claim and starts its tasks. Returns the started attempts.
-    fn start(&mut self) -> Vec<TaskId> {
-        let mut ids = Vec::new();
-        for claim in self.plan() {
-            for command in self.apply(0, &Record::Claim(claim)) {
-                let Command::Start {
-                    worker, launches, ..
-                } = command
-                else {
-                    continue;
-                };
-                let tasks: Vec<_> = launches.into_iter().map(|l| l.id).collect();
-                let results = vec![Started::Started; tasks.len()];
-                let answer = StartAnswer { results };
-                let now = Millis(self.now);
-                self.runs
-                    .started(now, worker, &tasks, Some(&answer), &mut self.workers);
-                ids.extend(tasks);
-            }
-        }
-        ids
-    }
-
-    fn end(&mut self, id: &TaskId, end: End, checkpoint: u64) -> Vec<Command> {
-        let finish = record::Finish {
-            id: id.clone(),
-            end,
-            checkpoint,
-            reason: "".into(),
-        };
-        let tasks = vec![finish];
-        self.apply(0, &Record::Ended(record::Ended { tasks }))
-    }
-
-    fn free(&self) -> u32 {
-        let (taken, total) = self.workers.slots();
-        total - taken
-    }
-}
-
-fn report(token: u64) -> Report {
-    Report {
-        token: Token(token),
-        boot: Boot(1),
-        capacity: values::capacity(),
-        leaving: false,
-        tasks: Vec::new(),
-        requests: 0,
-        earlier: Some(0),
-        usage: Resources::default(),
-    }
-}
+use super::bench::{
+    Bench,
+    report, //
+};
 
 fn placed(claims: &[record::Claim]) -> usize {
     claims.iter().map(|c| c.tasks.len()).sum()
@@ -513,3 +371,28 @@
     assert!(bench.apply(0, &Record::Claim(claim)).is_empty());
     assert_eq!(placed(&bench.plan()), 1);
 }
+
+#[test]
+fn a_lost_claim_keeps_the_room_of_an_attempt_that_another_instance_started() {
+    let mut bench = Bench::new(1);
+    bench.accept("job", Kind::Run, 1);
+    let own = bench.plan().remove(0);
+    let key = bench.workers.key(&values::worker(0)).unwrap();
+    // Another instance takes the worker, claims the same attempt there and starts it.
+    let mut rival = own.clone();
+    rival.tasks[0].token = Token(2);
+    let mut taken = report(3);
+    taken.tasks = vec![Task {
+        id: values::task("job", 0, 1),
+        demand: values::demand(1, 500),
+        state: State::Running,
+        checkpoint: 0,
+        reason: "".into(),
+    }];
+    let (sent, now) = (Millis(bench.now), Millis(bench.now + 1));
+    let grant = Grant::Granted(taken);
+    assert!(bench.workers.answered(sent, now, key, grant).is_some());
+    bench.apply(1, &Record::Claim(rival));
+    bench.apply(0, &Record::Claim(own));
+    assert_eq!(bench.free(), 3, "the worker runs it");
+}
--- a/tests/kernel/values.rs
+++ b/tests/kernel/values.rs
@@ -19,7 +19,10 @@
     ledger::record,
     profile,
     resources::Resources,
-    wire::list, //
+    wire::{
+        list,
+        worker::TaskId, //
+    }, //
 };
 
 pub(super) fn instance(at: usize) -> InstanceId {
@@ -38,6 +41,14 @@
     "plans".parse().unwrap()
 }
 
+pub(super) fn task(run_name: &str, index: u32, attempt: u32) -> TaskId {
+    TaskId {
+        run: run(run_name),
+        index,
+        attempt,
+    }
+}
+
 pub(super) fn me(at: usize, zone: &str, incarnation: u64) -> members::Me {
     members::Me {
         id: instance(at),
