--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -4,6 +4,7 @@
 
 mod kernel {
     mod bench;
+    mod calm;
     mod fake;
     mod fuzz;
     mod jobs;
--- /dev/null
+++ b/tests/kernel/calm.rs
@@ -0,0 +1,134 @@
+//! The end of a case: nothing fails any more, and all must come right.
+
+use bamboolock::{
+    ids::RunId,
+    ledger::jobs::Jobs,
+    profile::Kind,
+    wire::{
+        caller::JobState,
+        worker::State, //
+    }, //
+};
+
+use super::{
+    network::Cuts,
+    world::World, //
+};
+
+/// Rounds within which all must come right once nothing fails any more.
+const CALM: u64 = 1_200;
+
+impl World {
+    /// Lets all faults end and checks that everything accepted comes to its end.
+    pub(super) fn settle(&mut self) {
+        self.cuts = Cuts::default();
+        for at in 0..self.shells.len() {
+            self.shells[at].paused = false;
+            if self.shells[at].members.is_leaving() {
+                self.restart(at);
+            }
+        }
+        for round in 0..CALM {
+            if round % 5 == 0 {
+                self.publish();
+                self.cancel_services();
+            }
+            if round % 3 == 0 {
+                self.finish_all();
+            }
+            self.round(100);
+            self.oracle.check(&self.workers);
+            if self.settled() {
+                self.check_replicas();
+                return;
+            }
+        }
+        let open: Vec<_> = self.open().collect();
+        panic!(
+            "not settled after {CALM} calm rounds: {open:?}, {:?}",
+            self.workers
+        );
+    }
+
+    /// Services never end by themselves, and may hold all room.
+    fn cancel_services(&mut self) {
+        for job in 0..self.submitted.len() {
+            let spec = self.oracle.job(&self.submitted[job]);
+            let service = spec.is_some_and(|s| s.terms.kind == Kind::Service);
+            if service && !self.oracle.is_cancelled(&self.submitted[job]) {
+                self.cancel(0, job);
+            }
+        }
+    }
+
+    /// Jobs in the log that are not where they should be.
+    fn open(&self) -> impl Iterator<Item = bamboolock::wire::caller::Status> {
+        let jobs = &self.shells[0].jobs;
+        self.submitted.iter().filter_map(move |run| {
+            self.oracle.job(run)?;
+            let status = jobs.status(run)?;
+            let over = status.running == 0
+                && matches!(
+                    status.state,
+                    JobState::Done | JobState::Failed | JobState::Cancelled
+                );
+            (!over).then_some(status)
+        })
+    }
+
+    fn settled(&self) -> bool {
+        let lost = self
+            .submitted
+            .iter()
+            .any(|run| self.oracle.job(run).is_some() && self.shells[0].jobs.get(run).is_none());
+        !lost && self.open().next().is_none() && self.stopped() && self.empty()
+    }
+
+    /// Whether every lease table counts the workers that it holds as empty, once they are.
+    fn empty(&self) -> bool {
+        let mut workers = self.shells.iter().flat_map(|s| s.workers.iter());
+        workers.all(|(_, w)| !w.usable() || w.free == w.capacity)
+    }
+
+    /// Whether nothing of a cancelled job executes.
+    fn stopped(&self) -> bool {
+        let tasks = self.workers.iter().flat_map(|w| &w.tasks);
+        let mut active = tasks.filter(|t| t.state.active());
+        !active.any(|t| self.oracle.is_cancelled(&t.id.run))
+    }
+
+    /// Every replica at the same place of the log holds the same jobs, also out of a snapshot.
+    fn check_replicas(&self) {
+        let first = &self.shells[0];
+        for shell in &self.shells[1..] {
+            if shell.next == first.next {
+                assert_eq!(shell.jobs, first.jobs);
+            }
+        }
+        let text = serde_json::to_string(&first.jobs).unwrap();
+        let back: Jobs = serde_json::from_str(&text).unwrap();
+        assert_eq!(back, first.jobs);
+    }
+
+    /// Ends requests, and tasks that are neither kept running nor cancelled. Those must be told.
+    fn finish_all(&mut self) {
+        for worker in 0..self.workers.len() {
+            while !self.workers[worker].requests.is_empty() {
+                self.finish_request(worker, 0);
+            }
+            let jobs = &self.oracle;
+            let kept = |run: &RunId| {
+                let spec = jobs.job(run);
+                let service = spec.is_some_and(|s| s.terms.kind == Kind::Service);
+                service || jobs.is_cancelled(run)
+            };
+            for task in &mut self.workers[worker].tasks {
+                task.state = match task.state {
+                    State::Stopping => State::Stopped,
+                    State::Running if !kept(&task.id.run) => State::Done,
+                    state => state,
+                };
+            }
+        }
+    }
+}
--- a/tests/kernel/world.rs
+++ b/tests/kernel/world.rs
@@ -5,15 +5,9 @@
         Millis,
         RunId, //
     },
-    ledger::{
-        jobs::Jobs,
-        record, //
-    },
+    ledger::record,
     profile::Kind,
-    wire::{
-        caller::JobState,
-        list, //
-    }, //
+    wire::list, //
 };
 
 use super::{
@@ -34,13 +28,10 @@
 /// Availability zones and clock rates (local milliseconds in 100 real ones) of the instances.
 const INSTANCES: [(&str, u64); 4] = [("a", 100), ("a", 95), ("a", 105), ("b", 100)];
 
-/// Availability zones of the workers. The second may end for good and the third may
-/// leave.
+/// Availability zones of the workers. The second may end for good and the third
+/// may leave.
 const WORKERS: [&str; 5] = ["a", "a", "a", "b", "a"];
 
-/// Rounds within which all must come right once nothing fails any more.
-const CALM: u64 = 1_200;
-
 /// What may happen.
 #[derive(Debug, Clone)]
 pub(super) enum Op {
@@ -139,16 +130,16 @@
 
 /// Everything.
 pub(super) struct World {
-    t: u64,
-    shells: Vec<Shell>,
-    workers: Vec<fake::Worker>,
-    log: Vec<Entry>,
-    flight: Vec<Message>,
-    cuts: Cuts,
-    listing: list::Listing,
-    oracle: Oracle,
-    submitted: Vec<RunId>,
-    count: u64,
+    pub(super) t: u64,
+    pub(super) shells: Vec<Shell>,
+    pub(super) workers: Vec<fake::Worker>,
+    pub(super) log: Vec<Entry>,
+    pub(super) flight: Vec<Message>,
+    pub(super) cuts: Cuts,
+    pub(super) listing: list::Listing,
+    pub(super) oracle: Oracle,
+    pub(super) submitted: Vec<RunId>,
+    pub(super) count: u64,
 }
 
 impl World {
@@ -279,113 +270,6 @@
         }
     }
 
-    /// Lets all faults end and checks that everything accepted comes to its end.
-    pub(super) fn settle(&mut self) {
-        self.cuts = Cuts::default();
-        for at in 0..self.shells.len() {
-            self.shells[at].paused = false;
-            if self.shells[at].members.is_leaving() {
-                self.restart(at);
-            }
-        }
-        for round in 0..CALM {
-            if round % 5 == 0 {
-                self.publish();
-                self.cancel_services();
-            }
-            if round % 3 == 0 {
-                self.finish_all();
-            }
-            self.round(100);
-            self.oracle.check(&self.workers);
-            if self.settled() {
-                self.check_replicas();
-                return;
-            }
-        }
-        let open: Vec<_> = self.open().collect();
-        for status in &open {
-            let job = self.shells[0].jobs.get(&status.id);
-            eprintln!(
-                "open: {:?}",
-                job.map(|j| (&j.tasks, j.spec.demand, j.spec.terms.kind))
-            );
-        }
-        for worker in &self.workers {
-            eprintln!("{worker:?}");
-            for shell in &self.shells {
-                let key = shell.workers.key(&worker.id);
-                let entry = key.and_then(|key| shell.workers.get(key));
-                eprintln!(
-                    "  {:?}: {:?}",
-                    shell.who,
-                    entry.map(|e| (&e.life, e.floor, e.free, e.holds(), e.listed, e.boot))
-                );
-            }
-        }
-        panic!("not settled after {CALM} calm rounds: {open:?}");
-    }
-
-    /// Services never end by themselves, and may hold all room.
-    fn cancel_services(&mut self) {
-        for job in 0..self.submitted.len() {
-            let spec = self.oracle.job(&self.submitted[job]);
-            let service = spec.is_some_and(|s| s.terms.kind == Kind::Service);
-            if service && !self.oracle.is_cancelled(&self.submitted[job]) {
-                self.cancel(0, job);
-            }
-        }
-    }
-
-    /// Jobs in the log that are not where they should be.
-    fn open(&self) -> impl Iterator<Item = bamboolock::wire::caller::Status> {
-        let jobs = &self.shells[0].jobs;
-        self.submitted.iter().filter_map(move |run| {
-            self.oracle.job(run)?;
-            let status = jobs.status(run)?;
-            let over = status.running == 0
-                && matches!(
-                    status.state,
-                    JobState::Done | JobState::Failed | JobState::Cancelled
-                );
-            (!over).then_some(status)
-        })
-    }
-
-    fn settled(&self) -> bool {
-        let lost = self
-            .submitted
-            .iter()
-            .any(|run| self.oracle.job(run).is_some() && self.shells[0].jobs.get(run).is_none());
-        !lost && self.open().next().is_none() && self.stopped() && self.empty()
-    }
-
-    /// Whether every lease table counts the workers that it holds as empty, once they are.
-    fn empty(&self) -> bool {
-        let mut workers = self.shells.iter().flat_map(|s| s.workers.iter());
-        workers.all(|(_, w)| !w.usable() || w.free == w.capacity)
-    }
-
-    /// Whether nothing of a cancelled job executes.
-    fn stopped(&self) -> bool {
-        let tasks = self.workers.iter().flat_map(|w| &w.tasks);
-        let mut active = tasks.filter(|t| t.state.active());
-        !active.any(|t| self.oracle.is_cancelled(&t.id.run))
-    }
-
-    /// Every replica at the same place of the log holds the same jobs, also out of a snapshot.
-    fn check_replicas(&self) {
-        let first = &self.shells[0];
-        for shell in &self.shells[1..] {
-            if shell.next == first.next {
-                assert_eq!(shell.jobs, first.jobs);
-            }
-        }
-        let text = serde_json::to_string(&first.jobs).unwrap();
-        let back: Jobs = serde_json::from_str(&text).unwrap();
-        assert_eq!(back, first.jobs);
-    }
-
     fn clock(&self, instance: usize) -> Millis {
         self.shells[instance % self.shells.len()].clock(self.t)
     }
@@ -397,7 +281,7 @@
         }
     }
 
-    fn round(&mut self, ms: u64) {
+    pub(super) fn round(&mut self, ms: u64) {
         self.pass(ms);
         self.arrive();
         for at in 0..self.shells.len() {
@@ -576,7 +460,7 @@
         });
     }
 
-    fn finish_request(&mut self, worker: usize, at: usize) {
+    pub(super) fn finish_request(&mut self, worker: usize, at: usize) {
         let count = self.workers.len();
         let worker = worker % count;
         let requests = &mut self.workers[worker].requests;
@@ -600,30 +484,7 @@
         }
     }
 
-    /// Ends requests, and tasks that are neither kept running nor cancelled. Those must be told.
-    fn finish_all(&mut self) {
-        for worker in 0..self.workers.len() {
-            while !self.workers[worker].requests.is_empty() {
-                self.finish_request(worker, 0);
-            }
-            let jobs = &self.oracle;
-            let kept = |run: &RunId| {
-                let spec = jobs.job(run);
-                let service = spec.is_some_and(|s| s.terms.kind == Kind::Service);
-                service || jobs.is_cancelled(run)
-            };
-            for task in &mut self.workers[worker].tasks {
-                use bamboolock::wire::worker::State;
-                task.state = match task.state {
-                    State::Stopping => State::Stopped,
-                    State::Running if !kept(&task.id.run) => State::Done,
-                    state => state,
-                };
-            }
-        }
-    }
-
-    fn restart(&mut self, at: usize) {
+    pub(super) fn restart(&mut self, at: usize) {
         let old = &self.shells[at];
         let life = old.who.life + 1;
         self.shells[at] = Shell::new(at, life, old.zone, old.rate);
@@ -659,7 +520,7 @@
         self.collect(at);
     }
 
-    fn cancel(&mut self, at: usize, job: usize) {
+    pub(super) fn cancel(&mut self, at: usize, job: usize) {
         let Some(job) = job.checked_rem(self.submitted.len()) else {
             return;
         };
@@ -672,7 +533,7 @@
     }
 
     /// Brings the platform's list up to date.
-    fn publish(&mut self) {
+    pub(super) fn publish(&mut self) {
         let entries = INSTANCES.iter().enumerate().map(|(at, (zone, _))| {
             let id = values::instance(at);
             values::listed(id.as_str(), list::Role::Entry, zone)
