test(kernel): a report from before a start proves nothing

Red first: with the check for held room taken out of Runs::abandoned the report ends the running attempt as not started.

--- a/tests/kernel/planner.rs
+++ b/tests/kernel/planner.rs
@@ -396,3 +396,20 @@
     bench.apply(0, &Record::Claim(own));
     assert_eq!(bench.free(), 3, "the worker runs it");
 }
+
+#[test]
+fn a_report_from_before_the_start_proves_nothing() {
+    let mut bench = Bench::new(1);
+    bench.accept("job", Kind::Run, 1);
+    assert_eq!(bench.start().len(), 1);
+    let key = bench.workers.key(&values::worker(0)).unwrap();
+    let now = Millis(bench.now);
+    let (jobs, workers) = (&bench.jobs, &mut bench.workers);
+    let commands = bench.runs.report(now, key, &report(1), jobs, workers);
+    assert!(commands.is_empty(), "{commands:?}");
+    let commands = bench.runs.report(now, key, &report(2), jobs, workers);
+    assert_matches!(
+        commands.as_slice(),
+        [Command::End(ended)] if ended.tasks[0].end == End::Unstarted
+    );
+}
