perf(report): time grows with the rows, not with rows times profiles

Cause: burn rates and origins looked through all rows for each profile and window, and each row looked through all promises.

Ruled out: fewer windows; they are what the alerts need.

Change: rows are put in order of their profile once; promises are found by binary search.

--- a/src/report/burn.rs
+++ b/src/report/burn.rs
@@ -18,12 +18,14 @@
         outcomes::{
             DAY,
             HOUR,
-            MINUTE, //
+            MINUTE,
+            Row, //
         },
         record::Tally, //
     },
     report::{
         Input,
+        by_profile,
         line::Line, //
     }, //
 };
@@ -133,10 +135,9 @@
 /// The burn of every profile that had work in the period, the fastest first.
 #[must_use]
 pub fn burn(input: &Input) -> Vec<Burn> {
-    let mut names: Vec<_> = input.rows.iter().map(|r| &r.tally.profile).collect();
-    names.sort();
-    names.dedup();
-    let mut found: Vec<_> = names.into_iter().map(|n| profile(input, n)).collect();
+    let rows = by_profile(input.rows.iter());
+    let same = |a: &&Row, b: &&Row| a.tally.profile == b.tally.profile;
+    let mut found: Vec<_> = rows.chunk_by(same).map(|r| profile(input, r)).collect();
     found.sort_by(|a, b| {
         let faster = fastest(b).total_cmp(&fastest(a));
         faster.then_with(|| a.profile.cmp(&b.profile))
@@ -159,14 +160,16 @@
     }
 }
 
-fn profile(input: &Input, name: &ProfileName) -> Burn {
-    let windows = spans().into_iter().map(|s| window(input, name, s));
+/// The burn of the one profile that `rows` belong to; they are not empty.
+fn profile(input: &Input, rows: &[&Row]) -> Burn {
+    let name = &rows[0].tally.profile;
+    let windows = spans().into_iter().map(|s| window(input, rows, s));
     let mut burn = Burn {
         profile: name.clone(),
         target: input.target(name, u32::MAX),
         windows: windows.collect(),
         alerts: Vec::new(),
-        left: Used::over(input, name, PERIOD)
+        left: Used::over(input, rows, PERIOD)
             .rate()
             .map(|r| rounded(1.0 - r)),
     };
@@ -182,8 +185,8 @@
     spans
 }
 
-fn window(input: &Input, name: &ProfileName, span: u64) -> Window {
-    let used = Used::over(input, name, span);
+fn window(input: &Input, rows: &[&Row], span: u64) -> Window {
+    let used = Used::over(input, rows, span);
     Window {
         span,
         counted: used.line.counted,
@@ -217,16 +220,18 @@
 }
 
 impl Used {
-    fn over(input: &Input, name: &ProfileName, span: u64) -> Self {
+    fn over(input: &Input, rows: &[&Row], span: u64) -> Self {
         let from = Millis(input.now.0.saturating_sub(span));
         let mut used = Self {
             line: Line::default(),
             allowed: Some(0.0),
         };
-        for row in input.between(from, input.now.plus(1)) {
-            if row.tally.profile == *name {
-                used.add(&row.tally, input.target(name, row.tally.version));
-            }
+        let inside = |row: &&&Row| row.start >= from && row.start <= input.now;
+        for row in rows.iter().filter(inside) {
+            let Tally {
+                profile, version, ..
+            } = &row.tally;
+            used.add(&row.tally, input.target(profile, *version));
         }
         used
     }
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -59,11 +59,12 @@
     /// The promise of a version, or of the latest known version of its profile.
     #[must_use]
     pub fn target(&self, profile: &ProfileName, version: u32) -> Option<f64> {
-        let mine = self.targets.iter().filter(|t| t.profile == *profile);
-        let exact = mine.clone().find(|t| t.version == version);
-        exact
-            .or_else(|| mine.max_by_key(|t| t.version))
-            .map(|t| t.share)
+        let from = self.targets.partition_point(|t| t.profile < *profile);
+        let rest = self.targets.get(from..).unwrap_or_default();
+        let mine = &rest[..rest.partition_point(|t| t.profile == *profile)];
+        let exact = mine.binary_search_by_key(&version, |t| t.version);
+        let found = exact.ok().and_then(|at| mine.get(at));
+        found.or(mine.last()).map(|t| t.share)
     }
 
     /// The rows of buckets that start in a span.
@@ -73,6 +74,13 @@
     }
 }
 
+/// Rows in order of their profile, and of time within it.
+fn by_profile<'a>(rows: impl Iterator<Item = &'a Row>) -> Vec<&'a Row> {
+    let mut rows: Vec<_> = rows.collect();
+    rows.sort_by(|a, b| a.tally.profile.cmp(&b.tally.profile));
+    rows
+}
+
 /// The whole report.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Report {
--- a/src/report/moved.rs
+++ b/src/report/moved.rs
@@ -21,11 +21,14 @@
             Tally, //
         }, //
     },
-    report::line::{
-        self,
-        Line,
-        Profile,
-        WHOLE, //
+    report::{
+        by_profile,
+        line::{
+            self,
+            Line,
+            Profile,
+            WHOLE, //
+        }, //
     }, //
 };
 
@@ -98,7 +101,7 @@
     let Some(change) = moved.change else {
         return moved;
     };
-    let rows: Vec<_> = before.clone().chain(after.clone()).collect();
+    let rows = by_profile(before.clone().chain(after.clone()));
     let pairs = pair(line::profiles(before), line::profiles(after));
     let effects = pairs.iter().map(|p| p.effects(&moved.before, &moved.after));
     let effects: Vec<_> = effects.flatten().collect();
@@ -251,12 +254,14 @@
     rounded
 }
 
-/// Finds where the share of a profile fell or rose: at a version, or at a time inside one.
+/// Finds where the share of a profile fell or rose: at a version, or at a time inside one. `rows` are
+/// in order of profile and time.
 fn origin(name: &ProfileName, falls: bool, rows: &[&Row]) -> Option<Origin> {
-    let of_profile = |r: &&Row| r.tally.profile == *name;
-    let mine: Vec<_> = rows.iter().copied().filter(of_profile).collect();
-    let time = best(&mine, falls, |r| r.start.0)?;
-    let version = best(&mine, falls, |r| u64::from(r.tally.version));
+    let from = rows.partition_point(|r| r.tally.profile < *name);
+    let rest = rows.get(from..).unwrap_or_default();
+    let mine = &rest[..rest.partition_point(|r| r.tally.profile == *name)];
+    let time = best(mine, falls, |r| r.start.0)?;
+    let version = best(mine, falls, |r| u64::from(r.tally.version));
     if let Some(split) = version
         && split.score >= VERSION_FIT * time.score
     {
