--- /dev/null
+++ b/src/bench/cell.rs
@@ -0,0 +1,227 @@
+//! Workers held by one instance and jobs in its replayed state, for experiments on the planner.
+
+use compact_str::format_compact;
+
+use crate::{
+    bench::measures::Error,
+    configs,
+    ids::{
+        Boot,
+        Incarnation,
+        Millis,
+        ProfileName,
+        Token, //
+    },
+    kernel::{
+        members::{
+            Me,
+            Members, //
+        },
+        runs::{
+            self,
+            Runs, //
+        },
+        workers::Workers, //
+    },
+    ledger::{
+        effect::Effect,
+        jobs::Jobs,
+        record::{
+            self,
+            Record, //
+        }, //
+    },
+    profile::Profile,
+    resources::Resources,
+    wire::{
+        list,
+        worker::{
+            Grant,
+            Report,
+            Task, //
+        }, //
+    }, //
+};
+
+/// Workers in one rack.
+const RACK: usize = 8;
+
+/// The one profile of the experiments.
+pub struct Named(Profile);
+
+impl runs::Profiles for Named {
+    fn profile(&self, _: &ProfileName) -> Option<&Profile> {
+        Some(&self.0)
+    }
+}
+
+/// One instance that holds all workers of its availability zone.
+pub struct Cell {
+    /// The clock.
+    pub now: Millis,
+    /// The membership: this instance alone.
+    pub members: Members,
+    /// The lease table.
+    pub workers: Workers,
+    /// The planner.
+    pub runs: Runs,
+    /// The jobs as the log has them.
+    pub jobs: Jobs,
+    /// The profile.
+    pub profiles: Named,
+    author: record::Author,
+    accepted: u64,
+}
+
+impl Cell {
+    /// A cell of `count` empty workers, all held.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the experiment's own names.
+    pub fn new(count: usize, capacity: Resources, pack: &str) -> Result<Self, Error> {
+        let author = record::Author {
+            instance: "bench-entry-1".parse()?,
+            incarnation: Incarnation(1),
+        };
+        let me = Me {
+            id: author.instance.clone(),
+            incarnation: author.incarnation,
+            zone: "bench-a".parse()?,
+            region: "bench".parse()?,
+        };
+        let profile = serde_json::json!({"kind": "run", "team": "bench",
+            "policies": {"pack": pack}});
+        let lease = configs::lease::Lease::default();
+        let mut cell = Self {
+            now: Millis(10_000),
+            members: Members::new(configs::membership::Membership::default(), me.clone()),
+            workers: Workers::new(lease.clone(), me.clone()),
+            runs: Runs::new(configs::runs::Runs::default(), &lease, me),
+            jobs: Jobs::default(),
+            profiles: Named(serde_json::from_value(profile)?),
+            author,
+            accepted: 0,
+        };
+        cell.list(count)?;
+        cell.renew(capacity, &[]);
+        Ok(cell)
+    }
+
+    /// The platform's list of `count` workers.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the experiment's own names.
+    pub fn listing(count: usize) -> Result<list::Listing, Error> {
+        let mut instances = Vec::with_capacity(count);
+        for number in 0..count {
+            instances.push(list::Instance {
+                id: format_compact!("worker-{number:06}"),
+                role: list::Role::Worker,
+                zone: "bench-a".parse()?,
+                region: "bench".parse()?,
+                rack: format!("rack-{}", number / RACK).parse()?,
+                address: format_compact!("127.0.0.1:{}", number % 60_000),
+                peer: "".into(),
+                state: list::State::Live,
+                boot: Boot(1),
+            });
+        }
+        let at = Millis(0);
+        Ok(list::Listing { at, instances })
+    }
+
+    fn list(&mut self, count: usize) -> Result<(), Error> {
+        let listing = Self::listing(count)?;
+        self.members.listed(self.now, &listing);
+        self.workers.listed(self.now, &listing);
+        Ok(())
+    }
+
+    /// Sends every lease message that is due and grants it. Returns how many there were.
+    pub fn renew(&mut self, capacity: Resources, tasks: &[Task]) -> usize {
+        let actions = self.workers.tick(self.now, &self.members);
+        let count = actions.len();
+        for action in actions {
+            let report = report(capacity, tasks);
+            let grant = Grant::Granted(report);
+            self.workers
+                .answered(action.sent, self.now, action.worker, grant);
+        }
+        count
+    }
+
+    /// Accepts a job and tells the planner.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the experiment's own names.
+    pub fn accept(&mut self, tasks: u32, demand: Resources) -> Result<(), Error> {
+        let accepted = Self::job(self.accepted, tasks, demand)?;
+        self.accepted += 1;
+        self.apply(&Record::Accepted(accepted));
+        Ok(())
+    }
+
+    /// The record of one job.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the experiment's own names.
+    pub fn job(number: u64, tasks: u32, demand: Resources) -> Result<record::Accepted, Error> {
+        Ok(record::Accepted {
+            run: format!("bench-entry-1.19c0ffee000.{number:x}").parse()?,
+            profile: "bench".parse()?,
+            version: 1,
+            zone: "bench-a".parse()?,
+            tasks,
+            demand,
+            terms: record::Terms::default(),
+            estimate: 60_000,
+            deadline: 600_000,
+            key: None,
+            payload: serde_json::Value::Null,
+        })
+    }
+
+    /// Plans one round and lets every claim win. Returns the claims.
+    pub fn place(&mut self) -> Vec<record::Claim> {
+        let claims = self.runs.plan(
+            self.now,
+            &self.jobs,
+            &mut self.workers,
+            &self.members,
+            &self.profiles,
+        );
+        for claim in &claims {
+            self.apply(&Record::Claim(claim.clone()));
+        }
+        claims
+    }
+
+    fn apply(&mut self, record: &Record) -> Vec<Effect> {
+        let effects = self.jobs.apply(self.now, &self.author, record);
+        for effect in &effects {
+            let workers = &mut self.workers;
+            self.runs
+                .applied(self.now, effect, &self.jobs, workers, &self.profiles);
+        }
+        effects
+    }
+}
+
+/// A report of an idle worker, or one that runs `tasks`.
+#[must_use]
+pub fn report(capacity: Resources, tasks: &[Task]) -> Report {
+    Report {
+        token: Token(1),
+        boot: Boot(1),
+        capacity,
+        leaving: false,
+        tasks: tasks.to_vec(),
+        requests: 0,
+        earlier: Some(0),
+        usage: Resources::default(),
+    }
+}
--- a/src/bench/measures/mod.rs
+++ b/src/bench/measures/mod.rs
@@ -32,6 +32,8 @@
 pub mod blocking;
 pub mod crest;
 pub mod decide;
+pub mod pack;
+pub mod place;
 pub mod replay;
 pub mod storm;
 pub mod wait;
@@ -100,10 +102,12 @@
 pub type Measure = (&'static str, fn(&Options) -> Result<Vec<Line>, Error>);
 
 /// All measures, sorted by name.
-pub const MEASURES: [Measure; 6] = [
+pub const MEASURES: [Measure; 8] = [
     ("blocking", blocking::run),
     ("crest", crest::run),
     ("decide", decide::run),
+    ("pack", pack::run),
+    ("place", place::run),
     ("replay", replay::run),
     ("storm", storm::run),
     ("wait", wait::run),
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -4,10 +4,12 @@
 //! simulation is a queueing experiment: workers are slots that hold a request for its run time.
 
 pub mod arrivals;
+pub mod cell;
 pub mod early;
 pub mod late;
 pub mod measures;
 pub mod report;
 pub mod room;
 pub mod sim;
+pub mod slopes;
 pub mod tally;
--- /dev/null
+++ b/src/bench/slopes.rs
@@ -0,0 +1,345 @@
+//! What each piece of state costs: bytes on the wire and in memory, and time, at several sizes.
+//!
+//! docs/CAPACITY.md works out each role at full size from these.
+
+use std::{
+    fmt,
+    time::Instant, //
+};
+
+use serde::Serialize;
+
+use crate::{
+    bench::{
+        cell::{
+            self,
+            Cell, //
+        },
+        measures::{
+            CAPACITY,
+            Error, //
+        }, //
+    },
+    ids::{
+        Boot,
+        ChangeId,
+        Incarnation,
+        Millis,
+        Offset,
+        Token, //
+    },
+    ledger::{
+        record::{
+            self,
+            Record, //
+        },
+        state::State, //
+    },
+    resources::Resources,
+    wire::{
+        log,
+        peer,
+        worker::{
+            Lease,
+            State as TaskState,
+            Task,
+            TaskId, //
+        }, //
+    }, //
+};
+
+/// Tasks of a job.
+const TASKS: u32 = 20;
+
+/// Records of one kind in one entry.
+const BATCH: usize = 64;
+
+/// Tasks on a busy worker.
+const BUSY: u32 = 8;
+
+/// Bytes of a page of memory, as the kernel counts them.
+const PAGE: u64 = 4_096;
+
+/// One figure at one size.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Slope {
+    /// What is counted.
+    pub name: &'static str,
+    /// Its unit.
+    pub unit: &'static str,
+    /// How many pieces there were.
+    pub size: u64,
+    /// The figure for one piece.
+    pub each: f64,
+}
+
+impl fmt::Display for Slope {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            name,
+            unit,
+            size,
+            each,
+        } = self;
+        write!(f, "| {name} | {size} | {each:.3} | {unit} |")
+    }
+}
+
+/// Measures everything, at rising sizes.
+///
+/// # Errors
+///
+/// Returns what is wrong with the experiment's own names.
+pub fn run() -> Result<Vec<Slope>, Error> {
+    let mut slopes = messages()?;
+    for size in [2_000, 8_000, 29_000] {
+        slopes.extend(workers(size)?);
+    }
+    for size in [10_000, 40_000, 220_000] {
+        slopes.extend(tasks(size)?);
+    }
+    Ok(slopes)
+}
+
+/// Bytes of the messages that are sent all the time.
+fn messages() -> Result<Vec<Slope>, Error> {
+    let lease = Lease {
+        holder: "lower-mainland-a-entry-1".parse()?,
+        incarnation: Incarnation(1_796_377_730_234),
+        token: Some(Token(12)),
+        ttl: 3_000,
+        task_ttl: 20_000,
+    };
+    let report = cell::report(CAPACITY, &busy()?);
+    let beat = peer::Heartbeat {
+        id: lease.holder.clone(),
+        incarnation: lease.incarnation,
+        zone: "lower-mainland-a".parse()?,
+        region: "lower-mainland".parse()?,
+        address: "127.0.0.1:21010".into(),
+        peer: "127.0.0.1:21011".into(),
+        next: Offset(1_000_000),
+        leaving: false,
+        free: 300,
+        held: 40,
+        shapes: vec![CAPACITY],
+    };
+    let sizes = [
+        ("lease message", size(&lease)?),
+        (
+            "report of an idle worker",
+            size(&cell::report(CAPACITY, &[]))?,
+        ),
+        ("report of a worker with 8 tasks", size(&report)?),
+        ("heartbeat", size(&beat)?),
+    ];
+    let slope = |(name, each)| Slope {
+        name,
+        unit: "bytes of JSON",
+        size: 1,
+        each,
+    };
+    Ok(sizes.into_iter().map(slope).collect())
+}
+
+fn size(value: &impl Serialize) -> Result<f64, Error> {
+    Ok(serde_json::to_vec(value)?.len() as f64)
+}
+
+/// The tasks of a busy worker.
+fn busy() -> Result<Vec<Task>, Error> {
+    let mut tasks = Vec::new();
+    for index in 0..BUSY {
+        let run = "lower-mainland-a-entry-1.19c0ffee000.2a".parse()?;
+        tasks.push(Task {
+            id: TaskId {
+                run,
+                index,
+                attempt: 1,
+            },
+            demand: demand(),
+            state: TaskState::Running,
+            checkpoint: 0,
+            reason: "".into(),
+        });
+    }
+    Ok(tasks)
+}
+
+fn demand() -> Resources {
+    Resources {
+        millicores: 250,
+        memory: 256,
+        accelerators: 0,
+        slots: 1,
+        connections: 0,
+    }
+}
+
+/// The lease table of one instance that holds `count` workers.
+fn workers(count: u64) -> Result<Vec<Slope>, Error> {
+    let before = resident();
+    let mut cell = Cell::new(count as usize, CAPACITY, "best_fit")?;
+    let memory = resident().saturating_sub(before) as f64 / count as f64;
+    let listing = Cell::listing(count as usize)?;
+    let listed = timed(count, || cell.workers.listed(cell.now, &listing));
+    let quiet = timed(count, || {
+        cell.workers.tick(cell.now, &cell.members);
+    });
+    cell.now = Millis(cell.now.0 + 1_000);
+    let tasks = busy()?;
+    let renewed = timed(count, || {
+        cell.renew(CAPACITY, &tasks);
+    });
+    let slope = |name, unit, each| Slope {
+        name,
+        unit,
+        size: count,
+        each,
+    };
+    Ok(vec![
+        slope("lease table, memory", "bytes a worker", memory),
+        slope("lease table, a quiet look", "microseconds a worker", quiet),
+        slope(
+            "lease table, a renewal with its report",
+            "microseconds a worker",
+            renewed,
+        ),
+        slope("list, an unchanged row", "microseconds a worker", listed),
+    ])
+}
+
+/// The replayed state of `count` tasks that run, from acceptance to the end.
+fn tasks(count: u64) -> Result<Vec<Slope>, Error> {
+    let jobs = count / u64::from(TASKS);
+    let mut log = Log::default();
+    let before = resident();
+    let mut state = State::new();
+    let begin = Instant::now();
+    log.write(jobs, accepted, &mut state)?;
+    log.write(jobs, claim, &mut state)?;
+    let started = begin.elapsed().as_secs_f64() * 1e6;
+    let memory = resident().saturating_sub(before) as f64;
+    let begin = Instant::now();
+    let snapshot = serde_json::to_vec(&state.snapshot())?;
+    let wrote = begin.elapsed().as_secs_f64() * 1e6;
+    let bytes = snapshot.len() as f64;
+    drop(snapshot);
+    let begin = Instant::now();
+    log.write(jobs, ended, &mut state)?;
+    let over = begin.elapsed().as_secs_f64() * 1e6;
+    let slope = |name, unit, total: f64| Slope {
+        name,
+        unit,
+        size: count,
+        each: total / count as f64,
+    };
+    Ok(vec![
+        slope("log, acceptance to end", "bytes a task", log.bytes as f64),
+        slope(
+            "state, acceptance and claim",
+            "microseconds a task",
+            started,
+        ),
+        slope("state, end", "microseconds a task", over),
+        slope("state, memory", "bytes a running task", memory),
+        slope("snapshot, text", "bytes a running task", bytes),
+        slope("snapshot, writing", "microseconds a running task", wrote),
+    ])
+}
+
+/// Entries as the log would hold them.
+#[derive(Default)]
+struct Log {
+    next: u64,
+    bytes: u64,
+}
+
+impl Log {
+    /// Writes a record for each job, many to an entry, and applies the entries.
+    fn write(
+        &mut self,
+        jobs: u64,
+        make: fn(u64) -> Result<Record, Error>,
+        state: &mut State,
+    ) -> Result<(), Error> {
+        let all: Vec<_> = (0..jobs).collect();
+        for numbers in all.chunks(BATCH) {
+            let mut records = Vec::with_capacity(numbers.len());
+            for number in numbers {
+                records.push(serde_json::to_value(make(*number)?)?);
+            }
+            let id: ChangeId = format!("bench-{}", self.next).parse()?;
+            let batch = record::Batch {
+                format: record::FORMAT,
+                id,
+                by: record::Author {
+                    instance: "bench-entry-1".parse()?,
+                    incarnation: Incarnation(1),
+                },
+                records,
+            };
+            let payload = serde_json::to_string(&batch)?;
+            self.bytes += payload.len() as u64;
+            state.apply(&log::Entry {
+                offset: Offset(self.next),
+                at: Millis(self.next),
+                payload,
+            });
+            self.next += 1;
+        }
+        Ok(())
+    }
+}
+
+fn accepted(number: u64) -> Result<Record, Error> {
+    Ok(Record::Accepted(Cell::job(number, TASKS, demand())?))
+}
+
+fn claim(number: u64) -> Result<Record, Error> {
+    let run = Cell::job(number, TASKS, demand())?.run;
+    let mut tasks = Vec::new();
+    for index in 0..TASKS {
+        let worker = (number * u64::from(TASKS) + u64::from(index)) / u64::from(BUSY);
+        tasks.push(record::Placement {
+            index,
+            attempt: 1,
+            worker: format!("worker-{worker:06}").parse()?,
+            token: Token(1),
+            boot: Boot(1),
+        });
+    }
+    Ok(Record::Claim(record::Claim { run, tasks }))
+}
+
+fn ended(number: u64) -> Result<Record, Error> {
+    let run = Cell::job(number, TASKS, demand())?.run;
+    let finish = |index| record::Finish {
+        id: TaskId {
+            run: run.clone(),
+            index,
+            attempt: 1,
+        },
+        end: record::End::Done,
+        checkpoint: 0,
+        reason: "".into(),
+    };
+    let tasks = (0..TASKS).map(finish).collect();
+    Ok(Record::Ended(record::Ended { tasks }))
+}
+
+/// Microseconds for one of `count` pieces.
+fn timed(count: u64, mut act: impl FnMut()) -> f64 {
+    let begin = Instant::now();
+    act();
+    begin.elapsed().as_secs_f64() * 1e6 / count as f64
+}
+
+/// Memory of this process that is resident, in bytes; zero when it cannot be told.
+fn resident() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1);
+    pages
+        .and_then(|p| p.parse().ok())
+        .map_or(0, |p: u64| p * PAGE)
+}
--- a/src/bin/bamboolock-bench.rs
+++ b/src/bin/bamboolock-bench.rs
@@ -2,9 +2,12 @@
 
 use std::process::ExitCode;
 
-use bamboolock::bench::measures::{
-    self,
-    Options, //
+use bamboolock::bench::{
+    measures::{
+        self,
+        Options, //
+    },
+    slopes, //
 };
 use clap::{
     Arg,
@@ -16,6 +19,9 @@
 fn main() -> ExitCode {
     env_logger::init();
     let matches = command().get_matches();
+    if matches.get_flag("slopes") {
+        return slopes();
+    }
     let options = Options {
         seed: matches.get_one("seed").copied().unwrap_or(1),
         quick: matches.get_flag("quick"),
@@ -47,6 +53,21 @@
     ExitCode::SUCCESS
 }
 
+/// Prints the slopes as rows of a Markdown table.
+fn slopes() -> ExitCode {
+    match slopes::run() {
+        Ok(found) => {
+            println!("| What | Size | For one | Unit |\n| --- | --- | --- | --- |");
+            found.iter().for_each(|slope| println!("{slope}"));
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            log::error!("{e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn command() -> Command {
     let names = measures::MEASURES.map(|(name, _)| name);
     Command::new("bamboolock-bench")
@@ -56,6 +77,13 @@
                 .help("Runs this measure alone")
                 .value_parser(names),
         )
+        .arg(
+            Arg::new("slopes")
+                .long("slopes")
+                .help("Prints what each piece of state costs, at several sizes")
+                .action(ArgAction::SetTrue)
+                .conflicts_with_all(["measure", "quick", "json"]),
+        )
         .arg(
             Arg::new("quick")
                 .long("quick")
--- a/tests/process/outages.rs
+++ b/tests/process/outages.rs
@@ -11,10 +11,7 @@
     wire::caller::JobState, //
 };
 use serde_json::json;
-use tokio::time::{
-    Instant,
-    sleep, //
-};
+use tokio::time::Instant;
 
 use crate::{
     cell::{
