--- a/src/kernel/workers.rs
+++ b/src/kernel/workers.rs
@@ -13,6 +13,7 @@
     ids::{
         Boot,
         Millis,
+        RackId,
         RunId,
         Token,
         WorkerId, //
@@ -78,6 +79,7 @@
     me: Me,
     arena: SlotMap<WorkerKey, Worker>,
     ids: Vec<(WorkerId, WorkerKey)>,
+    racks: Vec<(RackId, Vec<WorkerKey>)>,
     shapes: Vec<(Resources, u32)>,
     index: index::Index,
     unit: Resources,
@@ -100,6 +102,7 @@
             me,
             arena: SlotMap::with_key(),
             ids: Vec::new(),
+            racks: Vec::new(),
             shapes: Vec::new(),
             index: index::Index::default(),
             unit,
@@ -143,6 +146,15 @@
         self.ids.get(at).map(|e| e.1)
     }
 
+    /// The workers of a rack.
+    #[must_use]
+    pub fn rack(&self, rack: &RackId) -> &[WorkerKey] {
+        match self.racks.binary_search_by(|r| r.0.cmp(rack)) {
+            Ok(at) => &self.racks[at].1,
+            Err(_) => &[],
+        }
+    }
+
     /// How many workers are known.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -169,16 +181,23 @@
 
     /// Takes in the platform's list.
     pub fn listed(&mut self, now: Millis, listing: &list::Listing) {
+        let mut named = 0;
         for instance in &listing.instances {
             if instance.role != list::Role::Worker {
                 continue;
             }
-            let Ok(id) = WorkerId::try_from(instance.id.clone()) else {
-                continue;
-            };
-            self.learn(now, id, instance);
+            let found = self
+                .ids
+                .binary_search_by(|e| e.0.as_str().cmp(&instance.id));
+            match found {
+                Ok(at) => self.learn(now, self.ids[at].1, instance),
+                Err(at) => self.insert(now, at, instance),
+            }
+            named += 1;
+        }
+        if named != self.ids.len() {
+            self.forget(listing);
         }
-        self.forget(listing);
     }
 
     /// The token to send new work with at `now`; `None` means that the work must not be sent. To be
@@ -468,19 +487,24 @@
         }
     }
 
-    fn learn(&mut self, now: Millis, id: WorkerId, instance: &list::Instance) {
-        let key = match self.ids.binary_search_by(|e| e.0.cmp(&id)) {
-            Ok(at) => self.ids[at].1,
-            Err(at) => {
-                let key = self.arena.insert(Worker::new(now, id.clone(), instance));
-                self.ids.insert(at, (id, key));
-                key
-            }
+    fn insert(&mut self, now: Millis, at: usize, instance: &list::Instance) {
+        let Ok(id) = WorkerId::try_from(instance.id.clone()) else {
+            return;
         };
+        let key = self.arena.insert(Worker::new(now, id.clone(), instance));
+        self.ids.insert(at, (id, key));
+        match self.racks.binary_search_by(|r| r.0.cmp(&instance.rack)) {
+            Ok(at) => self.racks[at].1.push(key),
+            Err(at) => self.racks.insert(at, (instance.rack.clone(), vec![key])),
+        }
+    }
+
+    fn learn(&mut self, now: Millis, key: WorkerKey, instance: &list::Instance) {
         let Some(entry) = self.arena.get_mut(key) else {
             return;
         };
-        if instance.boot < entry.boot {
+        let same = instance.boot == entry.boot && instance.state == entry.listed;
+        if instance.boot < entry.boot || (same && instance.address == entry.address) {
             return;
         }
         let ended = instance.state == list::State::Gone || instance.boot > entry.boot;
@@ -510,6 +534,10 @@
             self.arena.remove(key);
         }
         self.ids.retain(|e| self.arena.contains_key(e.1));
+        for rack in &mut self.racks {
+            rack.1.retain(|key| self.arena.contains_key(*key));
+        }
+        self.racks.retain(|rack| !rack.1.is_empty());
     }
 
     /// Counts a worker under the capacity that it reported.
--- a/src/ledger/jobs.rs
+++ b/src/ledger/jobs.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     ids::{
+        Boot,
         IdempotencyKey,
         Millis,
         ProfileName,
@@ -39,6 +40,7 @@
 pub struct Jobs {
     entries: Vec<Entry>,
     ended: VecDeque<(Millis, RunId)>,
+    clock: Millis,
     #[serde(skip)]
     keys: Vec<(ProfileName, IdempotencyKey, RunId)>,
     #[serde(skip)]
@@ -57,6 +59,8 @@
 struct Stored {
     entries: Vec<Entry>,
     ended: VecDeque<(Millis, RunId)>,
+    #[serde(default)]
+    clock: Millis,
 }
 
 impl From<Stored> for Jobs {
@@ -64,12 +68,14 @@
         let mut jobs = Self {
             entries: stored.entries,
             ended: stored.ended,
+            clock: stored.clock,
             ..Self::default()
         };
         for entry in &mut jobs.entries {
             entry.job.index();
             for (index, place) in entry.job.places() {
-                jobs.claims.add(&place.worker, &entry.run, index);
+                let worker = &place.worker;
+                jobs.claims.add(worker, place.boot, &entry.run, index);
             }
             if let Some(key) = &entry.job.spec.key {
                 let profile = entry.job.spec.profile.clone();
@@ -90,6 +96,7 @@
         author: &record::Author,
         record: &record::Record,
     ) -> Vec<Effect> {
+        self.clock = self.clock.max(at);
         self.prune(at);
         match record {
             record::Record::Accepted(accepted) => vec![self.accept(at, accepted)],
@@ -103,6 +110,12 @@
         }
     }
 
+    /// The time of the latest record, on the platform's clock.
+    #[must_use]
+    pub fn clock(&self) -> Millis {
+        self.clock
+    }
+
     /// A job by its id.
     #[must_use]
     pub fn get(&self, run: &RunId) -> Option<&job::Job> {
@@ -121,6 +134,12 @@
         self.claims.on(worker)
     }
 
+    /// A life of a worker before which nothing is claimed there, if anything is at all.
+    #[must_use]
+    pub fn oldest(&self, worker: &WorkerId) -> Option<Boot> {
+        self.claims.oldest(worker)
+    }
+
     /// The workers on which attempts are claimed, sorted.
     pub fn workers(&self) -> impl Iterator<Item = &WorkerId> {
         self.claims.workers()
@@ -170,7 +189,8 @@
         let won = job.is_some_and(|job| job.claim(at, &claim.tasks));
         if won {
             for task in &claim.tasks {
-                self.claims.add(&task.worker, &claim.run, task.index);
+                let worker = &task.worker;
+                self.claims.add(worker, task.boot, &claim.run, task.index);
             }
         }
         Effect::Claim {
--- a/src/load/run.rs
+++ b/src/load/run.rs
@@ -1,7 +1,10 @@
 //! Sends the arrivals at their intended times and gathers what becomes of them.
 
 use std::{
-    cell::RefCell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     rc::Rc,
     time::Duration, //
 };
@@ -90,10 +93,47 @@
         start: Instant::now(),
         samples: RefCell::new(Vec::with_capacity(arrivals.len())),
     });
+    tokio::select! {
+        () = exchange_all(&run, arrivals, stop) => {}
+        () = run.watch() => {}
+    }
+    let mut samples = run.samples.take();
+    samples.sort_by_key(|s| s.index);
+    mark_doubled(arrivals, &mut samples);
+    samples
+}
+
+/// Sends the arrivals in their order as fast as answers come, with `connections` in progress at a
+/// time, whatever their intended times. Returns the requests answered well and the time it took.
+pub async fn saturate(
+    plan: Plan,
+    arrivals: &Rc<Vec<Arrival>>,
+    connections: usize,
+) -> (usize, Duration) {
+    let run = Rc::new(Run {
+        plan,
+        client: client(),
+        start: Instant::now(),
+        samples: RefCell::new(Vec::new()),
+    });
+    let next = Rc::new(Cell::new(0));
+    let callers = (0..connections).map(|_| {
+        let (run, arrivals, next) = (Rc::clone(&run), Rc::clone(arrivals), Rc::clone(&next));
+        rt::spawn(async move { run.take_turns(&arrivals, &next).await })
+    });
+    let callers: Vec<_> = callers.collect();
+    let mut good = 0;
+    for caller in callers {
+        good += caller.await.unwrap_or(0);
+    }
+    (good, run.start.elapsed())
+}
+
+/// Sends the arrivals and waits until all that were sent have ended.
+async fn exchange_all(run: &Rc<Run>, arrivals: &Rc<Vec<Arrival>>, stop: impl Future<Output = ()>) {
     let mut handles = Vec::with_capacity(arrivals.len());
-    let sending = send_all(&run, arrivals, &mut handles);
     tokio::select! {
-        () = sending => {}
+        () = send_all(run, arrivals, &mut handles) => {}
         () = stop => log::info!("sending was stopped early"),
     }
     for handle in handles {
@@ -101,10 +141,6 @@
             log::error!(error:% = e; "an exchange was aborted");
         }
     }
-    let mut samples = run.samples.take();
-    samples.sort_by_key(|s| s.index);
-    mark_doubled(arrivals, &mut samples);
-    samples
 }
 
 async fn send_all(
@@ -129,6 +165,24 @@
 }
 
 impl Run {
+    /// Keeps the balancer's view of the instances fresh; never ends.
+    async fn watch(&self) {
+        match &self.plan.target {
+            Target::Entries(balancer) => balancer.watch(&self.client).await,
+            Target::Direct(_) => std::future::pending().await,
+        }
+    }
+
+    /// Sends one request after the other until all are taken. Returns the good ones.
+    async fn take_turns(&self, arrivals: &[Arrival], next: &Cell<usize>) -> usize {
+        let mut good = 0;
+        while let Some(arrival) = arrivals.get(next.replace(next.get() + 1)) {
+            let verdict = self.request(arrival, Duration::ZERO).await;
+            good += usize::from(verdict.class == Class::Good);
+        }
+        good
+    }
+
     fn intended(&self, arrival: &Arrival) -> Instant {
         self.start + Duration::from_micros(arrival.at)
     }
@@ -195,7 +249,7 @@
     }
 
     async fn directly(&self, pool: &Pool, arrival: &Arrival) -> Verdict {
-        let until = self.intended(arrival) + self.plan.patience;
+        let until = self.intended(arrival).max(Instant::now()) + self.plan.patience;
         let Ok(Some(slot)) = timeout_at(until, pool.acquire()).await else {
             return unanswered(Class::Refused, "no slot in time".to_owned());
         };
