--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -4,6 +4,7 @@
 //! what is written, [`effect`] what it did.
 
 pub mod accounts;
+pub mod assembly;
 pub mod effect;
 pub mod follower;
 pub mod jobs;
--- a/src/ledger/queue.rs
+++ b/src/ledger/queue.rs
@@ -19,6 +19,9 @@
     }, //
 };
 
+/// Most bytes of records in one batch, unless a single item is larger.
+pub const BYTES: usize = 512 * 1_024;
+
 /// Records that belong together, with the handle to answer to.
 #[derive(Debug)]
 pub struct Item<T> {
@@ -137,6 +140,15 @@
         }
     }
 
+    /// Gives up a batch that the log surely does not take. Returns the handles of its parties.
+    pub fn reject(&mut self, id: &ChangeId) -> Vec<T> {
+        let Some(at) = self.flights.iter().position(|f| f.id == *id) else {
+            return Vec::new();
+        };
+        let flight = self.flights.remove(at);
+        flight.items.into_iter().map(|(_, i)| i.reply).collect()
+    }
+
     /// Whether a batch is open: handed out, and neither taken nor seen in the log.
     #[must_use]
     pub fn open(&self, id: &ChangeId) -> bool {
@@ -174,8 +186,11 @@
     fn compose(&mut self) -> Option<Outgoing> {
         let mut records = Vec::new();
         let mut items = Vec::new();
+        let mut bytes = 0;
         while let Some(item) = self.waiting.front() {
-            if !items.is_empty() && records.len() + item.records.len() > self.most {
+            bytes += size(item);
+            let full = records.len() + item.records.len() > self.most || bytes > BYTES;
+            if full && !items.is_empty() {
                 break;
             }
             let Some(item) = self.waiting.pop_front() else {
@@ -223,6 +238,12 @@
     }
 }
 
+/// The length of an item's records as text, in bytes.
+fn size<T>(item: &Item<T>) -> usize {
+    let texts = item.records.iter().map(serde_json::Value::to_string);
+    texts.map(|text| text.len()).sum()
+}
+
 fn expire_waiting<T>(waiting: &mut VecDeque<Item<T>>, now: Instant, expired: &mut Vec<Expired<T>>) {
     let (late, rest) = waiting.drain(..).partition(|i| i.deadline <= now);
     *waiting = rest;
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -83,13 +83,22 @@
     Answer(Answer),
     /// What became of work since the instance's last one, for the service-level report.
     Outcomes(Outcomes),
-    /// The whole state before an offset, appended again before retention drops what led to it.
-    Snapshot {
-        /// The first offset that is not in the state.
-        next: Offset,
-        /// The state.
-        state: Box<serde_json::Value>,
-    },
+    /// A part of the whole state, appended again before retention drops what led to it.
+    Snapshot(SnapshotPart),
+}
+
+/// One part of the whole state before an offset. An author appends all parts in order.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SnapshotPart {
+    /// The first offset that is not in the state.
+    pub next: Offset,
+    /// Which part, from zero.
+    pub part: u32,
+    /// How many parts there are.
+    pub parts: u32,
+    /// The part of the state's JSON text.
+    pub text: String,
 }
 
 /// An operator's change of a profile.
--- a/src/ledger/recovery.rs
+++ b/src/ledger/recovery.rs
@@ -8,6 +8,7 @@
 use crate::{
     ids::Offset,
     ledger::{
+        assembly::Assembly,
         record,
         state::State, //
     },
@@ -22,6 +23,8 @@
 pub struct Recovery {
     /// The gathered entries, without a gap.
     entries: Vec<log::Entry>,
+    /// The snapshots among them that are not whole yet.
+    parts: Assembly,
 }
 
 impl Recovery {
@@ -47,10 +50,13 @@
     pub fn push(&mut self, entry: log::Entry) -> Option<State> {
         match self.next() {
             Some(next) if entry.offset < next => return None,
-            Some(next) if entry.offset > next => self.entries.clear(),
+            Some(next) if entry.offset > next => {
+                self.entries.clear();
+                self.parts.clear();
+            }
             _ => {}
         }
-        let found = snapshots(&entry);
+        let found = self.snapshots(&entry);
         self.entries.push(entry);
         found.iter().find_map(|s| self.replay(s))
     }
@@ -67,32 +73,40 @@
         }
         Some(state)
     }
-}
 
-/// The snapshots that stand in an entry; normally none or one.
-fn snapshots(entry: &log::Entry) -> Vec<peer::Snapshot> {
-    // Most entries hold none, and reading them twice would slow the recovery.
-    if !entry.payload.contains("\"snapshot\"") {
-        return Vec::new();
-    }
-    let Ok(batch) = serde_json::from_str::<record::Batch>(&entry.payload) else {
-        return Vec::new();
-    };
-    if batch.format > record::FORMAT {
-        return Vec::new();
+    /// The snapshots that an entry makes whole; normally none or one.
+    fn snapshots(&mut self, entry: &log::Entry) -> Vec<peer::Snapshot> {
+        // Most entries hold none, and reading them twice would slow the recovery.
+        if !entry.payload.contains("\"snapshot\"") {
+            return Vec::new();
+        }
+        let Ok(batch) = serde_json::from_str::<record::Batch>(&entry.payload) else {
+            return Vec::new();
+        };
+        if batch.format > record::FORMAT {
+            return Vec::new();
+        }
+        let parts = batch.records.iter().filter_map(part);
+        let parts = parts.filter(|p| p.next <= entry.offset);
+        parts
+            .filter_map(|part| {
+                let text = self.parts.take(&batch.by, &part)?;
+                let state = serde_json::from_str(&text).ok()?;
+                Some(peer::Snapshot {
+                    next: part.next,
+                    state,
+                })
+            })
+            .collect()
     }
-    batch.records.into_iter().filter_map(snapshot).collect()
 }
 
-fn snapshot(value: serde_json::Value) -> Option<peer::Snapshot> {
+fn part(value: &serde_json::Value) -> Option<record::SnapshotPart> {
     if value.get("type")?.as_str()? != "snapshot" {
         return None;
     }
     match record::Record::deserialize(value).ok()? {
-        record::Record::Snapshot { next, state } => Some(peer::Snapshot {
-            next,
-            state: *state,
-        }),
+        record::Record::Snapshot(part) => Some(part),
         _ => None,
     }
 }
--- a/src/ledger/replica/append.rs
+++ b/src/ledger/replica/append.rs
@@ -18,6 +18,7 @@
 use crate::{
     ids::ChangeId,
     ledger::{
+        assembly,
         queue::Item,
         record,
         state::State, //
@@ -26,6 +27,9 @@
     wire::log, //
 };
 
+/// Status by which the log refuses an entry that exceeds its largest size.
+const TOO_LARGE: u16 = 413;
+
 impl Replica {
     pub(super) fn schedule_append(&mut self, ctx: &mut Context<Self>) {
         if self.appending.is_some() || self.queue.waiting() == 0 {
@@ -81,7 +85,9 @@
             Err(e) => e,
         };
         ::log::debug!(error:% = e, batch:% = id; "append failed");
-        if !e.pending() {
+        if e == platform::link::Error::Status(TOO_LARGE) {
+            self.reject(&id);
+        } else if !e.pending() {
             self.queue.recall(&id);
         }
         let failures = failures.saturating_add(1);
@@ -96,6 +102,14 @@
         }
     }
 
+    /// Gives up a batch that the log will never take.
+    fn reject(&mut self, id: &ChangeId) {
+        ::log::error!(batch:% = id; "the log refuses a batch as too large");
+        for reply in self.queue.reject(id) {
+            let _ = reply.send(Err(Unavailable::Dropped));
+        }
+    }
+
     pub(super) fn expire(&mut self) {
         for expired in self.queue.expire(Instant::now()) {
             let verdict = match expired.pending {
@@ -123,19 +137,19 @@
             return;
         }
         let snapshot = self.follower.read(State::snapshot);
-        let record = record::Record::Snapshot {
-            next: snapshot.next,
-            state: Box::new(snapshot.state),
-        };
-        let Ok(record) = serde_json::to_value(record) else {
-            return;
-        };
-        // Nobody waits for it; the next one is due anyhow when it is lost.
-        let (reply, _) = oneshot::channel();
-        self.queue.push(Item {
-            reply,
-            records: vec![record],
-            deadline: Instant::now() + 2 * self.cfg.timeout,
-        });
+        let text = snapshot.state.to_string();
+        let limit = self.cfg.timeout * 2 + self.log.limit(text.len());
+        for part in assembly::cut(snapshot.next, &text, assembly::PART) {
+            let Ok(record) = serde_json::to_value(record::Record::Snapshot(part)) else {
+                return;
+            };
+            // Nobody waits for it; the next one is due anyhow when it is lost.
+            let (reply, _) = oneshot::channel();
+            self.queue.push(Item {
+                reply,
+                records: vec![record],
+                deadline: Instant::now() + limit,
+            });
+        }
     }
 }
--- a/src/ledger/state.rs
+++ b/src/ledger/state.rs
@@ -14,6 +14,7 @@
     },
     ledger::{
         accounts,
+        assembly::Assembly,
         effect::{
             Applied,
             Effect, //
@@ -60,7 +61,7 @@
 pub struct Mark {
     /// The first offset that is not in the snapshot.
     pub next: Offset,
-    /// Where the snapshot stands.
+    /// Where its last part stands.
     pub offset: Offset,
 }
 
@@ -74,8 +75,10 @@
     clock: Millis,
     /// The highest format that was seen.
     format: u32,
-    /// The last snapshot, if there is one.
+    /// The last snapshot that is whole, if there is one.
     mark: Option<Mark>,
+    /// The snapshots that are not whole yet, without their text.
+    parts: Assembly,
     /// The profiles.
     pub profiles: Profiles,
     /// The idempotency keys.
@@ -191,9 +194,6 @@
         offset: Offset,
         index: usize,
     ) -> Vec<Effect> {
-        if let Some(next) = snapshot_next(&value) {
-            return self.note_snapshot(next, offset);
-        }
         match Record::deserialize(value) {
             Ok(record) => self.apply_record(record, by, offset),
             Err(e) => {
@@ -209,7 +209,7 @@
             Record::Profile(change) => self.profiles.apply(&change, profiles::Place { offset, at }),
             Record::Key(key) => vec![self.keys.hold(&key, at)],
             Record::Answer(answer) => self.keys.answer(&answer, at).into_iter().collect(),
-            Record::Snapshot { next, .. } => self.note_snapshot(next, offset),
+            Record::Snapshot(part) => self.note_snapshot(by, &part, offset),
             Record::Accepted(_) | Record::Claim(_) | Record::Ended(_) | Record::Cancel { .. } => {
                 let effects = self.jobs.apply(at, by, &record);
                 self.count_jobs(&effects);
@@ -236,14 +236,22 @@
         }
     }
 
-    /// Notes that a snapshot stands in the log; its content adds nothing to this state.
-    fn note_snapshot(&mut self, next: Offset, offset: Offset) -> Vec<Effect> {
+    /// Notes a part of a snapshot; its content adds nothing to this state.
+    fn note_snapshot(
+        &mut self,
+        by: &record::Author,
+        part: &record::SnapshotPart,
+        offset: Offset,
+    ) -> Vec<Effect> {
+        let next = part.next;
         if next > offset {
             let problem = format!("the snapshot claims offset {next}, which lies after it");
             return vec![Effect::Skipped(at_offset(offset, "/records", &problem))];
         }
-        if self.mark.is_none_or(|m| m.next < next) {
+        let whole = self.parts.follow(by, part);
+        if whole && self.mark.is_none_or(|m| m.next < next) {
             self.mark = Some(Mark { next, offset });
+            self.parts.forget(next);
         }
         Vec::new()
     }
@@ -259,16 +267,6 @@
     Some(Effect::Skipped(at_offset(offset, "/records", &problem)))
 }
 
-/// The offset of a snapshot record, found without a look into its state.
-fn snapshot_next(value: &serde_json::Value) -> Option<Offset> {
-    let object = value.as_object()?;
-    if object.get("type")?.as_str()? != "snapshot" || object.len() != 3 {
-        return None;
-    }
-    object.get("state")?;
-    object.get("next")?.as_u64().map(Offset)
-}
-
 fn push(applied: &mut Applied, origin: usize, effects: impl IntoIterator<Item = Effect>) {
     for effect in effects {
         applied.effects.push(effect);
--- a/src/platform/log.rs
+++ b/src/platform/log.rs
@@ -23,6 +23,9 @@
 /// Most entries asked for in one read.
 const PAGE: u32 = 1_000;
 
+/// Bytes a millisecond at which a large entry must get through.
+const RATE: usize = 1_000;
+
 /// How long an idle connection is kept.
 const IDLE: Duration = Duration::from_secs(5);
 
@@ -51,11 +54,18 @@
     ///
     /// Fails when no whole answer came. Unless nothing was sent, the entry may stand in the log.
     pub async fn append(&self, payload: String) -> Result<log::Appended, link::Error> {
+        let limit = self.limit(payload.len());
         let body = log::Append { payload };
-        let limit = self.cfg.timeout;
         self.link.post("/v1/log/append", &body, limit).await
     }
 
+    /// How long an append of so many bytes may take: longer for snapshots.
+    #[must_use]
+    pub fn limit(&self, bytes: usize) -> Duration {
+        let transfer = u64::try_from(bytes / RATE).unwrap_or(u64::MAX);
+        self.cfg.timeout + Duration::from_millis(transfer)
+    }
+
     /// Reads the entries from an offset on; waits at the log for a first one. After failures in a
     /// row it asks for fewer, in case they were too large for one answer.
     ///
--- a/tests/ledger/common.rs
+++ b/tests/ledger/common.rs
@@ -77,7 +77,11 @@
 
 pub(crate) fn snapshot(state: &State) -> Value {
     let snapshot = state.snapshot();
-    json!({"type": "snapshot", "next": snapshot.next, "state": snapshot.state})
+    part(snapshot.next.0, 0, 1, &snapshot.state.to_string())
+}
+
+pub(crate) fn part(next: u64, part: u32, parts: u32, text: &str) -> Value {
+    json!({"type": "snapshot", "next": next, "part": part, "parts": parts, "text": text})
 }
 
 /// Applies one batch of records at the state's next offset.
--- a/tests/ledger/fake_log.rs
+++ b/tests/ledger/fake_log.rs
@@ -46,6 +46,8 @@
     pub(crate) entries: Vec<log::Entry>,
     pub(crate) fault: Fault,
     pub(crate) appends: u64,
+    /// The largest entry, in bytes.
+    pub(crate) largest: usize,
     /// The platform's list of instances.
     pub(crate) instances: serde_json::Value,
     /// What the log's own address answers as an instance's status.
@@ -96,6 +98,7 @@
             entries: Vec::new(),
             fault: Fault::None,
             appends: 0,
+            largest: 1 << 20,
             instances: serde_json::Value::Null,
             status: 0,
         }));
@@ -132,6 +135,9 @@
     let (fault, offset) = {
         let mut content = log.lock().unwrap();
         content.appends += 1;
+        if body.payload.len() > content.largest {
+            return HttpResponse::PayloadTooLarge().finish();
+        }
         if content.fault == Fault::Down {
             return HttpResponse::ServiceUnavailable().finish();
         }
--- a/tests/ledger/fuzz.rs
+++ b/tests/ledger/fuzz.rs
@@ -16,6 +16,7 @@
         Offset, //
     },
     ledger::{
+        assembly,
         effect::{
             Applied,
             Effect, //
@@ -61,7 +62,7 @@
         change,
         id,
         key,
-        snapshot,
+        part,
         verdict, //
     },
     oracle::Oracle, //
@@ -455,8 +456,12 @@
         if !follower.loaded() || !follower.read(State::complete) {
             return;
         }
-        let record = follower.read(snapshot);
-        self.push(node, record);
+        let snapshot = follower.read(State::snapshot);
+        let text = snapshot.state.to_string();
+        for part in assembly::cut(snapshot.next, &text, text.len() / 2 + 1) {
+            let record = record::Record::Snapshot(part);
+            self.push(node, serde_json::to_value(record).unwrap());
+        }
     }
 
     fn expire(&mut self, node: usize) {
@@ -479,10 +484,7 @@
             0 => json!({"format": record::FORMAT + 1}).to_string(),
             1..15 => "\u{0}garbage".to_owned(),
             15..30 => batch("stray", vec![json!({"type": "holiday"}), json!(7)]),
-            _ => batch(
-                "lie",
-                vec![json!({"type": "snapshot", "next": 1_000, "state": {}})],
-            ),
+            _ => batch("lie", vec![part(1_000, 0, 1, "{}")]),
         };
         self.append(&payload);
     }
@@ -560,7 +562,11 @@
         }
         self.first = self.entries.len();
         self.snapshot(whole);
-        self.send(whole, Fate::Answered);
+        // More rounds than there are batches left.
+        for _ in 0..4 {
+            self.send(whole, Fate::Answered);
+            self.catch_up(whole);
+        }
         self.append(&batch("last", vec![key("k1", "last")]));
         self.restart(0);
         self.catch_up(0);
--- a/tests/ledger/recovery.rs
+++ b/tests/ledger/recovery.rs
@@ -16,6 +16,7 @@
     body,
     change,
     entry,
+    part,
     snapshot, //
 };
 
@@ -54,13 +55,12 @@
 fn a_reader_starts_only_from_a_snapshot_that_covers_the_gap() {
     let (states, _) = published(5);
     let whole = snapshot(&states[3]);
-    let mut broken = whole.clone();
-    broken["state"]["profiles"] = json!(1);
-    let mut misnamed = whole.clone();
-    misnamed["next"] = json!(4);
-    let mut later = whole.clone();
-    later["next"] = json!(9);
-    later["state"]["next"] = json!(9);
+    let text = states[3].snapshot().state.to_string();
+    let broken = part(3, 0, 1, &text.replace("\"profiles\":{", "\"profiles\":{{"));
+    let misnamed = part(4, 0, 1, &text);
+    let later = part(9, 0, 1, &text.replace("\"next\":3", "\"next\":9"));
+    let (a, b) = text.split_at(text.len() / 2);
+    let (a, b) = (part(3, 0, 2, a), part(3, 1, 2, b));
     let now = record::FORMAT;
     let rows = [
         (
@@ -89,6 +89,29 @@
             now,
             true,
         ),
+        ("in parts", 2, vec![a.clone(), b.clone()], now, true),
+        (
+            "in parts, the first twice",
+            2,
+            vec![a.clone(), a.clone(), b.clone()],
+            now,
+            true,
+        ),
+        (
+            "in parts, the second missing",
+            2,
+            vec![a.clone()],
+            now,
+            false,
+        ),
+        (
+            "in parts, the first missing",
+            2,
+            vec![b.clone()],
+            now,
+            false,
+        ),
+        ("in parts, out of order", 2, vec![b, a], now, false),
     ];
     for (name, first, records, format, found) in rows {
         let state = recover(first, records.clone(), format);
--- a/tests/ledger/replay.rs
+++ b/tests/ledger/replay.rs
@@ -26,6 +26,7 @@
     id,
     in_force,
     key,
+    part,
     snapshot,
     verdict, //
 };
@@ -64,11 +65,7 @@
             "/records/0",
         ),
         ("bad id", one(key("k k", "r1")), "/records/0"),
-        (
-            "lying snapshot",
-            one(json!({"type": "snapshot", "next": 9, "state": {}})),
-            "/records",
-        ),
+        ("lying snapshot", one(part(9, 0, 1, "{}")), "/records"),
     ];
     for (name, payload, place) in cases {
         let mut state = published();
--- a/tests/ledger/replica.rs
+++ b/tests/ledger/replica.rs
@@ -19,12 +19,16 @@
         state::State, //
     },
     settings,
-    wire::peer, //
+    wire::{
+        caller::Ran,
+        peer, //
+    }, //
 };
 use serde_json::json;
 
 use crate::{
     common::{
+        answer,
         author,
         batch,
         body,
@@ -33,7 +37,7 @@
         id,
         in_force,
         key,
-        snapshot, //
+        part, //
     },
     fake_log::{
         FakeLog,
@@ -232,8 +236,9 @@
             let offset = content.append(&text);
             state.apply(&entry(offset.0, &text));
         }
-        let mut broken = snapshot(&state);
-        broken["state"]["profiles"] = json!(1);
+        let mut broken = state.snapshot().state;
+        broken["profiles"] = json!(1);
+        let broken = part(4, 0, 1, &broken.to_string());
         content.append(&batch("b", vec![broken]));
         content.first = 2;
     }
@@ -272,3 +277,34 @@
         assert_eq!(other.read(|s| in_force(s, "checks")), Some((5, 4)));
     }
 }
+
+#[actix::test]
+async fn what_exceeds_the_largest_entry_is_cut_or_refused() {
+    let log = FakeLog::start();
+    let writer = start(&log, "i1");
+    let answered = |index: usize, size: usize| {
+        let (name, request) = (format!("k{index}"), format!("r{index}"));
+        let mut answer = answer(&name, &request, Ran::Yes);
+        answer["body"] = json!("\"".repeat(size));
+        vec![record(key(&name, &request)), record(answer)]
+    };
+    let soon = Duration::from_secs(2);
+    let refused = writer.append(answered(99, 1 << 20), soon).await;
+    assert_eq!(refused, Err(Unavailable::Dropped));
+    let all = (0..30).map(|i| writer.append(answered(i, 30_000), LONG));
+    for result in futures_util::future::join_all(all).await {
+        assert_matches!(result.unwrap()[1], Effect::Answer(_));
+    }
+    for base in 0..20 {
+        publish(&writer, base, &format!("c{base}")).await.unwrap();
+    }
+    until("a snapshot is whole", async || {
+        writer.read(|s| s.mark().is_some_and(|m| m.offset.0 > m.next.0 + 1))
+    })
+    .await;
+    let covered = writer.read(|s| s.mark().unwrap().next);
+    log.content.lock().unwrap().first = covered.0;
+    let reader = start(&log, "i2");
+    until("the reader is loaded", async || loaded(&reader).await).await;
+    assert_eq!(reader.read(|s| s.keys.len()), 30);
+}
