--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -6,7 +6,6 @@
 };
 
 use actix_web::http::StatusCode;
-use awc::error::SendRequestError;
 use bytes::Bytes;
 use compact_str::CompactString;
 use tokio::time::Instant;
@@ -60,8 +59,12 @@
     pub via: Via,
     /// Nothing is sent after this point: the placement lease may lapse.
     pub until: Instant,
-    /// How long the exchange may take.
+    /// After this time the exchange counts as silent, though it goes on.
     pub timeout: Duration,
+    /// After this time the exchange ends.
+    pub limit: Duration,
+    /// Whether a new connection must be opened: earlier ones may have gone silent.
+    pub fresh: bool,
 }
 
 /// The kind of receiver.
@@ -126,7 +129,7 @@
 }
 
 /// Leaves all of the thread's connections to an address behind.
-fn forget(address: &CompactString) {
+pub fn forget(address: &CompactString) {
     CLIENTS.with_borrow_mut(|clients| clients.retain(|(known, _)| known != address));
 }
 
@@ -135,8 +138,11 @@
     if Instant::now() >= route.until {
         return End::NotRun;
     }
+    if route.fresh {
+        forget(&route.address);
+    }
     let exchange = exchange(message, route, zone, idle);
-    let Ok(end) = tokio::time::timeout(route.timeout, exchange).await else {
+    let Ok(end) = tokio::time::timeout(route.limit, exchange).await else {
         forget(&route.address);
         return End::Silent;
     };
@@ -148,7 +154,7 @@
     let request = prepare(&client, message, route, zone);
     let mut answer = match request.send_body(message.body.clone()).await {
         Ok(answer) => answer,
-        Err(SendRequestError::Connect(_)) => return End::NotRun,
+        Err(e) if link::unsent(&e) => return End::NotRun,
         Err(_) => return End::Cut,
     };
     let ran = ran(answer.headers());
@@ -161,10 +167,12 @@
     }
     let echoed = text(answer.headers(), wire::REQUEST_HEADER);
     let content = text(answer.headers(), "content-type");
+    let announced = text(answer.headers(), "content-length").parse();
     let Ok(body) = answer.body().limit(MAX_ANSWER).await else {
         return End::Cut;
     };
-    if echoed != message.id.as_str() {
+    // The HTTP library takes a body that ends early for a whole one.
+    if announced != Ok(body.len()) || echoed != message.id.as_str() {
         return End::Cut;
     }
     End::Whole(Answer {
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -87,6 +87,9 @@
 
 /// The current version of a profile for requests.
 fn lookup(shared: &http::Shared, name: &ProfileName) -> Result<InForce, Refusal> {
+    if !shared.ledger.is_current() {
+        return Err(refusal::starting());
+    }
     let version = shared.ledger.read(|state| state.profiles.profile(name));
     let found = version.filter(|v| v.profile.kind == profile::Kind::Request);
     found.ok_or_else(|| {
@@ -178,14 +181,25 @@
     actix_rt::spawn(async move {
         let sent = Instant::now();
         let idle = settings.requests.idle;
-        let end = exchange::send(&message, &route, &settings.zone, idle).await;
-        let landed = scheduler::Landed {
+        let mut landed = scheduler::Landed {
             request,
             attempt,
             worker: route.worker,
-            landing: scheduler::Landing::of(&end),
-            took: sent.elapsed(),
+            landing: scheduler::Landing::Silent,
+            took: route.timeout,
+        };
+        let exchange = exchange::send(&message, &route, &settings.zone, idle);
+        let mut exchange = std::pin::pin!(exchange);
+        let end = match tokio::time::timeout(route.timeout, &mut exchange).await {
+            Ok(end) => end,
+            Err(_) => {
+                scheduler.do_send(landed);
+                exchange::forget(&route.address);
+                exchange.await
+            }
         };
+        landed.landing = scheduler::Landing::of(&end);
+        landed.took = sent.elapsed();
         // The caller may be gone; the scheduler must know all the same.
         let _ = turns.send(Turn::Landed(end));
         scheduler.do_send(landed);
--- a/src/kernel/workers.rs
+++ b/src/kernel/workers.rs
@@ -6,12 +6,14 @@
 
 use compact_str::CompactString;
 use slotmap::SlotMap;
+use xxhash_rust::xxh3;
 
 use crate::{
     configs::lease,
     ids::{
         Boot,
         Millis,
+        RunId,
         Token,
         WorkerId, //
     },
@@ -60,6 +62,15 @@
     pub sent: Millis,
 }
 
+/// Workers to bring together in the hands of the instance that should look after a gang.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Gather {
+    /// The gang.
+    pub run: RunId,
+    /// How many workers.
+    pub count: usize,
+}
+
 /// The table of workers.
 #[derive(Debug, Clone)]
 pub struct Workers {
@@ -70,6 +81,7 @@
     shapes: Vec<(Resources, u32)>,
     index: index::Index,
     unit: Resources,
+    gather: Option<Gather>,
     taken: u32,
     total: u32,
 }
@@ -91,6 +103,7 @@
             shapes: Vec::new(),
             index: index::Index::default(),
             unit,
+            gather: None,
             taken: 0,
             total: 0,
         }
@@ -168,8 +181,9 @@
         self.forget(listing);
     }
 
-    /// The token to send new work with at `now`. To be asked right before each send: `None` means
-    /// that the work must not be sent.
+    /// The token to send new work with at `now`; `None` means that the work must not be sent. To be
+    /// asked right before each send. A request carries the token that was held when its room was
+    /// reserved, so that it is refused when it comes after a change of token.
     #[must_use]
     pub fn may_send(&self, now: Millis, key: WorkerKey) -> Option<Token> {
         let entry = self.arena.get(key)?;
@@ -179,7 +193,8 @@
         entry.valid(now).map(|t| t.token)
     }
 
-    /// Whether a start that was claimed under `token` may be sent at `now`.
+    /// Whether work whose room was taken under `token` may be sent at `now`. To be asked right
+    /// before each send.
     #[must_use]
     pub fn may_start(&self, now: Millis, key: WorkerKey, token: Token) -> bool {
         self.may_send(now, key) == Some(token)
@@ -210,8 +225,17 @@
         Some((tenure.token, tenure.boot))
     }
 
-    /// Gives back the room of an attempt that surely does not run and never will.
+    /// Gives back the room of an attempt that this instance does not start. It stays when the worker
+    /// runs the attempt, since another instance may have claimed and started the same one there.
     pub fn unplan(&mut self, key: WorkerKey, id: &TaskId) {
+        if let Some(entry) = self.arena.get_mut(key) {
+            entry.drop_unseen(id);
+            self.settle(key);
+        }
+    }
+
+    /// Gives back the room of an attempt whose end is proven.
+    pub fn ended(&mut self, key: WorkerKey, id: &TaskId) {
         if let Some(entry) = self.arena.get_mut(key) {
             entry.drop_hold(id);
             self.settle(key);
@@ -230,7 +254,7 @@
     }
 
     /// Turns the room of one of this instance's requests into that of a request which may go on at
-    /// the worker although its connection is closed. Reports give it back.
+    /// the worker although its connection is closed. The lease is taken anew to learn of it.
     pub fn orphan(&mut self, key: WorkerKey, demand: &Resources) {
         let grown = self.unit.parts().into_iter().zip(demand.parts());
         let mut unit = self.unit.parts();
@@ -333,7 +357,15 @@
                 continue;
             }
             let before = entry.life;
-            let message = steps::step(&self.cfg, &self.me, entry, now, members);
+            let gang = self.gather.as_ref().filter(|_| entry.gathered);
+            let step = steps::Context {
+                cfg: &self.cfg,
+                me: &self.me,
+                now,
+                members,
+                gang: gang.map(|g| &g.run),
+            };
+            let message = step.step(entry);
             if let Some(message) = message {
                 actions.push(Action {
                     worker: key,
@@ -349,6 +381,33 @@
         actions
     }
 
+    /// Brings workers together for a gang, or lets them go again.
+    pub fn gather(&mut self, gather: Option<Gather>) {
+        if self.gather == gather {
+            return;
+        }
+        self.gather = gather;
+        let mut ranked = Vec::new();
+        for (key, entry) in &mut self.arena {
+            entry.gathered = false;
+            let Some(gather) = &self.gather else {
+                continue;
+            };
+            if entry.zone == self.me.zone && entry.listed == list::State::Live {
+                let seed = xxh3::xxh3_64(gather.run.as_str().as_bytes());
+                let weight = xxh3::xxh3_64_with_seed(entry.id.as_str().as_bytes(), seed);
+                ranked.push((weight, key));
+            }
+        }
+        ranked.sort_unstable();
+        let count = self.gather.as_ref().map_or(0, |g| g.count);
+        for (_, key) in ranked.into_iter().take(count) {
+            if let Some(entry) = self.arena.get_mut(key) {
+                entry.gathered = true;
+            }
+        }
+    }
+
     /// Whether no lease is held, so that a shutdown may go on.
     #[must_use]
     pub fn released(&self) -> bool {
--- a/src/ledger/state.rs
+++ b/src/ledger/state.rs
@@ -20,7 +20,10 @@
         },
         jobs::Jobs,
         keys::Keys,
-        outcomes::Outcomes,
+        outcomes::{
+            Outcomes,
+            Taken, //
+        },
         profiles::{
             self,
             Profiles, //
@@ -213,8 +216,8 @@
                 effects
             }
             Record::Outcomes(outcomes) => {
-                self.outcomes.apply(by, &outcomes, at);
-                Vec::new()
+                let taken = self.outcomes.apply(by, &outcomes, at);
+                doubt(taken, offset).into_iter().collect()
             }
         }
     }
@@ -246,6 +249,16 @@
     }
 }
 
+/// What is to be said of a record of outcomes that does not count.
+fn doubt(taken: Taken, offset: Offset) -> Option<Effect> {
+    let problem = match taken {
+        Taken::Counted | Taken::Repeat => return None,
+        Taken::Doubtful => "outcomes of an unknown author may have counted before",
+        Taken::Inconsistent => "good and bad work do not add up to the total",
+    };
+    Some(Effect::Skipped(at_offset(offset, "/records", &problem)))
+}
+
 /// The offset of a snapshot record, found without a look into its state.
 fn snapshot_next(value: &serde_json::Value) -> Option<Offset> {
     let object = value.as_object()?;
