--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -12,6 +12,8 @@
 mod fuzz;
 #[path = "requests/hedges.rs"]
 mod hedges;
+#[path = "requests/ops.rs"]
+mod ops;
 #[path = "requests/retries.rs"]
 mod retries;
 #[path = "requests/room.rs"]
--- a/tests/requests/fuzz.rs
+++ b/tests/requests/fuzz.rs
@@ -22,84 +22,28 @@
         Refusal, //
     },
 };
-use proptest::{
-    prelude::*,
-    test_runner::{
-        Config,
-        RngAlgorithm,
-        RngSeed, //
-    },
-};
-use proptest_state_machine::{
-    ReferenceStateMachine,
-    StateMachineTest, //
+use proptest::test_runner::{
+    Config,
+    RngAlgorithm,
+    RngSeed, //
 };
+use proptest_state_machine::StateMachineTest;
 
-use crate::support::{
-    Rig,
-    profile, //
+use crate::{
+    ops::{
+        Op,
+        Ops,
+        PROFILES, //
+    },
+    support::{
+        Rig,
+        profile, //
+    }, //
 };
 
-const PROFILES: usize = 4;
 const WORKERS: usize = 3;
 const SLOTS: u32 = 2;
 
-/// One operation on the kernel. Indices are taken modulo what there is.
-#[derive(Debug, Clone)]
-enum Op {
-    Submit { profile: usize, deadline: u64 },
-    Next,
-    Finish { attempt: usize, outcome: Outcome },
-    Settle { attempt: usize },
-    Forward { free: u32 },
-    Cancel { request: usize },
-    Pass { span: u64 },
-    Republish { profile: usize },
-    Drain,
-}
-
-fn outcome() -> impl Strategy<Value = Outcome> {
-    prop_oneof![
-        4 => (0..60_u64).prop_map(|took| Outcome::Answered { took }),
-        1 => (0..60_u64).prop_map(|took| Outcome::Backend { took }),
-        2 => Just(Outcome::NotRun),
-        2 => Just(Outcome::Silent),
-        1 => Just(Outcome::Cut),
-    ]
-}
-
-/// Makes the operations; the state is not looked at.
-struct Ops;
-
-impl ReferenceStateMachine for Ops {
-    type State = ();
-    type Transition = Op;
-
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
-    }
-
-    fn transitions((): &()) -> BoxedStrategy<Op> {
-        let submit = (0..PROFILES, 1..800_u64);
-        prop_oneof![
-            60 => submit.prop_map(|(profile, deadline)| Op::Submit { profile, deadline }),
-            60 => Just(Op::Next),
-            60 => (any::<usize>(), outcome())
-                .prop_map(|(attempt, outcome)| Op::Finish { attempt, outcome }),
-            10 => any::<usize>().prop_map(|attempt| Op::Settle { attempt }),
-            8 => (0..3_u32).prop_map(|free| Op::Forward { free }),
-            8 => any::<usize>().prop_map(|request| Op::Cancel { request }),
-            30 => prop_oneof![5 => 0..40_u64, 1 => 100..3_000_u64]
-                .prop_map(|span| Op::Pass { span }),
-            4 => (0..PROFILES).prop_map(|profile| Op::Republish { profile }),
-            1 => Just(Op::Drain),
-        ]
-        .boxed()
-    }
-
-    fn apply((): (), _: &Op) {}
-}
-
 /// What the oracle knows of one attempt.
 struct Sent {
     request: RequestKey,
