fix(bench): workers of the planner's cell answer starts

Cause: the large cell took 49 times as long a placement as the small one. Timing the parts showed the planner's list of starts under way, which nothing ever emptied in the experiment, with 220,000 rows. Ruled out: the index of workers and the replayed jobs, 0.8 ms of 57 ms a round. Change: the cell answers every start. Conclusion: a fault of the experiment.

--- a/src/bench/cell.rs
+++ b/src/bench/cell.rs
@@ -24,7 +24,6 @@
         workers::Workers, //
     },
     ledger::{
-        effect::Effect,
         jobs::Jobs,
         record::{
             self,
@@ -38,6 +37,8 @@
         worker::{
             Grant,
             Report,
+            StartAnswer,
+            Started,
             Task, //
         }, //
     }, //
@@ -200,14 +201,37 @@
         claims
     }
 
-    fn apply(&mut self, record: &Record) -> Vec<Effect> {
+    /// Applies a record; every worker takes at once what it is sent.
+    fn apply(&mut self, record: &Record) {
         let effects = self.jobs.apply(self.now, &self.author, record);
         for effect in &effects {
-            let workers = &mut self.workers;
-            self.runs
-                .applied(self.now, effect, &self.jobs, workers, &self.profiles);
+            let commands = self.runs.applied(
+                self.now,
+                effect,
+                &self.jobs,
+                &mut self.workers,
+                &self.profiles,
+            );
+            for command in commands {
+                self.start(command);
+            }
         }
-        effects
+    }
+
+    fn start(&mut self, command: runs::Command) {
+        let runs::Command::Start {
+            worker, launches, ..
+        } = command
+        else {
+            return;
+        };
+        let tasks: Vec<_> = launches.into_iter().map(|l| l.id).collect();
+        let answer = StartAnswer {
+            results: vec![Started::Started; tasks.len()],
+        };
+        let workers = &mut self.workers;
+        self.runs
+            .started(self.now, worker, &tasks, Some(&answer), workers);
     }
 }
 
