--- a/src/kernel/requests/forward.rs
+++ b/src/kernel/requests/forward.rs
@@ -23,12 +23,12 @@
 /// Time that a slot elsewhere must save beyond the trip, in milliseconds.
 const LEAST_GAIN: u64 = 2;
 
-/// The least time for a peer's answer, in milliseconds.
-const LEAST_TIMEOUT: u64 = 50;
-
 /// Waiting requests looked at in one call, so that a long queue does not hold up the rest.
 const MOST_LOOKED: usize = 64;
 
+/// The least time for a peer's answer, in milliseconds.
+const LEAST_TIMEOUT: u64 = 50;
+
 impl Requests {
     /// Passes waiting requests on to peers that have room, as far as their profiles allow it and
     /// the wait here is longer than the trip.
