--- a/tests/ledger/replay.rs
+++ b/tests/ledger/replay.rs
@@ -317,3 +317,46 @@
     cut.state.as_object_mut().unwrap().remove("keys");
     assert!(State::restore(&cut).is_err());
 }
+
+#[test]
+fn a_snapshot_counts_when_its_parts_stand_in_order() {
+    // Each row: the parts as (next, part, parts) after four entries, and what is covered.
+    type Row<'a> = (&'a str, &'a [(u64, u32, u32)], Option<u64>);
+    let rows: [Row<'_>; 9] = [
+        ("whole in one", &[(4, 0, 1)], Some(4)),
+        (
+            "whole in three",
+            &[(4, 0, 3), (4, 1, 3), (4, 2, 3)],
+            Some(4),
+        ),
+        ("last part missing", &[(4, 0, 3), (4, 1, 3)], None),
+        ("middle part missing", &[(4, 0, 3), (4, 2, 3)], None),
+        (
+            "middle part missing, last one twice",
+            &[(4, 0, 3), (4, 2, 3), (4, 2, 3)],
+            None,
+        ),
+        ("first part missing", &[(4, 1, 2)], None),
+        (
+            "a part repeated",
+            &[(4, 0, 2), (4, 0, 2), (4, 1, 2)],
+            Some(4),
+        ),
+        (
+            "a late copy of an older one",
+            &[(3, 0, 2), (4, 0, 2), (3, 0, 2), (4, 1, 2)],
+            Some(4),
+        ),
+        ("an older one ends later", &[(4, 0, 1), (2, 0, 1)], Some(4)),
+    ];
+    for (name, parts, covered) in rows {
+        let mut state = State::new();
+        for _ in 0..4 {
+            apply(&mut state, vec![key("k", "r")]);
+        }
+        for (next, index, count) in parts {
+            apply(&mut state, vec![part(*next, *index, *count, "text")]);
+        }
+        assert_eq!(state.mark().map(|m| m.next.0), covered, "{name}");
+    }
+}
