--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod diff;
 pub mod entry;
 pub mod findings;
+pub mod hints;
 pub mod ids;
 pub mod kernel;
 pub mod ledger;
--- a/tests/cli/offline.rs
+++ b/tests/cli/offline.rs
@@ -83,6 +83,10 @@
             "standin",
             r#"{"task": 500, "lag": {"list": 1, "usage": 2}}"#,
         ),
+        (
+            "mix",
+            r#"{"duration": 1000, "streams": [{"profile": "check", "rate": 5}]}"#,
+        ),
     ];
     for (kind, text) in cases {
         let file = folder.join(format!("{kind}-a.json"));
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -6,10 +6,14 @@
 mod admission;
 #[path = "requests/ejection.rs"]
 mod ejection;
+#[path = "requests/estimates.rs"]
+mod estimates;
 #[path = "requests/fuzz.rs"]
 mod fuzz;
 #[path = "requests/hedges.rs"]
 mod hedges;
+#[path = "requests/ops.rs"]
+mod ops;
 #[path = "requests/retries.rs"]
 mod retries;
 #[path = "requests/room.rs"]
