fix(entry): requests of an earlier holder count for what they may take

Cause: a worker reports only how many requests are in progress. After a take-over the entry instance counted each as one slot and one connection, so requests with memory or processors of their own were under-counted. Ruled out: waiting for them to end before anything is placed, since that idles the worker. Change: the lease table is told the largest demand of any request profile.

--- a/src/entry/scheduler/jobs.rs
+++ b/src/entry/scheduler/jobs.rs
@@ -217,9 +217,14 @@
         let now = self.now();
         let mut commands = Vec::new();
         for effect in &applied.effects {
-            if let Effect::Restored { .. } = effect {
-                self.rebuild(now);
-                continue;
+            match effect {
+                Effect::Restored { .. } => {
+                    self.rebuild(now);
+                    self.size_requests();
+                    continue;
+                }
+                Effect::Profile { accepted: true, .. } => self.size_requests(),
+                _ => {}
             }
             self.follow(effect);
             let ledger = self.ledger.clone();
@@ -453,6 +458,28 @@
         self.execute(commands, ctx);
     }
 
+    /// Tells the lease table what a request of an earlier holder may take: a worker reports only
+    /// their number, so each counts for the largest demand of any profile.
+    fn size_requests(&mut self) {
+        let ledger = self.ledger.clone();
+        let unit = ledger.read(|state| {
+            let versions = state
+                .profiles
+                .list()
+                .iter()
+                .flat_map(|named| &named.history);
+            let profiles = versions.filter_map(|version| version.profile.as_ref());
+            let requests = profiles.filter(|p| p.kind == profile::Kind::Request);
+            requests.fold(Resources::default(), |most, p| most.most(&p.demand))
+        });
+        let least = Resources {
+            slots: 1,
+            connections: 1,
+            ..Resources::default()
+        };
+        self.workers.set_unit(unit.most(&least));
+    }
+
     /// Builds the planner anew from a restored state.
     fn rebuild(&mut self, now: Millis) {
         let ledger = self.ledger.clone();
--- a/src/resources.rs
+++ b/src/resources.rs
@@ -87,6 +87,16 @@
         Self::from_parts(sum)
     }
 
+    /// The larger amount in each dimension.
+    #[must_use]
+    pub fn most(&self, other: &Self) -> Self {
+        let mut most = self.parts();
+        for (a, b) in most.iter_mut().zip(other.parts()) {
+            *a = (*a).max(b);
+        }
+        Self::from_parts(most)
+    }
+
     /// The names of the dimensions in which this demand exceeds `room`.
     #[must_use]
     pub fn excess(&self, room: &Self) -> Vec<&'static str> {
--- a/tests/process/takeover.rs
+++ b/tests/process/takeover.rs
@@ -2,6 +2,10 @@
 
 use std::time::Duration;
 
+use bamboolock::standin::{
+    command::Command,
+    settings::Service, //
+};
 use serde_json::json;
 use tokio::time::{
     Instant,
@@ -102,3 +106,36 @@
     let verdict = cell.verdict();
     assert_eq!(verdict.counters.nonidempotent, once.good as u64);
 }
+
+#[actix_web::test]
+async fn requests_of_a_killed_holder_keep_their_room_at_the_worker() {
+    let mut cell = Cell::start(cell::SMALL).await;
+    let held = |state: &serde_json::Value| state["held"].as_array().map_or(0, Vec::len);
+    let victim = match &cell.states().await[..] {
+        [one, other] if held(one) < held(other) => 1,
+        _ => 0,
+    };
+    // A worker has memory for four of these, and eight slots.
+    let heavy = json!({"kind": "request", "team": "gates", "idempotent": true,
+        "demand": {"millicores": 4_000, "memory": 16_384, "slots": 1, "connections": 1},
+        "objective": {"deadline": 12_000, "wait": 12_000}, "retry": {"attempts": 1}});
+    cell.publish("heavy", "heavy", 0, &heavy).await;
+    let median = 5_000;
+    cell.command(&Command::Service {
+        time: Service { median, spread: 0 },
+    })
+    .await;
+    let addresses: Vec<_> = cell.instances.iter().map(|i| i.address).collect();
+    let end = Instant::now() + Duration::from_secs(7);
+    let load = load::run(addresses, "heavy", 32, Duration::from_millis(1), end);
+    let kill = async {
+        cell.until("every worker is full", async || {
+            cell.standin.verdict().counters.requests >= 16
+        })
+        .await;
+        cell.signal(victim, "KILL");
+    };
+    futures_util::join!(load, kill);
+    cell.kill(victim);
+    assert!(cell.verdict().counters.requests > 16);
+}
