--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -175,7 +175,7 @@
         );
         registry.register_with_unit(
             "remote_control",
-            "Control traffic sent to other regions",
+            "Heartbeats sent to other regions",
             Unit::Bytes,
             self.remote.clone(),
         );
--- a/src/entry/scheduler/peers.rs
+++ b/src/entry/scheduler/peers.rs
@@ -22,7 +22,10 @@
         Call,
         PeerClient, //
     },
-    ids::Offset,
+    ids::{
+        InstanceId,
+        Offset, //
+    },
     ledger::replica,
     wire::peer, //
 };
@@ -48,10 +51,22 @@
     pub(super) fn greet(&mut self, ctx: &mut Context<Self>) {
         let now = self.now();
         for target in self.members.due(now) {
+            self.meter(&target.id);
             self.greet_one(&target.peer, ctx);
         }
     }
 
+    /// Counts the bytes of a heartbeat that goes to another region.
+    fn meter(&self, id: &InstanceId) {
+        let peers = self.members.peers().iter();
+        let mut far = peers.filter(|p| p.id == *id && p.region != self.settings.region);
+        if far.next().is_none() {
+            return;
+        }
+        let bytes = serde_json::to_vec(&self.heartbeat()).map_or(0, |text| text.len());
+        self.metrics.remote.inc_by(bytes as u64);
+    }
+
     fn greet_one(&mut self, address: &CompactString, ctx: &mut Context<Self>) {
         let Some(client) = self.client(address) else {
             return;
