--- a/src/admin/instances.rs
+++ b/src/admin/instances.rs
@@ -23,7 +23,7 @@
         ZoneId, //
     },
     ledger::state::State,
-    platform::{
+    remote::{
         link::Link,
         list, //
     },
--- /dev/null
+++ b/src/cell/election.rs
@@ -0,0 +1,145 @@
+//! When an instance asks for ownership of the cell.
+//!
+//! Ownership is decided by the store: the record of the owner is replaced only on condition that it
+//! has not changed. A wrong claim costs time and breaks nothing, since the store and the workers
+//! refuse the former owner from then on. The rules here keep such claims rare.
+
+use compact_str::CompactString;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// Time between the claims of two candidates, in milliseconds: a claim takes a few round trips.
+const STAGGER: u64 = 150;
+
+/// Silence of the owner after which others are asked about it, in milliseconds: two heartbeats and
+/// a slow answer.
+const SILENCE: u64 = 900;
+
+/// Silence after which an instance that reaches no other claims, in milliseconds: it may be the
+/// last one, but is more likely cut off itself.
+const ISOLATION: u64 = 3_000;
+
+/// Time after a refused connection until a claim, in milliseconds: an owner that restarts at once
+/// needs longer anyway.
+const REFUSAL: u64 = 120;
+
+/// Time for which a successor waits when the owner steps down or has lost the store, in
+/// milliseconds.
+const STEP_DOWN: u64 = 0;
+
+/// The record that names the owner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Owner {
+    /// Its ordinal, and its fencing token.
+    pub term: u64,
+    /// Its instance.
+    pub instance: CompactString,
+    /// `IP:port` for other instances.
+    pub address: CompactString,
+    /// Tells lives of the instance apart.
+    pub life: u64,
+}
+
+/// What the owner's last answer said.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Word {
+    /// It is the owner and well.
+    #[default]
+    Well,
+    /// It stops soon, or the store refuses it.
+    StepsDown,
+    /// It does not take itself for the owner.
+    Denies,
+}
+
+/// What other instances say of the owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Witness {
+    /// They were not asked.
+    Unasked,
+    /// None of them answers.
+    Nobody,
+    /// One has heard from it lately.
+    Alive,
+    /// Those that answer have not heard from it either.
+    Silent,
+}
+
+/// What an instance knows about the owner. Times are local, in milliseconds.
+#[derive(Debug, Clone, Copy)]
+pub struct View {
+    /// Now.
+    pub now: u64,
+    /// Whether a record names an owner.
+    pub known: bool,
+    /// Whether the record names this instance, though it does not own the cell.
+    pub mine: bool,
+    /// When the situation that calls for a claim began: the last answer, or the record's reading.
+    pub since: u64,
+    /// The owner's last word.
+    pub word: Word,
+    /// Whether connections to the owner are refused.
+    pub refused: bool,
+    /// Whether the store answers this instance.
+    pub store: bool,
+    /// Position of this instance among the candidates.
+    pub rank: u64,
+    /// What others say.
+    pub witness: Witness,
+}
+
+/// What to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing.
+    Wait,
+    /// Ask other instances whether they hear from the owner.
+    Ask,
+    /// Ask the store for ownership.
+    Claim,
+}
+
+/// Decides about a claim.
+///
+/// Answers these patterns: the owner is killed (refused connections: the first candidate claims
+/// within a fraction of a second), loses power or is cut off (silence, confirmed by others), stops
+/// in an orderly way, loses the store alone, or this instance alone is cut off (others vouch for
+/// the owner).
+#[must_use]
+pub fn decide(view: &View) -> Step {
+    if !view.store {
+        return Step::Wait;
+    }
+    let turn = view.rank * STAGGER;
+    let passed = view.now.saturating_sub(view.since);
+    let after = |wait: u64| match passed >= wait + turn {
+        true => Step::Claim,
+        false => Step::Wait,
+    };
+    if view.mine {
+        return Step::Claim;
+    }
+    if !view.known {
+        return after(0);
+    }
+    match (view.word, view.refused) {
+        (Word::Denies, _) => after(REFUSAL),
+        (_, true) => after(REFUSAL),
+        (Word::StepsDown, _) => after(STEP_DOWN),
+        (Word::Well, false) => silence(view, passed, turn),
+    }
+}
+
+fn silence(view: &View, passed: u64, turn: u64) -> Step {
+    if passed < SILENCE {
+        return Step::Wait;
+    }
+    match view.witness {
+        Witness::Unasked => Step::Ask,
+        Witness::Silent if passed >= SILENCE + turn => Step::Claim,
+        Witness::Nobody if passed >= ISOLATION + turn => Step::Claim,
+        _ => Step::Wait,
+    }
+}
--- /dev/null
+++ b/src/cell/engine/ends.rs
@@ -0,0 +1,457 @@
+//! What workers report, and what follows for tasks and jobs.
+
+use log::{
+    info,
+    warn, //
+};
+
+use super::{
+    Action,
+    Engine, //
+};
+use crate::cell::{
+    books::{
+        Footing,
+        Run, //
+    },
+    job::{
+        JobKey,
+        Phase,
+        RunKey,
+        StepKey,
+        TaskKey,
+        WorkerKey, //
+    },
+    model::{
+        self,
+        How,
+        State, //
+    }, //
+};
+
+/// Part of the gang timeout after which a gang that is not whole is given up: the rest is for the
+/// orders to stop.
+const GANG_SHARE: f64 = 0.6;
+
+impl Engine {
+    /// Takes a worker's report in; it was asked for at local time `sent` with ends up to `seen`
+    /// acknowledged.
+    pub fn held(&mut self, key: WorkerKey, sent: u64, seen: u64, report: &model::Report, now: u64) {
+        let Some(worker) = self.books.workers.get_mut(key) else {
+            return;
+        };
+        worker.busy = false;
+        if report.born > 0 && worker.born > 0 && report.born != worker.born {
+            if report.born < worker.born {
+                return;
+            }
+            self.reborn(key, report.born, now);
+        }
+        self.reading(key, Some(report.clock), now);
+        let worker = &mut self.books.workers[key];
+        worker.born = worker.born.max(report.born);
+        if !worker.fenced {
+            worker.fenced = true;
+            self.stale = true;
+        }
+        worker.acknowledged = worker.acknowledged.max(seen);
+        let known = worker.taken;
+        let mut fresh: Vec<&model::End> =
+            report.ended.iter().filter(|e| e.number > known).collect();
+        fresh.sort_by_key(|end| end.number);
+        for end in fresh {
+            self.end(key, end, now);
+        }
+        self.compare(key, sent, report, now);
+        let worker = &self.books.workers[key];
+        if !worker.listed && worker.runs.is_empty() && worker.taken == worker.acknowledged {
+            self.books.remove(key);
+        }
+    }
+
+    /// Takes one listed end in.
+    fn end(&mut self, worker: WorkerKey, end: &model::End, now: u64) {
+        let open = self.open;
+        let state = &mut self.books.workers[worker];
+        state.taken = end.number;
+        state.batch = open;
+        match self.books.run_of(worker, &end.task, end.run) {
+            Some(run) => self.ended(run, end.how, &end.saved, now),
+            None => self.foreign_end(worker, end, now),
+        }
+    }
+
+    /// An end of a run that is not booked: an earlier owner's, or one given up.
+    fn foreign_end(&mut self, worker: WorkerKey, end: &model::End, now: u64) {
+        let Some(task) = self.lookup(&end.task) else {
+            return;
+        };
+        let job = &mut self.jobs[task.step.job];
+        if job.state.is_final() {
+            return;
+        }
+        let Some(state) = job.task_mut(task) else {
+            return;
+        };
+        state.run = state.run.max(end.run);
+        if matches!(state.phase, Phase::Live(_)) && end.how != How::Done {
+            return;
+        }
+        info!(job = end.task.job.as_str(), step = end.task.step, task = end.task.index, run = end.run,
+            worker = self.books.workers[worker].entry.id.as_str(), how:? = end.how; "end of a run that was not booked");
+        self.outcome(task, worker, end.run, end.how, &end.saved, now);
+    }
+
+    /// The task that a name stands for.
+    pub(super) fn lookup(&self, name: &model::TaskName) -> Option<TaskKey> {
+        let job = self.find(&name.job)?;
+        let occurrences = &self.jobs[job].occurrences;
+        let occurrence = occurrences
+            .iter()
+            .position(|o| o.number == name.occurrence)?;
+        let step = occurrences[occurrence].steps.get(name.step as usize)?;
+        step.tasks.get(name.index as usize)?;
+        Some(TaskKey {
+            step: StepKey {
+                job,
+                occurrence: occurrence as u32,
+                step: name.step,
+            },
+            index: name.index,
+        })
+    }
+
+    /// Compares the list of what runs with the books.
+    fn compare(&mut self, key: WorkerKey, sent: u64, report: &model::Report, now: u64) {
+        let booked = self.books.workers[key].runs.clone();
+        let mut listed: Vec<RunKey> = Vec::new();
+        for live in &report.running {
+            match self.books.run_of(key, &live.task, live.run) {
+                Some(run) => {
+                    listed.push(run);
+                    self.confirm(run, live, now);
+                }
+                None => self.adopt(key, live, now),
+            }
+        }
+        listed.sort();
+        for run in booked {
+            if listed.binary_search(&run).is_ok() || !self.books.runs.contains_key(run) {
+                continue;
+            }
+            let gone = match self.books.runs[run].footing {
+                Footing::Confirmed(at) => at < sent,
+                Footing::Unanswered => self.is_void(run, report.clock),
+                Footing::Ordered => false,
+            };
+            if gone {
+                let run_ref = &self.books.runs[run];
+                info!(job = run_ref.name.job.as_str(), step = run_ref.name.step, task = run_ref.name.index,
+                    run = run_ref.number, worker = self.books.workers[key].entry.id.as_str(), born = report.born;
+                    "run is not listed by its worker");
+                self.ended(run, How::Lapsed, "", now);
+            }
+        }
+    }
+
+    fn confirm(&mut self, key: RunKey, live: &model::Live, now: u64) {
+        let run = &mut self.books.runs[key];
+        if !matches!(run.footing, Footing::Confirmed(_)) {
+            run.footing = Footing::Confirmed(now);
+        }
+        let Some(task) = run.task else {
+            return;
+        };
+        if run.unwanted && !run.busy && now >= run.after {
+            self.actions.push(Action::Stop(key));
+        }
+        self.begin(task);
+        if let Some(state) = self.jobs[task.step.job].task_mut(task) {
+            if !live.saved.is_empty() {
+                state.saved = live.saved.clone();
+            }
+        }
+    }
+
+    /// A run that is not booked: an earlier owner's is taken over, anything else is stopped.
+    fn adopt(&mut self, worker: WorkerKey, live: &model::Live, now: u64) {
+        let task = self.lookup(&live.task).filter(|task| {
+            let job = &self.jobs[task.step.job];
+            let state = job
+                .step(task.step)
+                .and_then(|s| s.tasks.get(task.index as usize));
+            !job.state.is_final() && state.is_some_and(|t| t.phase == Phase::Idle)
+        });
+        let id = self.books.workers[worker].entry.id.clone();
+        let demand = self.lookup(&live.task).map(|task| {
+            let job = &self.jobs[task.step.job];
+            super::demand(&job.work.steps[task.step.step as usize])
+        });
+        info!(job = live.task.job.as_str(), step = live.task.step, task = live.task.index, run = live.run,
+            worker = id.as_str(), kept = task.is_some(); "run found at its worker");
+        let key = self.books.book(Run {
+            task,
+            name: live.task.clone(),
+            number: live.run,
+            worker,
+            demand: demand.unwrap_or_default(),
+            footing: Footing::Confirmed(now),
+            expires: 0,
+            began: now,
+            ticket: Default::default(),
+            unwanted: task.is_none(),
+            after: 0,
+            busy: false,
+            still: 0,
+        });
+        let Some(task) = task else {
+            self.actions.push(Action::Stop(key));
+            return;
+        };
+        self.begin(task);
+        if let Some(state) = self.jobs[task.step.job].task_mut(task) {
+            state.phase = Phase::Live(key);
+            state.run = state.run.max(live.run);
+            state.saved = live.saved.clone();
+        }
+    }
+
+    /// Takes note that a task of a job has started.
+    pub(super) fn begin(&mut self, task: TaskKey) {
+        let job = &mut self.jobs[task.step.job];
+        if job.begun {
+            return;
+        }
+        job.begun = true;
+        if job.state == State::Pending {
+            job.state = State::Running;
+            // Shown at once: it is no promise, and a later owner finds it out from the workers.
+            job.shown = State::Running;
+        }
+    }
+
+    /// A run is over: its room is free, its task goes on.
+    pub(super) fn ended(&mut self, key: RunKey, how: How, saved: &str, now: u64) {
+        let Some(run) = self.books.release(key) else {
+            return;
+        };
+        self.stale = true;
+        let Some(task) = run.task else {
+            return;
+        };
+        if !self.jobs.contains_key(task.step.job) {
+            return;
+        }
+        info!(job = run.name.job.as_str(), step = run.name.step, task = run.name.index, run = run.number,
+            worker = self.worker_id(run.worker), how:? = how, took = now - run.began; "run ended");
+        if let Some(state) = self.jobs[task.step.job].task_mut(task) {
+            if state.phase == Phase::Live(key) {
+                state.phase = Phase::Idle;
+            }
+        }
+        self.outcome(task, run.worker, run.number, how, saved, now);
+    }
+
+    pub(super) fn worker_id(&self, key: WorkerKey) -> &str {
+        self.books
+            .workers
+            .get(key)
+            .map_or("", |w| w.entry.id.as_str())
+    }
+
+    /// What an end means for its task.
+    fn outcome(
+        &mut self,
+        task: TaskKey,
+        worker: WorkerKey,
+        run: u32,
+        how: How,
+        saved: &str,
+        now: u64,
+    ) {
+        let job = &mut self.jobs[task.step.job];
+        let Some(plan) = job.plan(task.step) else {
+            return;
+        };
+        let (gang, lasting) = (plan.gang, plan.lasting);
+        let id = job.id.clone();
+        if !saved.is_empty() && how != How::Done {
+            if let Some(state) = job.task_mut(task) {
+                state.saved = saved.into();
+            }
+        }
+        match how {
+            How::Done if !lasting => {
+                if let Some(worker) = self.books.workers.get_mut(worker) {
+                    worker.praise();
+                }
+                self.succeed(task, gang, now);
+            }
+            How::Failed => {
+                let struck = self.books.workers.get_mut(worker);
+                if struck.is_some_and(|w| w.strike(&id, now)) {
+                    warn!(worker = self.worker_id(worker); "suspended: runs of several jobs failed there");
+                }
+                self.fail(task, worker, run, gang, lasting, now);
+            }
+            _ => {}
+        }
+        self.resume(task.step, gang, now);
+    }
+
+    /// A task has succeeded; for a gang that means all of them.
+    fn succeed(&mut self, task: TaskKey, gang: bool, now: u64) {
+        let job = &mut self.jobs[task.step.job];
+        let Some(step) = job.step_mut(task.step) else {
+            return;
+        };
+        let mut spent = Vec::new();
+        for (i, state) in step.tasks.iter_mut().enumerate() {
+            if !gang && i as u32 != task.index {
+                continue;
+            }
+            match state.phase {
+                Phase::Done => continue,
+                Phase::Live(run) => spent.push(run),
+                Phase::Idle => {}
+            }
+            state.phase = Phase::Done;
+            step.left -= 1;
+        }
+        let over = step.left == 0;
+        for run in spent {
+            if let Some(run) = self.books.runs.get_mut(run) {
+                // Its worker lists its end soon; nobody waits for it.
+                run.task = None;
+                run.unwanted = !gang;
+            }
+        }
+        self.touch(task.step.job);
+        if over {
+            self.ready.retain(|step| *step != task.step);
+            self.complete(task.step.job, now);
+        }
+    }
+
+    fn complete(&mut self, key: JobKey, now: u64) {
+        if self.jobs[key].is_done() {
+            self.finish(key, State::Completed, now);
+        } else {
+            self.advance(key, now);
+        }
+    }
+
+    /// A run has failed; too many of them fail the job.
+    fn fail(
+        &mut self,
+        task: TaskKey,
+        worker: WorkerKey,
+        run: u32,
+        gang: bool,
+        lasting: bool,
+        now: u64,
+    ) {
+        let job = &mut self.jobs[task.step.job];
+        let attempts = job.queue.attempts;
+        let Some(step) = job.step_mut(task.step) else {
+            return;
+        };
+        // A gang's failures are counted at its first task.
+        let index = if gang { 0 } else { task.index };
+        let Some(state) = step.tasks.get_mut(index as usize) else {
+            return;
+        };
+        if state.phase == Phase::Done || run <= state.counted {
+            return;
+        }
+        state.counted = run;
+        state.fails += 1;
+        let fails = state.fails;
+        if let Some(state) = step.tasks.get_mut(task.index as usize) {
+            state.avoid.push(worker);
+        }
+        self.touch(task.step.job);
+        if !lasting && fails >= attempts {
+            info!(job = self.jobs[task.step.job].id.as_str(), step = task.step.step, task = task.index, fails; "no attempts left");
+            self.finish(task.step.job, State::Failed, now);
+        }
+    }
+
+    /// Puts a step back among those to be placed, a gang only when all its members are over.
+    fn resume(&mut self, key: StepKey, gang: bool, now: u64) {
+        let job = &mut self.jobs[key.job];
+        if job.state.is_final() {
+            return;
+        }
+        let Some(step) = job.step_mut(key) else {
+            return;
+        };
+        if step.left == 0 || step.idle() == 0 {
+            return;
+        }
+        if gang && step.live() > 0 {
+            step.broken = true;
+            self.collect(key, now);
+            return;
+        }
+        step.broken = false;
+        self.enqueue(key);
+    }
+
+    /// Stops the members of a gang that has lost one.
+    fn collect(&mut self, key: StepKey, now: u64) {
+        let Some(step) = self.jobs.get(key.job).and_then(|job| job.step(key)) else {
+            return;
+        };
+        for task in &step.tasks {
+            let Phase::Live(run) = task.phase else {
+                continue;
+            };
+            let Some(state) = self.books.runs.get_mut(run) else {
+                continue;
+            };
+            if !state.unwanted {
+                state.unwanted = true;
+                state.after = now;
+                self.actions.push(Action::Stop(run));
+            }
+        }
+    }
+
+    /// Gives up gangs that are not whole for too long.
+    pub(super) fn collect_gangs(&mut self, now: u64) {
+        let limit = (self.times.gang as f64 * GANG_SHARE) as u64;
+        let mut stuck: Vec<StepKey> = Vec::new();
+        for run in self.books.runs.values() {
+            let waits = !matches!(run.footing, Footing::Confirmed(_)) && !run.unwanted;
+            let Some(task) = run.task.filter(|_| waits && now > run.began + limit) else {
+                continue;
+            };
+            let plan = self
+                .jobs
+                .get(task.step.job)
+                .and_then(|job| job.plan(task.step));
+            if plan.is_some_and(|plan| plan.gang) && !stuck.contains(&task.step) {
+                stuck.push(task.step);
+            }
+        }
+        for key in stuck {
+            warn!(job = self.jobs[key.job].id.as_str(), step = key.step; "gang is not whole in time and is stopped");
+            if let Some(step) = self.jobs[key.job].step_mut(key) {
+                step.broken = true;
+            }
+            self.collect(key, now);
+        }
+    }
+}
+
+/// Stops what is left of a gang of which members are missing.
+pub(super) fn repair_gang(engine: &mut Engine, key: StepKey, now: u64) {
+    let job = &engine.jobs[key.job];
+    let (Some(plan), Some(step)) = (job.plan(key), job.step(key)) else {
+        return;
+    };
+    if plan.gang && step.live() > 0 && step.idle() > 0 {
+        engine.resume(key, true, now);
+    }
+}
--- /dev/null
+++ b/src/cell/engine/orders.rs
@@ -0,0 +1,421 @@
+//! Orders to workers: what is sent, and what follows from each answer.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use log::{
+    info,
+    warn, //
+};
+
+use super::{
+    Action,
+    Engine, //
+};
+use crate::cell::{
+    books::Footing,
+    job::{
+        RunKey,
+        WorkerKey, //
+    },
+    model::{
+        self,
+        Verdict, //
+    }, //
+};
+
+/// How long a start may wait on its way, in milliseconds of the worker's clock: long enough for a
+/// busy worker and a repetition, short enough to resolve a lost order soon.
+const ORDER_SPAN: u64 = 2_500;
+
+/// Time before an unanswered order is repeated, in milliseconds: a round trip to another region
+/// with some queueing.
+const REPEAT: u64 = 30;
+
+/// Pause before an order to stop that was refused is repeated, in milliseconds.
+const STOP_PAUSE: u64 = 250;
+
+/// Wait that a report may take at the worker until something ends: a fifth of the lease.
+const REPORT_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Pause after a report that failed, in milliseconds.
+const REPORT_PAUSE: u64 = 200;
+
+/// Pause after reports that fail for over a lease, in milliseconds.
+const LONG_PAUSE: u64 = 1_000;
+
+/// Part of the longest lease that is asked for: the rest covers clocks that differ.
+const LEASE_SHARE: f64 = 0.92;
+
+/// Added to the end of an order's span before it is taken as void, in milliseconds.
+const VOID_MARGIN: u64 = 100;
+
+/// Where an order goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Address {
+    /// The worker's id.
+    pub worker: CompactString,
+    /// `IP:port`.
+    pub address: CompactString,
+}
+
+/// An order to start.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Start {
+    /// Where it goes.
+    pub to: Address,
+    /// The task.
+    pub task: model::TaskName,
+    /// Number of the run.
+    pub run: u32,
+    /// Opaque text of the job.
+    pub spec: String,
+    /// When it expires on the worker's clock, in milliseconds.
+    pub expires: u64,
+    /// Checkpoint to resume from.
+    pub saved: CompactString,
+    /// Permit.
+    pub ticket: CompactString,
+}
+
+/// An order to stop.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Stop {
+    /// Where it goes.
+    pub to: Address,
+    /// The task.
+    pub task: model::TaskName,
+    /// Number of the run.
+    pub run: u32,
+}
+
+/// An order to prolong leases and to report.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Hold {
+    /// Where it goes.
+    pub to: Address,
+    /// Highest end that need not be listed again.
+    pub seen: u64,
+    /// End of the lease on the worker's clock, in milliseconds.
+    pub expires: Option<u64>,
+    /// How long the worker may wait.
+    pub wait: Duration,
+    /// Local time at which it is sent, in milliseconds.
+    pub sent: u64,
+}
+
+/// Why an order has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lost {
+    /// Nothing was sent.
+    Unsent,
+    /// It may have been carried out, or may be later.
+    Unknown,
+}
+
+impl Engine {
+    fn address(&self, key: WorkerKey) -> Option<Address> {
+        let worker = self.books.workers.get(key)?;
+        Some(Address {
+            worker: worker.entry.id.clone(),
+            address: worker.entry.address.clone(),
+        })
+    }
+
+    /// The order to start a run, if it is still to be given.
+    pub fn start_order(&mut self, key: RunKey, now: u64) -> Option<Start> {
+        let run = self.books.runs.get_mut(key)?;
+        if run.unwanted || run.busy {
+            return None;
+        }
+        let task = run.task?;
+        let worker = self.books.workers.get_mut(run.worker)?;
+        let clock = worker.clock(now)?;
+        if run.expires == 0 {
+            run.expires = clock + ORDER_SPAN;
+        }
+        worker.extend(run.expires, now);
+        run.busy = true;
+        let job = self.jobs.get(task.step.job)?;
+        let saved = job
+            .step(task.step)?
+            .tasks
+            .get(task.index as usize)?
+            .saved
+            .clone();
+        let (name, number, ticket, expires) = (
+            run.name.clone(),
+            run.number,
+            run.ticket.clone(),
+            run.expires,
+        );
+        Some(Start {
+            to: self.address(self.books.runs[key].worker)?,
+            task: name,
+            run: number,
+            spec: job.work.spec.clone(),
+            expires,
+            saved,
+            ticket,
+        })
+    }
+
+    /// Takes the answer to a start in.
+    pub fn started(&mut self, key: RunKey, answer: Result<model::Reply, Lost>, now: u64) {
+        let Some(run) = self.books.runs.get_mut(key) else {
+            return;
+        };
+        run.busy = false;
+        let worker = run.worker;
+        match answer {
+            Ok(reply) => {
+                self.reading(worker, reply.clock, now);
+                self.start_answered(key, reply.verdict, now);
+            }
+            Err(Lost::Unsent) if self.books.runs[key].footing == Footing::Ordered => {
+                self.silent(worker, now);
+                self.ended(key, model::How::Lapsed, "", now);
+            }
+            Err(_) => {
+                let run = &mut self.books.runs[key];
+                run.footing = Footing::Unanswered;
+                run.after = now + REPEAT;
+                warn!(job = run.name.job.as_str(), step = run.name.step, task = run.name.index, run = run.number,
+                    age = now - run.began; "start not answered");
+                self.silent(worker, now);
+            }
+        }
+    }
+
+    fn start_answered(&mut self, key: RunKey, verdict: Verdict, now: u64) {
+        let run = &mut self.books.runs[key];
+        let worker = run.worker;
+        if verdict == Verdict::Accepted {
+            run.footing = Footing::Confirmed(now);
+            let unwanted = run.unwanted;
+            let task = run.task;
+            if unwanted {
+                self.actions.push(Action::Stop(key));
+            }
+            if let Some(task) = task {
+                self.begin(task);
+            }
+            return;
+        }
+        let id = &self.books.workers[worker].entry.id;
+        info!(job = run.name.job.as_str(), step = run.name.step, task = run.name.index, run = run.number,
+            worker = id.as_str(), verdict:? = verdict; "start refused");
+        match verdict {
+            Verdict::Fenced => self.deposed = true,
+            Verdict::Reborn => {
+                self.books.workers[worker].after = 0;
+                self.books.workers[worker].fenced = false;
+                self.ended(key, model::How::Lapsed, "", now);
+            }
+            Verdict::Old | Verdict::Late if run.footing == Footing::Unanswered => {
+                // It may have run and ended meanwhile; the worker's lists tell.
+                run.after = now + REPORT_PAUSE;
+                run.footing = Footing::Confirmed(now);
+                self.books.workers[worker].after = 0;
+            }
+            Verdict::Permit => {
+                if let Some(task) = run.task {
+                    let step = self
+                        .jobs
+                        .get_mut(task.step.job)
+                        .and_then(|j| j.step_mut(task.step));
+                    if let Some(step) = step {
+                        step.policy.tickets.retain(|t| t.worker != worker);
+                    }
+                }
+                self.ended(key, model::How::Stopped, "", now);
+            }
+            Verdict::Unwell => {
+                self.books.workers[worker].suspend(now);
+                self.ended(key, model::How::Stopped, "", now);
+            }
+            _ => self.ended(key, model::How::Stopped, "", now),
+        }
+    }
+
+    /// The order to stop a run, if it is still to be given.
+    pub fn stop_order(&mut self, key: RunKey, now: u64) -> Option<Stop> {
+        let run = self.books.runs.get_mut(key)?;
+        if run.busy || now < run.after || !run.unwanted {
+            return None;
+        }
+        run.busy = true;
+        let (name, number, worker) = (run.name.clone(), run.number, run.worker);
+        Some(Stop {
+            to: self.address(worker)?,
+            task: name,
+            run: number,
+        })
+    }
+
+    /// Takes the answer to a stop in.
+    pub fn stop_answered(&mut self, key: RunKey, answer: Result<model::Reply, Lost>, now: u64) {
+        let Some(run) = self.books.runs.get_mut(key) else {
+            return;
+        };
+        run.busy = false;
+        let worker = run.worker;
+        match answer {
+            Ok(reply) => {
+                match reply.verdict {
+                    Verdict::Accepted | Verdict::Old => {
+                        // A worker that has acknowledged a stop starts the run no more.
+                        run.footing = Footing::Confirmed(now);
+                        run.after = now + STOP_PAUSE.max(self.times.stop * 2);
+                    }
+                    Verdict::Fenced => self.deposed = true,
+                    _ => run.after = now + STOP_PAUSE,
+                }
+                self.reading(worker, reply.clock, now);
+            }
+            Err(_) => {
+                run.after = now + REPEAT;
+                self.silent(worker, now);
+            }
+        }
+    }
+
+    /// The order to report, if one is due.
+    pub fn hold_order(&mut self, key: WorkerKey, now: u64) -> Option<Hold> {
+        let durable = self.durable;
+        let lease = (self.times.lease as f64 * LEASE_SHARE) as u64;
+        let to = self.address(key)?;
+        let worker = self.books.workers.get_mut(key)?;
+        if !worker.is_due(durable, now) {
+            return None;
+        }
+        let stored = worker.batch <= durable;
+        let seen = if stored {
+            worker.taken
+        } else {
+            worker.acknowledged
+        };
+        let clock = worker.clock(now).filter(|_| !worker.runs.is_empty());
+        let expires = clock.map(|clock| clock + lease);
+        if let Some(expires) = expires {
+            worker.extend(expires, now);
+        }
+        worker.busy = true;
+        let idle = worker.fenced && expires.is_some() && stored && worker.silent.is_none();
+        Some(Hold {
+            to,
+            seen,
+            expires,
+            wait: if idle { REPORT_WAIT } else { Duration::ZERO },
+            sent: now,
+        })
+    }
+
+    /// Takes a failed report in.
+    pub fn hold_lost(&mut self, key: WorkerKey, now: u64) {
+        let Some(worker) = self.books.workers.get_mut(key) else {
+            return;
+        };
+        worker.busy = false;
+        let since = worker.silent.unwrap_or(now);
+        let long = now.saturating_sub(since) > self.times.lease;
+        worker.after = now + if long { LONG_PAUSE } else { REPORT_PAUSE };
+        self.silent(key, now);
+        self.drop_empty(key);
+    }
+
+    /// Takes a refused report in.
+    pub fn hold_refused(&mut self, key: WorkerKey, reply: model::Reply, now: u64) {
+        let Some(worker) = self.books.workers.get_mut(key) else {
+            return;
+        };
+        worker.busy = false;
+        worker.after = now + REPORT_PAUSE;
+        if reply.verdict == Verdict::Fenced {
+            warn!(worker = worker.entry.id.as_str(), token = self.token; "a higher token was seen here");
+            self.deposed = true;
+        }
+        self.drop_empty(key);
+    }
+
+    /// Takes a reading of a worker's clock.
+    pub(super) fn reading(&mut self, key: WorkerKey, clock: Option<u64>, now: u64) {
+        let Some(worker) = self.books.workers.get_mut(key) else {
+            return;
+        };
+        if let Some(since) = worker.silent.take() {
+            info!(worker = worker.entry.id.as_str(), after = now - since; "worker answers again");
+            self.stale = true;
+        }
+        if let Some(clock) = clock {
+            worker.reading = Some((now, clock));
+        }
+    }
+
+    fn silent(&mut self, key: WorkerKey, now: u64) {
+        let Some(worker) = self.books.workers.get_mut(key) else {
+            return;
+        };
+        if worker.silent.is_none() {
+            info!(worker = worker.entry.id.as_str(), runs = worker.runs.len(), lapses = worker.lapses.saturating_sub(now);
+                "worker does not answer");
+            worker.silent = Some(now);
+        }
+    }
+
+    fn drop_empty(&mut self, key: WorkerKey) {
+        let worker = &self.books.workers[key];
+        if !worker.listed && worker.runs.is_empty() {
+            self.books.remove(key);
+        }
+    }
+
+    /// Asks for the reports that are due.
+    pub(super) fn hold_due(&mut self, now: u64) {
+        for (key, worker) in &self.books.workers {
+            if worker.is_due(self.durable, now) {
+                self.actions.push(Action::Hold(key));
+            }
+        }
+    }
+
+    /// Ends what runs on workers whose leases have run out.
+    pub(super) fn lapse(&mut self, now: u64) {
+        let mut over = Vec::new();
+        for worker in self.books.workers.values() {
+            if worker.silent.is_some() && worker.lapses < now && !worker.runs.is_empty() {
+                info!(worker = worker.entry.id.as_str(), runs = worker.runs.len(); "leases ran out");
+                over.extend(worker.runs.iter().copied());
+            }
+        }
+        for run in over {
+            self.ended(run, model::How::Lapsed, "", now);
+        }
+    }
+
+    /// Repeats orders without an answer.
+    pub(super) fn repeat(&mut self, now: u64) {
+        for (key, run) in &self.books.runs {
+            if run.busy || now < run.after {
+                continue;
+            }
+            if run.unwanted {
+                self.actions.push(Action::Stop(key));
+                continue;
+            }
+            if run.footing != Footing::Unanswered {
+                continue;
+            }
+            let clock = self.books.workers[run.worker].clock(now);
+            if clock.is_some_and(|clock| clock < run.expires) {
+                self.actions.push(Action::Start(key));
+            }
+        }
+    }
+
+    /// Whether an order without an answer can no longer take effect, by the worker's clock.
+    pub(super) fn is_void(&self, key: RunKey, clock: u64) -> bool {
+        let run = &self.books.runs[key];
+        run.footing == Footing::Unanswered && !run.busy && clock > run.expires + VOID_MARGIN
+    }
+}
--- /dev/null
+++ b/src/cell/engine/recovery.rs
@@ -0,0 +1,133 @@
+//! What a new owner starts from: stored records first, then what the workers say.
+
+use log::{
+    info,
+    warn, //
+};
+
+use super::{
+    Engine,
+    ends, //
+};
+use crate::cell::{
+    job::{
+        JobKey,
+        Occurrence,
+        StepKey, //
+    },
+    journal,
+    model::State, //
+};
+
+/// Longest time that an owner which lost the store goes on giving orders, in milliseconds: outages
+/// of the store are shorter.
+pub const CONFIDENCE: u64 = 6_000;
+
+/// Added to the wait for workers that cannot be asked, in milliseconds.
+const SETTLE_MARGIN: u64 = 500;
+
+impl Engine {
+    /// Takes the stored records in. Records that cannot be read are skipped with a line in the log.
+    pub fn load<'a>(&mut self, records: impl Iterator<Item = (&'a str, &'a [u8])>, now: u64) {
+        let mut progress: Vec<(String, journal::Progress)> = Vec::new();
+        let mut faults = 0_usize;
+        for (key, value) in records {
+            let Some((kind, id)) = journal::split(key) else {
+                faults += 1;
+                continue;
+            };
+            let read = match kind {
+                journal::Kind::Accepted => {
+                    serde_json::from_slice(value).map(|a| self.load_job(id, a))
+                }
+                journal::Kind::Progress => {
+                    serde_json::from_slice(value).map(|p| progress.push((id.to_owned(), p)))
+                }
+            };
+            if let Err(e) = read {
+                faults += 1;
+                warn!(key; "a stored record cannot be read: {e}");
+            }
+        }
+        for (id, progress) in &progress {
+            if let Some(key) = self.find(id) {
+                journal::restore(&mut self.jobs[key], progress);
+            }
+        }
+        let keys: Vec<JobKey> = self.jobs.keys().collect();
+        let mut open = 0_usize;
+        for key in keys {
+            if self.jobs[key].state.is_final() {
+                self.jobs[key].ended = now;
+                self.finished.push(key);
+                continue;
+            }
+            open += 1;
+            let first = self.jobs[key].occurrences.is_empty() && self.jobs[key].work.times == 0;
+            if first {
+                let occurrence = Occurrence::new(0, &self.jobs[key].work.steps);
+                self.jobs[key].occurrences.push(occurrence);
+            }
+            self.advance(key, now);
+        }
+        self.books.settled = false;
+        self.settle_by = now + CONFIDENCE + self.times.lease + SETTLE_MARGIN;
+        info!(jobs = self.jobs.len(), open, faults, term = self.term, token = self.token; "stored jobs read");
+    }
+
+    fn load_job(&mut self, id: &str, accepted: journal::Accepted) {
+        let mut job = super::job(
+            id,
+            accepted.queue,
+            accepted.work,
+            accepted.at,
+            accepted.term,
+        );
+        job.stored = true;
+        job.inherited = true;
+        self.insert(job);
+    }
+
+    /// Ends the time in which unknown runs of an earlier owner are reckoned with, once every worker
+    /// has answered or enough time has passed.
+    pub(super) fn settle(&mut self, now: u64) {
+        if self.books.settled || self.books.workers.is_empty() && now < self.settle_by {
+            return;
+        }
+        let open = self.books.workers.values().filter(|w| !w.fenced).count();
+        if open > 0 && now < self.settle_by {
+            return;
+        }
+        info!(workers = self.books.workers.len(), unanswered = open; "runs of earlier owners are known");
+        self.books.settled = true;
+        self.stale = true;
+        let keys: Vec<JobKey> = self.jobs.keys().collect();
+        for key in keys {
+            self.repair(key, now);
+        }
+    }
+
+    /// Stops gangs that an earlier owner left incomplete and resumes the steps of inherited jobs.
+    fn repair(&mut self, key: JobKey, now: u64) {
+        let job = &self.jobs[key];
+        if job.state.is_final() || !job.inherited {
+            return;
+        }
+        let mut steps = Vec::new();
+        for (o, occurrence) in job.occurrences.iter().enumerate() {
+            for s in 0..occurrence.steps.len() {
+                steps.push(StepKey {
+                    job: key,
+                    occurrence: o as u32,
+                    step: s as u32,
+                });
+            }
+        }
+        for step in steps {
+            ends::repair_gang(self, step, now);
+        }
+        if self.jobs[key].state == State::Pending && self.jobs[key].begun {
+            self.jobs[key].state = State::Running;
+        }
+    }
+}
--- /dev/null
+++ b/src/cell/job.rs
@@ -0,0 +1,299 @@
+//! The state of one job: its occurrences, steps and tasks.
+
+use compact_str::{
+    CompactString, //
+};
+use slotmap::new_key_type;
+
+use super::{
+    books,
+    model, //
+};
+
+new_key_type! {
+    /// A job.
+    pub struct JobKey;
+    /// A run of a task on a worker.
+    pub struct RunKey;
+    /// A worker.
+    pub struct WorkerKey;
+}
+
+/// Names a step of an occurrence of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StepKey {
+    /// The job.
+    pub job: JobKey,
+    /// Position among the job's live occurrences.
+    pub occurrence: u32,
+    /// The step.
+    pub step: u32,
+}
+
+/// Names a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TaskKey {
+    /// Its step.
+    pub step: StepKey,
+    /// Index within the step.
+    pub index: u32,
+}
+
+/// Where a task stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Phase {
+    /// It waits.
+    #[default]
+    Idle,
+    /// It may be running.
+    Live(RunKey),
+    /// It has succeeded.
+    Done,
+}
+
+/// One task.
+#[derive(Debug, Clone, Default)]
+pub struct Task {
+    /// Where it stands.
+    pub phase: Phase,
+    /// Runs that have failed.
+    pub fails: u32,
+    /// Highest run number that was counted as failed.
+    pub counted: u32,
+    /// Highest run number used.
+    pub run: u32,
+    /// Newest checkpoint; empty for none.
+    pub saved: CompactString,
+    /// Workers on which it has failed.
+    pub avoid: Vec<WorkerKey>,
+}
+
+/// A permit as the engine keeps it.
+#[derive(Debug, Clone)]
+pub struct Ticket {
+    /// The worker.
+    pub worker: WorkerKey,
+    /// The worker's life that it holds for.
+    pub born: u64,
+    /// What the worker wants to see.
+    pub text: CompactString,
+    /// Local time until which it may be used, in milliseconds.
+    pub until: u64,
+}
+
+/// What the placement policy said of a step.
+#[derive(Debug, Clone, Default)]
+pub struct Policy {
+    /// Permits.
+    pub tickets: Vec<Ticket>,
+    /// Workers that may run the step, sorted.
+    pub good: Vec<WorkerKey>,
+    /// Workers that may not, sorted.
+    pub bad: Vec<WorkerKey>,
+    /// Whether a question is out.
+    pub asking: bool,
+    /// Local time before which no question is asked again, in milliseconds.
+    pub after: u64,
+}
+
+impl Policy {
+    /// The valid permit for `worker`.
+    #[must_use]
+    pub fn ticket(&self, worker: WorkerKey, born: u64, now: u64) -> Option<&Ticket> {
+        self.tickets
+            .iter()
+            .find(|t| t.worker == worker && t.born == born && t.until > now)
+    }
+}
+
+/// One step of one occurrence.
+#[derive(Debug, Clone, Default)]
+pub struct StepState {
+    /// The tasks.
+    pub tasks: Vec<Task>,
+    /// Tasks that have not succeeded.
+    pub left: u32,
+    /// Whether the step is in the list of steps that want to be placed.
+    pub queued: bool,
+    /// What the placement policy said.
+    pub policy: Policy,
+    /// When the first member of the gang's current run was ordered, in local milliseconds.
+    pub began: u64,
+    /// Whether the gang's current run has ended and its members are being collected.
+    pub broken: bool,
+}
+
+impl StepState {
+    fn new(step: &model::Step) -> Self {
+        Self {
+            tasks: vec![Task::default(); step.count as usize],
+            left: step.count,
+            ..Self::default()
+        }
+    }
+
+    /// Number of tasks that wait.
+    #[must_use]
+    pub fn idle(&self) -> usize {
+        let idle = |t: &&Task| t.phase == Phase::Idle;
+        self.tasks.iter().filter(idle).count()
+    }
+
+    /// Number of tasks that may be running.
+    #[must_use]
+    pub fn live(&self) -> usize {
+        let live = |t: &&Task| matches!(t.phase, Phase::Live(_));
+        self.tasks.iter().filter(live).count()
+    }
+}
+
+/// One occurrence of a job.
+#[derive(Debug, Clone)]
+pub struct Occurrence {
+    /// Its number, from 0.
+    pub number: u32,
+    /// Its steps.
+    pub steps: Vec<StepState>,
+}
+
+impl Occurrence {
+    /// An occurrence of which nothing has run.
+    #[must_use]
+    pub fn new(number: u32, steps: &[model::Step]) -> Self {
+        Self {
+            number,
+            steps: steps.iter().map(StepState::new).collect(),
+        }
+    }
+
+    /// Whether all its tasks have succeeded.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.steps.iter().all(|step| step.left == 0)
+    }
+
+    /// Whether all steps that `step` waits for have succeeded.
+    #[must_use]
+    pub fn is_ready(&self, step: &model::Step) -> bool {
+        let done = |i: &u32| self.steps.get(*i as usize).is_some_and(|s| s.left == 0);
+        step.after.iter().all(done)
+    }
+}
+
+/// A job.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// Its id, chosen by the caller.
+    pub id: CompactString,
+    /// Its queue as it was when the job was accepted.
+    pub queue: model::Queue,
+    /// What it consists of.
+    pub work: model::Submission,
+    /// When it was accepted, in Unix milliseconds.
+    pub accepted: u64,
+    /// The owner's term in which it was accepted.
+    pub term: u64,
+    /// Its state.
+    pub state: model::State,
+    /// The state that is stored and may be shown.
+    pub shown: model::State,
+    /// Whether it is stored.
+    pub stored: bool,
+    /// The batch that stores its newest state.
+    pub batch: u64,
+    /// Whether it is in the batch being gathered.
+    pub dirty: bool,
+    /// Whether a task has started.
+    pub begun: bool,
+    /// Its occurrences so far.
+    pub occurrences: Vec<Occurrence>,
+    /// Local time at which it reached its final state, in milliseconds.
+    pub ended: u64,
+    /// When its objective passes, in Unix milliseconds.
+    pub objective: u64,
+    /// Whether unknown runs of an earlier owner may exist.
+    pub inherited: bool,
+}
+
+impl Job {
+    /// The step that `key` names.
+    #[must_use]
+    pub fn step(&self, key: StepKey) -> Option<&StepState> {
+        let occurrence = self.occurrences.get(key.occurrence as usize)?;
+        occurrence.steps.get(key.step as usize)
+    }
+
+    /// The step that `key` names.
+    pub fn step_mut(&mut self, key: StepKey) -> Option<&mut StepState> {
+        let occurrence = self.occurrences.get_mut(key.occurrence as usize)?;
+        occurrence.steps.get_mut(key.step as usize)
+    }
+
+    /// The description of a step.
+    #[must_use]
+    pub fn plan(&self, key: StepKey) -> Option<&model::Step> {
+        self.work.steps.get(key.step as usize)
+    }
+
+    /// The task that `key` names.
+    pub fn task_mut(&mut self, key: TaskKey) -> Option<&mut Task> {
+        self.step_mut(key.step)?.tasks.get_mut(key.index as usize)
+    }
+
+    /// The task's name.
+    #[must_use]
+    pub fn task_name(&self, key: TaskKey) -> model::TaskName {
+        let occurrence = self.occurrences.get(key.step.occurrence as usize);
+        model::TaskName {
+            job: self.id.clone(),
+            occurrence: occurrence.map_or(0, |o| o.number),
+            step: key.step.step,
+            index: key.index,
+        }
+    }
+
+    /// Number of occurrences that the job has in all.
+    #[must_use]
+    pub fn times(&self) -> u32 {
+        self.work.times.max(1)
+    }
+
+    /// When an occurrence is due, in Unix milliseconds.
+    #[must_use]
+    pub fn due(&self, number: u32) -> u64 {
+        if self.work.times == 0 {
+            return 0;
+        }
+        self.work.first + u64::from(number) * self.work.every
+    }
+
+    /// Whether everything that the job consists of has succeeded.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        let lasting = self.work.steps.iter().any(|step| step.lasting);
+        let all = self.occurrences.len() as u32 == self.times();
+        !lasting && all && self.occurrences.iter().all(Occurrence::is_done)
+    }
+
+    /// Estimated run time of the longest chain of steps from `step` on, in milliseconds.
+    #[must_use]
+    pub fn chain(&self, step: usize) -> u64 {
+        let steps = &self.work.steps;
+        let own = steps.get(step).map_or(0, |s| s.estimate);
+        let next = (step + 1..steps.len()).filter(|i| steps[*i].after.contains(&(step as u32)));
+        own + next.map(|i| self.chain(i)).max().unwrap_or(0)
+    }
+
+    /// Estimated run time of the longest chain of all, in milliseconds.
+    #[must_use]
+    pub fn longest(&self) -> u64 {
+        let chains = (0..self.work.steps.len()).map(|i| self.chain(i));
+        chains.max().unwrap_or(0)
+    }
+}
+
+/// Whether `job` may start runs now, given the books of workers that may hold unknown ones.
+#[must_use]
+pub fn may_start(job: &Job, books: &books::Books) -> bool {
+    !job.state.is_final() && job.stored && (!job.inherited || books.settled)
+}
--- /dev/null
+++ b/src/cell/journal.rs
@@ -0,0 +1,183 @@
+//! What the cell stores of each job, as values under keys: what was accepted, and how far it is.
+
+use compact_str::{
+    CompactString,
+    format_compact, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::{
+    job,
+    model, //
+};
+
+/// Beginning of the keys of accepted jobs.
+const ACCEPTED: char = 'a';
+
+/// Beginning of the keys of jobs' progress.
+const PROGRESS: char = 'p';
+
+/// A job as it was accepted.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Accepted {
+    /// Its queue.
+    pub queue: model::Queue,
+    /// What it consists of.
+    pub work: model::Submission,
+    /// When, in Unix milliseconds.
+    pub at: u64,
+    /// The owner's term.
+    pub term: u64,
+}
+
+/// What is worth keeping of a task that has not succeeded.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskNote {
+    /// Occurrence, step and index.
+    pub at: (u32, u32, u32),
+    /// Failed runs, and the highest run counted as failed.
+    pub fails: (u32, u32),
+    /// Highest run number known.
+    pub run: u32,
+    /// Newest checkpoint.
+    #[serde(default, skip_serializing_if = "CompactString::is_empty")]
+    pub saved: CompactString,
+}
+
+/// How far a job is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Progress {
+    /// Its state.
+    pub state: model::State,
+    /// Number of occurrences that have begun.
+    #[serde(default)]
+    pub begun: u32,
+    /// Steps with tasks that have succeeded: occurrence, step, first and last index of each range.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub done: Vec<(u32, u32, Vec<(u32, u32)>)>,
+    /// Tasks that have failed or saved something.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub tasks: Vec<TaskNote>,
+}
+
+/// What a key stands for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// An [`Accepted`] job.
+    Accepted,
+    /// The [`Progress`] of a job.
+    Progress,
+}
+
+/// The key under which a job's record lies.
+#[must_use]
+pub fn key(kind: Kind, job: &str) -> CompactString {
+    let first = match kind {
+        Kind::Accepted => ACCEPTED,
+        Kind::Progress => PROGRESS,
+    };
+    format_compact!("{first}{job}")
+}
+
+/// What a key stands for, and of which job.
+#[must_use]
+pub fn split(key: &str) -> Option<(Kind, &str)> {
+    let kind = match key.chars().next()? {
+        ACCEPTED => Kind::Accepted,
+        PROGRESS => Kind::Progress,
+        _ => return None,
+    };
+    Some((kind, &key[1..]))
+}
+
+/// Ranges of indices of tasks that have succeeded.
+fn ranges(step: &job::StepState) -> Vec<(u32, u32)> {
+    let mut ranges: Vec<(u32, u32)> = Vec::new();
+    for (i, task) in step.tasks.iter().enumerate() {
+        if task.phase != job::Phase::Done {
+            continue;
+        }
+        let i = i as u32;
+        match ranges.last_mut() {
+            Some((_, last)) if *last + 1 == i => *last = i,
+            _ => ranges.push((i, i)),
+        }
+    }
+    ranges
+}
+
+/// How far `job` is.
+#[must_use]
+pub fn progress(job: &job::Job) -> Progress {
+    let mut progress = Progress {
+        state: job.state,
+        begun: job.occurrences.len() as u32,
+        done: Vec::new(),
+        tasks: Vec::new(),
+    };
+    if job.state.is_final() {
+        return progress;
+    }
+    for (o, occurrence) in job.occurrences.iter().enumerate() {
+        for (s, step) in occurrence.steps.iter().enumerate() {
+            let ranges = ranges(step);
+            if !ranges.is_empty() {
+                progress.done.push((o as u32, s as u32, ranges));
+            }
+            let noted = |t: &job::Task| t.fails > 0 || !t.saved.is_empty();
+            let open = step.tasks.iter().enumerate();
+            let open = open.filter(|(_, t)| t.phase != job::Phase::Done && noted(t));
+            progress.tasks.extend(open.map(|(i, t)| TaskNote {
+                at: (o as u32, s as u32, i as u32),
+                fails: (t.fails, t.counted),
+                run: t.run,
+                saved: t.saved.clone(),
+            }));
+        }
+    }
+    progress
+}
+
+/// Brings `job` to where `progress` says it was.
+pub fn restore(job: &mut job::Job, progress: &Progress) {
+    job.state = progress.state;
+    job.shown = progress.state;
+    if progress.state.is_final() {
+        return;
+    }
+    for number in job.occurrences.len() as u32..progress.begun.min(job.times()) {
+        let occurrence = job::Occurrence::new(number, &job.work.steps);
+        job.occurrences.push(occurrence);
+    }
+    for (o, s, ranges) in &progress.done {
+        let occurrence = job.occurrences.get_mut(*o as usize);
+        let Some(step) = occurrence.and_then(|o| o.steps.get_mut(*s as usize)) else {
+            continue;
+        };
+        for (first, last) in ranges {
+            for task in step
+                .tasks
+                .iter_mut()
+                .take(*last as usize + 1)
+                .skip(*first as usize)
+            {
+                task.phase = job::Phase::Done;
+            }
+        }
+        let open = |t: &&job::Task| t.phase != job::Phase::Done;
+        step.left = step.tasks.iter().filter(open).count() as u32;
+    }
+    for note in &progress.tasks {
+        let (o, s, i) = note.at;
+        let occurrence = job.occurrences.get_mut(o as usize);
+        let step = occurrence.and_then(|o| o.steps.get_mut(s as usize));
+        if let Some(task) = step.and_then(|s| s.tasks.get_mut(i as usize)) {
+            (task.fails, task.counted) = note.fails;
+            task.run = note.run;
+            task.saved = note.saved.clone();
+        }
+    }
+}
--- /dev/null
+++ b/src/cell/shell/commit.rs
@@ -0,0 +1,166 @@
+//! Stores the owner's batches, in order and each once.
+
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use futures_util::{
+    StreamExt,
+    stream::FuturesUnordered, //
+};
+use log::{
+    info,
+    warn, //
+};
+use tokio::time::{
+    self,
+    Instant, //
+};
+
+use crate::platform::store;
+
+use super::{
+    Shared,
+    owner::Owner, //
+};
+
+/// Time for which changes are gathered before they are stored: half a round trip to the store.
+const GATHER: Duration = Duration::from_millis(8);
+
+/// Time without an answer after which an append is sent once more beside the first; the store
+/// carries it out once.
+const REPEAT: Duration = Duration::from_millis(250);
+
+/// Limit of one append.
+const LIMIT: Duration = Duration::from_millis(2_000);
+
+/// Appends of the same batch that may be out at a time.
+const MOST: usize = 4;
+
+/// Pause after a refused append.
+const PAUSE: Duration = Duration::from_millis(60);
+
+/// Stores batches until the term is over.
+pub async fn run(shared: Rc<Shared>, owner: Rc<Owner>, mut sequence: u64) {
+    loop {
+        owner.commit.notified().await;
+        time::sleep(GATHER).await;
+        let batch = owner.engine.borrow_mut().batch();
+        let Some((number, entries)) = batch else {
+            continue;
+        };
+        owner.waiting.set(shared.now());
+        let began = Instant::now();
+        for part in parts(&shared, entries) {
+            if !append(&shared, &owner, &mut sequence, part).await {
+                return;
+            }
+        }
+        shared.metrics.stored(began.elapsed());
+        owner.waiting.set(0);
+        let now = shared.now();
+        owner.engine.borrow_mut().committed(number, now);
+        owner.durable.send_replace(number);
+        owner.commit.notify_one();
+        owner.settled();
+    }
+}
+
+/// Splits a batch into bodies that one append takes.
+fn parts(
+    shared: &Shared,
+    entries: Vec<(compact_str::CompactString, Option<Vec<u8>>)>,
+) -> Vec<Bytes> {
+    let mut parts = Vec::new();
+    let mut records = Vec::new();
+    let mut size = 0;
+    for (key, value) in entries {
+        let len = 5 + key.len() + value.as_ref().map_or(0, Vec::len);
+        if size + len > shared.settings.batch && !records.is_empty() {
+            parts.push(store::encode(&records));
+            records.clear();
+            size = 0;
+        }
+        size += len;
+        records.push(store::Record {
+            key,
+            value: value.map(Bytes::from),
+        });
+    }
+    parts.push(store::encode(&records));
+    parts
+}
+
+/// Appends until it is done; returns false when the term is over.
+async fn append(shared: &Rc<Shared>, owner: &Owner, sequence: &mut u64, body: Bytes) -> bool {
+    let began = Instant::now();
+    let mut lost = false;
+    loop {
+        let guard = store::Guard::Epoch(owner.term(), *sequence);
+        match race(shared, guard, &body).await {
+            Ok(()) => {
+                *sequence += 1;
+                shared.store_answered();
+                if lost {
+                    info!(took = began.elapsed().as_millis() as u64; "store takes batches again");
+                }
+                return true;
+            }
+            Err(store::Error::Fenced) => {
+                owner.end("the store has seen a higher term");
+                return false;
+            }
+            Err(store::Error::Sequence(Some(expected))) if expected > *sequence => {
+                // The batch is stored: an earlier copy of it arrived, too long ago to be repeated.
+                warn!(sequence = *sequence, expected; "a batch was stored before");
+                *sequence = expected;
+                return true;
+            }
+            Err(store::Error::Sequence(Some(expected))) => {
+                warn!(sequence = *sequence, expected; "sequence numbers differ");
+                *sequence = expected;
+            }
+            Err(e) => {
+                if !lost {
+                    warn!(bytes = body.len(); "a batch is not stored: {e}");
+                }
+                lost = true;
+                time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Sends an append, and again beside it as long as no answer comes.
+async fn race(shared: &Rc<Shared>, guard: store::Guard, body: &Bytes) -> Result<(), store::Error> {
+    let mut out = FuturesUnordered::new();
+    let mut last = Err(store::Error::Refused(0));
+    let mut sent = 0;
+    loop {
+        if sent < MOST {
+            sent += 1;
+            shared.metrics.appends.inc();
+            out.push(store::append(
+                &shared.store,
+                store::JOBS,
+                guard,
+                body.clone(),
+                LIMIT,
+            ));
+        }
+        let wait = if sent < MOST { REPEAT } else { LIMIT };
+        match time::timeout(wait, out.next()).await {
+            Ok(Some(Err(e @ store::Error::Unknown(_)))) => {
+                last = Err(e);
+                if out.is_empty() && sent >= MOST {
+                    return last;
+                }
+            }
+            Ok(Some(answer)) => return answer,
+            Ok(None) => return last,
+            Err(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/cell/shell/front.rs
@@ -0,0 +1,207 @@
+//! Callers' requests: to which queue they belong, and what the owner answers.
+
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+use actix_http::Method;
+use compact_str::CompactString;
+use log::{
+    debug,
+    info, //
+};
+use tokio::time::{
+    self,
+    Instant, //
+};
+
+use crate::{
+    cell::model,
+    platform::surface,
+    remote::link, //
+};
+
+use super::{
+    Shared,
+    peer::{
+        self,
+        Outcome,
+        Request, //
+    },
+    server::{
+        Answer,
+        Incoming, //
+    }, //
+};
+
+/// Patience of a caller that names none: the platform's usual limit.
+const PATIENCE: u64 = 3_000;
+
+/// Part of a caller's patience that its request may use here.
+const PATIENCE_SHARE: f64 = 0.85;
+
+/// Longest wait for an owner while one is being found: a change of owner takes about a second.
+const OWNER_WAIT: Duration = Duration::from_millis(2_000);
+
+/// Time for one exchange with the owner before the request is repeated there or elsewhere. Longer
+/// than a commit, shorter than a caller's patience.
+const EXCHANGE: Duration = Duration::from_millis(1_200);
+
+/// Pause before a request is sent to an owner again.
+const PAUSE: Duration = Duration::from_millis(60);
+
+/// Seconds after which a refused caller should come back: a change of owner takes about one.
+const RETRY_SECONDS: u64 = 1;
+
+/// Length of a job's id.
+const ID_LEN: usize = 16;
+
+/// Whether the instance takes callers.
+#[must_use]
+pub fn ready(shared: &Shared) -> Answer {
+    let known = shared.catalog.borrow().is_some();
+    if shared.stopping.get() || !known {
+        return Answer::text(503, "not ready\n");
+    }
+    Answer::text(200, "ready\n")
+}
+
+fn refusal(status: u16, text: &str) -> Answer {
+    let mut answer = Answer::text(status, text);
+    answer.retry = Some(RETRY_SECONDS);
+    answer
+}
+
+/// Serves one request of a caller.
+pub async fn serve(shared: &Rc<Shared>, incoming: Incoming) -> Answer {
+    let began = Instant::now();
+    let Some(catalog) = shared.catalog.borrow().clone() else {
+        return refusal(503, "no configuration yet\n");
+    };
+    let Some(queue) = catalog.queue(&incoming.host, &incoming.path) else {
+        info!(host = incoming.host.as_str(), path = incoming.path.as_str(), version = catalog.version; "no such queue");
+        return Answer::text(404, "no such queue\n");
+    };
+    let id = incoming.path[queue.prefix.len()..].trim_end_matches('/');
+    let patience = incoming.patience.unwrap_or(PATIENCE);
+    let patience = (patience as f64 * PATIENCE_SHARE) as u64;
+    let request = match request(&incoming, queue, id, patience) {
+        Ok(request) => request,
+        Err(answer) => return answer,
+    };
+    let submits = matches!(request, Request::Submit { .. });
+    let outcome = forward(shared, request, Duration::from_millis(patience)).await;
+    let took = began.elapsed();
+    if submits || !matches!(outcome, Outcome::State(_)) {
+        info!(job = id, method = incoming.method.as_str(), queue = queue.name.as_str(), version = catalog.version,
+            outcome:? = outcome, took = took.as_millis() as u64; "caller answered");
+    }
+    shared.metrics.answered(&incoming.method, &outcome, took);
+    answer(outcome)
+}
+
+/// What a caller asks of the owner.
+fn request(
+    incoming: &Incoming,
+    queue: &model::Queue,
+    id: &str,
+    patience: u64,
+) -> Result<Request, Answer> {
+    if id.is_empty() && incoming.method == Method::GET {
+        return Ok(Request::Waiting {
+            queue: queue.name.clone(),
+        });
+    }
+    let valid = id.len() == ID_LEN && id.bytes().all(|b| b.is_ascii_hexdigit());
+    if !valid {
+        return Err(Answer::text(404, "a job's id has 16 hexadecimal digits\n"));
+    }
+    let id = CompactString::from(id);
+    match incoming.method {
+        Method::GET => Ok(Request::State { id }),
+        Method::DELETE => Ok(Request::Cancel { id, patience }),
+        Method::POST => {
+            let work = surface::submission(&incoming.body)
+                .map_err(|e| Answer::text(400, &format!("the job cannot be read: {e}\n")))?;
+            Ok(Request::Submit {
+                id,
+                queue: Box::new(queue.clone()),
+                work: Box::new(work),
+                patience,
+            })
+        }
+        _ => Err(Answer::text(405, "GET, POST or DELETE\n")),
+    }
+}
+
+/// Passes a request to the owner, whoever that is, until the caller's patience ends. Requests may
+/// be repeated: an id stands for one job.
+async fn forward(shared: &Rc<Shared>, request: Request, patience: Duration) -> Outcome {
+    let deadline = Instant::now() + patience;
+    let mut sent = false;
+    let mut lacking: Option<Instant> = None;
+    loop {
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return if sent {
+                Outcome::Unknown
+            } else {
+                Outcome::Refused(RETRY_SECONDS)
+            };
+        }
+        let outcome = exchange(shared, &request, left.min(EXCHANGE)).await;
+        match outcome {
+            Ok(Outcome::Elsewhere) | Err(link::Error::Unreachable) => {}
+            Ok(outcome) => return outcome,
+            Err(e) => {
+                debug!("the owner did not answer: {e}");
+                sent = true;
+            }
+        }
+        let since = *lacking.get_or_insert_with(Instant::now);
+        if since.elapsed() > OWNER_WAIT {
+            return if sent {
+                Outcome::Unknown
+            } else {
+                Outcome::Refused(RETRY_SECONDS)
+            };
+        }
+        // A change of owner ends the pause.
+        let _ = time::timeout(PAUSE, shared.changed.notified()).await;
+    }
+}
+
+async fn exchange(
+    shared: &Rc<Shared>,
+    request: &Request,
+    limit: Duration,
+) -> Result<Outcome, link::Error> {
+    if shared.owner.borrow().is_some() {
+        return Ok(peer::ask(shared, request.clone()).await);
+    }
+    let Some(owner) = peer::owner(shared) else {
+        return Err(link::Error::Unreachable);
+    };
+    peer::send(shared, &owner.address, peer::ASK, request, limit).await
+}
+
+fn answer(outcome: Outcome) -> Answer {
+    match outcome {
+        Outcome::Accepted => Answer::json(200, b"{}".to_vec()),
+        Outcome::State(state) => Answer::json(200, surface::state(state)),
+        Outcome::Waiting(count) => Answer::json(200, surface::waiting(count)),
+        Outcome::Gone => Answer::text(410, "no such job\n"),
+        Outcome::Invalid(text) => Answer::text(400, &format!("{text}\n")),
+        Outcome::Unknown => Answer::text(
+            504,
+            "it is not known whether the job was taken; ask again\n",
+        ),
+        Outcome::Refused(seconds) => {
+            let mut answer = Answer::text(503, "not taken; it does not run\n");
+            answer.retry = Some(seconds);
+            answer
+        }
+        Outcome::Elsewhere => refusal(503, "no owner\n"),
+    }
+}
--- /dev/null
+++ b/src/cell/shell/server.rs
@@ -0,0 +1,248 @@
+//! Accepts connections and hands requests to whoever answers on that address.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration, //
+};
+
+use actix_http::{
+    BoxedPayloadStream,
+    HttpService,
+    Method,
+    Payload,
+    Request,
+    Response,
+    StatusCode,
+    body::BoxBody, //
+};
+use actix_service::{
+    Service,
+    ServiceFactory,
+    fn_service, //
+};
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
+use futures_util::StreamExt;
+use log::{
+    debug,
+    info, //
+};
+use tokio::net::TcpListener;
+
+use crate::platform::surface;
+
+use super::{
+    Error,
+    Shared,
+    front,
+    peer, //
+};
+
+/// Longest idle time of a connection between instances or of the platform's checks.
+const KEEP_ALIVE: Duration = Duration::from_secs(30);
+
+/// Longest wait for a request's head: the platform's usual limit.
+const HEAD: Duration = Duration::from_secs(3);
+
+/// Largest body between instances, in bytes.
+const PEER_BODY: usize = 4 << 20;
+
+/// Whom an address is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Face {
+    /// Callers.
+    Callers,
+    /// The platform's readiness check.
+    Ready,
+    /// Other instances.
+    Peers,
+    /// Metrics.
+    Admin,
+}
+
+/// An answer before it is put on the wire.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Body.
+    pub body: Bytes,
+    /// Media type of the body.
+    pub kind: &'static str,
+    /// Seconds after which a refused caller should come back.
+    pub retry: Option<u64>,
+}
+
+impl Answer {
+    /// An answer with a JSON body.
+    #[must_use]
+    pub fn json(status: u16, body: Vec<u8>) -> Self {
+        Self {
+            status,
+            body: body.into(),
+            kind: "application/json",
+            retry: None,
+        }
+    }
+
+    /// An answer with a text.
+    #[must_use]
+    pub fn text(status: u16, body: &str) -> Self {
+        Self {
+            status,
+            body: Bytes::copy_from_slice(body.as_bytes()),
+            kind: "text/plain; charset=utf-8",
+            retry: None,
+        }
+    }
+}
+
+/// A request whose body has been read.
+#[derive(Debug)]
+pub struct Incoming {
+    /// Method.
+    pub method: Method,
+    /// Path without the query.
+    pub path: String,
+    /// Host header without a port.
+    pub host: String,
+    /// Body.
+    pub body: Bytes,
+    /// How long the caller waits, in milliseconds, where it says so.
+    pub patience: Option<u64>,
+}
+
+/// Listens on `address` from now on.
+///
+/// # Errors
+///
+/// Fails when the address cannot be bound.
+pub async fn listen(shared: &Rc<Shared>, address: SocketAddr, face: Face) -> Result<(), Error> {
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.map_err(|e| Error::Io(format!("cannot listen on {address}"), e))?;
+    info!(address:% = address, face:? = face; "listening");
+    actix_rt::spawn(accept(shared.clone(), listener, face));
+    Ok(())
+}
+
+async fn accept(shared: Rc<Shared>, listener: TcpListener, face: Face) {
+    let handler = shared.clone();
+    let closing = shared.clone();
+    let idle = match (face, &*shared.catalog.borrow()) {
+        (Face::Callers, Some(catalog)) => catalog.limits.idle,
+        _ => KEEP_ALIVE,
+    };
+    let factory = HttpService::build()
+        .keep_alive(idle)
+        .client_request_timeout(HEAD)
+        .graceful_shutdown_signal(move || closed(closing.clone()))
+        .h1(fn_service(move |request: Request| {
+            let shared = handler.clone();
+            async move { Ok::<_, actix_http::Error>(respond(shared, request, face).await) }
+        }))
+        .tcp();
+    let Ok(service) = factory.new_service(()).await else {
+        log::error!(face:? = face; "the HTTP service cannot be built");
+        return;
+    };
+    let service = Rc::new(service);
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                if let Err(e) = stream.set_nodelay(true) {
+                    debug!("a connection keeps its delay: {e}");
+                }
+                let service = service.clone();
+                actix_rt::spawn(async move {
+                    if let Err(e) = service.call(stream).await {
+                        debug!(face:? = face; "a connection ended: {e}");
+                    }
+                });
+            }
+            Err(e) => {
+                log::warn!(face:? = face; "a connection was not accepted: {e}");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn closed(shared: Rc<Shared>) {
+    while !shared.closed.get() {
+        shared.closing.notified().await;
+    }
+}
+
+async fn respond(shared: Rc<Shared>, request: Request, face: Face) -> Response<BoxBody> {
+    let answer = match face {
+        Face::Ready if request.path() == surface::READY => front::ready(&shared),
+        Face::Callers => callers(&shared, request).await,
+        Face::Peers if request.path() != "/metrics" => peers(&shared, request).await,
+        _ if request.path() == "/metrics" => Answer::text(200, &shared.metrics.text()),
+        _ => Answer::text(404, "no such page\n"),
+    };
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = Response::build(status);
+    response.insert_header(("content-type", answer.kind));
+    if let Some(seconds) = answer.retry {
+        response.insert_header(("retry-after", seconds.to_string()));
+    }
+    if shared.stopping.get() && face == Face::Callers {
+        response.force_close();
+    }
+    response.body(answer.body).map_into_boxed_body()
+}
+
+/// Reads a body of at most `most` bytes.
+async fn read(mut payload: Payload<BoxedPayloadStream>, most: usize) -> Option<Bytes> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.ok()?;
+        if body.len() + chunk.len() > most {
+            return None;
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Some(body.freeze())
+}
+
+fn header<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
+    request.head().headers.get(name)?.to_str().ok()
+}
+
+async fn callers(shared: &Rc<Shared>, mut request: Request) -> Answer {
+    let most = shared
+        .catalog
+        .borrow()
+        .as_ref()
+        .map_or(PEER_BODY, |c| c.limits.body);
+    let payload = request.take_payload();
+    let Some(body) = read(payload, most).await else {
+        return Answer::text(413, "the body is too large or was cut short\n");
+    };
+    let host = header(&request, "host")
+        .or(request.uri().host())
+        .unwrap_or_default();
+    let incoming = Incoming {
+        method: request.method().clone(),
+        path: request.path().to_owned(),
+        host: host.split(':').next().unwrap_or_default().to_owned(),
+        patience: header(&request, surface::PATIENCE).and_then(|text| text.parse().ok()),
+        body,
+    };
+    shared.active.set(shared.active.get() + 1);
+    let answer = front::serve(shared, incoming).await;
+    shared.active.set(shared.active.get() - 1);
+    answer
+}
+
+async fn peers(shared: &Rc<Shared>, mut request: Request) -> Answer {
+    let payload = request.take_payload();
+    let Some(body) = read(payload, PEER_BODY).await else {
+        return Answer::text(413, "the body is too large or was cut short\n");
+    };
+    peer::serve(shared, request.path(), &body).await
+}
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -18,7 +18,7 @@
         ZoneId, //
     },
     kernel::WorkerKey,
-    platform::link,
+    remote::link,
     resources::Resources,
     wire::{
         self,
--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -51,7 +51,7 @@
         record,
         replica, //
     },
-    platform::link::Link,
+    remote::link::Link,
     resources::Resources,
     settings,
     wire::peer, //
--- a/src/entry/scheduler/jobs.rs
+++ b/src/entry/scheduler/jobs.rs
@@ -41,11 +41,11 @@
         replica::Unavailable,
         state::State, //
     },
-    platform::worker,
     profile::{
         self,
         Profile, //
     },
+    remote::worker,
     resources::Resources,
     wire::{
         caller::{
--- a/src/entry/scheduler/leases.rs
+++ b/src/entry/scheduler/leases.rs
@@ -5,7 +5,7 @@
 use super::Scheduler;
 use crate::{
     kernel::workers,
-    platform::{
+    remote::{
         list,
         worker, //
     }, //
--- a/src/ledger/replica.rs
+++ b/src/ledger/replica.rs
@@ -50,7 +50,7 @@
         snapshots,
         state::State, //
     },
-    platform,
+    remote,
     settings,
     wire::log, //
 };
@@ -116,7 +116,7 @@
 /// The actor. It lives on the thread that started it.
 pub struct Replica {
     cfg: configs::log::Log,
-    log: Rc<platform::log::Client>,
+    log: Rc<remote::log::Client>,
     follower: Follower,
     queue: Queue<oneshot::Sender<Result<Vec<Effect>, Unavailable>>>,
     /// The batch that is being appended, also between two attempts.
@@ -138,7 +138,7 @@
         let current = fresh.flag();
         let cfg = entry.log.clone();
         let replica = Self {
-            log: Rc::new(platform::log::Client::new(
+            log: Rc::new(remote::log::Client::new(
                 entry.platform,
                 &entry.zone,
                 cfg.clone(),
@@ -174,12 +174,12 @@
         }));
     }
 
-    fn take_failure(&mut self, e: &platform::link::Error, ctx: &mut Context<Self>) {
+    fn take_failure(&mut self, e: &remote::link::Error, ctx: &mut Context<Self>) {
         self.failures = self.failures.saturating_add(1);
         if self.failures == 1 {
             ::log::warn!(error:% = e; "cannot read the log");
         }
-        let pause = platform::log::backoff(self.cfg.backoff, self.failures);
+        let pause = remote::log::backoff(self.cfg.backoff, self.failures);
         ctx.run_later(pause, Self::poll);
     }
 
--- a/src/ledger/replica/append.rs
+++ b/src/ledger/replica/append.rs
@@ -23,7 +23,7 @@
         record,
         state::State, //
     },
-    platform,
+    remote,
     wire::log, //
 };
 
@@ -72,7 +72,7 @@
     fn take_append(
         &mut self,
         id: ChangeId,
-        result: Result<log::Appended, platform::link::Error>,
+        result: Result<log::Appended, remote::link::Error>,
         failures: u32,
         ctx: &mut Context<Self>,
     ) {
@@ -85,13 +85,13 @@
             Err(e) => e,
         };
         ::log::debug!(error:% = e, batch:% = id; "append failed");
-        if e == platform::link::Error::Status(TOO_LARGE) {
+        if e == remote::link::Error::Status(TOO_LARGE) {
             self.reject(&id);
         } else if !e.pending() {
             self.queue.recall(&id);
         }
         let failures = failures.saturating_add(1);
-        let pause = platform::log::backoff(self.cfg.backoff, failures);
+        let pause = remote::log::backoff(self.cfg.backoff, failures);
         ctx.run_later(pause, move |actor, ctx| actor.resume(&id, failures, ctx));
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admin;
 pub mod bench;
+pub mod cell;
 pub mod cli;
 pub mod configs;
 pub mod context;
@@ -17,9 +18,11 @@
 pub mod ledger;
 pub mod load;
 pub mod modules;
+#[path = "../platform/mod.rs"]
 pub mod platform;
 pub mod profile;
 pub mod program;
+pub mod remote;
 pub mod report;
 pub mod resources;
 pub mod settings;
--- a/src/program.rs
+++ b/src/program.rs
@@ -4,7 +4,12 @@
     fmt::Display,
     io::Write,
     path::PathBuf,
-    process::ExitCode, //
+    process::ExitCode,
+    sync::{
+        LazyLock,
+        mpsc, //
+    },
+    time::Duration, //
 };
 
 use clap::{
@@ -20,6 +25,7 @@
     Value,
     VisitSource, //
 };
+use prometheus_client::metrics::counter::Counter;
 
 use crate::findings::Findings;
 
@@ -74,8 +80,67 @@
 
 /// Writes one line an event to the standard error stream: time, level, module, text, fields.
 pub fn logs() {
+    start_logs(env_logger::Target::Stderr);
+}
+
+/// Writes one line an event to standard output, from a thread of its own: a slow reader costs
+/// lines, which are counted, and never time.
+pub fn logs_to_output() {
+    let (lines, queue) = mpsc::sync_channel(LOG_LINES);
+    let writer = std::thread::Builder::new().name("logs".to_owned());
+    if let Err(e) = writer.spawn(move || write_lines(&queue)) {
+        eprintln!("no thread for logs: {e}");
+    }
+    start_logs(env_logger::Target::Pipe(Box::new(Lines(lines))));
+}
+
+/// Lines that wait to be written at most: some seconds of a busy instance.
+const LOG_LINES: usize = 4_096;
+
+/// Time for which lines are gathered before they are written.
+const LOG_PAUSE: Duration = Duration::from_millis(50);
+
+static DROPPED: LazyLock<Counter> = LazyLock::new(Counter::default);
+
+/// Counts the log lines that were dropped because the reader was slow.
+#[must_use]
+pub fn dropped() -> Counter {
+    DROPPED.clone()
+}
+
+/// Hands whole lines to the writing thread.
+struct Lines(mpsc::SyncSender<Vec<u8>>);
+
+impl Write for Lines {
+    fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
+        if self.0.try_send(line.to_vec()).is_err() {
+            DROPPED.inc();
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+fn write_lines(queue: &mpsc::Receiver<Vec<u8>>) {
+    let mut out = std::io::stdout();
+    let mut lines = Vec::new();
+    while let Ok(line) = queue.recv() {
+        lines.extend(line);
+        std::thread::sleep(LOG_PAUSE);
+        queue.try_iter().for_each(|line| lines.extend(line));
+        // Nobody is left to tell when the output is closed.
+        let _ = out.write_all(&lines).and_then(|()| out.flush());
+        lines.clear();
+    }
+}
+
+fn start_logs(target: env_logger::Target) {
     let env = env_logger::Env::default().default_filter_or("info");
     let mut builder = env_logger::Builder::from_env(env);
+    builder.target(target);
     builder.format(|out, record| {
         let time = out.timestamp_millis();
         let level = record.level();
--- a/src/platform/link.rs
+++ b/src/remote/link.rs
@@ -84,6 +84,35 @@
     }
 }
 
+/// A message of one exchange.
+#[derive(Debug)]
+pub struct Message<'a> {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub path: &'a str,
+    /// Headers beside those that every message has.
+    pub headers: &'a [(&'a str, &'a str)],
+    /// The body.
+    pub body: bytes::Bytes,
+}
+
+/// A whole answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reply {
+    /// The HTTP status.
+    pub status: u16,
+    /// The body.
+    pub body: bytes::Bytes,
+}
+
+fn parse<B: DeserializeOwned>(reply: Reply) -> Result<B, Error> {
+    if !(200..300).contains(&reply.status) {
+        return Err(Error::Status(reply.status));
+    }
+    serde_json::from_slice(&reply.body).map_err(|e| Error::Malformed(e.to_string()))
+}
+
 /// Connections to one address.
 pub struct Link {
     address: CompactString,
@@ -130,8 +159,13 @@
         B: DeserializeOwned,
     {
         let text = serde_json::to_vec(body).map_err(|e| Error::Malformed(e.to_string()))?;
-        let exchange = self.exchange(Method::POST, path, text);
-        self.within(limit, exchange).await
+        let message = Message {
+            method: Method::POST,
+            path,
+            headers: &self.headers(),
+            body: text.into(),
+        };
+        parse(self.call(message, limit).await?)
     }
 
     /// Reads an answer by GET.
@@ -140,43 +174,48 @@
     ///
     /// Returns what went wrong.
     pub async fn get<B: DeserializeOwned>(&self, path: &str, limit: Duration) -> Result<B, Error> {
-        let exchange = self.exchange(Method::GET, path, Vec::new());
-        self.within(limit, exchange).await
+        let message = Message {
+            method: Method::GET,
+            path,
+            headers: &self.headers(),
+            body: bytes::Bytes::new(),
+        };
+        parse(self.call(message, limit).await?)
+    }
+
+    fn headers(&self) -> [(&'static str, &str); 2] {
+        [
+            (wire::ZONE_HEADER, self.zone.as_str()),
+            ("content-type", "application/json"),
+        ]
     }
 
-    async fn within<B: DeserializeOwned>(
-        &self,
-        limit: Duration,
-        exchange: impl Future<Output = Result<bytes::Bytes, Error>>,
-    ) -> Result<B, Error> {
-        let Ok(answer) = tokio::time::timeout(limit, exchange).await else {
+    /// Sends a message and reads the whole answer, whatever its status.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no whole answer came within `limit`.
+    pub async fn call(&self, message: Message<'_>, limit: Duration) -> Result<Reply, Error> {
+        let Ok(reply) = tokio::time::timeout(limit, self.exchange(message)).await else {
             self.renew();
             return Err(Error::Silent);
         };
-        let answer = answer?;
-        serde_json::from_slice(&answer).map_err(|e| Error::Malformed(e.to_string()))
+        reply
     }
 
-    async fn exchange(
-        &self,
-        method: Method,
-        path: &str,
-        body: Vec<u8>,
-    ) -> Result<bytes::Bytes, Error> {
-        let uri = format!("http://{}{path}", self.address);
+    async fn exchange(&self, message: Message<'_>) -> Result<Reply, Error> {
+        let uri = format!("http://{}{}", self.address, message.path);
         let client = self.client.borrow().clone();
-        let request = client
-            .request(method, uri)
-            .insert_header((wire::ZONE_HEADER, self.zone.as_str()))
-            .insert_header(("content-type", "application/json"));
-        let sent = request.send_body(body).await;
-        let mut answer = sent.map_err(|e| failure(&e))?;
-        let status = answer.status();
-        let bytes = answer.body().limit(MAX_ANSWER).await;
-        if !status.is_success() {
-            return Err(Error::Status(status.as_u16()));
+        let mut request = client.request(message.method, uri);
+        for header in message.headers {
+            request = request.insert_header(*header);
         }
-        bytes.map_err(|_| Error::Silent)
+        let sent = request.send_body(message.body).await;
+        let mut answer = sent.map_err(|e| failure(&e))?;
+        let status = answer.status().as_u16();
+        let body = answer.body().limit(MAX_ANSWER).await;
+        let body = body.map_err(|_| Error::Silent)?;
+        Ok(Reply { status, body })
     }
 
     /// Leaves all open connections behind.
--- a/src/platform/list.rs
+++ b/src/remote/list.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::{
-    platform::link::{
+    remote::link::{
         self,
         Link, //
     },
--- a/src/platform/log.rs
+++ b/src/remote/log.rs
@@ -13,7 +13,7 @@
         Offset,
         ZoneId, //
     },
-    platform::link::{
+    remote::link::{
         self,
         Link, //
     },
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -17,7 +17,7 @@
         End, //
     },
     ids::Token,
-    platform::link::{
+    remote::link::{
         Error,
         Link, //
     },
