fix(cell): questions to the policy wait at the owner, failed runs are counted by number

Change: instances are given the next question when they are nearly free; numbers of failed runs are kept; a job that may be stored is answered as unknown; jobs are read before a claim.

--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -36,6 +36,7 @@
     }, //
 };
 
+pub mod advisers;
 pub mod ends;
 pub mod orders;
 pub mod place;
@@ -77,6 +78,8 @@
     pub cost: f64,
     /// How long permits are valid, in milliseconds.
     pub valid: u64,
+    /// The instance to ask through.
+    pub through: CompactString,
 }
 
 /// What becomes of a submission.
@@ -147,6 +150,8 @@
     timed: Vec<JobKey>,
     learned: Vec<Learned>,
     guarded: Vec<CompactString>,
+    /// Instances through which the policy is asked.
+    pub advisers: advisers::Advisers,
     settle_by: u64,
     wall: i64,
 }
@@ -179,6 +184,7 @@
             timed: Vec::new(),
             learned: Vec::new(),
             guarded: Vec::new(),
+            advisers: advisers::Advisers::default(),
             settle_by: 0,
             wall: 0,
         }
@@ -274,6 +280,18 @@
         job.stored.then_some(job.shown)
     }
 
+    /// Whether a job is known, stored or not.
+    #[must_use]
+    pub fn is_known(&self, id: &str) -> bool {
+        self.find(id).is_some()
+    }
+
+    /// Whether a job is stored.
+    #[must_use]
+    pub fn is_stored(&self, id: &str) -> bool {
+        self.find(id).is_some_and(|key| self.jobs[key].stored)
+    }
+
     /// Number of a queue's accepted jobs without times of which nothing has started.
     #[must_use]
     pub fn waiting(&self, queue: &str) -> usize {
--- /dev/null
+++ b/src/cell/engine/advisers.rs
@@ -0,0 +1,119 @@
+//! Through which instance the placement policy is asked.
+//!
+//! The policy answers one question at a time for each instance that asks. Questions that queue up
+//! there cannot be taken back, so each instance is given the next one only when it is nearly free;
+//! all others wait here, where their order still follows what is urgent.
+//!
+//! Answers the load pattern of a new owner that finds a hundred steps waiting at once, and of bursts
+//! of long questions beside a steady stream of short ones.
+
+use compact_str::CompactString;
+
+/// Questions that take longer than this are long, in milliseconds.
+const LONG: f64 = 150.0;
+
+/// Share of instances that may be busy with long questions: the others stay free for short ones.
+const LONG_SHARE: f64 = 0.6;
+
+/// How much work may be ahead of a question at its instance, in milliseconds: the way of an answer
+/// to the owner and of the next question back.
+const AHEAD: f64 = 30.0;
+
+/// Age of a heartbeat after which an instance is not asked, in milliseconds: three heartbeats.
+const HEARTBEAT_AGE: u64 = 1_300;
+
+/// Time for which an instance is not asked after it gave no answer, in milliseconds: it may still
+/// be busy with the question.
+const SHUN: u64 = 800;
+
+/// An instance that can ask the policy.
+#[derive(Debug, Clone)]
+struct Adviser {
+    instance: CompactString,
+    /// Local time of its newest heartbeat, in milliseconds.
+    heard: u64,
+    /// Local time from which it is free, in milliseconds.
+    free: f64,
+    /// Questions that are out.
+    out: u32,
+    /// Whether one of them is long.
+    long: bool,
+}
+
+/// All instances that can ask the policy, sorted by name.
+#[derive(Debug, Clone, Default)]
+pub struct Advisers {
+    list: Vec<Adviser>,
+}
+
+impl Advisers {
+    /// Takes note of a heartbeat; `u64::MAX / 2` stands for an instance that needs none.
+    pub fn heard(&mut self, instance: &str, now: u64) {
+        match self.find(instance) {
+            Ok(at) => self.list[at].heard = now,
+            Err(at) => {
+                let adviser = Adviser {
+                    instance: instance.into(),
+                    heard: now,
+                    free: 0.0,
+                    out: 0,
+                    long: false,
+                };
+                self.list.insert(at, adviser);
+            }
+        }
+    }
+
+    fn find(&self, instance: &str) -> Result<usize, usize> {
+        self.list
+            .binary_search_by(|a| a.instance.as_str().cmp(instance))
+    }
+
+    /// Gives a question of `cost` milliseconds to an instance, if one is free enough.
+    pub fn take(&mut self, cost: f64, now: u64) -> Option<CompactString> {
+        let live = self
+            .list
+            .iter()
+            .filter(|a| a.heard + HEARTBEAT_AGE > now)
+            .count();
+        let long = cost > LONG;
+        let busy = self.list.iter().filter(|a| a.long && a.out > 0).count();
+        if long && busy >= ((live as f64 * LONG_SHARE).ceil() as usize).max(1) {
+            return None;
+        }
+        let start = now as f64;
+        let open = |a: &&mut Adviser| {
+            let ahead = (a.free - start).max(0.0);
+            let most = if long || a.long { 0.0 } else { AHEAD };
+            a.heard + HEARTBEAT_AGE > now && ahead <= most
+        };
+        let free = |a: &&mut Adviser| (a.free.max(start) * 16.0) as u64;
+        let adviser = self.list.iter_mut().filter(open).min_by_key(free)?;
+        adviser.free = adviser.free.max(start) + cost;
+        adviser.out += 1;
+        adviser.long = long || adviser.long && adviser.out > 1;
+        Some(adviser.instance.clone())
+    }
+
+    /// Takes note that a question was answered, or that no answer came.
+    pub fn done(&mut self, instance: &str, answered: bool, now: u64) {
+        let Ok(at) = self.find(instance) else {
+            return;
+        };
+        let adviser = &mut self.list[at];
+        adviser.out = adviser.out.saturating_sub(1);
+        if adviser.out == 0 {
+            adviser.long = false;
+            adviser.free = now as f64;
+        }
+        if !answered {
+            adviser.free = (now + SHUN) as f64;
+        }
+    }
+
+    /// The instances with a fresh heartbeat.
+    pub fn live(&self, now: u64) -> impl Iterator<Item = &CompactString> {
+        let live = move |a: &&Adviser| a.heard + HEARTBEAT_AGE > now;
+        self.list.iter().filter(live).map(|a| &a.instance)
+    }
+}
--- a/src/cell/engine/ends.rs
+++ b/src/cell/engine/ends.rs
@@ -361,12 +361,14 @@
         let Some(state) = step.tasks.get_mut(index as usize) else {
             return;
         };
-        if state.phase == Phase::Done || run <= state.counted {
+        if state.phase == Phase::Done {
             return;
         }
-        state.counted = run;
-        state.fails += 1;
-        let fails = state.fails;
+        let Err(at) = state.failed.binary_search(&run) else {
+            return;
+        };
+        state.failed.insert(at, run);
+        let fails = state.failed.len() as u32;
         if let Some(state) = step.tasks.get_mut(task.index as usize) {
             state.avoid.push(worker);
         }
--- a/src/cell/engine/place.rs
+++ b/src/cell/engine/place.rs
@@ -503,7 +503,7 @@
             }
         }
         let named: Vec<WorkerKey> = named.iter().map(|(i, _)| pass.slots[*i].worker).collect();
-        self.question(wanted.key, &named);
+        self.question(wanted.key, &named, pass.now);
     }
 
     /// Asks about workers for a gang: good ones whose permits ran out when there is room for all,
@@ -548,7 +548,7 @@
                 named.push(worker);
             }
         }
-        self.question(wanted.key, &named);
+        self.question(wanted.key, &named, pass.now);
     }
 
     fn share(&self, key: StepKey) -> f64 {
@@ -557,7 +557,7 @@
         at.map_or(GOOD_SHARE, |at| self.learned[at].good).max(0.05)
     }
 
-    fn question(&mut self, key: StepKey, named: &[WorkerKey]) {
+    fn question(&mut self, key: StepKey, named: &[WorkerKey], now: u64) {
         if named.is_empty() {
             return;
         }
@@ -569,6 +569,10 @@
         let Some(advice) = job.queue.advice else {
             return;
         };
+        let cost = advice.base + advice.each * workers.len() as f64;
+        let Some(through) = self.advisers.take(cost, now) else {
+            return;
+        };
         let number = job
             .occurrences
             .get(key.occurrence as usize)
@@ -580,7 +584,8 @@
         self.actions.push(Action::Ask(Question {
             step: key,
             name,
-            cost: advice.base + advice.each * workers.len() as f64,
+            cost,
+            through,
             valid: advice.valid.as_millis() as u64,
             workers,
         }));
@@ -590,6 +595,8 @@
     pub fn advised(&mut self, question: &Question, permits: Option<&[model::Permit]>, now: u64) {
         let key = question.step;
         self.stale = true;
+        self.advisers
+            .done(&question.through, permits.is_some(), now);
         let Some(job) = self.jobs.get_mut(key.job) else {
             return;
         };
--- a/src/cell/engine/recovery.rs
+++ b/src/cell/engine/recovery.rs
@@ -27,11 +27,24 @@
 const SETTLE_MARGIN: u64 = 500;
 
 impl Engine {
-    /// Takes the stored records in. Records that cannot be read are skipped with a line in the log.
-    pub fn load<'a>(&mut self, records: impl Iterator<Item = (&'a str, &'a [u8])>, now: u64) {
+    /// Takes the stored records in, oldest first; no value drops a key. Records that cannot be read
+    /// are skipped with a line in the log.
+    pub fn load<'a>(
+        &mut self,
+        records: impl Iterator<Item = (&'a str, Option<&'a [u8]>)>,
+        now: u64,
+    ) {
+        let mut newest: Vec<(&str, Option<&[u8]>)> = records.collect();
+        // Stable: the last of equal keys is the newest.
+        newest.sort_by_key(|(key, _)| *key);
+        newest.reverse();
+        newest.dedup_by_key(|(key, _)| *key);
         let mut progress: Vec<(String, journal::Progress)> = Vec::new();
         let mut faults = 0_usize;
-        for (key, value) in records {
+        for (key, value) in newest {
+            let Some(value) = value else {
+                continue;
+            };
             let Some((kind, id)) = journal::split(key) else {
                 faults += 1;
                 continue;
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -56,10 +56,9 @@
 pub struct Task {
     /// Where it stands.
     pub phase: Phase,
-    /// Runs that have failed.
-    pub fails: u32,
-    /// Highest run number that was counted as failed.
-    pub counted: u32,
+    /// Numbers of the runs that have failed, sorted. Their ends may be learned in any order, and
+    /// more than once.
+    pub failed: Vec<u32>,
     /// Highest run number used.
     pub run: u32,
     /// Newest checkpoint; empty for none.
--- a/src/cell/journal.rs
+++ b/src/cell/journal.rs
@@ -38,8 +38,9 @@
 pub struct TaskNote {
     /// Occurrence, step and index.
     pub at: (u32, u32, u32),
-    /// Failed runs, and the highest run counted as failed.
-    pub fails: (u32, u32),
+    /// Numbers of the runs that have failed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub failed: Vec<u32>,
     /// Highest run number known.
     pub run: u32,
     /// Newest checkpoint.
@@ -127,12 +128,12 @@
             if !ranges.is_empty() {
                 progress.done.push((o as u32, s as u32, ranges));
             }
-            let noted = |t: &job::Task| t.fails > 0 || !t.saved.is_empty();
+            let noted = |t: &job::Task| !t.failed.is_empty() || !t.saved.is_empty();
             let open = step.tasks.iter().enumerate();
             let open = open.filter(|(_, t)| t.phase != job::Phase::Done && noted(t));
             progress.tasks.extend(open.map(|(i, t)| TaskNote {
                 at: (o as u32, s as u32, i as u32),
-                fails: (t.fails, t.counted),
+                failed: t.failed.clone(),
                 run: t.run,
                 saved: t.saved.clone(),
             }));
@@ -175,7 +176,7 @@
         let occurrence = job.occurrences.get_mut(o as usize);
         let step = occurrence.and_then(|o| o.steps.get_mut(s as usize));
         if let Some(task) = step.and_then(|s| s.tasks.get_mut(i as usize)) {
-            (task.fails, task.counted) = note.fails;
+            task.failed = note.failed.clone();
             task.run = note.run;
             task.saved = note.saved.clone();
         }
--- a/src/cell/shell/follow.rs
+++ b/src/cell/shell/follow.rs
@@ -78,9 +78,9 @@
 }
 
 async fn tail(shared: &Shared, from: u64) -> Result<u64, store::Error> {
-    let (next, records) = store::read(&shared.waits, store::OPERATOR, from, WAIT, LIMIT).await?;
-    records.iter().for_each(|record| apply(shared, record));
-    Ok(next)
+    let tail = store::read(&shared.waits, store::OPERATOR, from, WAIT, LIMIT).await?;
+    tail.records.iter().for_each(|record| apply(shared, record));
+    Ok(tail.next)
 }
 
 fn apply(shared: &Shared, record: &store::Record) {
--- a/src/cell/shell/mod.rs
+++ b/src/cell/shell/mod.rs
@@ -117,6 +117,8 @@
     pub seat: RefCell<watch::Seat>,
     /// The owner, when it is this process.
     pub owner: RefCell<Option<Rc<owner::Owner>>>,
+    /// Whether this process was granted ownership and reads what it needs for it.
+    pub beginning: Cell<bool>,
     /// Woken when the owner changes.
     pub changed: Notify,
     /// Metrics.
@@ -177,6 +179,7 @@
         catalog: RefCell::new(None),
         seat: RefCell::new(watch::Seat::default()),
         owner: RefCell::new(None),
+        beginning: Cell::new(false),
         changed: Notify::new(),
         metrics: metrics::Metrics::new(),
         stopping: Cell::new(false),
--- a/src/cell/shell/owner.rs
+++ b/src/cell/shell/owner.rs
@@ -91,30 +91,12 @@
 /// Limit of a read of everything when a term begins; a slow store takes some hundred milliseconds.
 const LOAD: Duration = Duration::from_millis(2_500);
 
-/// Age of a heartbeat after which an instance is not asked for anything, in milliseconds.
-const MEMBER_AGE: u64 = 1_200;
-
 /// Time without a stored batch, while one is out, after which new work is refused, in milliseconds.
 const STORE_LOST: u64 = 900;
 
 /// Time without a stored batch after which another instance should take over, in milliseconds.
 const STEP_DOWN: u64 = 1_500;
 
-/// Share of instances that may be busy with long questions to the policy: the others stay free for
-/// short ones.
-const LONG_SHARE: f64 = 0.6;
-
-/// Questions that take longer than this are long, in milliseconds.
-const LONG_QUESTION: f64 = 150.0;
-
-/// An instance through which the policy is asked.
-struct Adviser {
-    instance: CompactString,
-    address: CompactString,
-    heard: u64,
-    free_at: u64,
-}
-
 /// The owner of the cell.
 pub struct Owner {
     shared: Rc<Shared>,
@@ -124,19 +106,24 @@
     pub(super) commit: Notify,
     wake: Notify,
     over: watch::Sender<bool>,
-    advisers: RefCell<Vec<Adviser>>,
+    members: RefCell<Vec<Member>>,
     /// Local time since which a batch waits to be stored, in milliseconds; 0 when none does.
     pub(super) waiting: Cell<u64>,
     term: u64,
 }
 
 impl Owner {
-    /// Begins a term: fences earlier owners at the store and reads what they left.
+    /// Begins a term: fences earlier owners at the store and reads what they wrote since `early`
+    /// was read.
     ///
     /// # Errors
     ///
     /// Returns why the store did not let it begin.
-    pub async fn begin(shared: &Rc<Shared>, term: u64) -> Result<Rc<Self>, store::Error> {
+    pub async fn begin(
+        shared: &Rc<Shared>,
+        term: u64,
+        mut early: store::Newest,
+    ) -> Result<Rc<Self>, store::Error> {
         let began = shared.now();
         let fence = store::Guard::Epoch(term, 0);
         let mut sequence = 0;
@@ -145,8 +132,27 @@
             Err(store::Error::Sequence(expected)) => sequence = expected.unwrap_or(sequence),
             Err(e) => return Err(e),
         }
-        let jobs = store::newest(&shared.store, store::JOBS, LOAD).await?;
-        let workers = store::newest(&shared.store, store::ROSTER, LOAD).await?;
+        let tail = store::read(&shared.store, store::JOBS, early.end, Duration::ZERO, LOAD);
+        let roster = store::newest(&shared.store, store::ROSTER, LOAD);
+        let (tail, workers) = futures_util::future::join(tail, roster).await;
+        let workers = workers?;
+        match tail {
+            Ok(tail) => {
+                let (mut next, end) = (tail.next, tail.end);
+                early.records.extend(tail.records);
+                while next < end {
+                    let more =
+                        store::read(&shared.store, store::JOBS, next, Duration::ZERO, LOAD).await?;
+                    next = more.next;
+                    early.records.extend(more.records);
+                }
+            }
+            Err(store::Error::Expired | store::Error::Refused(404)) => {
+                early = store::newest(&shared.store, store::JOBS, LOAD).await?;
+            }
+            Err(e) => return Err(e),
+        }
+        let jobs = early;
         let cfg = &shared.settings;
         let times = Times {
             lease: cfg.lease.as_millis() as u64,
@@ -157,10 +163,11 @@
         let mut engine = Engine::new(term, term, times);
         let now = shared.now();
         engine.set_wall(unix(), now);
+        engine.advisers.heard(&cfg.instance, u64::MAX / 2);
         let values = jobs
             .records
             .iter()
-            .filter_map(|r| Some((r.key.as_str(), r.value.as_deref()?)));
+            .map(|r| (r.key.as_str(), r.value.as_deref()));
         engine.load(values, now);
         for record in &workers.records {
             apply(&mut engine, record, now);
@@ -176,7 +183,7 @@
             commit: Notify::new(),
             wake: Notify::new(),
             over: watch::Sender::new(false),
-            advisers: RefCell::new(Vec::new()),
+            members: RefCell::new(Vec::new()),
             waiting: Cell::new(0),
             term,
         });
@@ -237,35 +244,33 @@
 
     /// Takes a heartbeat in.
     pub fn heard(&self, ping: &Ping, now: u64) {
-        let mut advisers = self.advisers.borrow_mut();
-        let at = advisers.binary_search_by(|a| a.instance.cmp(&ping.instance));
-        match at {
-            Ok(at) => {
-                advisers[at].heard = now;
-                advisers[at].address = ping.address.clone();
-            }
-            Err(at) => {
-                let adviser = Adviser {
-                    instance: ping.instance.clone(),
-                    address: ping.address.clone(),
-                    heard: now,
-                    free_at: 0,
-                };
-                advisers.insert(at, adviser);
-            }
+        let mut members = self.members.borrow_mut();
+        let member = Member {
+            instance: ping.instance.clone(),
+            address: ping.address.clone(),
+        };
+        match members.binary_search_by(|m| m.instance.cmp(&ping.instance)) {
+            Ok(at) => members[at] = member,
+            Err(at) => members.insert(at, member),
         }
+        self.engine.borrow_mut().advisers.heard(&ping.instance, now);
     }
 
-    /// The instances that send heartbeats, and this one.
+    /// The instances that send heartbeats.
     #[must_use]
     pub fn members(&self, now: u64) -> Vec<Member> {
-        let advisers = self.advisers.borrow();
-        let live = advisers.iter().filter(|a| a.heard + MEMBER_AGE > now);
-        live.map(|a| Member {
-            instance: a.instance.clone(),
-            address: a.address.clone(),
-        })
-        .collect()
+        let engine = self.engine.borrow();
+        let live: Vec<&CompactString> = engine.advisers.live(now).collect();
+        let members = self.members.borrow();
+        let live = members.iter().filter(|m| live.contains(&&m.instance));
+        live.cloned().collect()
+    }
+
+    /// The address of another instance.
+    fn address(&self, instance: &str) -> Option<CompactString> {
+        let members = self.members.borrow();
+        let member = members.iter().find(|m| m.instance == instance)?;
+        Some(member.address.clone())
     }
 
     /// Carries out what the engine wants done.
@@ -425,8 +430,9 @@
 
 /// Asks the policy through the instance that is free first.
 async fn ask(owner: Rc<Owner>, question: Question) {
-    let now = owner.now();
-    let through = adviser(&owner, question.cost, now);
+    let me = &owner.shared.settings.instance;
+    let through = Some(&question.through).filter(|i| *i != me);
+    let through = through.and_then(|instance| owner.address(instance));
     let message = Advise {
         step: question.name.clone(),
         workers: question.workers.clone(),
@@ -435,12 +441,12 @@
     let answer = match &through {
         None => peer::advise(&owner.shared, &message).await,
         Some(address) => {
-            let limit = Duration::from_millis(question.cost as u64) + Duration::from_millis(1_100);
+            let limit = Duration::from_millis(question.cost as u64) + peer::ADVICE_SLACK * 2;
             peer::send(&owner.shared, address, peer::ADVISE, &message, limit).await
         }
     };
     if let Err(e) = &answer {
-        warn!(step = question.name.as_str(), through = through.as_deref().unwrap_or("itself"); "policy not asked: {e}");
+        warn!(step = question.name.as_str(), through = question.through.as_str(); "policy not asked: {e}");
     }
     let now = owner.now();
     owner
@@ -450,34 +456,6 @@
     owner.pump();
 }
 
-/// The instance to ask through; none for this one. Long questions keep to some of the instances.
-fn adviser(owner: &Owner, cost: f64, now: u64) -> Option<CompactString> {
-    let mut advisers = owner.advisers.borrow_mut();
-    let me = &owner.shared.settings.instance;
-    if advisers.binary_search_by(|a| a.instance.cmp(me)).is_err() {
-        let own = Adviser {
-            instance: me.clone(),
-            address: CompactString::default(),
-            heard: u64::MAX >> 1,
-            free_at: 0,
-        };
-        let at = advisers.partition_point(|a| a.instance < *me);
-        advisers.insert(at, own);
-    }
-    let live: Vec<usize> = (0..advisers.len())
-        .filter(|i| advisers[*i].heard + MEMBER_AGE > now)
-        .collect();
-    let most = match cost > LONG_QUESTION {
-        true => ((live.len() as f64 * LONG_SHARE).ceil() as usize).max(1),
-        false => live.len(),
-    };
-    let free = |i: &usize| advisers[*i].free_at.max(now);
-    let chosen = live.iter().take(most).copied().min_by_key(free)?;
-    let adviser = &mut advisers[chosen];
-    adviser.free_at = adviser.free_at.max(now) + cost as u64;
-    (!adviser.address.is_empty()).then(|| adviser.address.clone())
-}
-
 fn apply(engine: &mut Engine, record: &store::Record, now: u64) {
     let Some(value) = &record.value else {
         engine.unregister(&record.key);
@@ -509,12 +487,12 @@
             None => reread(&owner).await,
         };
         match read {
-            Ok((next, records)) => {
+            Ok(tail) => {
                 shared.store_answered();
-                from = Some(next);
+                from = Some(tail.next);
                 let now = owner.now();
                 let mut engine = owner.engine.borrow_mut();
-                records
+                tail.records
                     .iter()
                     .for_each(|record| apply(&mut engine, record, now));
             }
@@ -526,7 +504,7 @@
 }
 
 /// Reads all registrations again; those that are missing are gone.
-async fn reread(owner: &Owner) -> Result<(u64, Vec<store::Record>), store::Error> {
+async fn reread(owner: &Owner) -> Result<store::Tail, store::Error> {
     let newest = store::newest(&owner.shared.store, store::ROSTER, LOAD).await?;
     let known: Vec<CompactString> = {
         let engine = owner.engine.borrow();
@@ -547,7 +525,11 @@
             .into_iter()
             .map(|key| store::Record { key, value: None }),
     );
-    Ok((newest.end, records))
+    Ok(store::Tail {
+        records,
+        next: newest.end,
+        end: newest.end,
+    })
 }
 
 /// Answers a caller's request.
@@ -586,9 +568,15 @@
     work: model::Submission,
     patience: u64,
 ) -> Outcome {
-    if owner.waits(STORE_LOST) && owner.engine.borrow().shown(id).is_none() {
-        info!(job = id, waits = owner.now() - owner.waiting.get(); "refused: the store does not answer");
-        return Outcome::Refused(1);
+    if owner.waits(STORE_LOST) && !owner.engine.borrow().is_stored(id) {
+        // A job that may be on its way to the store is not refused: it may run.
+        let pending = owner.engine.borrow().is_known(id);
+        info!(job = id, waits = owner.now() - owner.waiting.get(), pending; "not taken: the store does not answer");
+        return if pending {
+            Outcome::Unknown
+        } else {
+            Outcome::Refused(1)
+        };
     }
     let now = owner.now();
     let taken = owner.engine.borrow_mut().submit(id, queue, work, now);
--- a/src/cell/shell/peer.rs
+++ b/src/cell/shell/peer.rs
@@ -27,9 +27,9 @@
     server::Answer, //
 };
 
-/// Added to the time that a question to the policy takes, before it is given up: others may be in
-/// line there.
-const ADVICE_SLACK: Duration = Duration::from_millis(900);
+/// Added to the time that a question to the policy takes, before it is given up: two round trips
+/// with a slow machine between.
+pub(super) const ADVICE_SLACK: Duration = Duration::from_millis(400);
 
 /// Path of heartbeats.
 pub const PING: &str = "/ping";
@@ -198,7 +198,7 @@
     }
     Pong {
         term,
-        owner: owner.is_some(),
+        owner: owner.is_some() || shared.beginning.get(),
         leaving: shared.stopping.get() || owner.as_ref().is_some_and(|o| o.lost_store()),
         members: owner.map_or_else(Vec::new, |o| o.members(shared.now())),
     }
--- a/src/cell/shell/watch.rs
+++ b/src/cell/shell/watch.rs
@@ -58,6 +58,9 @@
 /// Limit of an exchange with the store about ownership.
 const STORE: Duration = Duration::from_millis(1_200);
 
+/// Limit of a page of the jobs that are read before a claim.
+const EARLY: Duration = Duration::from_millis(2_000);
+
 /// Time without any answer of the store after which an instance does not claim, in milliseconds.
 const STORE_AGE: u64 = 2_000;
 
@@ -290,6 +293,15 @@
         let seat = shared.seat.borrow();
         (seat.owner.clone(), seat.end)
     };
+    // What is stored is read before the owner is replaced, so that there is little left to read
+    // while the cell has none.
+    let early = match store::newest(&shared.store, store::JOBS, EARLY).await {
+        Ok(early) => early,
+        Err(e) => {
+            warn!("no claim, stored jobs cannot be read: {e}");
+            return;
+        }
+    };
     if !read(shared).await || shared.seat.borrow().owner != before {
         return;
     }
@@ -322,7 +334,10 @@
     if shared.seat.borrow().owner.as_ref() != Some(&mine) {
         return;
     }
-    match owner::Owner::begin(shared, mine.term).await {
+    shared.beginning.set(true);
+    let begun = owner::Owner::begin(shared, mine.term, early).await;
+    shared.beginning.set(false);
+    match begun {
         Ok(owner) => {
             shared.owner.replace(Some(owner));
             shared.changed.notify_waiters();
