fix(cell): a failure learned while a later run is under way counts; a cut-off owner steps down sooner

Change: ends of runs that are not booked count as failed whatever the task does now; an owner whose batches wait for 700 ms asks to be replaced.

--- a/src/cell/engine/ends.rs
+++ b/src/cell/engine/ends.rs
@@ -94,11 +94,16 @@
             return;
         };
         state.run = state.run.max(end.run);
-        if matches!(state.phase, Phase::Live(_)) && end.how != How::Done {
-            return;
-        }
+        let live = matches!(state.phase, Phase::Live(_));
         info!(job = end.task.job.as_str(), step = end.task.step, task = end.task.index, run = end.run,
             worker = self.books.workers[worker].entry.id.as_str(), how:? = end.how; "end of a run that was not booked");
+        if live && end.how != How::Done {
+            // A later run is under way; a failure counts all the same.
+            if end.how == How::Failed {
+                self.fail(task, worker, end.run, now);
+            }
+            return;
+        }
         self.outcome(task, worker, end.run, end.how, &end.saved, now);
     }
 
@@ -292,7 +297,7 @@
                 if struck.is_some_and(|w| w.strike(&id, now)) {
                     warn!(worker = self.worker_id(worker); "suspended: runs of several jobs failed there");
                 }
-                self.fail(task, worker, run, gang, lasting, now);
+                self.fail(task, worker, run, now);
             }
             _ => {}
         }
@@ -342,16 +347,12 @@
     }
 
     /// A run has failed; too many of them fail the job.
-    fn fail(
-        &mut self,
-        task: TaskKey,
-        worker: WorkerKey,
-        run: u32,
-        gang: bool,
-        lasting: bool,
-        now: u64,
-    ) {
+    fn fail(&mut self, task: TaskKey, worker: WorkerKey, run: u32, now: u64) {
         let job = &mut self.jobs[task.step.job];
+        let Some(plan) = job.plan(task.step) else {
+            return;
+        };
+        let (gang, lasting) = (plan.gang, plan.lasting);
         let attempts = job.queue.attempts;
         let Some(step) = job.step_mut(task.step) else {
             return;
--- a/src/cell/shell/owner.rs
+++ b/src/cell/shell/owner.rs
@@ -95,7 +95,7 @@
 const STORE_LOST: u64 = 900;
 
 /// Time without a stored batch after which another instance should take over, in milliseconds.
-const STEP_DOWN: u64 = 1_500;
+const STEP_DOWN: u64 = 700;
 
 /// The owner of the cell.
 pub struct Owner {
