fix(cell): a silent worker's leases are not prolonged

Cause: every report asked of a worker that is gone put off the time at which its runs have surely lapsed, so they never restarted (LOST, mix of the second site). Change: a silent worker is only asked for its lists.

--- a/src/cell/engine/orders.rs
+++ b/src/cell/engine/orders.rs
@@ -295,7 +295,10 @@
         } else {
             worker.acknowledged
         };
-        let clock = worker.clock(now).filter(|_| !worker.runs.is_empty());
+        // A silent worker is only asked: each prolonged lease would put off the time at which its
+        // runs have surely lapsed.
+        let prolong = !worker.runs.is_empty() && worker.silent.is_none();
+        let clock = worker.clock(now).filter(|_| prolong);
         let expires = clock.map(|clock| clock + lease);
         if let Some(expires) = expires {
             worker.extend(expires, now);
