feat(cell): gangs are asked for in parallel, unsent jobs are given up at once, the strongest instance owns

Change: one question for a gang, in parts through several instances; room of a worker counts once its new life has registered; what nobody knows on a worker takes all of it; unsent jobs are refused.

--- a/src/cell/books.rs
+++ b/src/cell/books.rs
@@ -21,6 +21,12 @@
 /// Added to every end of a lease, in milliseconds: granularity of both clocks and of timers.
 const LEASE_MARGIN: u64 = 60;
 
+/// Longest local time in which `lease` milliseconds of a worker's clock pass.
+#[must_use]
+pub fn span(lease: u64) -> u64 {
+    (lease as f64 * SLOW_CLOCK) as u64 + LEASE_MARGIN
+}
+
 /// Failed runs of different jobs in a row after which a worker gets no new tasks for a while: two
 /// could be the jobs' own fault.
 const STRIKES: u32 = 3;
@@ -147,8 +153,7 @@
         let Some((at, clock)) = self.reading else {
             return;
         };
-        let span = expires.saturating_sub(clock) as f64 * SLOW_CLOCK;
-        let end = at + span as u64 + LEASE_MARGIN;
+        let end = at + span(expires.saturating_sub(clock));
         self.lapses = self.lapses.max(end).max(now);
     }
 
@@ -168,6 +173,8 @@
             && self.silent.is_none()
             && self.reading.is_some()
             && self.suspended <= now
+            // Another life may have other room: it counts once it has registered.
+            && self.entry.born == self.born
             && self.entry.standing == model::Standing::Ready
     }
 
--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -241,7 +241,7 @@
             let job = &self.jobs[key];
             return Ok(match job.stored {
                 true => Taken::Known,
-                false => Taken::In(self.open),
+                false => Taken::In(job.batch),
             });
         }
         check(&work)?;
@@ -252,6 +252,23 @@
         Ok(Taken::In(self.open))
     }
 
+    /// Takes a job back that was never sent to the store; returns whether that is so.
+    pub fn withdraw(&mut self, id: &str) -> bool {
+        let Some(key) = self.find(id) else {
+            return true;
+        };
+        let job = &self.jobs[key];
+        if job.stored || job.sent {
+            return false;
+        }
+        self.jobs.remove(key);
+        self.index.retain(|(_, other)| *other != key);
+        self.dirty.retain(|other| *other != key);
+        self.fresh.retain(|(_, other)| *other != key);
+        self.finished.retain(|other| *other != key);
+        true
+    }
+
     /// Marks a job for the batch being gathered.
     fn touch(&mut self, key: JobKey) {
         let job = &mut self.jobs[key];
@@ -417,6 +434,7 @@
                     at: job.accepted,
                     term: job.term,
                 };
+                job.sent = true;
                 entries.push(entry(journal::Kind::Accepted, &job.id, &accepted));
                 if job.state == State::Pending {
                     continue;
@@ -459,7 +477,10 @@
                 self.fresh.push((number, key));
                 continue;
             }
-            self.jobs[key].stored = true;
+            let Some(job) = self.jobs.get_mut(key) else {
+                continue;
+            };
+            job.stored = true;
             self.advance(key, now);
         }
     }
@@ -499,7 +520,7 @@
     }
 
     /// Takes a worker's registration in.
-    pub fn register(&mut self, entry: model::Registration, now: u64) {
+    pub fn register(&mut self, entry: model::Registration) {
         let Some(key) = self.books.find(&entry.id) else {
             info!(worker = entry.id.as_str(), service = entry.service.as_str(), born = entry.born; "worker joined");
             self.books.add(entry);
@@ -510,15 +531,16 @@
         if entry.born < worker.born {
             return;
         }
-        if entry.born > worker.born && worker.born > 0 {
-            self.reborn(key, entry.born, now);
-        }
         let worker = &mut self.books.workers[key];
+        if entry.born > worker.born {
+            // Orders that went out meanwhile may run in the new life: its own report tells.
+            worker.fenced = false;
+            worker.after = 0;
+        }
         if worker.entry.standing != entry.standing {
             info!(worker = entry.id.as_str(), standing:? = entry.standing; "worker changed");
         }
         worker.listed = true;
-        worker.born = worker.born.max(entry.born);
         worker.entry = entry;
         self.stale = true;
     }
@@ -544,6 +566,7 @@
         worker.fenced = false;
         worker.reading = None;
         worker.lapses = 0;
+        worker.batch = 0;
         (worker.taken, worker.acknowledged) = (0, 0);
         worker.after = 0;
         worker.silent = None;
@@ -660,6 +683,7 @@
         state: State::Pending,
         shown: State::Pending,
         stored: false,
+        sent: false,
         batch: 0,
         dirty: false,
         begun: false,
--- a/src/cell/engine/ends.rs
+++ b/src/cell/engine/ends.rs
@@ -11,6 +11,7 @@
 };
 use crate::cell::{
     books::{
+        self,
         Footing,
         Run, //
     },
@@ -52,6 +53,9 @@
         worker.born = worker.born.max(report.born);
         if !worker.fenced {
             worker.fenced = true;
+            // An earlier owner may have prolonged leases just before.
+            let longest = books::span(self.times.lease);
+            worker.lapses = worker.lapses.max(now + longest);
             self.stale = true;
         }
         worker.acknowledged = worker.acknowledged.max(seen);
@@ -188,6 +192,7 @@
             !job.state.is_final() && state.is_some_and(|t| t.phase == Phase::Idle)
         });
         let id = self.books.workers[worker].entry.id.clone();
+        let capacity = self.books.workers[worker].entry.capacity;
         let demand = self.lookup(&live.task).map(|task| {
             let job = &self.jobs[task.step.job];
             super::demand(&job.work.steps[task.step.step as usize])
@@ -199,7 +204,8 @@
             name: live.task.clone(),
             number: live.run,
             worker,
-            demand: demand.unwrap_or_default(),
+            // What nobody knows may take all there is.
+            demand: demand.unwrap_or(capacity),
             footing: Footing::Confirmed(now),
             expires: 0,
             began: now,
--- a/src/cell/engine/place.rs
+++ b/src/cell/engine/place.rs
@@ -49,8 +49,21 @@
 /// Pause after a question that failed, in milliseconds.
 const ASK_PAUSE: u64 = 100;
 
-/// Gangs that may hold free room for themselves at a time; more would idle the cell.
-const RESERVING: usize = 3;
+/// One in so many open workers may be kept free for gangs at a time; more would idle the cell.
+const RESERVED_PART: usize = 3;
+
+/// Room asked for a gang, as a multiple of what it needs: others take some of it meanwhile.
+const GANG_MARGIN: f64 = 1.5;
+
+/// Questions about one gang that may be out at a time, each through another instance.
+const GANG_QUESTIONS: u32 = 4;
+
+/// Fewest workers in a question about a gang when there are several: the fixed part of a question
+/// costs more than so many workers.
+const GANG_CHUNK: usize = 25;
+
+/// Most workers named for a gang at a time: what all its questions may hold.
+const GANG_MOST: usize = 200;
 
 /// Times the objective after which a job's completion is worth nothing any more, by the platform's
 /// description of late work.
@@ -103,7 +116,7 @@
 /// One pass over the waiting steps.
 struct Pass {
     slots: Vec<Slot>,
-    reserving: usize,
+    reserved: usize,
     now: u64,
 }
 
@@ -163,7 +176,7 @@
         });
         Pass {
             slots: slots.collect(),
-            reserving: 0,
+            reserved: 0,
             now,
         }
     }
@@ -341,9 +354,8 @@
             self.put_gang(pass, wanted, &chosen);
             return true;
         }
-        let room: u32 = good.iter().map(|(_, count)| count).sum();
-        if pass.reserving < RESERVING {
-            pass.reserving += 1;
+        let most = pass.slots.len() / RESERVED_PART;
+        if pass.reserved < most {
             let mut left = need;
             good.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
             for (i, count) in &good {
@@ -351,12 +363,12 @@
                     break;
                 }
                 pass.slots[*i].reserved = true;
+                pass.reserved += 1;
                 left = left.saturating_sub(*count);
             }
         }
         if wanted.asks {
-            let missing = if room >= need { 0 } else { need - room };
-            self.ask_gang(pass, wanted, &offers, missing);
+            self.ask_gang(pass, wanted, &offers);
         }
         false
     }
@@ -471,7 +483,7 @@
         let Some(step) = self.jobs[wanted.key.job].step(wanted.key) else {
             return;
         };
-        if step.policy.asking || step.policy.after > pass.now {
+        if step.policy.out > 0 || step.policy.after > pass.now {
             return;
         }
         let mut named: Vec<(usize, f64)> = Vec::new();
@@ -506,49 +518,53 @@
         self.question(wanted.key, &named, pass.now);
     }
 
-    /// Asks about workers for a gang: good ones whose permits ran out when there is room for all,
-    /// else as many unknown ones as are likely to have the room that is missing.
-    fn ask_gang(&mut self, pass: &Pass, wanted: &Wanted, offers: &[(usize, u32)], missing: u32) {
+    /// Asks about workers for a gang: good ones whose permits ran out first, then as many unknown
+    /// ones as are likely to have the room that is missing.
+    ///
+    /// Answers the load pattern of wide gangs with a policy that is slow and finds few workers good:
+    /// one question about enough workers, spread over several instances, in place of many small
+    /// ones whose permits run out one after the other.
+    fn ask_gang(&mut self, pass: &Pass, wanted: &Wanted, offers: &[(usize, u32)]) {
         let Some(step) = self.jobs[wanted.key.job].step(wanted.key) else {
             return;
         };
-        if step.policy.asking || step.policy.after > pass.now {
+        let policy = &step.policy;
+        if policy.out >= GANG_QUESTIONS || policy.after > pass.now {
             return;
         }
-        let policy = &step.policy;
+        let share = self.share(wanted.key);
+        let need = f64::from(wanted.idle);
+        let mut sorted = offers.to_vec();
+        sorted.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+        let mut expected = 0.0;
         let mut named: Vec<WorkerKey> = Vec::new();
-        if missing == 0 {
-            let mut left = wanted.idle;
-            let mut sorted = offers.to_vec();
-            sorted.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
-            for (i, count) in sorted {
-                let slot = &pass.slots[i];
-                if policy.good.binary_search(&slot.worker).is_err() || left == 0 {
+        for good in [true, false] {
+            for (i, count) in &sorted {
+                let slot = &pass.slots[*i];
+                let known = policy.good.binary_search(&slot.worker).is_ok();
+                if known != good || policy.bad.binary_search(&slot.worker).is_ok() {
                     continue;
                 }
-                left = left.saturating_sub(count);
-                if policy.ticket(slot.worker, slot.born, pass.now).is_none() {
+                let chance = if good { 1.0 } else { share };
+                let held = policy.ticket(slot.worker, slot.born, pass.now).is_some();
+                if held || policy.pending.contains(&slot.worker) {
+                    expected += chance * f64::from(*count);
+                } else if expected < need * GANG_MARGIN && named.len() < GANG_MOST {
+                    expected += chance * f64::from(*count);
                     named.push(slot.worker);
                 }
             }
-        } else {
-            let share = self.share(wanted.key);
-            let want = f64::from(missing) * ASK_MARGIN;
-            let mut expected = 0.0;
-            let mut sorted = offers.to_vec();
-            sorted.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
-            for (i, count) in sorted {
-                let worker = pass.slots[i].worker;
-                let known = policy.good.binary_search(&worker).is_ok()
-                    || policy.bad.binary_search(&worker).is_ok();
-                if known || named.len() >= ASK_MOST || expected >= want {
-                    continue;
-                }
-                expected += share * f64::from(count);
-                named.push(worker);
-            }
         }
-        self.question(wanted.key, &named, pass.now);
+        let fresh = named.iter().any(|w| policy.good.binary_search(w).is_err());
+        // With too little room, only what is learned of unknown workers is worth a question.
+        if expected < need && (!fresh || policy.out > 0) {
+            return;
+        }
+        let most = (GANG_QUESTIONS - policy.out) as usize;
+        let chunk = named.len().div_ceil(most).max(GANG_CHUNK);
+        for part in named.chunks(chunk) {
+            self.question(wanted.key, part, pass.now);
+        }
     }
 
     fn share(&self, key: StepKey) -> f64 {
@@ -579,7 +595,8 @@
             .map_or(0, |o| o.number);
         let name = format_compact!("{}.{}.{}", job.id, number, key.step);
         if let Some(step) = job.step_mut(key) {
-            step.policy.asking = true;
+            step.policy.out += 1;
+            step.policy.pending.extend_from_slice(named);
         }
         self.actions.push(Action::Ask(Question {
             step: key,
@@ -604,7 +621,13 @@
         let Some(step) = job.step_mut(key) else {
             return;
         };
-        step.policy.asking = false;
+        step.policy.out = step.policy.out.saturating_sub(1);
+        let named: Vec<WorkerKey> = question
+            .workers
+            .iter()
+            .filter_map(|id| self.books.find(id))
+            .collect();
+        step.policy.pending.retain(|w| !named.contains(w));
         let Some(permits) = permits else {
             step.policy.after = now + ASK_PAUSE;
             return;
--- a/src/cell/engine/recovery.rs
+++ b/src/cell/engine/recovery.rs
@@ -97,6 +97,7 @@
             accepted.term,
         );
         job.stored = true;
+        job.sent = true;
         job.inherited = true;
         self.insert(job);
     }
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -89,8 +89,10 @@
     pub good: Vec<WorkerKey>,
     /// Workers that may not, sorted.
     pub bad: Vec<WorkerKey>,
-    /// Whether a question is out.
-    pub asking: bool,
+    /// Questions that are out.
+    pub out: u32,
+    /// Workers named in them.
+    pub pending: Vec<WorkerKey>,
     /// Local time before which no question is asked again, in milliseconds.
     pub after: u64,
 }
@@ -198,6 +200,8 @@
     pub shown: model::State,
     /// Whether it is stored.
     pub stored: bool,
+    /// Whether it was sent to the store, so that it may be stored.
+    pub sent: bool,
     /// The batch that stores its newest state.
     pub batch: u64,
     /// Whether it is in the batch being gathered.
--- a/src/cell/settings.rs
+++ b/src/cell/settings.rs
@@ -14,6 +14,8 @@
     pub instance: CompactString,
     /// Its availability zone.
     pub zone: CompactString,
+    /// Processor share of the instance, in thousandths of a core.
+    pub strength: u32,
     /// Address for callers.
     pub front: SocketAddr,
     /// Address that says whether the instance takes callers.
--- a/src/cell/shell/owner.rs
+++ b/src/cell/shell/owner.rs
@@ -94,9 +94,18 @@
 /// Time without a stored batch, while one is out, after which new work is refused, in milliseconds.
 const STORE_LOST: u64 = 900;
 
+/// Time between two looks at whether the store answers, while a job waits for it.
+const LOOK: Duration = Duration::from_millis(150);
+
 /// Time without a stored batch after which another instance should take over, in milliseconds.
 const STEP_DOWN: u64 = 700;
 
+/// Age of a term from which a stronger instance may take over, in milliseconds: recovery first.
+const SETTLED: u64 = 2_000;
+
+/// Processor share of an instance that should take over, as a multiple of the owner's.
+const OUTCLASS: f64 = 1.5;
+
 /// The owner of the cell.
 pub struct Owner {
     shared: Rc<Shared>,
@@ -110,6 +119,8 @@
     /// Local time since which a batch waits to be stored, in milliseconds; 0 when none does.
     pub(super) waiting: Cell<u64>,
     term: u64,
+    /// Local time at which the term began, in milliseconds.
+    began: u64,
 }
 
 impl Owner {
@@ -170,7 +181,7 @@
             .map(|r| (r.key.as_str(), r.value.as_deref()));
         engine.load(values, now);
         for record in &workers.records {
-            apply(&mut engine, record, now);
+            apply(&mut engine, record);
         }
         if let Some(catalog) = &*shared.catalog.borrow() {
             engine.set_services(&catalog.services);
@@ -186,6 +197,7 @@
             members: RefCell::new(Vec::new()),
             waiting: Cell::new(0),
             term,
+            began: now,
         });
         shared.metrics.terms.inc();
         actix_rt::spawn(until_over(owner.clone(), ticks(owner.clone())));
@@ -226,10 +238,22 @@
         *self.over.borrow()
     }
 
-    /// Whether batches have waited so long that another instance should take over.
+    /// Whether another instance should take over: batches have waited too long, or a much stronger
+    /// instance is there.
     #[must_use]
-    pub fn lost_store(&self) -> bool {
+    pub fn steps_down(&self) -> bool {
+        let now = self.now();
+        let settled = now > self.began + SETTLED && self.engine.borrow().is_settled();
         self.waits(STEP_DOWN)
+            || settled
+                && self
+                    .members(now)
+                    .first()
+                    .is_some_and(|m| self.outclasses(m))
+    }
+
+    fn outclasses(&self, other: &Member) -> bool {
+        f64::from(other.strength) > f64::from(self.shared.settings.strength) * OUTCLASS
     }
 
     fn waits(&self, span: u64) -> bool {
@@ -248,6 +272,7 @@
         let member = Member {
             instance: ping.instance.clone(),
             address: ping.address.clone(),
+            strength: ping.strength,
         };
         match members.binary_search_by(|m| m.instance.cmp(&ping.instance)) {
             Ok(at) => members[at] = member,
@@ -256,14 +281,16 @@
         self.engine.borrow_mut().advisers.heard(&ping.instance, now);
     }
 
-    /// The instances that send heartbeats.
+    /// The instances that send heartbeats, the strongest first.
     #[must_use]
     pub fn members(&self, now: u64) -> Vec<Member> {
         let engine = self.engine.borrow();
         let live: Vec<&CompactString> = engine.advisers.live(now).collect();
         let members = self.members.borrow();
         let live = members.iter().filter(|m| live.contains(&&m.instance));
-        live.cloned().collect()
+        let mut live: Vec<Member> = live.cloned().collect();
+        live.sort_by_key(|m| std::cmp::Reverse(m.strength));
+        live
     }
 
     /// The address of another instance.
@@ -456,13 +483,13 @@
     owner.pump();
 }
 
-fn apply(engine: &mut Engine, record: &store::Record, now: u64) {
+fn apply(engine: &mut Engine, record: &store::Record) {
     let Some(value) = &record.value else {
         engine.unregister(&record.key);
         return;
     };
     match roster::decode(&record.key, value) {
-        Ok(entry) => engine.register(entry, now),
+        Ok(entry) => engine.register(entry),
         Err(e) => debug!(worker = record.key.as_str(); "a registration cannot be used: {e}"),
     }
 }
@@ -490,11 +517,10 @@
             Ok(tail) => {
                 shared.store_answered();
                 from = Some(tail.next);
-                let now = owner.now();
                 let mut engine = owner.engine.borrow_mut();
                 tail.records
                     .iter()
-                    .for_each(|record| apply(&mut engine, record, now));
+                    .for_each(|record| apply(&mut engine, record));
             }
             Err(store::Error::Expired) => from = None,
             Err(e) => debug!("registrations cannot be read: {e}"),
@@ -583,11 +609,28 @@
     owner.pump();
     match taken {
         Ok(Taken::Known) => Outcome::Accepted,
-        Ok(Taken::In(batch)) => stored(owner, batch, patience).await,
+        Ok(Taken::In(batch)) => taken_in(owner, id, batch, patience).await,
         Err(text) => Outcome::Invalid(text),
     }
 }
 
+/// Waits until a new job is stored. While the store does not answer, jobs that were not sent to it
+/// are given up at once.
+async fn taken_in(owner: &Rc<Owner>, id: &str, batch: u64, patience: u64) -> Outcome {
+    let stored = stored(owner, batch, patience);
+    let mut stored = std::pin::pin!(stored);
+    loop {
+        tokio::select! {
+            outcome = &mut stored => return outcome,
+            () = time::sleep(LOOK) => {}
+        }
+        if owner.waits(STORE_LOST) && owner.engine.borrow_mut().withdraw(id) {
+            info!(job = id, waits = owner.now() - owner.waiting.get(); "given up: the store does not answer");
+            return Outcome::Refused(1);
+        }
+    }
+}
+
 /// Waits until a batch is stored.
 async fn stored(owner: &Rc<Owner>, batch: u64, patience: u64) -> Outcome {
     let mut durable = owner.durable.subscribe();
--- a/src/cell/shell/peer.rs
+++ b/src/cell/shell/peer.rs
@@ -52,6 +52,8 @@
     pub address: CompactString,
     /// The owner's term that it knows.
     pub term: u64,
+    /// Its processor share, in thousandths of a core.
+    pub strength: u32,
 }
 
 /// An instance that sends heartbeats.
@@ -61,6 +63,8 @@
     pub instance: CompactString,
     /// Its address for other instances.
     pub address: CompactString,
+    /// Its processor share, in thousandths of a core.
+    pub strength: u32,
 }
 
 /// The answer to a heartbeat.
@@ -72,7 +76,7 @@
     pub owner: bool,
     /// Whether it stops soon or the store refuses it.
     pub leaving: bool,
-    /// Those that send heartbeats, sorted by name.
+    /// Those that send heartbeats, in the order in which they should take over.
     pub members: Vec<Member>,
 }
 
@@ -199,7 +203,7 @@
     Pong {
         term,
         owner: owner.is_some() || shared.beginning.get(),
-        leaving: shared.stopping.get() || owner.as_ref().is_some_and(|o| o.lost_store()),
+        leaving: shared.stopping.get() || owner.as_ref().is_some_and(|o| o.steps_down()),
         members: owner.map_or_else(Vec::new, |o| o.members(shared.now())),
     }
 }
--- a/src/cell/shell/watch.rs
+++ b/src/cell/shell/watch.rs
@@ -64,6 +64,13 @@
 /// Time without any answer of the store after which an instance does not claim, in milliseconds.
 const STORE_AGE: u64 = 2_000;
 
+/// Processor share from which an instance can own a large cell, in thousandths of a core: the
+/// measured need at 350 workers, doubled.
+const STRONG: u32 = 450;
+
+/// Processor share from which an instance can own a small cell, in thousandths of a core.
+const FAIR: u32 = 200;
+
 /// Members asked about the owner at most: enough to tell a cut from a death.
 const ASKED: usize = 5;
 
@@ -192,6 +199,7 @@
         instance: shared.settings.instance.clone(),
         address: compact_str::format_compact!("{}", shared.settings.peer),
         term: owner.term,
+        strength: shared.settings.strength,
     };
     let answer: Result<Pong, _> =
         peer::send(shared, &owner.address, peer::PING, &message, PING).await;
@@ -252,11 +260,22 @@
         word: seat.word,
         refused: seat.refused,
         store: shared.store_answers(STORE_AGE) && !seat.stale && !shared.stopping.get(),
-        rank: rank.map_or(shared.life % 5, |rank| rank as u64),
+        rank: rank.map_or_else(|| unlisted(shared), |rank| rank as u64),
         witness: fresh.map_or(Witness::Unasked, |(_, witness)| witness),
     }
 }
 
+/// Rank of an instance that no owner has listed: strong ones first, with some chance between equal
+/// ones.
+fn unlisted(shared: &Shared) -> u64 {
+    let class = match shared.settings.strength {
+        STRONG.. => 0,
+        FAIR.. => 1,
+        _ => 3,
+    };
+    class + shared.life % 2
+}
+
 /// Asks other instances whether they hear from the owner.
 async fn ask(shared: &Rc<Shared>) {
     let (members, owner) = {
