feat(cell): steps claim the room that they ask the policy about

Cause: between a question about a gang and its answer, smaller work took the room; gangs asked again and again, kept all instances busy with questions and a third of the cell idle, and late work behind them starved. Change: a step claims the room that its question is likely to use, against those that rank after it; questions about gangs are fewer and larger, and learning questions become rare; room is reserved only for gangs that can still meet their objective.

--- a/src/cell/engine/advisers.rs
+++ b/src/cell/engine/advisers.rs
@@ -111,6 +111,12 @@
         }
     }
 
+    /// Number of questions that are out.
+    #[must_use]
+    pub fn out(&self) -> u32 {
+        self.list.iter().map(|a| a.out).sum()
+    }
+
     /// The instances with a fresh heartbeat.
     pub fn live(&self, now: u64) -> impl Iterator<Item = &CompactString> {
         let live = move |a: &&Adviser| a.heard + HEARTBEAT_AGE > now;
--- /dev/null
+++ b/src/cell/engine/ask.rs
@@ -0,0 +1,329 @@
+//! What the placement policy is asked, and what follows from its answers.
+
+use compact_str::{
+    CompactString,
+    format_compact, //
+};
+use log::info;
+
+use super::{
+    Action,
+    Engine,
+    Question,
+    place::{
+        Pass,
+        Wanted, //
+    }, //
+};
+use crate::cell::{
+    job::{
+        Claim,
+        StepKey,
+        Ticket,
+        WorkerKey, //
+    },
+    model, //
+};
+
+/// Share of workers that the policy is taken to find good before it has answered once.
+pub(super) const GOOD_SHARE: f64 = 0.5;
+
+/// Weight of the newest answer in the learned share of good workers: ten answers count.
+const GOOD_WEIGHT: f64 = 0.1;
+
+/// Room asked for, as a multiple of what a step needs: answers vary around the learned share.
+const ASK_MARGIN: f64 = 1.3;
+
+/// Fewest workers named in a question: a smaller one saves little time.
+const ASK_LEAST: usize = 4;
+
+/// Most workers named in a question: what the objective of a job allows for.
+const ASK_MOST: usize = 30;
+
+/// Time by which a permit is given up before it ends, in milliseconds: the way to the worker.
+const PERMIT_MARGIN: u64 = 150;
+
+/// Pause after a question that failed, in milliseconds.
+const ASK_PAUSE: u64 = 100;
+
+/// Room asked for a gang, as a multiple of what it needs: others take some of it meanwhile.
+const GANG_MARGIN: f64 = 1.5;
+
+/// Questions about one gang that may be out at a time, each through another instance.
+const GANG_QUESTIONS: u32 = 4;
+
+/// Fewest workers in a question about a gang when there are several: the fixed part of a question
+/// costs more than so many workers.
+const GANG_CHUNK: usize = 25;
+
+/// Fewest workers in a question about a gang: their share of the question's time is small.
+const GANG_LEAST: usize = 12;
+
+/// Most workers named for a gang at a time: what all its questions may hold.
+const GANG_MOST: usize = 200;
+
+/// Least share of good workers that is reckoned with.
+const LEAST_SHARE: f64 = 0.05;
+
+/// Pause after a first question that was asked only to learn which workers are good, in milliseconds.
+const LEARN_PAUSE: u64 = 800;
+
+/// Times that this pause doubles at most.
+const LEARN_DOUBLINGS: u32 = 2;
+
+/// Time for which room stays claimed beyond the time that an answer takes, in milliseconds.
+const CLAIM_SLACK: u64 = 500;
+
+/// A worker to be named, and how many tasks it could take.
+struct Candidate {
+    worker: WorkerKey,
+    tasks: f64,
+    chance: f64,
+}
+
+impl Engine {
+    /// Asks about workers with room for single tasks: known good ones first.
+    pub(super) fn ask(&mut self, pass: &Pass, wanted: &Wanted, offers: &[(usize, u32)], need: u32) {
+        let Some(step) = self.jobs[wanted.key.job].step(wanted.key) else {
+            return;
+        };
+        if step.policy.out > 0 || step.policy.after > pass.now {
+            return;
+        }
+        let mut sorted = offers.to_vec();
+        sorted.sort_by_key(|(i, _)| pass.slots[*i].room().millicores);
+        let (mut open, _) = self.candidates(pass, wanted, &sorted);
+        let least = ASK_LEAST.min(need as usize + 1);
+        let want = f64::from(need) * ASK_MARGIN;
+        let mut expected = 0.0;
+        let mut count = 0;
+        for candidate in &open {
+            if count >= ASK_MOST || expected >= want && count >= least {
+                break;
+            }
+            expected += candidate.chance * candidate.tasks;
+            count += 1;
+        }
+        open.truncate(count);
+        let used = (f64::from(need) / expected).min(1.0);
+        self.question(wanted.key, &open, used, pass.now);
+    }
+
+    /// Workers that may be named, good ones first, and the tasks that are expected to fit where an
+    /// answer is out or a permit is at hand.
+    fn candidates(
+        &self,
+        pass: &Pass,
+        wanted: &Wanted,
+        offers: &[(usize, u32)],
+    ) -> (Vec<Candidate>, f64) {
+        let share = self.share(wanted.key);
+        let mut open = Vec::new();
+        let mut held = 0.0;
+        let Some(step) = self.jobs[wanted.key.job].step(wanted.key) else {
+            return (open, held);
+        };
+        let policy = &step.policy;
+        for good in [true, false] {
+            for (i, count) in offers {
+                let slot = &pass.slots[*i];
+                let known = policy.good.binary_search(&slot.worker).is_ok();
+                if known != good || policy.bad.binary_search(&slot.worker).is_ok() {
+                    continue;
+                }
+                let candidate = Candidate {
+                    worker: slot.worker,
+                    tasks: f64::from(*count),
+                    chance: if good { 1.0 } else { share },
+                };
+                let out = policy
+                    .claims
+                    .iter()
+                    .any(|c| c.pending && c.worker == slot.worker);
+                if out || policy.ticket(slot.worker, slot.born, pass.now).is_some() {
+                    held += candidate.chance * candidate.tasks;
+                } else {
+                    open.push(candidate);
+                }
+            }
+        }
+        (open, held)
+    }
+
+    /// Asks about workers for a gang: good ones whose permits ran out first, then as many unknown
+    /// ones as are likely to have the room that is missing. Returns whether that is likely to do.
+    ///
+    /// Answers the load pattern of wide gangs with a policy that is slow and finds few workers good:
+    /// one question about enough workers, spread over several instances, in place of many small
+    /// ones whose permits run out one after the other.
+    pub(super) fn ask_gang(
+        &mut self,
+        pass: &Pass,
+        wanted: &Wanted,
+        offers: &[(usize, u32)],
+    ) -> bool {
+        let mut sorted = offers.to_vec();
+        sorted.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+        let (mut open, held) = self.candidates(pass, wanted, &sorted);
+        let need = f64::from(wanted.idle);
+        let mut expected = held;
+        let mut count = 0;
+        for candidate in open.iter().take(GANG_MOST) {
+            if expected >= need * GANG_MARGIN {
+                break;
+            }
+            expected += candidate.chance * candidate.tasks;
+            count += 1;
+        }
+        let enough = expected >= need;
+        // The fixed part of a question is worth some more names.
+        let spare = open.iter().skip(count).filter(|c| c.chance < 1.0).count();
+        count += GANG_LEAST.saturating_sub(count).min(spare);
+        open.truncate(count);
+        let fresh = open.iter().any(|c| c.chance < 1.0);
+        let Some(step) = self.jobs[wanted.key.job].step_mut(wanted.key) else {
+            return enough;
+        };
+        let policy = &mut step.policy;
+        if policy.out >= GANG_QUESTIONS || policy.after > pass.now || open.is_empty() {
+            return enough;
+        }
+        if policy.out > 0 && held >= need {
+            return enough;
+        }
+        if !enough {
+            // With too little room, only what is learned of unknown workers is worth a question.
+            if !fresh || policy.out > 0 || policy.lesson > pass.now {
+                return false;
+            }
+            policy.lesson = pass.now + (LEARN_PAUSE << policy.lessons.min(LEARN_DOUBLINGS));
+            policy.lessons += 1;
+            open.truncate(GANG_CHUNK.max(wanted.idle as usize * 2));
+        }
+        let used = if enough {
+            (need / expected).min(1.0)
+        } else {
+            0.0
+        };
+        let most = (GANG_QUESTIONS - policy.out) as usize;
+        let chunk = open.len().div_ceil(most).max(GANG_CHUNK);
+        for part in open.chunks(chunk) {
+            self.question(wanted.key, part, used, pass.now);
+        }
+        enough
+    }
+
+    fn share(&self, key: StepKey) -> f64 {
+        let queue = &self.jobs[key.job].queue.name;
+        let at = self.learned.binary_search_by(|l| l.queue.cmp(queue));
+        at.map_or(GOOD_SHARE, |at| self.learned[at].good)
+            .max(LEAST_SHARE)
+    }
+
+    /// Asks about `named`, of whose room the part `used` is likely to be taken.
+    fn question(&mut self, key: StepKey, named: &[Candidate], used: f64, now: u64) {
+        if named.is_empty() {
+            return;
+        }
+        let id = |c: &Candidate| self.books.workers[c.worker].entry.id.clone();
+        let workers: Vec<CompactString> = named.iter().map(id).collect();
+        let job = &mut self.jobs[key.job];
+        let Some(advice) = job.queue.advice else {
+            return;
+        };
+        let cost = advice.base + advice.each * workers.len() as f64;
+        let Some(through) = self.advisers.take(cost, now) else {
+            return;
+        };
+        let occurrence = job.occurrences.get(key.occurrence as usize);
+        let number = occurrence.map_or(0, |o| o.number);
+        let name = format_compact!("{}.{}.{}", job.id, number, key.step);
+        if let Some(step) = job.step_mut(key) {
+            step.policy.out += 1;
+            step.policy.claims.extend(named.iter().map(|c| Claim {
+                worker: c.worker,
+                tasks: c.tasks * c.chance * used,
+                most: c.tasks * used,
+                pending: true,
+                until: now + cost as u64 + CLAIM_SLACK,
+            }));
+        }
+        self.actions.push(Action::Ask(Question {
+            step: key,
+            name,
+            cost,
+            through,
+            valid: advice.valid.as_millis() as u64,
+            workers,
+        }));
+    }
+
+    /// Takes the policy's answer in, or that none came.
+    pub fn advised(&mut self, question: &Question, permits: Option<&[model::Permit]>, now: u64) {
+        let key = question.step;
+        self.stale = true;
+        self.advisers
+            .done(&question.through, permits.is_some(), now);
+        let Some(job) = self.jobs.get_mut(key.job) else {
+            return;
+        };
+        let queue = job.queue.name.clone();
+        let Some(step) = job.step_mut(key) else {
+            return;
+        };
+        let policy = &mut step.policy;
+        policy.out = policy.out.saturating_sub(1);
+        if permits.is_none() {
+            policy.after = now + ASK_PAUSE;
+        }
+        let until = now + question.valid.saturating_sub(PERMIT_MARGIN);
+        let mut good = 0_usize;
+        for id in &question.workers {
+            let Some(worker) = self.books.find(id) else {
+                continue;
+            };
+            let claim = policy
+                .claims
+                .iter()
+                .position(|c| c.pending && c.worker == worker);
+            let claim = claim.map(|at| policy.claims.swap_remove(at));
+            let Some(permits) = permits else {
+                continue;
+            };
+            policy.tickets.retain(|t| t.worker != worker);
+            let Some(permit) = permits.iter().find(|p| p.worker == *id) else {
+                insert(&mut policy.bad, worker);
+                continue;
+            };
+            good += 1;
+            insert(&mut policy.good, worker);
+            policy.tickets.push(Ticket {
+                worker,
+                born: self.books.workers[worker].born,
+                text: permit.ticket.clone(),
+                until,
+            });
+            // Members of a gang keep the room until all of them can start.
+            policy.claims.extend(claim.map(|claim| Claim {
+                tasks: claim.most,
+                pending: false,
+                until,
+                ..claim
+            }));
+        }
+        if permits.is_none() {
+            return;
+        }
+        let share = good as f64 / question.workers.len().max(1) as f64;
+        info!(step = question.name.as_str(), asked = question.workers.len(), good; "policy answered");
+        let learned = self.learned(&queue);
+        learned.good += GOOD_WEIGHT * (share - learned.good);
+    }
+}
+
+/// Adds a worker to a sorted list.
+fn insert(list: &mut Vec<WorkerKey>, worker: WorkerKey) {
+    if let Err(at) = list.binary_search(&worker) {
+        list.insert(at, worker);
+    }
+}
--- a/src/cell/engine/ends.rs
+++ b/src/cell/engine/ends.rs
@@ -34,6 +34,10 @@
 /// orders to stop.
 const GANG_SHARE: f64 = 0.6;
 
+/// Time in which workers end the other members of a broken gang, in milliseconds, before they are
+/// told to.
+const BREAKING: u64 = 400;
+
 impl Engine {
     /// Takes a worker's report in; it was asked for at local time `sent` with ends up to `seen`
     /// acknowledged.
@@ -419,9 +423,14 @@
             let Some(state) = self.books.runs.get_mut(run) else {
                 continue;
             };
-            if !state.unwanted {
-                state.unwanted = true;
-                state.after = now;
+            if state.unwanted {
+                continue;
+            }
+            state.unwanted = true;
+            // Workers end the other members of a broken gang themselves.
+            let confirmed = matches!(state.footing, Footing::Confirmed(_));
+            state.after = if confirmed { now + BREAKING } else { now };
+            if !confirmed {
                 self.actions.push(Action::Stop(run));
             }
         }
--- a/src/cell/engine/place.rs
+++ b/src/cell/engine/place.rs
@@ -1,15 +1,11 @@
-//! Which waiting steps go where, and what the placement policy is asked.
+//! Which waiting steps go where.
 
-use compact_str::{
-    CompactString,
-    format_compact, //
-};
+use compact_str::CompactString;
 use log::info;
 
 use super::{
     Action,
-    Engine,
-    Question, //
+    Engine, //
 };
 use crate::{
     cell::{
@@ -20,7 +16,6 @@
             RunKey,
             StepKey,
             TaskKey,
-            Ticket,
             WorkerKey, //
         },
         model, //
@@ -28,53 +23,39 @@
     resources::Resources, //
 };
 
-/// Share of workers that the policy is taken to find good before it has answered once.
-pub(super) const GOOD_SHARE: f64 = 0.5;
-
-/// Weight of the newest answer in the learned share of good workers: ten answers count.
-const GOOD_WEIGHT: f64 = 0.1;
-
-/// Room asked for, as a multiple of what a step needs: answers vary around the learned share.
-const ASK_MARGIN: f64 = 1.3;
-
-/// Fewest workers named in a question: a smaller one saves little time.
-const ASK_LEAST: usize = 4;
-
-/// Most workers named in a question: what the objective of a job allows for.
-const ASK_MOST: usize = 30;
-
-/// Time by which a permit is given up before it ends, in milliseconds: the way to the worker.
-const PERMIT_MARGIN: u64 = 150;
-
-/// Pause after a question that failed, in milliseconds.
-const ASK_PAUSE: u64 = 100;
-
 /// One in so many open workers may be kept free for gangs at a time; more would idle the cell.
-const RESERVED_PART: usize = 3;
-
-/// Room asked for a gang, as a multiple of what it needs: others take some of it meanwhile.
-const GANG_MARGIN: f64 = 1.5;
-
-/// Questions about one gang that may be out at a time, each through another instance.
-const GANG_QUESTIONS: u32 = 4;
-
-/// Fewest workers in a question about a gang when there are several: the fixed part of a question
-/// costs more than so many workers.
-const GANG_CHUNK: usize = 25;
-
-/// Most workers named for a gang at a time: what all its questions may hold.
-const GANG_MOST: usize = 200;
+const RESERVED_PART: usize = 5;
 
 /// Times the objective after which a job's completion is worth nothing any more, by the platform's
 /// description of late work.
 const LATE_FACTOR: u64 = 3;
 
+/// Class of jobs that can still meet their objective.
+const TIMELY: u8 = 0;
+
+/// Class of jobs that are late, but not worthless.
+const LATE: u8 = 1;
+
+/// Class of jobs whose completion is worth nothing any more.
+const HOPELESS: u8 = 2;
+
 /// A worker as one pass sees it.
-struct Slot {
-    worker: WorkerKey,
-    born: u64,
+pub(super) struct Slot {
+    pub(super) worker: WorkerKey,
+    pub(super) born: u64,
+    /// What is free there.
     free: Resources,
-    reserved: bool,
+    /// What steps are about to use of it.
+    held: Resources,
+}
+
+impl Slot {
+    /// What is free there and nobody is about to use.
+    pub(super) fn room(&self) -> Resources {
+        let free = self.free.parts();
+        let held = self.held.parts();
+        Resources::from_parts(std::array::from_fn(|i| free[i].saturating_sub(held[i])))
+    }
 }
 
 /// The order in which waiting steps are served: what is still in time first, then what is late but
@@ -97,9 +78,9 @@
     let last = start + (objective - start) * LATE_FACTOR;
     let finish = unix + rest;
     let class = match finish {
-        finish if finish <= objective => 0,
-        finish if finish <= last => 1,
-        _ => 2,
+        finish if finish <= objective => TIMELY,
+        finish if finish <= last => LATE,
+        _ => HOPELESS,
     };
     (class, job.queue.priority, objective)
 }
@@ -113,23 +94,33 @@
         .min(most)
 }
 
+/// What `tasks` tasks of `demand` take, with a part of a task rounded up.
+fn scaled(demand: &Resources, tasks: f64) -> Resources {
+    let parts = demand
+        .parts()
+        .map(|part| (f64::from(part) * tasks).ceil() as u32);
+    Resources::from_parts(parts)
+}
+
 /// One pass over the waiting steps.
-struct Pass {
-    slots: Vec<Slot>,
+pub(super) struct Pass {
+    pub(super) slots: Vec<Slot>,
     reserved: usize,
-    now: u64,
+    pub(super) now: u64,
 }
 
 /// A step as a pass sees it.
-struct Wanted {
-    key: StepKey,
+pub(super) struct Wanted {
+    pub(super) key: StepKey,
     demand: Resources,
     /// Tasks that wait.
-    idle: u32,
+    pub(super) idle: u32,
     /// Most tasks of the step on one worker.
     spread: u32,
     /// Whether the policy must be asked.
     asks: bool,
+    /// Whether the job can still meet its objective.
+    timely: bool,
 }
 
 impl Engine {
@@ -156,8 +147,9 @@
         }
         ranked.sort_by_key(|(rank, _)| *rank);
         let mut pass = self.pass(now);
-        for (_, key) in ranked {
-            let placed = self.place_step(&mut pass, key);
+        for (rank, key) in ranked {
+            let placed = self.place_step(&mut pass, key, rank.0 == TIMELY);
+            self.hold(&mut pass, key);
             if let (true, Some(step)) = (placed, self.jobs[key.job].step_mut(key)) {
                 step.queued = false;
             } else {
@@ -172,17 +164,19 @@
             worker,
             born: state.born,
             free: state.free(),
-            reserved: false,
+            held: Resources::default(),
         });
+        let mut slots: Vec<Slot> = slots.collect();
+        slots.sort_by_key(|slot| slot.worker);
         Pass {
-            slots: slots.collect(),
+            slots,
             reserved: 0,
             now,
         }
     }
 
     /// Places tasks of a step; returns whether none of them waits any longer.
-    fn place_step(&mut self, pass: &mut Pass, key: StepKey) -> bool {
+    fn place_step(&mut self, pass: &mut Pass, key: StepKey, timely: bool) -> bool {
         let job = &self.jobs[key.job];
         let (Some(plan), Some(step)) = (job.plan(key), job.step(key)) else {
             return true;
@@ -200,6 +194,7 @@
                 plan.spread
             },
             asks: job.queue.advice.is_some(),
+            timely,
         };
         if plan.gang {
             if step.live() > 0 || step.broken {
@@ -238,7 +233,8 @@
         };
         let mut offers = Vec::new();
         for (i, slot) in pass.slots.iter().enumerate() {
-            if slot.reserved || !wanted.demand.fits(&slot.free) || !self.suits(slot, job, plan) {
+            let room = slot.room();
+            if !wanted.demand.fits(&room) || !self.suits(slot, job, plan) {
                 continue;
             }
             let mut most = wanted.idle;
@@ -249,7 +245,7 @@
                         .saturating_sub(self.present(wanted.key, slot.worker)),
                 );
             }
-            let count = slots(&slot.free, &wanted.demand, most);
+            let count = slots(&room, &wanted.demand, most);
             if count > 0 {
                 offers.push((i, count));
             }
@@ -280,6 +276,10 @@
             .filter(|(_, t)| t.phase == Phase::Idle);
         let tasks: Vec<(u32, Vec<WorkerKey>)> =
             idle.map(|(i, t)| (i as u32, t.avoid.clone())).collect();
+        if let Some(step) = self.jobs[wanted.key.job].step_mut(wanted.key) {
+            // What was answered is used now or not at all.
+            step.policy.claims.retain(|c| c.pending);
+        }
         let mut left = wanted.idle;
         for (index, avoid) in tasks {
             let Some(at) = self.best(pass, wanted, &open, &avoid) else {
@@ -314,7 +314,7 @@
         let mut best: Option<((bool, bool, u32), usize)> = None;
         for (at, (i, count)) in open.iter().enumerate() {
             let slot = &pass.slots[*i];
-            if *count == 0 || !wanted.demand.fits(&slot.free) {
+            if *count == 0 || !wanted.demand.fits(&slot.room()) {
                 continue;
             }
             let worker = &self.books.workers[slot.worker];
@@ -354,23 +354,48 @@
             self.put_gang(pass, wanted, &chosen);
             return true;
         }
+        let enough = wanted.asks && self.ask_gang(pass, wanted, &offers);
+        if !enough && wanted.timely {
+            self.reserve(pass, wanted, good);
+        }
+        false
+    }
+
+    /// Keeps room that is too little yet for a gang from those that come after it in this pass.
+    fn reserve(&self, pass: &mut Pass, wanted: &Wanted, mut good: Vec<(usize, u32)>) {
         let most = pass.slots.len() / RESERVED_PART;
-        if pass.reserved < most {
-            let mut left = need;
-            good.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
-            for (i, count) in &good {
-                if left == 0 {
-                    break;
-                }
-                pass.slots[*i].reserved = true;
-                pass.reserved += 1;
-                left = left.saturating_sub(*count);
+        let mut left = wanted.idle;
+        good.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+        for (i, count) in good {
+            if left == 0 || pass.reserved >= most {
+                return;
             }
+            let taken = count.min(left);
+            let slot = &mut pass.slots[i];
+            slot.held = slot.held.plus(&scaled(&wanted.demand, f64::from(taken)));
+            pass.reserved += 1;
+            left -= taken;
         }
-        if wanted.asks {
-            self.ask_gang(pass, wanted, &offers);
+    }
+
+    /// Keeps the room that a step is about to use from those that come after it in this pass.
+    fn hold(&self, pass: &mut Pass, key: StepKey) {
+        let Some(job) = self.jobs.get(key.job) else {
+            return;
+        };
+        let (Some(plan), Some(step)) = (job.plan(key), job.step(key)) else {
+            return;
+        };
+        let demand = super::demand(plan);
+        for claim in step.policy.claims.iter().filter(|c| c.until > pass.now) {
+            let at = pass
+                .slots
+                .binary_search_by_key(&claim.worker, |slot| slot.worker);
+            if let Ok(at) = at {
+                let held = &mut pass.slots[at].held;
+                *held = held.plus(&scaled(&demand, claim.tasks));
+            }
         }
-        false
     }
 
     /// Workers for a whole gang, most members on the fewest; in one rack where that helps and works.
@@ -419,6 +444,7 @@
             return;
         };
         step.began = pass.now;
+        step.policy.claims.clear();
         // All members of a run share its number.
         let highest = step.tasks.iter().map(|t| t.run).max().unwrap_or(0);
         for task in &mut step.tasks {
@@ -477,190 +503,4 @@
         let step = self.jobs[key.job].step(key);
         step.is_some_and(|step| step.policy.good.binary_search(&worker).is_ok())
     }
-
-    /// Asks about workers with room for single tasks: known good ones first.
-    fn ask(&mut self, pass: &Pass, wanted: &Wanted, offers: &[(usize, u32)], need: u32) {
-        let Some(step) = self.jobs[wanted.key.job].step(wanted.key) else {
-            return;
-        };
-        if step.policy.out > 0 || step.policy.after > pass.now {
-            return;
-        }
-        let mut named: Vec<(usize, f64)> = Vec::new();
-        let share = self.share(wanted.key);
-        let mut expected = 0.0;
-        let want = f64::from(need) * ASK_MARGIN;
-        let mut sorted = offers.to_vec();
-        sorted.sort_by_key(|(i, _)| pass.slots[*i].free.millicores);
-        for good in [true, false] {
-            for (i, count) in &sorted {
-                let slot = &pass.slots[*i];
-                let known = step.policy.good.binary_search(&slot.worker).is_ok();
-                let refused = step.policy.bad.binary_search(&slot.worker).is_ok();
-                let held = step
-                    .policy
-                    .ticket(slot.worker, slot.born, pass.now)
-                    .is_some();
-                if known != good || refused || held {
-                    continue;
-                }
-                if named.len() >= ASK_MOST
-                    || expected >= want && named.len() >= ASK_LEAST.min(need as usize + 1)
-                {
-                    break;
-                }
-                let chance = if good { 1.0 } else { share };
-                expected += chance * f64::from(*count);
-                named.push((*i, chance));
-            }
-        }
-        let named: Vec<WorkerKey> = named.iter().map(|(i, _)| pass.slots[*i].worker).collect();
-        self.question(wanted.key, &named, pass.now);
-    }
-
-    /// Asks about workers for a gang: good ones whose permits ran out first, then as many unknown
-    /// ones as are likely to have the room that is missing.
-    ///
-    /// Answers the load pattern of wide gangs with a policy that is slow and finds few workers good:
-    /// one question about enough workers, spread over several instances, in place of many small
-    /// ones whose permits run out one after the other.
-    fn ask_gang(&mut self, pass: &Pass, wanted: &Wanted, offers: &[(usize, u32)]) {
-        let Some(step) = self.jobs[wanted.key.job].step(wanted.key) else {
-            return;
-        };
-        let policy = &step.policy;
-        if policy.out >= GANG_QUESTIONS || policy.after > pass.now {
-            return;
-        }
-        let share = self.share(wanted.key);
-        let need = f64::from(wanted.idle);
-        let mut sorted = offers.to_vec();
-        sorted.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
-        let mut expected = 0.0;
-        let mut named: Vec<WorkerKey> = Vec::new();
-        for good in [true, false] {
-            for (i, count) in &sorted {
-                let slot = &pass.slots[*i];
-                let known = policy.good.binary_search(&slot.worker).is_ok();
-                if known != good || policy.bad.binary_search(&slot.worker).is_ok() {
-                    continue;
-                }
-                let chance = if good { 1.0 } else { share };
-                let held = policy.ticket(slot.worker, slot.born, pass.now).is_some();
-                if held || policy.pending.contains(&slot.worker) {
-                    expected += chance * f64::from(*count);
-                } else if expected < need * GANG_MARGIN && named.len() < GANG_MOST {
-                    expected += chance * f64::from(*count);
-                    named.push(slot.worker);
-                }
-            }
-        }
-        let fresh = named.iter().any(|w| policy.good.binary_search(w).is_err());
-        // With too little room, only what is learned of unknown workers is worth a question.
-        if expected < need && (!fresh || policy.out > 0) {
-            return;
-        }
-        let most = (GANG_QUESTIONS - policy.out) as usize;
-        let chunk = named.len().div_ceil(most).max(GANG_CHUNK);
-        for part in named.chunks(chunk) {
-            self.question(wanted.key, part, pass.now);
-        }
-    }
-
-    fn share(&self, key: StepKey) -> f64 {
-        let queue = &self.jobs[key.job].queue.name;
-        let at = self.learned.binary_search_by(|l| l.queue.cmp(queue));
-        at.map_or(GOOD_SHARE, |at| self.learned[at].good).max(0.05)
-    }
-
-    fn question(&mut self, key: StepKey, named: &[WorkerKey], now: u64) {
-        if named.is_empty() {
-            return;
-        }
-        let workers: Vec<CompactString> = named
-            .iter()
-            .map(|w| self.books.workers[*w].entry.id.clone())
-            .collect();
-        let job = &mut self.jobs[key.job];
-        let Some(advice) = job.queue.advice else {
-            return;
-        };
-        let cost = advice.base + advice.each * workers.len() as f64;
-        let Some(through) = self.advisers.take(cost, now) else {
-            return;
-        };
-        let number = job
-            .occurrences
-            .get(key.occurrence as usize)
-            .map_or(0, |o| o.number);
-        let name = format_compact!("{}.{}.{}", job.id, number, key.step);
-        if let Some(step) = job.step_mut(key) {
-            step.policy.out += 1;
-            step.policy.pending.extend_from_slice(named);
-        }
-        self.actions.push(Action::Ask(Question {
-            step: key,
-            name,
-            cost,
-            through,
-            valid: advice.valid.as_millis() as u64,
-            workers,
-        }));
-    }
-
-    /// Takes the policy's answer in, or that none came.
-    pub fn advised(&mut self, question: &Question, permits: Option<&[model::Permit]>, now: u64) {
-        let key = question.step;
-        self.stale = true;
-        self.advisers
-            .done(&question.through, permits.is_some(), now);
-        let Some(job) = self.jobs.get_mut(key.job) else {
-            return;
-        };
-        let queue = job.queue.name.clone();
-        let Some(step) = job.step_mut(key) else {
-            return;
-        };
-        step.policy.out = step.policy.out.saturating_sub(1);
-        let named: Vec<WorkerKey> = question
-            .workers
-            .iter()
-            .filter_map(|id| self.books.find(id))
-            .collect();
-        step.policy.pending.retain(|w| !named.contains(w));
-        let Some(permits) = permits else {
-            step.policy.after = now + ASK_PAUSE;
-            return;
-        };
-        let mut good = 0_usize;
-        for id in &question.workers {
-            let Some(worker) = self.books.find(id) else {
-                continue;
-            };
-            let born = self.books.workers[worker].born;
-            let permit = permits.iter().find(|p| p.worker == *id);
-            let policy = &mut step.policy;
-            policy.tickets.retain(|t| t.worker != worker);
-            let list = match permit {
-                Some(permit) => {
-                    good += 1;
-                    policy.tickets.push(Ticket {
-                        worker,
-                        born,
-                        text: permit.ticket.clone(),
-                        until: now + question.valid.saturating_sub(PERMIT_MARGIN),
-                    });
-                    &mut policy.good
-                }
-                None => &mut policy.bad,
-            };
-            if let Err(at) = list.binary_search(&worker) {
-                list.insert(at, worker);
-            }
-        }
-        let share = good as f64 / question.workers.len().max(1) as f64;
-        info!(step = question.name.as_str(), asked = question.workers.len(), good; "policy answered");
-        let learned = self.learned(&queue);
-        learned.good += GOOD_WEIGHT * (share - learned.good);
-    }
 }
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -80,6 +80,21 @@
     pub until: u64,
 }
 
+/// Room on a worker that a step is about to use: others find only the rest.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Claim {
+    /// The worker.
+    pub worker: WorkerKey,
+    /// Number of tasks, on average over what the policy may answer.
+    pub tasks: f64,
+    /// Number of tasks if the policy finds the worker good.
+    pub most: f64,
+    /// Whether the answer is still out.
+    pub pending: bool,
+    /// Local time until which it holds, in milliseconds.
+    pub until: u64,
+}
+
 /// What the placement policy said of a step.
 #[derive(Debug, Clone, Default)]
 pub struct Policy {
@@ -91,8 +106,12 @@
     pub bad: Vec<WorkerKey>,
     /// Questions that are out.
     pub out: u32,
-    /// Workers named in them.
-    pub pending: Vec<WorkerKey>,
+    /// Room that the step is about to use.
+    pub claims: Vec<Claim>,
+    /// Questions that were asked only to learn which workers are good.
+    pub lessons: u32,
+    /// Local time before which none such is asked again, in milliseconds.
+    pub lesson: u64,
     /// Local time before which no question is asked again, in milliseconds.
     pub after: u64,
 }
--- a/src/cell/shell/owner.rs
+++ b/src/cell/shell/owner.rs
@@ -73,6 +73,9 @@
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(25);
 
+/// Time between two lines about how things stand.
+const REPORT_EVERY: Duration = Duration::from_secs(1);
+
 /// Time for which events are gathered before waiting steps are looked at.
 const GATHER: Duration = Duration::from_millis(4);
 
@@ -202,6 +205,7 @@
         shared.metrics.terms.inc();
         actix_rt::spawn(until_over(owner.clone(), ticks(owner.clone())));
         actix_rt::spawn(until_over(owner.clone(), passes(owner.clone())));
+        actix_rt::spawn(until_over(owner.clone(), reports(owner.clone())));
         actix_rt::spawn(until_over(
             owner.clone(),
             follow_roster(owner.clone(), workers.end),
@@ -361,6 +365,14 @@
     }
 }
 
+/// Writes how things stand from time to time.
+async fn reports(owner: Rc<Owner>) {
+    loop {
+        time::sleep(REPORT_EVERY).await;
+        owner.engine.borrow().report(owner.now());
+    }
+}
+
 async fn passes(owner: Rc<Owner>) {
     loop {
         owner.wake.notified().await;
