--- a/src/cell/engine/ends.rs
+++ b/src/cell/engine/ends.rs
@@ -181,10 +181,10 @@
             self.actions.push(Action::Stop(key));
         }
         self.begin(task);
-        if let Some(state) = self.jobs[task.step.job].task_mut(task) {
-            if !live.saved.is_empty() {
-                state.saved = live.saved.clone();
-            }
+        if let Some(state) = self.jobs[task.step.job].task_mut(task)
+            && !live.saved.is_empty()
+        {
+            state.saved = live.saved.clone();
         }
     }
 
@@ -261,10 +261,10 @@
         }
         info!(job = run.name.job.as_str(), step = run.name.step, task = run.name.index, run = run.number,
             worker = self.worker_id(run.worker), how:? = how, took = now - run.began; "run ended");
-        if let Some(state) = self.jobs[task.step.job].task_mut(task) {
-            if state.phase == Phase::Live(key) {
-                state.phase = Phase::Idle;
-            }
+        if let Some(state) = self.jobs[task.step.job].task_mut(task)
+            && state.phase == Phase::Live(key)
+        {
+            state.phase = Phase::Idle;
         }
         self.outcome(task, run.worker, run.number, how, saved, now);
     }
@@ -292,10 +292,11 @@
         };
         let (gang, lasting) = (plan.gang, plan.lasting);
         let id = job.id.clone();
-        if !saved.is_empty() && how != How::Done {
-            if let Some(state) = job.task_mut(task) {
-                state.saved = saved.into();
-            }
+        if !saved.is_empty()
+            && how != How::Done
+            && let Some(state) = job.task_mut(task)
+        {
+            state.saved = saved.into();
         }
         match how {
             How::Done if !lasting => {
--- a/src/cell/journal.rs
+++ b/src/cell/journal.rs
@@ -48,6 +48,9 @@
     pub saved: CompactString,
 }
 
+/// Occurrence, step, and ranges of indices of tasks that have succeeded.
+type DoneTasks = (u32, u32, Vec<(u32, u32)>);
+
 /// How far a job is.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
@@ -56,9 +59,9 @@
     /// Number of occurrences that have begun.
     #[serde(default)]
     pub begun: u32,
-    /// Steps with tasks that have succeeded: occurrence, step, first and last index of each range.
+    /// Steps with tasks that have succeeded; the ends of ranges are included.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub done: Vec<(u32, u32, Vec<(u32, u32)>)>,
+    pub done: Vec<DoneTasks>,
     /// Tasks that have failed or saved something.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub tasks: Vec<TaskNote>,
--- a/src/cell/shell/owner.rs
+++ b/src/cell/shell/owner.rs
@@ -101,6 +101,13 @@
 /// milliseconds: shorter than any take-over.
 const CONFIDENT: u64 = 700;
 
+/// Seconds after which a caller should come back when the store does not answer. Jobs with time to
+/// spare come back later, so that a caller's usual number of tries reaches beyond longer outages.
+const STORE_RETRY: (u64, u64) = (1, 2);
+
+/// Objective from which a job has time to spare, in milliseconds: a typical outage of the store.
+const SPARE: u64 = 4_500;
+
 /// Time between two looks at whether the store answers, while a job waits for it.
 const LOOK: Duration = Duration::from_millis(150);
 
@@ -604,6 +611,14 @@
     }
 }
 
+/// When a refused caller should come back, in seconds.
+fn come_back(queue: &model::Queue, work: &model::Submission) -> u64 {
+    let longest: u64 = work.steps.iter().map(|step| step.estimate).sum();
+    let objective = (longest as f64 * queue.stretch) as u64 + queue.target;
+    let (soon, later) = STORE_RETRY;
+    if objective < SPARE { soon } else { later }
+}
+
 async fn submit(
     owner: &Rc<Owner>,
     id: &str,
@@ -611,6 +626,7 @@
     work: model::Submission,
     patience: u64,
 ) -> Outcome {
+    let retry = come_back(&queue, &work);
     if owner.waits(STORE_LOST) && !owner.engine.borrow().is_stored(id) {
         // A job that may be on its way to the store is not refused: it may run.
         let pending = owner.engine.borrow().is_known(id);
@@ -618,7 +634,7 @@
         return if pending {
             Outcome::Unknown
         } else {
-            Outcome::Refused(1)
+            Outcome::Refused(retry)
         };
     }
     let now = owner.now();
@@ -626,14 +642,14 @@
     owner.pump();
     match taken {
         Ok(Taken::Known) => Outcome::Accepted,
-        Ok(Taken::In(batch)) => taken_in(owner, id, batch, patience).await,
+        Ok(Taken::In(batch)) => taken_in(owner, id, batch, patience, retry).await,
         Err(text) => Outcome::Invalid(text),
     }
 }
 
 /// Waits until a new job is stored. While the store does not answer, jobs that were not sent to it
 /// are given up at once.
-async fn taken_in(owner: &Rc<Owner>, id: &str, batch: u64, patience: u64) -> Outcome {
+async fn taken_in(owner: &Rc<Owner>, id: &str, batch: u64, patience: u64, retry: u64) -> Outcome {
     let stored = stored(owner, batch, patience);
     let mut stored = std::pin::pin!(stored);
     loop {
@@ -643,7 +659,7 @@
         }
         if owner.waits(STORE_LOST) && owner.engine.borrow_mut().withdraw(id) {
             info!(job = id, waits = owner.now() - owner.waiting.get(); "given up: the store does not answer");
-            return Outcome::Refused(1);
+            return Outcome::Refused(retry);
         }
     }
 }
--- a/tests/cell/world.rs
+++ b/tests/cell/world.rs
@@ -206,12 +206,12 @@
                 self.owners[owner].alive = false;
                 self.successor = Some(self.now + TAKE_OVER);
             }
-        } else if self.chance(faults) {
-            if let Some(owner) = self.current() {
-                self.owners[owner].cut = self.now + 20_000;
-                self.judge.trace(|| format!("{} owner cut off", self.now));
-                self.successor = Some(self.now + TAKE_OVER);
-            }
+        } else if self.chance(faults)
+            && let Some(owner) = self.current()
+        {
+            self.owners[owner].cut = self.now + 20_000;
+            self.judge.trace(|| format!("{} owner cut off", self.now));
+            self.successor = Some(self.now + TAKE_OVER);
         }
         if self.chance(faults) {
             let at = self.rng.random_range(0..self.machines.len());
