fix(cell): after an outage of the store its owner goes on in place of a new one

Change: a new copy of an append is sent every 250 ms as old ones time out after 1 s; a successor looks at the owner once more before it claims because of the store.

--- a/src/cell/shell/commit.rs
+++ b/src/cell/shell/commit.rs
@@ -11,6 +11,7 @@
     stream::FuturesUnordered, //
 };
 use log::{
+    debug,
     info,
     warn, //
 };
@@ -34,7 +35,7 @@
 const REPEAT: Duration = Duration::from_millis(250);
 
 /// Limit of one append.
-const LIMIT: Duration = Duration::from_millis(2_000);
+const LIMIT: Duration = Duration::from_millis(1_000);
 
 /// Appends of the same batch that may be out at a time.
 const MOST: usize = 4;
@@ -133,14 +134,12 @@
     }
 }
 
-/// Sends an append, and again beside it as long as no answer comes.
+/// Sends an append, and again beside it as long as no answer comes: the store carries it out once,
+/// and a store that is back is found within [`REPEAT`].
 async fn race(shared: &Rc<Shared>, guard: store::Guard, body: &Bytes) -> Result<(), store::Error> {
     let mut out = FuturesUnordered::new();
-    let mut last = Err(store::Error::Refused(0));
-    let mut sent = 0;
     loop {
-        if sent < MOST {
-            sent += 1;
+        if out.len() < MOST {
             shared.metrics.appends.inc();
             out.push(store::append(
                 &shared.store,
@@ -150,17 +149,16 @@
                 LIMIT,
             ));
         }
-        let wait = if sent < MOST { REPEAT } else { LIMIT };
-        match time::timeout(wait, out.next()).await {
-            Ok(Some(Err(e @ store::Error::Unknown(_)))) => {
-                last = Err(e);
-                if out.is_empty() && sent >= MOST {
-                    return last;
-                }
+        let pause = time::sleep(REPEAT);
+        let mut pause = std::pin::pin!(pause);
+        loop {
+            tokio::select! {
+                Some(answer) = out.next() => match answer {
+                    Err(store::Error::Unknown(e)) => debug!("an append was not answered: {e}"),
+                    answer => return answer,
+                },
+                () = &mut pause => break,
             }
-            Ok(Some(answer)) => return answer,
-            Ok(None) => return last,
-            Err(_) => {}
         }
     }
 }
--- a/src/cell/shell/watch.rs
+++ b/src/cell/shell/watch.rs
@@ -58,6 +58,9 @@
 /// Limit of an exchange with the store about ownership.
 const STORE: Duration = Duration::from_millis(1_200);
 
+/// Time that an owner gets to recover when the store answers again: one repetition of an append.
+const SECOND_LOOK: Duration = Duration::from_millis(300);
+
 /// Limit of a page of the jobs that are read before a claim.
 const EARLY: Duration = Duration::from_millis(2_000);
 
@@ -321,6 +324,14 @@
             return;
         }
     };
+    if shared.seat.borrow().word == Word::StepsDown {
+        // When the store was away for all, the owner is well again by now.
+        time::sleep(SECOND_LOOK).await;
+        if ping(shared).await {
+            info!("no claim, the owner is well again");
+            return;
+        }
+    }
     if !read(shared).await || shared.seat.borrow().owner != before {
         return;
     }
