--- a/src/cell/books.rs
+++ b/src/cell/books.rs
@@ -73,8 +73,6 @@
     pub after: u64,
     /// Whether an order about it is out.
     pub busy: bool,
-    /// Local time since which it has made no progress, in milliseconds; 0 while it does.
-    pub still: u64,
 }
 
 /// A worker.
--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -152,7 +152,6 @@
     finished: Vec<JobKey>,
     timed: Vec<JobKey>,
     learned: Vec<Learned>,
-    guarded: Vec<CompactString>,
     /// Instances through which the policy is asked.
     pub advisers: advisers::Advisers,
     settle_by: u64,
@@ -187,7 +186,6 @@
             finished: Vec::new(),
             timed: Vec::new(),
             learned: Vec::new(),
-            guarded: Vec::new(),
             advisers: advisers::Advisers::default(),
             settle_by: 0,
             wall: 0,
@@ -205,13 +203,6 @@
         (now as i64 + self.wall).max(0) as u64
     }
 
-    /// Takes note of which services have workers that reject what does not fit.
-    pub fn set_services(&mut self, services: &[model::Service]) {
-        let guarded = services.iter().filter(|s| s.guards);
-        self.guarded = guarded.map(|s| s.name.clone()).collect();
-        self.guarded.sort();
-    }
-
     fn find(&self, id: &str) -> Option<JobKey> {
         let at = self
             .index
@@ -612,7 +603,6 @@
             unwanted: false,
             after: 0,
             busy: false,
-            still: 0,
         });
         if let Some(state) = job.task_mut(task) {
             state.phase = Phase::Live(run);
--- a/src/cell/engine/ends.rs
+++ b/src/cell/engine/ends.rs
@@ -219,7 +219,6 @@
             unwanted: task.is_none(),
             after: 0,
             busy: false,
-            still: 0,
         });
         let Some(task) = task else {
             self.actions.push(Action::Stop(key));
--- a/src/cell/engine/place.rs
+++ b/src/cell/engine/place.rs
@@ -443,7 +443,6 @@
         let Some(step) = self.jobs[wanted.key.job].step_mut(wanted.key) else {
             return;
         };
-        step.began = pass.now;
         step.policy.claims.clear();
         // All members of a run share its number.
         let highest = step.tasks.iter().map(|t| t.run).max().unwrap_or(0);
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -137,8 +137,6 @@
     pub queued: bool,
     /// What the placement policy said.
     pub policy: Policy,
-    /// When the first member of the gang's current run was ordered, in local milliseconds.
-    pub began: u64,
     /// Whether the gang's current run has ended and its members are being collected.
     pub broken: bool,
 }
--- a/src/cell/settings.rs
+++ b/src/cell/settings.rs
@@ -40,8 +40,4 @@
     pub gang: Duration,
     /// How long the state of a finished job is kept.
     pub keep: Duration,
-    /// Time between two registrations of a worker.
-    pub heartbeat: Duration,
-    /// Factor by which a task away from its data takes longer.
-    pub remote: f64,
 }
--- a/src/cell/shell/follow.rs
+++ b/src/cell/shell/follow.rs
@@ -99,8 +99,5 @@
         return;
     }
     info!(version = fresh.version, before, queues = fresh.queues.len(); "configuration in force");
-    if let Some(owner) = &*shared.owner.borrow() {
-        owner.set_services(&fresh.services);
-    }
     shared.catalog.replace(Some(Rc::new(fresh)));
 }
--- a/src/cell/shell/owner.rs
+++ b/src/cell/shell/owner.rs
@@ -197,9 +197,6 @@
         for record in &workers.records {
             apply(&mut engine, record);
         }
-        if let Some(catalog) = &*shared.catalog.borrow() {
-            engine.set_services(&catalog.services);
-        }
         info!(term, took = now - began, records = jobs.records.len(), sequence; "term begins");
         let owner = Rc::new(Self {
             shared: shared.clone(),
@@ -276,11 +273,6 @@
         since > 0 && self.shared.now() > since + span
     }
 
-    /// Takes the services of a new configuration in.
-    pub fn set_services(&self, services: &[model::Service]) {
-        self.engine.borrow_mut().set_services(services);
-    }
-
     /// Takes a heartbeat in.
     pub fn heard(&self, ping: &Ping, now: u64) {
         let mut members = self.members.borrow_mut();
--- a/tests/cell/workers.rs
+++ b/tests/cell/workers.rs
@@ -425,8 +425,7 @@
 /// Lets time pass at all workers: runs end, leases run out, gangs break.
 pub(super) fn pass(machines: &mut [Machine], judge: &mut Judge, now: u64) {
     let mut broken: Vec<(TaskName, u32, How)> = Vec::new();
-    for at in 0..machines.len() {
-        let machine = &mut machines[at];
+    for (at, machine) in machines.iter_mut().enumerate() {
         if !machine.up {
             continue;
         }
@@ -464,8 +463,7 @@
         } else {
             How::Broken
         };
-        for at in 0..machines.len() {
-            let machine = &mut machines[at];
+        for (at, machine) in machines.iter_mut().enumerate() {
             let mine =
                 |r: &Running| r.task.job == task.job && r.task.step == task.step && r.run == number;
             while let Some(index) = machine.running.iter().position(|r| machine.up && mine(r)) {
