fix(cell): a frozen owner is replaced; tests with real processes against a stand-in of the platform

Cause: what other instances said of a silent owner was taken as old before the next heartbeat had timed out, so that an owner which was frozen or cut off without a reset was asked about for ever and never replaced. Found by takeover::an_owner_that_was_frozen_does_no_harm_when_it_wakes, red before. Change: an instance acts upon the answer at once, and it holds for longer than two heartbeats. Tests: kills of owners in turn, a frozen owner, all instances killed, an outage of the store; the judge of the fuzz judges the real processes.

--- a/src/cell/shell/watch.rs
+++ b/src/cell/shell/watch.rs
@@ -52,8 +52,9 @@
 /// Age of an answer up to which another instance vouches for the owner, in milliseconds.
 const FRESH: u64 = 800;
 
-/// Time for which what others said holds, in milliseconds.
-const WITNESS: u64 = 500;
+/// Time for which what others said holds, in milliseconds: longer than two heartbeats without an
+/// answer take.
+const WITNESS: u64 = 1_300;
 
 /// Limit of an exchange with the store about ownership.
 const STORE: Duration = Duration::from_millis(1_200);
@@ -142,7 +143,13 @@
         let well = ping(&shared).await;
         match election::decide(&view(&shared)) {
             Step::Wait => {}
-            Step::Ask => ask(&shared).await,
+            Step::Ask => {
+                ask(&shared).await;
+                // What was said is acted upon before the next heartbeat times out.
+                if election::decide(&view(&shared)) == Step::Claim {
+                    claim(&shared).await;
+                }
+            }
             Step::Claim => claim(&shared).await,
         }
         time::sleep(if well { HEARTBEAT } else { ALERT }).await;
--- /dev/null
+++ b/tests/instances/takeover.rs
@@ -0,0 +1,218 @@
+//! Jobs go on, and run once, whatever happens to the instances.
+
+use std::{
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use serde_json::{
+    Value,
+    json, //
+};
+
+use super::{
+    processes::{
+        self,
+        Instance, //
+    },
+    standin::{
+        self,
+        Shared, //
+    },
+    workers::Known, //
+};
+
+/// How long a caller tries to hand a job in, and how long all jobs may take.
+const TRIES: Duration = Duration::from_secs(20);
+const FINISH: Duration = Duration::from_secs(40);
+
+struct Cell {
+    platform: Shared,
+    instances: Vec<Instance>,
+    jobs: Vec<String>,
+}
+
+impl Cell {
+    fn start(instances: usize) -> Self {
+        let (address, platform) = standin::start(4, 8_000);
+        let config = json!({
+            "version": 3,
+            "routes": [{"name": "q", "host": "h", "path_prefix": "/q/", "service": "s", "target_latency_ms": 1_000,
+                        "max_attempts": 9, "stretch": 2.0}],
+            "services": [{"name": "s"}],
+        });
+        {
+            let mut world = platform.lock().unwrap();
+            world.judge.attempts = 9;
+            world.publish("keyed.op", "config", &config);
+        }
+        let start = |n: usize| Instance::start(&format!("i{n}-{}", address.port()), address);
+        let cell = Self {
+            platform,
+            instances: (0..instances).map(start).collect(),
+            jobs: Vec::new(),
+        };
+        wait("all instances are ready", || {
+            cell.instances.iter().all(Instance::is_ready)
+        });
+        cell
+    }
+
+    /// Hands a job in, at one instance after the other until one takes it.
+    fn submit(&mut self) {
+        let n = self.jobs.len() as u32;
+        let id = format!("{:016x}", 0xA000 + n);
+        let (count, cpu, gang) = (1 + n % 4, 500 + n % 3 * 700, n % 5 == 0);
+        let second = n % 3 == 0;
+        let mut steps = vec![
+            json!({"count": count, "cpu": cpu, "mem_mb": 64, "estimated_ms": 300, "gang": gang}),
+        ];
+        let mut known = vec![(count, cpu, gang, Vec::new())];
+        if second {
+            steps.push(json!({"count": 2, "cpu": 400, "mem_mb": 64, "estimated_ms": 300, "depends_on": [0]}));
+            known.push((2, 400, false, vec![0]));
+        }
+        let known = Known {
+            steps: known,
+            wanted: true,
+            cancelled: None,
+        };
+        self.platform
+            .lock()
+            .unwrap()
+            .judge
+            .jobs
+            .insert(id.clone(), known);
+        let body = json!({"spec": "x", "steps": steps}).to_string();
+        let began = Instant::now();
+        for attempt in n as usize.. {
+            let front = self.instances[attempt % self.instances.len()].front;
+            match processes::exchange(front, "POST", &format!("/q/{id}"), &body) {
+                Some((200, _)) => break,
+                Some((503 | 504, _)) | None => thread::sleep(Duration::from_millis(200)),
+                other => panic!("{id}: {other:?}"),
+            }
+            assert!(began.elapsed() < TRIES, "{id} was not taken in time");
+        }
+        self.jobs.push(id);
+    }
+
+    fn submit_for(&mut self, span: Duration) {
+        let began = Instant::now();
+        while began.elapsed() < span {
+            self.submit();
+            thread::sleep(Duration::from_millis(40));
+        }
+    }
+
+    /// Position of the instance that owns the cell.
+    fn owner(&self) -> usize {
+        let record = self
+            .platform
+            .lock()
+            .unwrap()
+            .newest("keyed.owner", "owner")
+            .unwrap();
+        let record: Value = serde_json::from_slice(&record).unwrap();
+        let name = record["instance"].as_str().unwrap();
+        self.instances.iter().position(|i| i.name == name).unwrap()
+    }
+
+    /// Waits until all jobs are shown as completed, and asks the judge.
+    fn finish(&self) {
+        let front = |id: &str| {
+            let answers = self
+                .instances
+                .iter()
+                .map(|i| processes::exchange(i.front, "GET", &format!("/q/{id}"), ""));
+            answers.flatten().find(|(status, _)| *status == 200)
+        };
+        let done = |id: &String| front(id).is_some_and(|(_, body)| body.contains("completed"));
+        wait("all jobs are completed", || self.jobs.iter().all(done));
+        let world = self.platform.lock().unwrap();
+        assert!(world.judge.broken.is_empty(), "{:?}", world.judge.broken);
+        assert!(
+            self.jobs.iter().all(|id| world.judge.is_done(id)),
+            "shown as completed before it was"
+        );
+        assert!(world.judge.dones as usize >= self.jobs.len());
+    }
+}
+
+fn wait(what: &str, mut holds: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !holds() {
+        assert!(began.elapsed() < FINISH, "not in time: {what}");
+        thread::sleep(Duration::from_millis(100));
+    }
+}
+
+#[test]
+fn jobs_outlive_the_kill_of_each_owner_in_turn() {
+    let mut cell = Cell::start(3);
+    for _ in 0..2 {
+        cell.submit_for(Duration::from_millis(1_500));
+        let owner = cell.owner();
+        cell.instances[owner].kill();
+        cell.submit_for(Duration::from_millis(1_500));
+        assert_ne!(cell.owner(), owner);
+        cell.instances[owner].launch();
+    }
+    cell.finish();
+}
+
+#[test]
+fn an_owner_that_was_frozen_does_no_harm_when_it_wakes() {
+    let mut cell = Cell::start(3);
+    cell.submit_for(Duration::from_millis(1_500));
+    let owner = cell.owner();
+    cell.instances[owner].signal("STOP");
+    cell.submit_for(Duration::from_millis(4_000));
+    assert_ne!(cell.owner(), owner);
+    cell.instances[owner].signal("CONT");
+    cell.submit_for(Duration::from_millis(1_000));
+    cell.finish();
+}
+
+#[test]
+fn all_instances_killed_at_once_lose_nothing() {
+    let mut cell = Cell::start(2);
+    cell.submit_for(Duration::from_millis(1_500));
+    cell.instances.iter_mut().for_each(Instance::kill);
+    cell.instances.iter_mut().for_each(Instance::launch);
+    cell.submit_for(Duration::from_millis(1_000));
+    cell.finish();
+}
+
+#[test]
+fn an_outage_of_the_store_stops_new_work_alone() {
+    let mut cell = Cell::start(2);
+    cell.submit_for(Duration::from_millis(1_000));
+    let owner = cell.owner();
+    cell.platform.lock().unwrap().down = true;
+    thread::sleep(Duration::from_millis(1_500));
+    let body = json!({"steps": [{"count": 1, "cpu": 1}]}).to_string();
+    let began = Instant::now();
+    let answer = processes::exchange(
+        cell.instances[0].front,
+        "POST",
+        "/q/00000000000000ff",
+        &body,
+    );
+    assert_eq!(
+        answer.map(|(status, _)| status),
+        Some(503),
+        "it is not taken"
+    );
+    assert!(
+        began.elapsed() < Duration::from_millis(600),
+        "it is refused at once"
+    );
+    cell.platform.lock().unwrap().down = false;
+    cell.submit_for(Duration::from_millis(1_500));
+    assert_eq!(cell.owner(), owner, "the owner goes on");
+    cell.finish();
+}
