--- /dev/null
+++ b/src/cell/engine/intake.rs
@@ -0,0 +1,160 @@
+//! What callers ask of jobs.
+
+use log::info;
+
+use super::{
+    Engine,
+    MAX_TASKS,
+    Taken, //
+};
+use crate::cell::{
+    job::Job,
+    model::{
+        self,
+        State, //
+    }, //
+};
+
+impl Engine {
+    /// Takes a job in.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the job, with the place of the fault.
+    pub fn submit(
+        &mut self,
+        id: &str,
+        queue: model::Queue,
+        work: model::Submission,
+        now: u64,
+    ) -> Result<Taken, String> {
+        if let Some(key) = self.find(id) {
+            let job = &self.jobs[key];
+            return Ok(match job.stored {
+                true => Taken::Known,
+                false => Taken::In(job.batch),
+            });
+        }
+        check(&work)?;
+        let accepted = self.unix(now);
+        let key = self.insert(job(id, queue, work, accepted, self.term));
+        self.touch(key);
+        self.fresh.push((self.open, key));
+        Ok(Taken::In(self.open))
+    }
+
+    /// Takes a job back that was never sent to the store; returns whether that is so.
+    pub fn withdraw(&mut self, id: &str) -> bool {
+        let Some(key) = self.find(id) else {
+            return true;
+        };
+        let job = &self.jobs[key];
+        if job.stored || job.sent {
+            return false;
+        }
+        self.jobs.remove(key);
+        self.index.retain(|(_, other)| *other != key);
+        self.dirty.retain(|other| *other != key);
+        self.fresh.retain(|(_, other)| *other != key);
+        self.finished.retain(|other| *other != key);
+        true
+    }
+
+    /// Cancels a job. Returns the batch that stores it, or none when no such job is known.
+    pub fn cancel(&mut self, id: &str, now: u64) -> Option<u64> {
+        let key = self.find(id)?;
+        if !self.jobs[key].state.is_final() {
+            info!(job = id; "cancelled by its caller");
+            self.finish(key, State::Cancelled, now);
+        }
+        Some(self.jobs[key].batch)
+    }
+
+    /// The state of a job that may be shown, and whether it is stored.
+    #[must_use]
+    pub fn shown(&self, id: &str) -> Option<State> {
+        let job = self.jobs.get(self.find(id)?)?;
+        job.stored.then_some(job.shown)
+    }
+
+    /// Whether a job is known, stored or not.
+    #[must_use]
+    pub fn is_known(&self, id: &str) -> bool {
+        self.find(id).is_some()
+    }
+
+    /// Whether a job is stored.
+    #[must_use]
+    pub fn is_stored(&self, id: &str) -> bool {
+        self.find(id).is_some_and(|key| self.jobs[key].stored)
+    }
+
+    /// Number of a queue's accepted jobs without times of which nothing has started.
+    #[must_use]
+    pub fn waiting(&self, queue: &str) -> usize {
+        let waits = |job: &&Job| {
+            job.stored
+                && !job.begun
+                && !job.state.is_final()
+                && job.work.times == 0
+                && job.queue.name == queue
+        };
+        self.jobs.values().filter(waits).count()
+    }
+}
+
+/// A job of which nothing has run.
+pub(super) fn job(
+    id: &str,
+    queue: model::Queue,
+    work: model::Submission,
+    accepted: u64,
+    term: u64,
+) -> Job {
+    let mut job = Job {
+        id: id.into(),
+        queue,
+        work,
+        accepted,
+        term,
+        state: State::Pending,
+        shown: State::Pending,
+        stored: false,
+        sent: false,
+        batch: 0,
+        dirty: false,
+        begun: false,
+        occurrences: Vec::new(),
+        ended: 0,
+        objective: 0,
+        inherited: false,
+    };
+    let span = job.longest() as f64 * job.queue.stretch;
+    job.objective = accepted + span as u64 + job.queue.target;
+    job
+}
+
+/// Checks what the format of a job cannot express.
+fn check(work: &model::Submission) -> Result<(), String> {
+    if work.steps.is_empty() {
+        return Err("/steps: a job has at least one step".to_owned());
+    }
+    let mut tasks = 0_u32;
+    for (i, step) in work.steps.iter().enumerate() {
+        if step.count == 0 {
+            return Err(format!("/steps/{i}: a step has at least one task"));
+        }
+        if let Some(bad) = step.after.iter().find(|s| **s as usize >= i) {
+            return Err(format!(
+                "/steps/{i}: depends on step {bad}, which is not an earlier one"
+            ));
+        }
+        tasks = tasks.saturating_add(step.count);
+    }
+    if tasks > MAX_TASKS {
+        return Err(format!(
+            "/steps: {tasks} tasks, at most {MAX_TASKS} are taken"
+        ));
+    }
+    Ok(())
+}
--- a/src/cell/engine/recovery.rs
+++ b/src/cell/engine/recovery.rs
@@ -89,7 +89,7 @@
     }
 
     fn load_job(&mut self, id: &str, accepted: journal::Accepted) {
-        let mut job = super::job(
+        let mut job = super::intake::job(
             id,
             accepted.queue,
             accepted.work,
--- /dev/null
+++ b/src/cell/shell/carry.rs
@@ -0,0 +1,152 @@
+//! Carries the engine's actions out and brings it the answers.
+
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+use log::{
+    debug,
+    warn, //
+};
+
+use crate::{
+    cell::{
+        engine::{
+            Question,
+            orders::Lost, //
+        },
+        job::{
+            RunKey,
+            WorkerKey, //
+        }, //
+    },
+    platform::worker,
+    remote::link, //
+};
+
+use super::{
+    owner::Owner,
+    peer::{
+        self,
+        Advise, //
+    }, //
+};
+
+/// Limit of an order to a worker: a round trip to another region with room for a busy worker.
+const ORDER: Duration = Duration::from_millis(350);
+
+/// Limit of a report beyond its wait.
+const REPORT: Duration = Duration::from_millis(500);
+
+fn lost(e: &link::Error) -> Lost {
+    match e {
+        link::Error::Unreachable => Lost::Unsent,
+        _ => Lost::Unknown,
+    }
+}
+
+pub(super) async fn start(owner: Rc<Owner>, run: RunKey) {
+    let now = owner.now();
+    let order = owner.engine.borrow_mut().start_order(run, now);
+    let Some(order) = order.filter(|_| !owner.is_over()) else {
+        return;
+    };
+    let link = owner.link(&order.to);
+    let start = worker::StartOrder {
+        task: &order.task,
+        run: order.run,
+        spec: &order.spec,
+        expires: order.expires,
+        token: owner.term,
+        saved: &order.saved,
+        ticket: &order.ticket,
+    };
+    owner.shared.metrics.starts.inc();
+    let answer = worker::start(&link, &order.to.worker, &start, ORDER).await;
+    let answer = answer.map_err(|e| lost(&e));
+    let now = owner.now();
+    owner.engine.borrow_mut().started(run, answer, now);
+    owner.pump();
+}
+
+pub(super) async fn stop(owner: Rc<Owner>, run: RunKey) {
+    let now = owner.now();
+    let order = owner.engine.borrow_mut().stop_order(run, now);
+    let Some(order) = order.filter(|_| !owner.is_over()) else {
+        return;
+    };
+    let link = owner.link(&order.to);
+    owner.shared.metrics.stops.inc();
+    let answer = worker::stop(
+        &link,
+        &order.to.worker,
+        &order.task,
+        order.run,
+        owner.term,
+        ORDER,
+    )
+    .await;
+    let answer = answer.map_err(|e| lost(&e));
+    let now = owner.now();
+    owner.engine.borrow_mut().stop_answered(run, answer, now);
+    owner.pump();
+}
+
+pub(super) async fn hold(owner: Rc<Owner>, key: WorkerKey) {
+    let now = owner.now();
+    let order = owner.engine.borrow_mut().hold_order(key, now);
+    let Some(order) = order.filter(|_| !owner.is_over()) else {
+        return;
+    };
+    let link = owner.link(&order.to);
+    let message = worker::HoldOrder {
+        token: owner.term,
+        seen: order.seen,
+        expires: order.expires,
+        wait: order.wait,
+    };
+    owner.shared.metrics.reports.inc();
+    let answer = worker::hold(&link, &order.to.worker, &message, REPORT).await;
+    let now = owner.now();
+    {
+        let mut engine = owner.engine.borrow_mut();
+        match answer {
+            Ok(Ok(report)) => engine.held(key, order.sent, order.seen, &report, now),
+            Ok(Err(reply)) => engine.hold_refused(key, reply, now),
+            Err(e) => {
+                debug!(worker = order.to.worker.as_str(); "no report: {e}");
+                engine.hold_lost(key, now);
+            }
+        }
+    }
+    owner.pump();
+}
+
+/// Asks the policy through the instance that is free first.
+pub(super) async fn ask(owner: Rc<Owner>, question: Question) {
+    let me = &owner.shared.settings.instance;
+    let through = Some(&question.through).filter(|i| *i != me);
+    let through = through.and_then(|instance| owner.address(instance));
+    let message = Advise {
+        step: question.name.clone(),
+        workers: question.workers.clone(),
+        cost: question.cost as u64,
+    };
+    let answer = match &through {
+        None => peer::advise(&owner.shared, &message).await,
+        Some(address) => {
+            let limit = Duration::from_millis(question.cost as u64) + peer::ADVICE_SLACK * 2;
+            peer::send(&owner.shared, address, peer::ADVISE, &message, limit).await
+        }
+    };
+    if let Err(e) = &answer {
+        warn!(step = question.name.as_str(), through = question.through.as_str(); "policy not asked: {e}");
+    }
+    let now = owner.now();
+    owner
+        .engine
+        .borrow_mut()
+        .advised(&question, answer.as_deref().ok(), now);
+    owner.pump();
+}
--- a/src/cell/shell/mod.rs
+++ b/src/cell/shell/mod.rs
@@ -33,12 +33,15 @@
     settings, //
 };
 
+pub mod carry;
 pub mod commit;
 pub mod follow;
 pub mod front;
+pub mod intake;
 pub mod metrics;
 pub mod owner;
 pub mod peer;
+pub mod registry;
 pub mod server;
 pub mod watch;
 
--- a/src/cell/shell/peer.rs
+++ b/src/cell/shell/peer.rs
@@ -23,7 +23,7 @@
 
 use super::{
     Shared,
-    owner,
+    intake,
     server::Answer, //
 };
 
@@ -226,7 +226,7 @@
     let Some(owner) = shared.owner.borrow().clone() else {
         return Outcome::Elsewhere;
     };
-    owner::answer(&owner, request).await
+    intake::answer(&owner, request).await
 }
 
 /// Asks the policy on the owner's behalf.
