--- a/src/cell/engine/status.rs
+++ b/src/cell/engine/status.rs
@@ -59,7 +59,7 @@
         self.ready.len()
     }
 
-    /// Whether [`Books::settled`] holds.
+    /// Whether no run of an earlier owner can be unknown any more.
     #[must_use]
     pub fn is_settled(&self) -> bool {
         self.books.settled
--- a/tests/instances/takeover.rs
+++ b/tests/instances/takeover.rs
@@ -65,8 +65,8 @@
     fn submit(&mut self) {
         let n = self.jobs.len() as u32;
         let id = format!("{:016x}", 0xA000 + n);
-        let (count, cpu, gang) = (1 + n % 4, 500 + n % 3 * 700, n % 5 == 0);
-        let second = n % 3 == 0;
+        let (count, cpu, gang) = (1 + n % 4, 500 + n % 3 * 700, n.is_multiple_of(5));
+        let second = n.is_multiple_of(3);
         let mut steps = vec![
             json!({"count": count, "cpu": cpu, "mem_mb": 64, "estimated_ms": 300, "gang": gang}),
         ];
