fix(cell): an owner without the store stops placing and prolonging leases after six seconds

Cause: a successor reckons with orders of its predecessor for six seconds, but nothing ended them. Test: rules::an_owner_without_the_store_stops_giving_orders_before_a_successor_stops_waiting.

--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -141,8 +141,8 @@
     pub durable: u64,
     /// Whether a worker has seen a higher token.
     pub deposed: bool,
-    /// Whether the store has answered lately, so that no later owner can have begun long ago.
-    pub confident: bool,
+    /// Local time of the store's last answer, in milliseconds.
+    pub store: u64,
     /// Whether something changed since the last pass over the waiting steps.
     pub stale: bool,
     dirty: Vec<JobKey>,
@@ -177,7 +177,7 @@
             open: 1,
             durable: 0,
             deposed: false,
-            confident: true,
+            store: 0,
             stale: false,
             dirty: Vec::new(),
             dropped: Vec::new(),
--- a/src/cell/engine/orders.rs
+++ b/src/cell/engine/orders.rs
@@ -288,12 +288,13 @@
 
     /// The order to report, if one is due.
     pub fn hold_order(&mut self, key: WorkerKey, now: u64) -> Option<Hold> {
-        let durable = self.durable;
+        let (durable, confident, ordering) =
+            (self.durable, self.is_confident(now), self.may_order(now));
         let lease = (self.times.lease as f64 * LEASE_SHARE) as u64;
         let to = self.address(key)?;
         let worker = self.books.workers.get_mut(key)?;
         // A life of a worker that has seen no token yet would take orders from a former owner.
-        if !worker.is_due(durable, now) || !worker.fenced && !self.confident {
+        if !worker.is_due(durable, now) || !worker.fenced && !confident {
             return None;
         }
         let stored = worker.batch <= durable;
@@ -306,7 +307,7 @@
         };
         // A silent worker is only asked: each prolonged lease would put off the time at which its
         // runs have surely lapsed.
-        let prolong = !worker.runs.is_empty() && worker.silent.is_none();
+        let prolong = ordering && !worker.runs.is_empty() && worker.silent.is_none();
         let clock = worker.clock(now).filter(|_| prolong);
         let expires = clock.map(|clock| clock + lease);
         if let Some(expires) = expires {
--- a/src/cell/engine/recovery.rs
+++ b/src/cell/engine/recovery.rs
@@ -19,9 +19,13 @@
     model::State, //
 };
 
-/// Longest time that an owner which lost the store goes on giving orders, in milliseconds: outages
-/// of the store are shorter.
-pub const CONFIDENCE: u64 = 6_000;
+/// Longest time that an owner which lost the store places tasks and prolongs leases, in
+/// milliseconds: outages of the store are shorter, and a successor reckons with it.
+const CONFIDENCE: u64 = 6_000;
+
+/// Age of the store's last answer up to which no other instance can own the cell for long, in
+/// milliseconds: shorter than any take-over.
+const CONFIDENT: u64 = 700;
 
 /// Added to the wait for workers that cannot be asked, in milliseconds.
 const SETTLE_MARGIN: u64 = 500;
@@ -102,6 +106,16 @@
         self.insert(job);
     }
 
+    /// Whether the store answered so lately that no later owner can have begun long ago.
+    pub(super) fn is_confident(&self, now: u64) -> bool {
+        now <= self.store + CONFIDENT
+    }
+
+    /// Whether tasks may be placed and leases prolonged, by the store's last answer.
+    pub(super) fn may_order(&self, now: u64) -> bool {
+        now <= self.store + CONFIDENCE
+    }
+
     /// Ends the time in which unknown runs of an earlier owner are reckoned with, once every worker
     /// has answered or enough time has passed.
     pub(super) fn settle(&mut self, now: u64) {
--- a/src/cell/shell/owner.rs
+++ b/src/cell/shell/owner.rs
@@ -60,10 +60,6 @@
 /// Limit of a read of everything when a term begins; a slow store takes some hundred milliseconds.
 pub(super) const LOAD: Duration = Duration::from_millis(2_500);
 
-/// Age of the store's last answer up to which no other instance can own the cell for long, in
-/// milliseconds: shorter than any take-over.
-const CONFIDENT: u64 = 700;
-
 /// Time without a stored batch after which another instance should take over, in milliseconds.
 const STEP_DOWN: u64 = 700;
 
@@ -141,6 +137,7 @@
         let mut engine = Engine::new(term, term, times);
         let now = shared.now();
         engine.set_wall(unix(), now);
+        engine.store = now;
         engine.advisers.heard(&cfg.instance, u64::MAX / 2);
         let values = jobs
             .records
@@ -315,7 +312,7 @@
             let mut engine = owner.engine.borrow_mut();
             let now = owner.now();
             engine.set_wall(unix(), now);
-            engine.confident = owner.shared.store_answers(CONFIDENT);
+            engine.store = owner.shared.store_ok.get();
             engine.tick(now);
         }
         owner.pump();
--- a/tests/cell/make.rs
+++ b/tests/cell/make.rs
@@ -133,6 +133,7 @@
 pub(super) fn owner(workers: &[(&str, u32)]) -> Engine {
     let mut engine = Engine::new(1, 1, TIMES);
     engine.set_wall(START, START);
+    engine.store = u64::MAX / 2;
     for (id, millicores) in workers {
         engine.register(worker(id, 1, *millicores));
         let key = engine.books.find(id).unwrap();
--- a/tests/cell/rules.rs
+++ b/tests/cell/rules.rs
@@ -28,6 +28,7 @@
 fn successor(stored: &[(String, Option<Vec<u8>>)], now: u64) -> Engine {
     let mut engine = Engine::new(2, 2, TIMES);
     engine.set_wall(now, now);
+    engine.store = u64::MAX / 2;
     let records = stored
         .iter()
         .map(|(key, value)| (key.as_str(), value.as_deref()));
@@ -554,3 +555,41 @@
     assert!(engine.deposed);
     assert_eq!(make::starts(&mut engine, START + 20), []);
 }
+
+#[test]
+fn an_owner_without_the_store_stops_giving_orders_before_a_successor_stops_waiting() {
+    let mut engine = make::owner(&[("w1", 16_000)]);
+    engine.store = START;
+    make::submit(
+        &mut engine,
+        JOB,
+        make::queue("q", 0),
+        make::work(vec![make::step(1, 1_000)]),
+        START,
+    );
+    let runs = make::starts(&mut engine, START);
+    make::accept(&mut engine, &runs, START);
+    make::submit(
+        &mut engine,
+        "00000000000000b2",
+        make::queue("q", 0),
+        make::work(vec![make::step(1, 1_000)]),
+        START,
+    );
+    engine.stale = true;
+    let key = engine.books.find("w1").unwrap();
+    assert!(
+        engine
+            .hold_order(key, START + 5_900)
+            .unwrap()
+            .expires
+            .is_some()
+    );
+    let mut report = make::report(1, 6_500);
+    report.running = vec![make::live(JOB, 0, 0, 1)];
+    engine.held(key, START + 5_900, 0, &report, START + 6_000);
+    assert_eq!(make::starts(&mut engine, START + 6_001), []);
+    assert_eq!(engine.hold_order(key, START + 6_001).unwrap().expires, None);
+    engine.store = START + 7_000;
+    assert_eq!(make::starts(&mut engine, START + 7_000).len(), 1);
+}
--- a/tests/cell/world.rs
+++ b/tests/cell/world.rs
@@ -248,6 +248,7 @@
             .trace(|| format!("{} term {}", self.now, self.epoch));
         let mut engine = Engine::new(self.epoch, self.epoch, TIMES);
         engine.set_wall(self.now, self.now);
+        engine.store = self.now;
         engine.load(
             self.log.iter().map(|(k, v)| (k.as_str(), v.as_deref())),
             self.now,
@@ -328,7 +329,9 @@
         }
         if now.is_multiple_of(25) {
             state.engine.set_wall(now, now);
-            state.engine.confident = state.cut <= now;
+            if state.cut <= now {
+                state.engine.store = now;
+            }
             state.engine.tick(now);
             for machine in self.machines.iter().filter(|_| now.is_multiple_of(500)) {
                 state
