--- a/tests/cell/rules.rs
+++ b/tests/cell/rules.rs
@@ -593,3 +593,49 @@
     engine.store = START + 7_000;
     assert_eq!(make::starts(&mut engine, START + 7_000).len(), 1);
 }
+
+#[test]
+fn tasks_go_only_where_service_label_and_spread_allow() {
+    let mut engine = make::owner(&[("w1", 16_000), ("w2", 16_000), ("w3", 16_000)]);
+    let mut other = make::worker("w2", 1, 16_000);
+    other.service = "another".into();
+    engine.register(other);
+    let mut labelled = make::worker("w3", 1, 16_000);
+    labelled.labels = vec!["fast".into(), "rack".into()];
+    engine.register(labelled);
+    let mut step = make::step(5, 1_000);
+    step.label = "fast".into();
+    step.spread = 2;
+    make::submit(
+        &mut engine,
+        JOB,
+        make::queue("q", 0),
+        make::work(vec![step]),
+        START,
+    );
+    let runs = make::starts(&mut engine, START);
+    let places: Vec<String> = runs.iter().map(|run| make::place(&engine, *run)).collect();
+    assert_eq!(
+        places,
+        ["w3", "w3"],
+        "two of five, on the only worker of that label"
+    );
+}
+
+#[test]
+fn a_worker_that_leaves_gets_no_task_from_then_on() {
+    let mut engine = make::owner(&[("w1", 16_000)]);
+    let mut leaving = make::worker("w1", 1, 16_000);
+    leaving.standing = bamboolock::cell::model::Standing::Draining;
+    engine.register(leaving);
+    make::submit(
+        &mut engine,
+        JOB,
+        make::queue("q", 0),
+        make::work(vec![make::step(1, 1_000)]),
+        START,
+    );
+    assert_eq!(make::starts(&mut engine, START), []);
+    engine.register(make::worker("w1", 1, 16_000));
+    assert_eq!(make::starts(&mut engine, START).len(), 1);
+}
