fix(cell): runs of a worker whose address another one has, or that refuses reports, are given up

A worker that comes back under another id answers 421 at its old address. An order to stop that was answered so cleared the worker's silence ("worker answers again" in the log), so that the end of its leases was never looked at, while every report was refused with 421: its runs stayed booked for good. A worker that refuses every report with 503 had the same effect.

Ruled out: leases that are prolonged (no report was accepted), the policy, room (half of the cell was free).

Change: 421 says that the worker and all its runs have ended; it is not asked again until it registers anew.

Conclusion: cell::replaced (four tests) was red before the change.

--- a/src/cell/books.rs
+++ b/src/cell/books.rs
@@ -86,6 +86,8 @@
     pub born: u64,
     /// Whether it has seen this owner's token in this life.
     pub fenced: bool,
+    /// Whether another worker answers at its address since it registered last.
+    pub superseded: bool,
     /// Local time and the worker's clock of the newest reading, in milliseconds.
     pub reading: Option<(u64, u64)>,
     /// Local time of the newest report of this life, in milliseconds.
@@ -125,6 +127,7 @@
             entry,
             listed: true,
             fenced: false,
+            superseded: false,
             reading: None,
             contact: 0,
             lapses: 0,
@@ -182,7 +185,7 @@
     /// Whether a report should be asked for.
     #[must_use]
     pub fn is_due(&self, durable: u64, now: u64) -> bool {
-        if self.busy || now < self.after {
+        if self.busy || self.superseded || now < self.after {
             return false;
         }
         if !self.fenced {
--- a/src/cell/engine/orders.rs
+++ b/src/cell/engine/orders.rs
@@ -211,11 +211,7 @@
             worker = id.as_str(), verdict:? = verdict; "start refused");
         match verdict {
             Verdict::Fenced => self.deposed = true,
-            Verdict::Reborn => {
-                self.books.workers[worker].after = 0;
-                self.books.workers[worker].fenced = false;
-                self.ended(key, model::How::Lapsed, "", now);
-            }
+            Verdict::Reborn => self.superseded(worker, now),
             Verdict::Old | Verdict::Late if run.footing != Footing::Ordered => {
                 // It may have run and ended meanwhile; the worker's lists tell.
                 run.after = now + REPORT_PAUSE;
@@ -275,6 +271,7 @@
                         run.after = now + STOP_PAUSE.max(self.times.stop * 2);
                     }
                     Verdict::Fenced => self.deposed = true,
+                    Verdict::Reborn => return self.superseded(worker, now),
                     _ => run.after = now + STOP_PAUSE,
                 }
                 self.reading(worker, reply.clock, now);
@@ -344,25 +341,48 @@
         };
         worker.busy = false;
         worker.after = now + REPORT_PAUSE;
-        if reply.verdict == Verdict::Fenced {
-            warn!(worker = worker.entry.id.as_str(), token = self.token; "a higher token was seen here");
-            self.deposed = true;
+        match reply.verdict {
+            Verdict::Fenced => {
+                warn!(worker = worker.entry.id.as_str(), token = self.token; "a higher token was seen here");
+                self.deposed = true;
+            }
+            Verdict::Reborn => self.superseded(key, now),
+            // Nothing was prolonged, so that what runs there ends with its lease.
+            _ => self.silent(key, now),
         }
         self.drop_empty(key);
     }
 
-    /// Takes a reading of a worker's clock.
+    /// Another worker answers at the address of this one, which has ended with all its runs.
+    fn superseded(&mut self, key: WorkerKey, now: u64) {
+        let Some(worker) = self.books.workers.get_mut(key) else {
+            return;
+        };
+        info!(worker = worker.entry.id.as_str(), address = worker.entry.address.as_str(), runs = worker.runs.len();
+            "another worker answers at its address");
+        worker.fenced = false;
+        worker.superseded = true;
+        worker.reading = None;
+        worker.lapses = 0;
+        for run in worker.runs.clone() {
+            self.ended(run, model::How::Lapsed, "", now);
+        }
+        self.stale = true;
+    }
+
+    /// Takes a reading of a worker's clock; an answer without one does not come from its books.
     pub(super) fn reading(&mut self, key: WorkerKey, clock: Option<u64>, now: u64) {
         let Some(worker) = self.books.workers.get_mut(key) else {
             return;
         };
+        let Some(clock) = clock else {
+            return;
+        };
+        worker.reading = Some((now, clock));
         if let Some(since) = worker.silent.take() {
             info!(worker = worker.entry.id.as_str(), after = now - since; "worker answers again");
             self.stale = true;
         }
-        if let Some(clock) = clock {
-            worker.reading = Some((now, clock));
-        }
     }
 
     fn silent(&mut self, key: WorkerKey, now: u64) {
--- a/src/cell/engine/recovery.rs
+++ b/src/cell/engine/recovery.rs
@@ -10,6 +10,7 @@
     ends, //
 };
 use crate::cell::{
+    books,
     job::{
         JobKey,
         Occurrence,
@@ -122,7 +123,8 @@
         if self.books.settled || self.books.workers.is_empty() && now < self.settle_by {
             return;
         }
-        let open = self.books.workers.values().filter(|w| !w.fenced).count();
+        let unanswered = |w: &&books::Worker| !w.fenced && !w.superseded;
+        let open = self.books.workers.values().filter(unanswered).count();
         if open > 0 && now < self.settle_by {
             return;
         }
--- a/src/cell/engine/registry.rs
+++ b/src/cell/engine/registry.rs
@@ -32,6 +32,7 @@
             info!(worker = entry.id.as_str(), standing:? = entry.standing; "worker changed");
         }
         worker.listed = true;
+        worker.superseded = false;
         worker.entry = entry;
         self.stale = true;
     }
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -9,6 +9,7 @@
     mod journal;
     mod load;
     mod make;
+    mod replaced;
     mod rules;
     mod workers;
     mod world;
--- /dev/null
+++ b/tests/cell/replaced.rs
@@ -0,0 +1,114 @@
+//! Workers whose address or whose answers belong to somebody else now.
+
+use bamboolock::cell::{
+    engine::Engine,
+    job::RunKey,
+    model::{
+        Reply,
+        Verdict, //
+    }, //
+};
+
+use super::make::{
+    self,
+    START, //
+};
+
+const JOB: &str = "00000000000000b1";
+
+fn reply(verdict: Verdict) -> Reply {
+    Reply {
+        verdict,
+        clock: None,
+    }
+}
+
+/// An owner with a task that runs on the only open worker, and that worker's name.
+fn running() -> (Engine, Vec<RunKey>) {
+    let mut engine = make::owner(&[("w1", 16_000)]);
+    let work = make::work(vec![make::step(1, 1_000)]);
+    make::submit(&mut engine, JOB, make::queue("q", 0), work, START);
+    let runs = make::starts(&mut engine, START);
+    make::accept(&mut engine, &runs, START);
+    engine.register(make::worker("w2", 1, 16_000));
+    let other = engine.books.find("w2").unwrap();
+    make::answer(&mut engine, other, make::report(1, 500), START);
+    (engine, runs)
+}
+
+#[test]
+fn runs_of_a_worker_whose_address_another_one_has_start_elsewhere_at_once() {
+    let (mut engine, _) = running();
+    let worker = engine.books.find("w1").unwrap();
+    engine.hold_order(worker, START + 100).unwrap();
+    engine.hold_lost(worker, START + 1_000);
+    engine.hold_order(worker, START + 1_300).unwrap();
+    engine.hold_refused(worker, reply(Verdict::Reborn), START + 1_310);
+    let again = make::starts(&mut engine, START + 1_320);
+    assert_eq!(again.len(), 1);
+    assert_eq!(make::place(&engine, again[0]), "w2");
+    engine.unregister("w1");
+    assert_eq!(engine.books.find("w1"), None, "nothing is left of it");
+}
+
+#[test]
+fn an_answer_of_another_worker_to_an_order_to_stop_says_the_same() {
+    let (mut engine, runs) = running();
+    let worker = engine.books.find("w1").unwrap();
+    engine.hold_order(worker, START + 100).unwrap();
+    engine.hold_lost(worker, START + 1_000);
+    engine.cancel(JOB, START + 1_050).unwrap();
+    engine.stop_order(runs[0], START + 1_060).unwrap();
+    engine.stop_answered(runs[0], Ok(reply(Verdict::Reborn)), START + 1_100);
+    engine.unregister("w1");
+    assert_eq!(engine.books.find("w1"), None);
+    assert!(engine.books.runs.is_empty());
+}
+
+#[test]
+fn runs_of_a_worker_that_refuses_every_report_start_elsewhere_when_their_lease_is_over() {
+    let (mut engine, _) = running();
+    let worker = engine.books.find("w1").unwrap();
+    let over = engine.books.workers[worker].lapses;
+    let mut now = START + 100;
+    while now <= over {
+        if engine.hold_order(worker, now).is_some() {
+            engine.hold_refused(worker, reply(Verdict::Unwell), now + 5);
+        }
+        engine.tick(now);
+        assert_eq!(
+            make::starts(&mut engine, now),
+            [],
+            "at {now} it may still run"
+        );
+        now += 25;
+    }
+    engine.tick(over + 1);
+    let again = make::starts(&mut engine, over + 1);
+    assert_eq!(again.len(), 1);
+    assert_eq!(make::place(&engine, again[0]), "w2");
+}
+
+#[test]
+fn a_worker_that_refuses_a_report_gets_no_tasks_until_it_gives_one() {
+    let mut engine = make::owner(&[("w1", 16_000)]);
+    let worker = engine.books.find("w1").unwrap();
+    let work = make::work(vec![make::step(1, 1_000)]);
+    make::submit(&mut engine, JOB, make::queue("q", 0), work.clone(), START);
+    let runs = make::starts(&mut engine, START);
+    make::accept(&mut engine, &runs, START);
+    engine.hold_order(worker, START + 10).unwrap();
+    engine.hold_refused(worker, reply(Verdict::Unwell), START + 20);
+    make::submit(
+        &mut engine,
+        "00000000000000b2",
+        make::queue("q", 0),
+        work,
+        START + 30,
+    );
+    assert_eq!(make::starts(&mut engine, START + 30), []);
+    let mut report = make::report(1, 900);
+    report.running = vec![make::live(JOB, 0, 0, 1)];
+    make::answer(&mut engine, worker, report, START + 400);
+    assert_eq!(make::starts(&mut engine, START + 401).len(), 1);
+}
--- a/tests/cell/workers.rs
+++ b/tests/cell/workers.rs
@@ -50,8 +50,13 @@
     pub(super) starts: u32,
     pub(super) dones: u32,
     pub(super) traced: bool,
+    /// Whether owners must know by now which workers leave.
+    pub(super) informed: bool,
 }
 
+/// Time from which a worker that leaves gets no new tasks, in milliseconds: the platform's bound.
+const LEAVE: u64 = 2_500;
+
 impl Judge {
     /// Prints what happens when BAMBOOLOCK_TRACE is set.
     pub(super) fn trace(&self, text: impl FnOnce() -> String) {
@@ -91,6 +96,9 @@
         if !job.wanted {
             self.say(now, "every attempt was rejected", task);
         }
+        if self.informed && machine.leaving.is_some_and(|since| now > since + LEAVE) {
+            self.say(now, "on a worker that leaves", task);
+        }
         if job.cancelled.is_some_and(|at| now > at + 3_000 + 12_000) {
             self.say(now, "long after its cancelling", task);
         }
@@ -173,6 +181,27 @@
         }
     }
 
+    /// Takes note that every attempt to hand a job in was rejected.
+    pub(super) fn reject(&mut self, id: &str, now: u64) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.wanted = false;
+        }
+        let started = self
+            .tasks
+            .iter()
+            .find(|(task, record)| task.job == id && !record.starts.is_empty());
+        if let Some((task, _)) = started {
+            let task = task.clone();
+            self.say(now, "every attempt was rejected, and it had started", &task);
+        }
+    }
+
+    /// Whether a task of a job has failed as often as it may.
+    pub(super) fn is_failed(&self, id: &str) -> bool {
+        let mut of_job = self.tasks.iter().filter(|(task, _)| task.job == id);
+        of_job.any(|(_, record)| record.failed.len() >= self.attempts as usize)
+    }
+
     /// Whether all tasks of a job have succeeded.
     pub(super) fn is_done(&self, id: &str) -> bool {
         let steps = self.jobs[id].steps.len();
@@ -199,6 +228,8 @@
     pub(super) born: u64,
     pub(super) capacity: u32,
     pub(super) up: bool,
+    /// Since when it is known to be about to leave.
+    pub(super) leaving: Option<u64>,
     /// Rate of its clock, in thousandths.
     pub(super) rate: u64,
     started: u64,
@@ -219,6 +250,7 @@
             born: now,
             capacity,
             up: true,
+            leaving: None,
             rate,
             started: now,
             token: 0,
