fix(cell): runs that are being stopped count for the limit of a step on a worker

The limit counted runs with a task, and run 2, ordered and to be stopped, had none.

Ruled out: two passes over the same room (the books had the run), a worker under two ids.

Change: runs count by the name of their step.

Conclusion: cell::spread was red before the change.

--- a/src/cell/engine/place.rs
+++ b/src/cell/engine/place.rs
@@ -212,17 +212,22 @@
         entry.service == job.queue.service && labelled
     }
 
-    /// Tasks of the step that are on a worker already.
+    /// Runs of the step that are on a worker already, wanted or not: one that is being stopped still
+    /// counts.
     fn present(&self, key: StepKey, worker: WorkerKey) -> u32 {
+        let Some(job) = self.jobs.get(key.job) else {
+            return 0;
+        };
+        let first = job.task_name(TaskKey {
+            step: key,
+            index: 0,
+        });
         let of_step = |run: &&RunKey| {
-            let run = &self.books.runs[**run];
-            run.task.is_some_and(|task| task.step == key)
+            let name = &self.books.runs[**run].name;
+            (&name.job, name.occurrence, name.step) == (&first.job, first.occurrence, first.step)
         };
-        self.books.workers[worker]
-            .runs
-            .iter()
-            .filter(of_step)
-            .count() as u32
+        let runs = &self.books.workers[worker].runs;
+        runs.iter().filter(of_step).count() as u32
     }
 
     /// How many tasks of the step each worker of the pass could take: index and number.
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -12,6 +12,7 @@
     mod past;
     mod replaced;
     mod rules;
+    mod spread;
     #[expect(dead_code, reason = "the soak uses the rest")]
     mod workers;
     mod world;
