fix(logs): the last lines are written before a process ends

Ruled out: standard error (nothing there either), settings (the same file starts when the port is free).

Change: a program waits at its end until its lines are written, half a second at most. Tests take their ports from below those that the system gives to outgoing connections, which is how the address came to be taken.

--- a/src/program.rs
+++ b/src/program.rs
@@ -7,9 +7,16 @@
     process::ExitCode,
     sync::{
         LazyLock,
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        },
         mpsc, //
     },
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use clap::{
@@ -100,6 +107,15 @@
 /// Time for which lines are gathered before they are written.
 const LOG_PAUSE: Duration = Duration::from_millis(50);
 
+/// Longest wait for lines to be written before a program ends: a slow reader must not keep it.
+const LAST_LINES: Duration = Duration::from_millis(500);
+
+/// Time between two looks at whether they are.
+const LAST_LOOK: Duration = Duration::from_millis(5);
+
+/// Lines that wait to be written.
+static WAITING: AtomicUsize = AtomicUsize::new(0);
+
 static DROPPED: LazyLock<Counter> = LazyLock::new(Counter::default);
 
 /// Counts the log lines that were dropped because the reader was slow.
@@ -113,7 +129,9 @@
 
 impl Write for Lines {
     fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
+        WAITING.fetch_add(1, Ordering::Relaxed);
         if self.0.try_send(line.to_vec()).is_err() {
+            WAITING.fetch_sub(1, Ordering::Relaxed);
             DROPPED.inc();
         }
         Ok(line.len())
@@ -130,10 +148,23 @@
     while let Ok(line) = queue.recv() {
         lines.extend(line);
         std::thread::sleep(LOG_PAUSE);
-        queue.try_iter().for_each(|line| lines.extend(line));
+        let mut count = 1;
+        for line in queue.try_iter() {
+            lines.extend(line);
+            count += 1;
+        }
         // Nobody is left to tell when the output is closed.
         let _ = out.write_all(&lines).and_then(|()| out.flush());
         lines.clear();
+        WAITING.fetch_sub(count, Ordering::Relaxed);
+    }
+}
+
+/// Waits until the last lines are written, which say why a program ends.
+fn finish_logs() {
+    let began = Instant::now();
+    while WAITING.load(Ordering::Relaxed) > 0 && began.elapsed() < LAST_LINES {
+        std::thread::sleep(LAST_LOOK);
     }
 }
 
@@ -170,13 +201,15 @@
 
 /// Runs a program to its end.
 pub fn run<E: Display>(program: impl Future<Output = Result<(), E>>) -> ExitCode {
-    match actix::System::new().block_on(program) {
+    let code = match actix::System::new().block_on(program) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             log::error!("stopped: {e}");
             ExitCode::from(FAILED)
         }
-    }
+    };
+    finish_logs();
+    code
 }
 
 /// Waits until the process is asked to stop by SIGTERM or SIGINT.
--- a/tests/instances.rs
+++ b/tests/instances.rs
@@ -6,8 +6,10 @@
     #[expect(dead_code, reason = "the tables of the cell use the rest")]
     #[path = "../cell/make.rs"]
     mod make;
+    #[expect(dead_code, reason = "the soak uses the rest")]
     mod processes;
     mod standin;
+    mod startup;
     mod takeover;
     #[expect(dead_code, reason = "the fuzz of the cell uses the rest")]
     #[path = "../cell/workers.rs"]
--- a/tests/instances/processes.rs
+++ b/tests/instances/processes.rs
@@ -17,6 +17,10 @@
         Command,
         Stdio, //
     },
+    sync::atomic::{
+        AtomicU32,
+        Ordering, //
+    },
     time::Duration, //
 };
 
@@ -29,23 +33,44 @@
 pub(super) struct Instance {
     pub(super) name: String,
     pub(super) front: SocketAddr,
-    ready: SocketAddr,
+    pub(super) ready: SocketAddr,
     settings: PathBuf,
     child: Option<Child>,
 }
 
+/// First port that is handed out; all are below those that the system gives to outgoing connections,
+/// which would take a port between its choice and the start of the process.
+const FIRST_PORT: u32 = 10_000;
+
+/// Number of ports that are handed out.
+const PORTS: u32 = 20_000;
+
+/// Distance between the ports with which two test processes begin.
+const STRIDE: u32 = 331;
+
+/// A port that nobody listens on.
 fn port() -> SocketAddr {
-    // The port is free again once the listener is dropped.
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let n = std::process::id() * STRIDE + NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = (FIRST_PORT + n % PORTS) as u16;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().unwrap();
+        }
+    }
 }
 
 impl Instance {
     /// Starts an instance that uses the store at `platform`.
     pub(super) fn start(name: &str, platform: SocketAddr) -> Self {
-        let (front, ready, peer) = (port(), port(), port());
+        let mut instance = Self::prepare(name, platform, port());
+        instance.launch();
+        instance
+    }
+
+    /// Writes the settings of an instance that takes callers at `front`.
+    pub(super) fn prepare(name: &str, platform: SocketAddr, front: SocketAddr) -> Self {
+        let (ready, peer) = (port(), port());
         let boot = json!({
             "node_name": name, "role": "cell", "ip": "127.0.0.1", "zone": "a",
             "listen_addrs": {"front": front.to_string(), "ready": ready.to_string()},
@@ -56,15 +81,23 @@
         let settings =
             std::env::temp_dir().join(format!("bamboolock-{}-{name}.json", std::process::id()));
         fs::write(&settings, boot.to_string()).unwrap();
-        let mut instance = Self {
+        Self {
             name: name.to_owned(),
             front,
             ready,
             settings,
             child: None,
-        };
-        instance.launch();
-        instance
+        }
+    }
+
+    /// Runs the process to its end; returns its exit status and what it wrote.
+    pub(super) fn run(&self) -> (Option<i32>, String) {
+        let output = Command::new(env!("CARGO_BIN_EXE_bamboolock-cell"))
+            .env("BAMBOOLOCK_BOOT", &self.settings)
+            .output()
+            .unwrap();
+        let text = String::from_utf8(output.stdout).unwrap();
+        (output.status.code(), text)
     }
 
     /// Starts the process, again after it was killed.
@@ -97,6 +130,12 @@
         assert!(sent.unwrap().success());
     }
 
+    /// Whether the process has ended by itself.
+    pub(super) fn has_ended(&mut self) -> bool {
+        let child = self.child.as_mut().unwrap();
+        child.try_wait().unwrap().is_some()
+    }
+
     pub(super) fn is_ready(&self) -> bool {
         exchange(self.ready, "GET", "/bamboolock/ready", "")
             .is_some_and(|(status, _)| status == 200)
--- a/tests/instances/standin.rs
+++ b/tests/instances/standin.rs
@@ -59,14 +59,30 @@
     next: u64,
 }
 
+/// How the store misbehaves.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Ills {
+    /// It answers with 503 and does nothing.
+    pub(super) down: bool,
+    /// It answers so many milliseconds late.
+    pub(super) slow: u64,
+    /// Of each thousand appends, so many get no answer; half of these are done, half of them late.
+    pub(super) lossy: u64,
+}
+
+/// Time by which an append that got no answer is done late, if at all.
+const LATE: Duration = Duration::from_millis(1_500);
+
 /// All state of the stand-in.
 pub(super) struct World {
     topics: BTreeMap<String, Topic>,
-    machines: Vec<Machine>,
+    pub(super) machines: Vec<Machine>,
+    /// Address at which each machine takes orders.
+    addresses: Vec<SocketAddr>,
     pub(super) judge: Judge,
     began: Instant,
-    /// Whether the store answers with 503.
-    pub(super) down: bool,
+    /// What is wrong with the store.
+    pub(super) ills: Ills,
     fates: u64,
 }
 
@@ -77,6 +93,10 @@
         START + self.began.elapsed().as_millis() as u64
     }
 
+    fn is_dark(&self, worker: &str) -> bool {
+        self.machines.iter().any(|m| m.id == worker && !m.up)
+    }
+
     /// The newest value of a key.
     pub(super) fn newest(&self, topic: &str, key: &str) -> Option<Vec<u8>> {
         let records = self.topics.get(topic)?.records.iter().rev();
@@ -85,13 +105,31 @@
     }
 
     pub(super) fn publish(&mut self, topic: &str, key: &str, value: &Value) {
+        self.put(topic, key, value.to_string().as_bytes());
+    }
+
+    /// Appends a record; no value drops the key.
+    fn put(&mut self, topic: &str, key: &str, value: &[u8]) {
         let mut record = vec![key.len() as u8];
         record.extend(key.as_bytes());
-        record.extend(value.to_string().as_bytes());
+        record.extend(value);
         let topic = self.topics.entry(topic.to_owned()).or_default();
         topic.records.push(record);
     }
 
+    /// Lets the machines that are up register, and drops the entries of the others.
+    pub(super) fn register(&mut self) {
+        let both = self.machines.iter().zip(&self.addresses);
+        let entries: Vec<(bool, (String, Value))> =
+            both.map(|(m, at)| (m.up, entry(m, *at))).collect();
+        for (up, (id, entry)) in entries {
+            match up {
+                true => self.publish("keyed.servers", &id, &entry),
+                false => self.put("keyed.servers", &id, &[]),
+            }
+        }
+    }
+
     /// What happens to a run: most take some hundred milliseconds, one in twelve fails.
     fn fate(&mut self) -> Fate {
         self.fates += 1;
@@ -115,19 +153,26 @@
 
 /// Starts the stand-in; returns its address.
 pub(super) fn start(workers: usize, capacity: u32) -> (SocketAddr, Shared) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let shared = serve_at(listener, &vec![address; workers], capacity);
+    (address, shared)
+}
+
+/// Starts the stand-in at a listener, with a worker that registers under each of `addresses`.
+pub(super) fn serve_at(listener: TcpListener, addresses: &[SocketAddr], capacity: u32) -> Shared {
     let machine = |n: usize| Machine::new(format!("w{n}"), capacity, 1_000, START - 50 - n as u64);
     let world = World {
         topics: BTreeMap::new(),
-        machines: (0..workers).map(machine).collect(),
+        machines: (0..addresses.len()).map(machine).collect(),
+        addresses: addresses.to_vec(),
         judge: Judge::default(),
         began: Instant::now(),
-        down: false,
+        ills: Ills::default(),
         fates: 0,
     };
     let shared: Shared = Arc::new(Mutex::new(world));
     let data = web::Data::new(shared.clone());
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
     std::thread::spawn(move || {
         let app = move || {
             App::new()
@@ -139,12 +184,12 @@
         actix_web::rt::System::new().block_on(server)
     });
     let passing = shared.clone();
-    std::thread::spawn(move || pass(&passing, address));
-    (address, shared)
+    std::thread::spawn(move || pass(&passing));
+    shared
 }
 
 /// Lets runs end and workers register, for as long as the test runs.
-fn pass(shared: &Shared, address: SocketAddr) {
+fn pass(shared: &Shared) {
     let mut registered = Instant::now() - HEARTBEAT;
     loop {
         {
@@ -154,13 +199,9 @@
                 machines, judge, ..
             } = &mut *world;
             workers::pass(machines, judge, now);
-            if registered.elapsed() >= HEARTBEAT {
+            if registered.elapsed() >= HEARTBEAT && !world.ills.down {
                 registered = Instant::now();
-                let entries: Vec<(String, Value)> =
-                    machines.iter().map(|m| entry(m, address)).collect();
-                entries
-                    .iter()
-                    .for_each(|(id, entry)| world.publish("keyed.servers", id, entry));
+                world.register();
             }
         }
         std::thread::sleep(PASS);
@@ -168,8 +209,13 @@
 }
 
 fn entry(machine: &Machine, address: SocketAddr) -> (String, Value) {
+    let state = if machine.leaving.is_some() {
+        "draining"
+    } else {
+        "ready"
+    };
     let entry = json!({
-        "service": "s", "address": address.to_string(), "zone": "a", "state": "ready", "born": machine.born,
+        "service": "s", "address": address.to_string(), "zone": "a", "state": state, "born": machine.born,
         "capacity": {"cpu": machine.capacity, "mem_mb": 100_000, "gpu": 0}, "labels": ["kind", "rack"],
     });
     (machine.id.clone(), entry)
@@ -182,11 +228,13 @@
             .into_inner();
     let path = request.path().to_owned();
     if path.starts_with("/bamboolock/log-") {
-        if shared.lock().unwrap().down {
+        let ills = shared.lock().unwrap().ills;
+        if ills.down {
             return HttpResponse::ServiceUnavailable().finish();
         }
+        actix_web::rt::time::sleep(Duration::from_millis(ills.slow)).await;
         return match path.as_str() {
-            "/bamboolock/log-append" => append(&mut shared.lock().unwrap(), &query, &body),
+            "/bamboolock/log-append" => lossy(&shared, ills, &query, &body).await,
             "/bamboolock/log-read" => read(&shared, &query).await,
             _ => newest(&shared.lock().unwrap(), &query),
         };
@@ -198,6 +246,10 @@
         .to_str()
         .unwrap()
         .to_owned();
+    if shared.lock().unwrap().is_dark(&worker) {
+        // A machine without power does not answer.
+        return std::future::pending().await;
+    }
     let body: Value = serde_json::from_slice(&body).unwrap();
     if path == "/bamboolock/hold" {
         return hold(&shared, &worker, &body).await;
@@ -205,6 +257,27 @@
     order(&mut shared.lock().unwrap(), &path, &worker, &body)
 }
 
+/// An append whose answer may be lost, and which then may be done at once, late or not at all.
+async fn lossy(
+    shared: &Shared,
+    ills: Ills,
+    query: &BTreeMap<String, String>,
+    body: &[u8],
+) -> HttpResponse {
+    let draw = shared.lock().unwrap().fate().takes * 7919 % 1_000;
+    if draw >= ills.lossy {
+        return append(&mut shared.lock().unwrap(), query, body);
+    }
+    if draw.is_multiple_of(2) {
+        append(&mut shared.lock().unwrap(), query, body);
+    } else if draw % 4 == 1 {
+        actix_web::rt::time::sleep(LATE).await;
+        append(&mut shared.lock().unwrap(), query, body);
+    }
+    // Nothing further comes on this connection until the client gives it up.
+    std::future::pending().await
+}
+
 fn append(world: &mut World, query: &BTreeMap<String, String>, body: &[u8]) -> HttpResponse {
     let topic = world.topics.entry(query["topic"].clone()).or_default();
     let end = topic.records.len() as u64;
@@ -311,7 +384,9 @@
 fn order(world: &mut World, path: &str, worker: &str, body: &Value) -> HttpResponse {
     let now = world.now();
     let fate = world.fate();
-    let at = world.machines.iter().position(|m| m.id == worker).unwrap();
+    let Some(at) = world.machines.iter().position(|m| m.id == worker) else {
+        return HttpResponse::MisdirectedRequest().finish();
+    };
     let task = task(body["task"].as_str().unwrap());
     let number = |name: &str| body[name].as_u64().unwrap();
     let (run, token) = (number("run_id") as u32, number("fencing_token"));
@@ -336,11 +411,18 @@
         body["fencing_token"].as_u64().unwrap(),
     );
     let began = Instant::now();
+    let mut life = None;
     loop {
         {
             let mut world = shared.lock().unwrap();
             let now = world.now();
-            let at = world.machines.iter().position(|m| m.id == worker).unwrap();
+            let Some(at) = world.machines.iter().position(|m| m.id == worker) else {
+                return HttpResponse::MisdirectedRequest().finish();
+            };
+            let machine = &world.machines[at];
+            if !machine.up || *life.get_or_insert(machine.born) != machine.born {
+                break;
+            }
             let World {
                 machines, judge, ..
             } = &mut *world;
@@ -366,4 +448,6 @@
         }
         actix_web::rt::time::sleep(PASS).await;
     }
+    // The life that was asked is over.
+    std::future::pending().await
 }
--- a/tests/instances/takeover.rs
+++ b/tests/instances/takeover.rs
@@ -192,7 +192,7 @@
     let mut cell = Cell::start(2);
     cell.submit_for(Duration::from_millis(1_000));
     let owner = cell.owner();
-    cell.platform.lock().unwrap().down = true;
+    cell.platform.lock().unwrap().ills.down = true;
     thread::sleep(Duration::from_millis(1_500));
     let body = json!({"steps": [{"count": 1, "cpu": 1}]}).to_string();
     let began = Instant::now();
@@ -211,7 +211,7 @@
         began.elapsed() < Duration::from_millis(600),
         "it is refused at once"
     );
-    cell.platform.lock().unwrap().down = false;
+    cell.platform.lock().unwrap().ills.down = false;
     cell.submit_for(Duration::from_millis(1_500));
     assert_eq!(cell.owner(), owner, "the owner goes on");
     cell.finish();
