feat(cell): the end of an owner is noticed and made good sooner

The log: noticed at 3.59 s (heartbeats every 400 ms, then 300 ms until the connection is given up), another heartbeat of 300 ms before the claim, jobs, record and claim one after the other until 4.29 s, all workers known at 4.55 s. Of the jobs of these two seconds a tenth was in time. Requests on their way to the lost owner waited for 1.2 s before they were sent again.

Ruled out: reading the stored jobs (short since they are in segments), the workers' reports (120 ms).

Change: the first two candidates send heartbeats every 150 ms. Jobs, registrations and the claim go out beside each other when the owner is gone. The new owner tells the others, and they send what is on its way to the former one again. A claim that was granted is not read back.

Conclusion: cell::election has a row for each new situation; refused at once and dark machines were red before.

--- a/src/cell/election.rs
+++ b/src/cell/election.rs
@@ -13,17 +13,17 @@
 /// Time between the claims of two candidates, in milliseconds: a claim takes a few round trips.
 const STAGGER: u64 = 150;
 
-/// Silence of the owner after which others are asked about it, in milliseconds: two heartbeats and
-/// a slow answer.
-const SILENCE: u64 = 900;
+/// Silence of the owner after which others are asked to look at it, in milliseconds: a heartbeat of
+/// the first candidates that is not answered. The look tells a slow owner from a dead one.
+const SILENCE: u64 = 350;
 
 /// Silence after which an instance that reaches no other claims, in milliseconds: it may be the
 /// last one, but is more likely cut off itself.
 const ISOLATION: u64 = 3_000;
 
-/// Time after a refused connection until a claim, in milliseconds: an owner that restarts at once
-/// needs longer anyway.
-const REFUSAL: u64 = 120;
+/// Time after a refused connection until a claim, in milliseconds: none, since the process that
+/// owned the cell is gone and a new one has to claim as well.
+const REFUSAL: u64 = 0;
 
 /// Time for which a successor waits when the owner steps down or has lost the store, in
 /// milliseconds.
@@ -61,9 +61,9 @@
     Unasked,
     /// None of them answers.
     Nobody,
-    /// One has heard from it lately.
+    /// One has an answer of it.
     Alive,
-    /// Those that answer have not heard from it either.
+    /// Those that answer get none from it either.
     Silent,
 }
 
@@ -80,8 +80,10 @@
     pub since: u64,
     /// The owner's last word.
     pub word: Word,
-    /// Whether connections to the owner are refused.
+    /// Whether the owner's machine refuses connections: the process is gone.
     pub refused: bool,
+    /// Whether no connection to it can be opened: it is gone, or the path to it is.
+    pub dark: bool,
     /// Whether the store answers this instance.
     pub store: bool,
     /// Position of this instance among the candidates.
@@ -103,10 +105,9 @@
 
 /// Decides about a claim.
 ///
-/// Answers these patterns: the owner is killed (refused connections: the first candidate claims
-/// within a fraction of a second), loses power or is cut off (silence, confirmed by others), stops
-/// in an orderly way, loses the store alone, or this instance alone is cut off (others vouch for
-/// the owner).
+/// Answers these patterns: the owner is killed (refused connections: the first candidate claims at
+/// once), loses power or is cut off (silence, confirmed by others that look), stops in an orderly
+/// way, loses the store alone, or this instance alone is cut off (others vouch for the owner).
 #[must_use]
 pub fn decide(view: &View) -> Step {
     if !view.store {
@@ -133,7 +134,7 @@
 }
 
 fn silence(view: &View, passed: u64, turn: u64) -> Step {
-    if passed < SILENCE {
+    if passed < SILENCE && !view.dark {
         return Step::Wait;
     }
     match view.witness {
--- a/src/cell/shell/carry.rs
+++ b/src/cell/shell/carry.rs
@@ -40,9 +40,9 @@
 const REPORT: Duration = Duration::from_millis(500);
 
 fn lost(e: &link::Error) -> Lost {
-    match e {
-        link::Error::Unreachable => Lost::Unsent,
-        _ => Lost::Unknown,
+    match e.pending() {
+        false => Lost::Unsent,
+        true => Lost::Unknown,
     }
 }
 
--- a/src/cell/shell/front.rs
+++ b/src/cell/shell/front.rs
@@ -152,7 +152,7 @@
         }
         let outcome = exchange(shared, &request, left.min(EXCHANGE)).await;
         match outcome {
-            Ok(Outcome::Elsewhere) | Err(link::Error::Unreachable) => {}
+            Ok(Outcome::Elsewhere) | Err(link::Error::Refused | link::Error::Unreachable) => {}
             Ok(outcome) => return outcome,
             Err(e) => {
                 debug!("the owner did not answer: {e}");
@@ -183,7 +183,23 @@
     let Some(owner) = peer::owner(shared) else {
         return Err(link::Error::Unreachable);
     };
-    peer::send(shared, &owner.address, peer::ASK, request, limit).await
+    let sent = peer::send(shared, &owner.address, peer::ASK, request, limit);
+    tokio::select! {
+        answer = sent => answer,
+        // The next one knows what this one stored, and takes a repeated request for the same.
+        () = replaced(shared, owner.term) => Err(link::Error::Silent),
+    }
+}
+
+/// Waits until another owner than that of `term` is known.
+async fn replaced(shared: &Shared, term: u64) {
+    loop {
+        let changed = shared.changed.notified();
+        if shared.seat.borrow().term() != term {
+            return;
+        }
+        changed.await;
+    }
 }
 
 fn answer(outcome: Outcome) -> Answer {
--- a/src/cell/shell/owner.rs
+++ b/src/cell/shell/owner.rs
@@ -69,6 +69,30 @@
 /// Processor share of an instance that should take over, as a multiple of the owner's.
 const OUTCLASS: f64 = 1.5;
 
+/// What is read from the store before a term begins.
+#[derive(Debug, Default)]
+pub struct Early {
+    jobs: store::Newest,
+    workers: store::Newest,
+}
+
+impl Early {
+    /// Reads the stored jobs and the workers' registrations.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the store did not give them.
+    pub async fn read(shared: &Shared) -> Result<Self, store::Error> {
+        let jobs = store::newest(&shared.store, store::JOBS, LOAD);
+        let workers = store::newest(&shared.store, store::ROSTER, LOAD);
+        let (jobs, workers) = futures_util::future::join(jobs, workers).await;
+        Ok(Self {
+            jobs: jobs?,
+            workers: workers?,
+        })
+    }
+}
+
 /// The owner of the cell.
 pub struct Owner {
     pub(super) shared: Rc<Shared>,
@@ -96,7 +120,7 @@
     pub async fn begin(
         shared: &Rc<Shared>,
         term: u64,
-        mut early: store::Newest,
+        early: Early,
     ) -> Result<Rc<Self>, store::Error> {
         let began = shared.now();
         let fence = store::Guard::Epoch(term, 0);
@@ -106,27 +130,8 @@
             Err(store::Error::Sequence(expected)) => sequence = expected.unwrap_or(sequence),
             Err(e) => return Err(e),
         }
-        let tail = store::read(&shared.store, store::JOBS, early.end, Duration::ZERO, LOAD);
-        let roster = store::newest(&shared.store, store::ROSTER, LOAD);
-        let (tail, workers) = futures_util::future::join(tail, roster).await;
-        let workers = workers?;
-        match tail {
-            Ok(tail) => {
-                let (mut next, end) = (tail.next, tail.end);
-                early.records.extend(tail.records);
-                while next < end {
-                    let more =
-                        store::read(&shared.store, store::JOBS, next, Duration::ZERO, LOAD).await?;
-                    next = more.next;
-                    early.records.extend(more.records);
-                }
-            }
-            Err(store::Error::Expired | store::Error::Refused(404)) => {
-                early = store::newest(&shared.store, store::JOBS, LOAD).await?;
-            }
-            Err(e) => return Err(e),
-        }
-        let jobs = early;
+        let Early { jobs, workers } = early;
+        let jobs = catch_up(shared, jobs).await?;
         let cfg = &shared.settings;
         let times = Times {
             lease: cfg.lease.as_millis() as u64,
@@ -291,6 +296,26 @@
     }
 }
 
+/// Adds what was stored since the jobs were read; nobody else appends any more.
+async fn catch_up(shared: &Shared, mut jobs: store::Newest) -> Result<store::Newest, store::Error> {
+    loop {
+        let tail = store::read(&shared.store, store::JOBS, jobs.end, Duration::ZERO, LOAD).await;
+        match tail {
+            Ok(tail) => {
+                jobs.end = tail.next;
+                jobs.records.extend(tail.records);
+                if tail.next >= tail.end {
+                    return Ok(jobs);
+                }
+            }
+            Err(store::Error::Expired | store::Error::Refused(404)) => {
+                return store::newest(&shared.store, store::JOBS, LOAD).await;
+            }
+            Err(e) => return Err(e),
+        }
+    }
+}
+
 fn spawn(task: impl Future<Output = ()> + 'static) {
     actix_rt::spawn(task);
 }
--- a/src/cell/shell/peer.rs
+++ b/src/cell/shell/peer.rs
@@ -24,7 +24,8 @@
 use super::{
     Shared,
     intake,
-    server::Answer, //
+    server::Answer,
+    watch, //
 };
 
 /// Added to the time that a question to the policy takes, before it is given up: two round trips
@@ -37,6 +38,9 @@
 /// Path of the question whether an instance hears from the owner.
 pub const SEEN: &str = "/seen";
 
+/// Path of the word that an instance owns the cell from now on.
+pub const OWNER: &str = "/owner";
+
 /// Path of callers' requests that are passed on to the owner.
 pub const ASK: &str = "/ask";
 
@@ -160,7 +164,15 @@
 pub async fn serve(shared: &Rc<Shared>, path: &str, body: &[u8]) -> Answer {
     match path {
         PING => reply(body, |ping: Ping| async move { Ok(pong(shared, &ping)) }).await,
-        SEEN => reply(body, |(): ()| async move { Ok(seen(shared)) }).await,
+        SEEN => reply(body, |(): ()| async move { Ok(watch::seen(shared).await) }).await,
+        OWNER => {
+            let told = |owner: election::Owner| async move {
+                shared.seat.borrow_mut().announced(owner, shared.now());
+                shared.changed.notify_waiters();
+                Ok(())
+            };
+            reply(body, told).await
+        }
         ASK => {
             let ask = |request: Request| async move { Ok(ask(shared, request).await) };
             reply(body, ask).await
@@ -208,19 +220,6 @@
     }
 }
 
-fn seen(shared: &Shared) -> Seen {
-    let seat = shared.seat.borrow();
-    let mine = shared.owner.borrow().is_some();
-    Seen {
-        term: seat.term(),
-        age: if mine {
-            0
-        } else {
-            shared.now().saturating_sub(seat.heard)
-        },
-    }
-}
-
 /// Answers a caller's request as the owner.
 pub async fn ask(shared: &Shared, request: Request) -> Outcome {
     let Some(owner) = shared.owner.borrow().clone() else {
--- a/src/cell/shell/watch.rs
+++ b/src/cell/shell/watch.rs
@@ -40,31 +40,42 @@
 /// Time between heartbeats to the owner.
 const HEARTBEAT: Duration = Duration::from_millis(400);
 
+/// Time between heartbeats of the first candidates, who have to notice the owner's end before
+/// short jobs miss their objective.
+const EAGER: Duration = Duration::from_millis(150);
+
+/// Number of candidates that send heartbeats so often: one, and one in case both are lost.
+const EAGER_RANKS: u64 = 2;
+
 /// Time between looks while the owner does not answer.
-const ALERT: Duration = Duration::from_millis(100);
+const ALERT: Duration = Duration::from_millis(50);
 
-/// Limit of a heartbeat.
-const PING: Duration = Duration::from_millis(450);
+/// Limit of a heartbeat: some round trips between regions, and a busy owner.
+const PING: Duration = Duration::from_millis(300);
 
-/// Limit of the question to other instances.
-const SEEN: Duration = Duration::from_millis(300);
+/// Limit of the question to other instances: a heartbeat of theirs and the way there.
+const SEEN: Duration = Duration::from_millis(400);
+
+/// Age of an answer from which an instance that is asked looks at the owner anew, in milliseconds.
+const LOOK_AGE: u64 = 200;
 
 /// Age of an answer up to which another instance vouches for the owner, in milliseconds.
-const FRESH: u64 = 800;
+const FRESH: u64 = 300;
 
-/// Time for which what others said holds, in milliseconds: longer than two heartbeats without an
-/// answer take.
+/// Time for which it holds that others have no answer of the owner, in milliseconds: until the last
+/// of the first candidates has had its turn.
 const WITNESS: u64 = 1_300;
 
+/// Time for which it holds that others have an answer of the owner, in milliseconds: it may have
+/// ended just after.
+const VOUCHED: u64 = 300;
+
 /// Limit of an exchange with the store about ownership.
 const STORE: Duration = Duration::from_millis(1_200);
 
 /// Time that an owner gets to recover when the store answers again: one repetition of an append.
 const SECOND_LOOK: Duration = Duration::from_millis(300);
 
-/// Limit of a page of the jobs that are read before a claim.
-const EARLY: Duration = Duration::from_millis(2_000);
-
 /// Time without any answer of the store after which an instance does not claim, in milliseconds.
 const STORE_AGE: u64 = 2_000;
 
@@ -93,6 +104,7 @@
     since: u64,
     word: Word,
     refused: bool,
+    dark: bool,
     /// Other instances, as the owner listed them last.
     members: Vec<Member>,
     witness: Option<(u64, Witness)>,
@@ -124,8 +136,17 @@
         self.since = now;
         self.word = Word::Well;
         self.refused = false;
+        self.dark = false;
         self.witness = None;
     }
+
+    /// Takes note of an owner that another instance tells of; the store has the last word.
+    pub fn announced(&mut self, owner: election::Owner, now: u64) {
+        if owner.term > self.term() {
+            self.adopt(Some(owner), self.end, now);
+            self.stale = true;
+        }
+    }
 }
 
 /// Watches until the process ends.
@@ -152,7 +173,16 @@
             }
             Step::Claim => claim(&shared).await,
         }
-        time::sleep(if well { HEARTBEAT } else { ALERT }).await;
+        time::sleep(pause(&shared, well)).await;
+    }
+}
+
+/// Time until the next heartbeat.
+fn pause(shared: &Shared, well: bool) -> Duration {
+    match well {
+        false => ALERT,
+        true if view(shared).rank < EAGER_RANKS => EAGER,
+        true => HEARTBEAT,
     }
 }
 
@@ -215,32 +245,33 @@
         peer::send(shared, &owner.address, peer::PING, &message, PING).await;
     let now = shared.now();
     let mut seat = shared.seat.borrow_mut();
-    let before = (seat.word, seat.refused);
-    match answer {
-        Ok(pong) => {
-            seat.refused = false;
-            seat.word = match (pong.owner, pong.leaving) {
-                (true, false) => Word::Well,
-                (true, true) => Word::StepsDown,
-                (false, _) => Word::Denies,
-            };
-            if pong.term > owner.term || !pong.owner {
-                seat.stale = true;
-            }
-            if pong.owner {
-                seat.heard = now;
-                seat.members = pong.members;
-            }
+    if seat.term() != owner.term {
+        // Another owner was found meanwhile; the answer says nothing of it.
+        return false;
+    }
+    let before = (seat.word, seat.refused, seat.dark);
+    seat.refused = matches!(answer, Err(link::Error::Refused));
+    seat.dark = matches!(answer, Err(link::Error::Unreachable));
+    if let Ok(pong) = answer {
+        seat.word = match (pong.owner, pong.leaving) {
+            (true, false) => Word::Well,
+            (true, true) => Word::StepsDown,
+            (false, _) => Word::Denies,
+        };
+        if pong.term > owner.term || !pong.owner {
+            seat.stale = true;
+        }
+        if pong.owner {
+            seat.heard = now;
+            seat.members = pong.members;
         }
-        Err(link::Error::Unreachable) => seat.refused = true,
-        Err(_) => seat.refused = false,
     }
     let well = seat.word == Word::Well && seat.heard == now;
     if well {
         seat.since = now;
         seat.witness = None;
-    } else if before != (seat.word, seat.refused) {
-        info!(owner = owner.instance.as_str(), word:? = seat.word, refused = seat.refused,
+    } else if before != (seat.word, seat.refused, seat.dark) {
+        info!(owner = owner.instance.as_str(), word:? = seat.word, refused = seat.refused, dark = seat.dark,
             heard = now.saturating_sub(seat.heard); "owner is not well");
         seat.since = match seat.word {
             Word::Well if !seat.refused => seat.heard,
@@ -261,7 +292,11 @@
         .iter()
         .filter(|m| owner.is_none_or(|o| o.instance != m.instance));
     let rank = others.into_iter().position(|m| m.instance == me);
-    let fresh = seat.witness.filter(|(at, _)| at + WITNESS > now);
+    let holds = |witness: Witness| match witness {
+        Witness::Alive => VOUCHED,
+        _ => WITNESS,
+    };
+    let fresh = seat.witness.filter(|(at, w)| at + holds(*w) > now);
     View {
         now,
         known: owner.is_some(),
@@ -269,6 +304,7 @@
         since: seat.since,
         word: seat.word,
         refused: seat.refused,
+        dark: seat.dark,
         store: shared.store_answers(STORE_AGE) && !seat.stale && !shared.stopping.get(),
         rank: rank.map_or_else(|| unlisted(shared), |rank| rank as u64),
         witness: fresh.map_or(Witness::Unasked, |(_, witness)| witness),
@@ -316,68 +352,61 @@
     shared.seat.borrow_mut().witness = Some((shared.now(), witness));
 }
 
+/// Answers another instance that asks when this one heard from the owner; looks at the owner first
+/// when that is some time ago.
+pub async fn seen(shared: &Rc<Shared>) -> Seen {
+    let age = |shared: &Shared| shared.now().saturating_sub(shared.seat.borrow().heard);
+    let mine = shared.owner.borrow().is_some();
+    if !mine && age(shared) > LOOK_AGE {
+        ping(shared).await;
+    }
+    Seen {
+        term: shared.seat.borrow().term(),
+        age: if mine { 0 } else { age(shared) },
+    }
+}
+
 /// Asks the store for ownership, and begins the term when it was granted.
+///
+/// What is stored is read beside the claim when the owner is gone, and before it when the owner
+/// still works, so that the cell has none for as short as possible.
 async fn claim(shared: &Rc<Shared>) {
-    let (before, end) = {
+    let (before, end, word) = {
         let seat = shared.seat.borrow();
-        (seat.owner.clone(), seat.end)
+        (seat.owner.clone(), seat.end, seat.word)
     };
-    // What is stored is read before the owner is replaced, so that there is little left to read
-    // while the cell has none.
-    let early = match store::newest(&shared.store, store::JOBS, EARLY).await {
-        Ok(early) => early,
-        Err(e) => {
+    let mine = record(shared, before.as_ref().map_or(0, |o| o.term) + 1);
+    let (early, granted) = if word == Word::StepsDown {
+        let early = owner::Early::read(shared).await;
+        if let Err(e) = &early {
             warn!("no claim, stored jobs cannot be read: {e}");
             return;
         }
-    };
-    if shared.seat.borrow().word == Word::StepsDown {
         // When the store was away for all, the owner is well again by now.
         time::sleep(SECOND_LOOK).await;
         if ping(shared).await {
             info!("no claim, the owner is well again");
             return;
         }
-    }
-    if !read(shared).await || shared.seat.borrow().owner != before {
-        return;
-    }
-    if shared.seat.borrow().end != end && before.is_some() {
-        // The record was written anew meanwhile, with the same content: look again.
-        return;
-    }
-    let end = shared.seat.borrow().end;
-    let mine = record(shared, before.as_ref().map_or(0, |o| o.term) + 1);
-    let value = serde_json::to_vec(&mine).unwrap_or_default();
-    let records = store::encode(&[store::Record {
-        key: owner::RECORD.into(),
-        value: Some(value.into()),
-    }]);
-    let answer = store::append(
-        &shared.store,
-        store::OWNER,
-        store::Guard::At(end),
-        records,
-        STORE,
-    )
-    .await;
-    info!(term = mine.term, before = before.as_ref().map_or("", |o| o.instance.as_str()), granted = answer.is_ok(),
-        error = answer.as_ref().err().map(ToString::to_string).unwrap_or_default(); "ownership claimed");
-    // An answer that was lost is read back; so is who won.
-    shared.seat.borrow_mut().stale = true;
-    if !read(shared).await {
-        return;
-    }
-    if shared.seat.borrow().owner.as_ref() != Some(&mine) {
+        (early, grant(shared, &mine, before.as_ref(), end).await)
+    } else {
+        let early = owner::Early::read(shared);
+        future::join(early, grant(shared, &mine, before.as_ref(), end)).await
+    };
+    if !granted {
         return;
     }
     shared.beginning.set(true);
-    let begun = owner::Owner::begin(shared, mine.term, early).await;
+    let begun = match early {
+        Ok(early) => owner::Owner::begin(shared, mine.term, early).await,
+        Err(e) => Err(e),
+    };
     shared.beginning.set(false);
     match begun {
         Ok(owner) => {
             shared.owner.replace(Some(owner));
             shared.changed.notify_waiters();
+            announce(shared, &mine).await;
         }
         Err(e) => {
             warn!(term = mine.term; "the term could not begin: {e}");
@@ -385,3 +414,41 @@
         }
     }
 }
+
+/// Replaces the owner's record, which ends at `end` as far as is known; returns whether it was done.
+async fn grant(
+    shared: &Rc<Shared>,
+    mine: &election::Owner,
+    before: Option<&election::Owner>,
+    end: u64,
+) -> bool {
+    let value = serde_json::to_vec(mine).unwrap_or_default();
+    let records = store::encode(&[store::Record {
+        key: owner::RECORD.into(),
+        value: Some(value.into()),
+    }]);
+    let guard = store::Guard::At(end);
+    let answer = store::append(&shared.store, store::OWNER, guard, records, STORE).await;
+    info!(term = mine.term, before = before.map_or("", |o| o.instance.as_str()), granted = answer.is_ok(),
+        error = answer.as_ref().err().map(ToString::to_string).unwrap_or_default(); "ownership claimed");
+    if answer.is_ok() {
+        shared.store_answered();
+        let now = shared.now();
+        let mut seat = shared.seat.borrow_mut();
+        seat.adopt(Some(mine.clone()), end + 1, now);
+        return true;
+    }
+    // An answer that was lost is read back; so is who won.
+    shared.seat.borrow_mut().stale = true;
+    read(shared).await && shared.seat.borrow().owner.as_ref() == Some(mine)
+}
+
+/// Tells the other instances who owns the cell; those that are missed find it in the store.
+async fn announce(shared: &Rc<Shared>, mine: &election::Owner) {
+    let members = shared.seat.borrow().members.clone();
+    let others = members.iter().filter(|m| m.instance != mine.instance);
+    let tells = others.map(|m| peer::send(shared, &m.address, peer::OWNER, mine, PING));
+    let answers: Vec<Result<(), link::Error>> = future::join_all(tells).await;
+    let heard = answers.iter().filter(|answer| answer.is_ok()).count();
+    info!(term = mine.term, told = answers.len(), heard; "others told of the term");
+}
--- a/src/remote/link.rs
+++ b/src/remote/link.rs
@@ -5,6 +5,7 @@
 
 use std::{
     cell::RefCell,
+    io::ErrorKind,
     time::Duration, //
 };
 
@@ -38,6 +39,10 @@
     /// Why an exchange failed.
     #[derive(Debug, Clone, PartialEq, Eq)]
     pub enum Error {
+        /// The connection was refused, so that no process listens there: nothing was sent.
+        Refused {
+            display("the connection was refused")
+        }
         /// No connection could be opened: nothing was sent.
         Unreachable {
             display("no connection could be opened")
@@ -61,7 +66,7 @@
     /// Whether the message may have been acted upon.
     #[must_use]
     pub fn pending(&self) -> bool {
-        *self != Error::Unreachable
+        !matches!(self, Error::Refused | Error::Unreachable)
     }
 }
 
@@ -78,9 +83,16 @@
 }
 
 fn failure(error: &SendRequestError) -> Error {
-    match unsent(error) {
-        true => Error::Unreachable,
-        false => Error::Silent,
+    if !unsent(error) {
+        return Error::Silent;
+    }
+    match error {
+        SendRequestError::Connect(ConnectError::Io(e))
+            if e.kind() == ErrorKind::ConnectionRefused =>
+        {
+            Error::Refused
+        }
+        _ => Error::Unreachable,
     }
 }
 
--- a/tests/cell/election.rs
+++ b/tests/cell/election.rs
@@ -15,6 +15,7 @@
     since: 100_000,
     word: Word::Well,
     refused: false,
+    dark: false,
     store: true,
     rank: 0,
     witness: Witness::Unasked,
@@ -62,7 +63,7 @@
         ),
         (
             "a heartbeat is late",
-            silent(800, Witness::Unasked),
+            silent(300, Witness::Unasked),
             Step::Wait,
         ),
         (
@@ -111,24 +112,44 @@
             "its process is gone",
             View {
                 refused: true,
-                since: CALM.now - 130,
                 ..CALM
             },
             Step::Claim,
         ),
         (
-            "its process is gone just now",
+            "its process is gone, others go first",
             View {
                 refused: true,
+                rank: 1,
                 ..CALM
             },
             Step::Wait,
         ),
+        (
+            "its machine is dark: gone, or this instance is cut off",
+            View { dark: true, ..CALM },
+            Step::Ask,
+        ),
+        (
+            "its machine is dark here and not for others",
+            View {
+                dark: true,
+                ..silent(60_000, Witness::Alive)
+            },
+            Step::Wait,
+        ),
+        (
+            "its machine is dark for others too",
+            View {
+                dark: true,
+                ..silent(400, Witness::Silent)
+            },
+            Step::Claim,
+        ),
         (
             "it denies",
             View {
                 word: Word::Denies,
-                since: CALM.now - 130,
                 ..CALM
             },
             Step::Claim,
