fix(cell): a new owner knows workers without registration, and waits one lease once the former owner is gone

The log: 17 workers with 150 runs "left the list" from 6.4 s on; the owner that began at 9.9 s knew the other 31 alone. Had all of those answered, it would have started inherited tasks a second time while they ran. In fact one of them did not answer, and the 75 open jobs stood still until the next owner, since a single silent worker holds up every inherited task for 12.6 s.

Ruled out: reading the registrations' history (it may be gone, and is 20 s of everything); writing starts ahead (a round trip to the store for each task, and no placing while it is away).

Change: an owner stores the last registration of a worker that loses it while it has runs there, and drops the record when the worker is back or empty; a successor asks these workers as well. A registration that goes no longer says that an unanswered worker is empty, unless it had said that it leaves. The 12.6 s allow for a former owner that goes on for 6 s without the store; once its process is known to be gone (connection refused, own earlier life) or sends heartbeats to the new owner, one lease (6.7 s) is waited for.

Conclusion: cell::inherited; without the record two of its tests were red, with registrations taken for the end of all runs one.

--- a/src/cell/books.rs
+++ b/src/cell/books.rs
@@ -82,6 +82,8 @@
     pub entry: model::Registration,
     /// Whether it is registered now.
     pub listed: bool,
+    /// Whether it is stored as one that has lost its registration.
+    pub recorded: bool,
     /// Its life; 0 until known.
     pub born: u64,
     /// Whether it has seen this owner's token in this life.
@@ -126,6 +128,7 @@
             born: entry.born,
             entry,
             listed: true,
+            recorded: false,
             fenced: false,
             superseded: false,
             reading: None,
@@ -169,6 +172,12 @@
         Resources::from_parts(std::array::from_fn(|i| parts[i].saturating_sub(used[i])))
     }
 
+    /// Whether nothing is left of it: no registration, no runs, no order that is out.
+    #[must_use]
+    pub fn is_spent(&self) -> bool {
+        !self.listed && self.runs.is_empty() && !self.busy
+    }
+
     /// Whether new tasks may be placed there.
     #[must_use]
     pub fn is_open(&self, now: u64) -> bool {
--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -151,6 +151,8 @@
     fresh: Vec<(u64, JobKey)>,
     changed: Vec<(u64, JobKey)>,
     past: past::Past,
+    /// Registrations of unlisted workers that are to be stored.
+    unlisted: Vec<model::Registration>,
     timed: Vec<JobKey>,
     learned: Vec<Learned>,
     /// Instances through which the policy is asked.
@@ -185,6 +187,7 @@
             fresh: Vec::new(),
             changed: Vec::new(),
             past: past::Past::default(),
+            unlisted: Vec::new(),
             timed: Vec::new(),
             learned: Vec::new(),
             advisers: advisers::Advisers::default(),
--- a/src/cell/engine/batch.rs
+++ b/src/cell/engine/batch.rs
@@ -14,10 +14,13 @@
 impl Engine {
     /// Takes everything that is to be stored, with the number of the batch.
     pub fn batch(&mut self) -> Option<(u64, Vec<Entry>)> {
-        if self.dirty.is_empty() && self.dropped.is_empty() {
+        if self.dirty.is_empty() && self.dropped.is_empty() && self.unlisted.is_empty() {
             return None;
         }
         let mut entries = Vec::with_capacity(self.dirty.len() + self.dropped.len());
+        for worker in std::mem::take(&mut self.unlisted) {
+            entries.push(entry(journal::Kind::Unlisted, &worker.id, &worker));
+        }
         let mut gone = Vec::new();
         for key in std::mem::take(&mut self.dirty) {
             let Some(job) = self.jobs.get_mut(key) else {
--- a/src/cell/engine/ends.rs
+++ b/src/cell/engine/ends.rs
@@ -77,8 +77,8 @@
         }
         self.compare(key, sent, report, now);
         let worker = &self.books.workers[key];
-        if !worker.listed && worker.runs.is_empty() && worker.taken == worker.acknowledged {
-            self.books.remove(key);
+        if worker.taken == worker.acknowledged {
+            self.drop_empty(key);
         }
     }
 
--- a/src/cell/engine/orders.rs
+++ b/src/cell/engine/orders.rs
@@ -396,13 +396,6 @@
         }
     }
 
-    fn drop_empty(&mut self, key: WorkerKey) {
-        let worker = &self.books.workers[key];
-        if !worker.listed && worker.runs.is_empty() {
-            self.books.remove(key);
-        }
-    }
-
     /// Asks for the reports that are due.
     pub(super) fn hold_due(&mut self, now: u64) {
         for (key, worker) in &self.books.workers {
--- a/src/cell/engine/recovery.rs
+++ b/src/cell/engine/recovery.rs
@@ -15,10 +15,14 @@
     job::{
         JobKey,
         Occurrence,
-        StepKey, //
+        StepKey,
+        WorkerKey, //
     },
     journal,
-    model::State,
+    model::{
+        self,
+        State, //
+    },
     past, //
 };
 
@@ -64,6 +68,7 @@
                 journal::Kind::Progress => {
                     serde_json::from_slice(value).map(|p| progress.push((id.to_owned(), p)))
                 }
+                journal::Kind::Unlisted => serde_json::from_slice(value).map(|w| self.recall(w)),
                 journal::Kind::Segment => {
                     serde_json::from_slice(value).map(|s| segments.push((key.into(), s)))
                 }
@@ -103,6 +108,25 @@
         info!(open = self.jobs.len(), finished = self.past.len(), faults, term = self.term, token = self.token; "stored jobs read");
     }
 
+    /// A worker that an earlier owner had runs on when its registration was gone.
+    fn recall(&mut self, entry: model::Registration) {
+        info!(worker = entry.id.as_str(), born = entry.born; "worker without registration may run tasks");
+        let key = self.books.add(entry);
+        let worker = &mut self.books.workers[key];
+        worker.listed = false;
+        worker.recorded = true;
+    }
+
+    /// Takes note that the former owner gives no orders any more: its process is gone, or has
+    /// learned of this term. What it started then ends within one lease.
+    pub fn former_gone(&mut self, now: u64) {
+        let by = now + books::span(self.times.lease) + SETTLE_MARGIN;
+        if !self.books.settled && by < self.settle_by {
+            info!(within = by - now; "the former owner gives no orders any more");
+            self.settle_by = by;
+        }
+    }
+
     fn load_job(&mut self, id: &str, accepted: journal::Accepted) {
         let mut job = super::intake::job(
             id,
@@ -140,6 +164,16 @@
         }
         info!(workers = self.books.workers.len(), unanswered = open; "runs of earlier owners are known");
         self.books.settled = true;
+        let gone: Vec<WorkerKey> = self
+            .books
+            .workers
+            .iter()
+            .filter(|(_, w)| w.is_spent())
+            .map(|(key, _)| key)
+            .collect();
+        for key in gone {
+            self.drop_worker(key);
+        }
         self.stale = true;
         let keys: Vec<JobKey> = self.jobs.keys().collect();
         for key in keys {
--- a/src/cell/engine/registry.rs
+++ b/src/cell/engine/registry.rs
@@ -6,6 +6,7 @@
 use crate::cell::{
     books::Footing,
     job::WorkerKey,
+    journal,
     model, //
 };
 
@@ -35,6 +36,7 @@
         worker.superseded = false;
         worker.entry = entry;
         self.stale = true;
+        self.unrecord(key);
     }
 
     /// Takes note that a worker's registration is gone.
@@ -45,8 +47,43 @@
         let worker = &mut self.books.workers[key];
         info!(worker = id, runs = worker.runs.len(); "worker left the list");
         worker.listed = false;
-        if worker.runs.is_empty() && !worker.busy {
-            self.books.remove(key);
+        let runs = !worker.runs.is_empty();
+        if runs && !worker.recorded && worker.entry.standing == model::Standing::Ready {
+            // It may have lost the store alone and run on: a successor has to ask it as well.
+            worker.recorded = true;
+            self.unlisted.push(worker.entry.clone());
+        }
+        self.drop_empty(key);
+    }
+
+    /// Forgets a worker of which nothing is left, unless an earlier owner's runs may be there: it may
+    /// have lost the store alone.
+    pub(super) fn drop_empty(&mut self, key: WorkerKey) {
+        let Some(worker) = self.books.workers.get(key) else {
+            return;
+        };
+        let known = self.books.settled || worker.fenced || worker.superseded;
+        let left = worker.entry.standing == model::Standing::Draining;
+        if worker.is_spent() && (known || left) {
+            self.drop_worker(key);
+        }
+    }
+
+    /// Forgets a worker.
+    pub(super) fn drop_worker(&mut self, key: WorkerKey) {
+        self.unrecord(key);
+        self.books.remove(key);
+    }
+
+    /// Drops the record of a worker without registration.
+    fn unrecord(&mut self, key: WorkerKey) {
+        let Some(worker) = self.books.workers.get_mut(key) else {
+            return;
+        };
+        if std::mem::take(&mut worker.recorded) {
+            self.unlisted.retain(|w| w.id != worker.entry.id);
+            let record = journal::key(journal::Kind::Unlisted, &worker.entry.id);
+            self.dropped.push(record);
         }
     }
 
--- a/src/cell/journal.rs
+++ b/src/cell/journal.rs
@@ -23,6 +23,9 @@
 /// Beginning of the keys of segments of finished jobs.
 const SEGMENT: char = 'f';
 
+/// Beginning of the keys of workers with runs whose registration is gone.
+const UNLISTED: char = 'w';
+
 /// A job as it was accepted.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Accepted {
@@ -79,17 +82,20 @@
     Progress,
     /// A [`past::Segment`](super::past::Segment) of finished jobs.
     Segment,
+    /// The last [`model::Registration`] of a worker that has lost it and may still run tasks.
+    Unlisted,
 }
 
-/// The key under which a job's record lies.
+/// The key under which the record of a job, a segment or a worker lies.
 #[must_use]
-pub fn key(kind: Kind, job: &str) -> CompactString {
+pub fn key(kind: Kind, name: &str) -> CompactString {
     let first = match kind {
         Kind::Accepted => ACCEPTED,
         Kind::Progress => PROGRESS,
         Kind::Segment => SEGMENT,
+        Kind::Unlisted => UNLISTED,
     };
-    format_compact!("{first}{job}")
+    format_compact!("{first}{name}")
 }
 
 /// The key of a segment, by the term in which it was begun and its number there.
@@ -98,13 +104,14 @@
     key(Kind::Segment, &format_compact!("{term}-{number}"))
 }
 
-/// What a key stands for, and of which job or segment.
+/// What a key stands for, and of which job, segment or worker.
 #[must_use]
 pub fn split(key: &str) -> Option<(Kind, &str)> {
     let kind = match key.chars().next()? {
         ACCEPTED => Kind::Accepted,
         PROGRESS => Kind::Progress,
         SEGMENT => Kind::Segment,
+        UNLISTED => Kind::Unlisted,
         _ => return None,
     };
     Some((kind, &key[1..]))
--- a/src/cell/model.rs
+++ b/src/cell/model.rs
@@ -164,7 +164,8 @@
 }
 
 /// Whether a worker takes new tasks.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Standing {
     /// It does.
     Ready,
@@ -173,7 +174,7 @@
 }
 
 /// A worker's registration.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registration {
     /// The worker.
     pub id: CompactString,
--- a/src/cell/shell/owner.rs
+++ b/src/cell/shell/owner.rs
@@ -69,6 +69,15 @@
 /// Processor share of an instance that should take over, as a multiple of the owner's.
 const OUTCLASS: f64 = 1.5;
 
+/// The owner before a term.
+#[derive(Debug, Default)]
+pub struct Before {
+    /// Its instance; empty for none.
+    pub instance: CompactString,
+    /// Whether its process is gone for sure.
+    pub gone: bool,
+}
+
 /// What is read from the store before a term begins.
 #[derive(Debug, Default)]
 pub struct Early {
@@ -106,6 +115,8 @@
     /// Local time since which a batch waits to be stored, in milliseconds; 0 when none does.
     pub(super) waiting: Cell<u64>,
     pub(super) term: u64,
+    /// Instance that owned the cell before; empty for none.
+    former: CompactString,
     /// Local time at which the term began, in milliseconds.
     began: u64,
 }
@@ -120,6 +131,7 @@
     pub async fn begin(
         shared: &Rc<Shared>,
         term: u64,
+        before: Before,
         early: Early,
     ) -> Result<Rc<Self>, store::Error> {
         let began = shared.now();
@@ -149,6 +161,9 @@
             .iter()
             .map(|r| (r.key.as_str(), r.value.as_deref()));
         engine.load(values, now);
+        if before.gone {
+            engine.former_gone(now);
+        }
         for record in &workers.records {
             registry::apply(&mut engine, record);
         }
@@ -163,6 +178,7 @@
             members: RefCell::new(Vec::new()),
             waiting: Cell::new(0),
             term,
+            former: before.instance,
             began: now,
         });
         shared.metrics.terms.inc();
@@ -240,7 +256,11 @@
             Ok(at) => members[at] = member,
             Err(at) => members.insert(at, member),
         }
-        self.engine.borrow_mut().advisers.heard(&ping.instance, now);
+        let mut engine = self.engine.borrow_mut();
+        engine.advisers.heard(&ping.instance, now);
+        if ping.instance == self.former {
+            engine.former_gone(now);
+        }
     }
 
     /// The instances that send heartbeats, the strongest first.
--- a/src/cell/shell/watch.rs
+++ b/src/cell/shell/watch.rs
@@ -371,9 +371,9 @@
 /// What is stored is read beside the claim when the owner is gone, and before it when the owner
 /// still works, so that the cell has none for as short as possible.
 async fn claim(shared: &Rc<Shared>) {
-    let (before, end, word) = {
+    let (before, end, word, refused) = {
         let seat = shared.seat.borrow();
-        (seat.owner.clone(), seat.end, seat.word)
+        (seat.owner.clone(), seat.end, seat.word, seat.refused)
     };
     let mine = record(shared, before.as_ref().map_or(0, |o| o.term) + 1);
     let (early, granted) = if word == Word::StepsDown {
@@ -398,7 +398,9 @@
     }
     shared.beginning.set(true);
     let begun = match early {
-        Ok(early) => owner::Owner::begin(shared, mine.term, early).await,
+        Ok(early) => {
+            owner::Owner::begin(shared, mine.term, former(before, refused, &mine), early).await
+        }
         Err(e) => Err(e),
     };
     shared.beginning.set(false);
@@ -415,6 +417,19 @@
     }
 }
 
+/// The owner before `mine`. Its process is gone when its machine refuses connections, or when it was
+/// an earlier life of this one.
+fn former(before: Option<election::Owner>, refused: bool, mine: &election::Owner) -> owner::Before {
+    let Some(before) = before else {
+        return owner::Before::default();
+    };
+    let own = before.instance == mine.instance;
+    owner::Before {
+        gone: refused || own && before.life != mine.life,
+        instance: before.instance,
+    }
+}
+
 /// Replaces the owner's record, which ends at `end` as far as is known; returns whether it was done.
 async fn grant(
     shared: &Rc<Shared>,
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -6,6 +6,7 @@
     mod advisers;
     mod election;
     mod fuzz;
+    mod inherited;
     mod journal;
     mod load;
     mod make;
--- /dev/null
+++ b/tests/cell/inherited.rs
@@ -0,0 +1,152 @@
+//! What a new owner waits for before it starts tasks that an earlier one may have started.
+
+use bamboolock::cell::{
+    books,
+    engine::Engine,
+    model::{
+        How,
+        Standing, //
+    }, //
+};
+
+use super::make::{
+    self,
+    START,
+    TIMES, //
+};
+
+const JOB: &str = "00000000000000d1";
+
+/// An owner that has a task of a job on the only worker, and what it has stored.
+fn running() -> (Engine, Vec<(String, Option<Vec<u8>>)>) {
+    let mut engine = make::owner(&[("w1", 16_000)]);
+    let work = make::work(vec![make::step(1, 1_000)]);
+    engine
+        .submit(JOB, make::queue("q", 0), work, START)
+        .unwrap();
+    let stored = make::store(&mut engine, START);
+    let runs = make::starts(&mut engine, START);
+    make::accept(&mut engine, &runs, START);
+    (engine, stored)
+}
+
+/// A second owner that has read what is stored, and knows another worker that has answered.
+fn successor(stored: &[(String, Option<Vec<u8>>)], workers: &[&str], now: u64) -> Engine {
+    let mut engine = Engine::new(2, 2, TIMES);
+    engine.set_wall(now, now);
+    engine.store = u64::MAX / 2;
+    let records = stored
+        .iter()
+        .map(|(key, value)| (key.as_str(), value.as_deref()));
+    engine.load(records, now);
+    for id in workers {
+        engine.register(make::worker(id, 1, 16_000));
+    }
+    engine.register(make::worker("w2", 1, 16_000));
+    let key = engine.books.find("w2").unwrap();
+    make::answer(&mut engine, key, make::report(1, 500), now);
+    engine.tick(now);
+    engine
+}
+
+#[test]
+fn a_worker_that_lost_its_registration_is_asked_by_the_next_owner() {
+    let (mut engine, mut stored) = running();
+    engine.unregister("w1");
+    stored.extend(make::store(&mut engine, START + 10));
+    let now = START + 1_000;
+    let mut next = successor(&stored, &[], now);
+    assert_eq!(make::starts(&mut next, now), [], "the task may run on w1");
+    let key = next.books.find("w1").unwrap();
+    let mut report = make::report(1, 1_500);
+    report.running = vec![make::live(JOB, 0, 0, 1)];
+    make::answer(&mut next, key, report, now + 20);
+    next.tick(now + 25);
+    assert!(next.is_settled());
+    assert_eq!(make::starts(&mut next, now + 30), [], "it does");
+}
+
+#[test]
+fn the_record_of_such_a_worker_is_dropped_when_it_is_back_or_has_ended_everything() {
+    let (mut engine, _) = running();
+    engine.unregister("w1");
+    assert_eq!(make::store(&mut engine, START + 10).len(), 1);
+    engine.register(make::worker("w1", 1, 16_000));
+    let dropped = make::store(&mut engine, START + 20);
+    assert!(
+        matches!(dropped.as_slice(), [(key, None)] if key == "ww1"),
+        "{dropped:?}"
+    );
+    engine.unregister("w1");
+    make::store(&mut engine, START + 30);
+    let key = engine.books.find("w1").unwrap();
+    let mut report = make::report(1, 900);
+    report.ended = vec![make::end(1, make::task(JOB, 0, 0), 1, How::Done)];
+    make::answer(&mut engine, key, report, START + 400);
+    make::store(&mut engine, START + 410);
+    make::answer(&mut engine, key, make::report(1, 1_000), START + 500);
+    let dropped = make::store(&mut engine, START + 510);
+    assert!(
+        dropped
+            .iter()
+            .any(|(key, value)| key == "ww1" && value.is_none()),
+        "{dropped:?}"
+    );
+    assert_eq!(engine.books.find("w1"), None);
+}
+
+#[test]
+fn a_registration_that_goes_does_not_say_that_the_runs_are_over() {
+    let (_, stored) = running();
+    let now = START + 1_000;
+    let mut next = successor(&stored, &["w1"], now);
+    next.unregister("w1");
+    next.tick(now + 100);
+    assert!(!next.is_settled());
+    assert_eq!(make::starts(&mut next, now + 100), []);
+}
+
+#[test]
+fn a_worker_that_said_it_would_leave_and_is_gone_runs_nothing() {
+    let (_, stored) = running();
+    let now = START + 1_000;
+    let mut next = successor(&stored, &["w1"], now);
+    let mut leaving = make::worker("w1", 1, 16_000);
+    leaving.standing = Standing::Draining;
+    next.register(leaving);
+    next.unregister("w1");
+    next.tick(now + 100);
+    assert!(next.is_settled());
+    assert_eq!(make::starts(&mut next, now + 100).len(), 1);
+}
+
+#[test]
+fn once_the_former_owner_is_gone_one_lease_is_waited_for() {
+    let (_, stored) = running();
+    let now = START + 1_000;
+    let mut next = successor(&stored, &["w1"], now);
+    let heard = now + 200;
+    next.former_gone(heard);
+    let over = heard + books::span(TIMES.lease);
+    next.tick(over);
+    assert_eq!(
+        make::starts(&mut next, over),
+        [],
+        "a lease may have been prolonged until then"
+    );
+    next.tick(over + 500);
+    assert_eq!(make::starts(&mut next, over + 500).len(), 1);
+}
+
+#[test]
+fn a_former_owner_that_may_live_on_is_waited_for_longer() {
+    let (_, stored) = running();
+    let now = START + 1_000;
+    let mut next = successor(&stored, &["w1"], now);
+    let once = now + books::span(TIMES.lease) + 500;
+    next.tick(once);
+    assert_eq!(make::starts(&mut next, once), []);
+    let twice = now + 2 * TIMES.lease + 500;
+    next.tick(twice);
+    assert_eq!(make::starts(&mut next, twice).len(), 1);
+}
