fix(cell): every worker that may run tasks is stored, and a claim does not wait for another look

It had asked all workers it knew; registrations that lapse while the store is away are back only up to two seconds after its return, so that it knew too few.

Ruled out: waiting for two seconds in each new term (it would not cover workers that are cut from the store longer).

Change: a worker takes tasks once its registration is stored beside the jobs; the record goes when the worker has no registration, no runs and no end that is not stored. A new owner asks all workers so recorded. A worker's leaving the list says nothing of its runs. Refused connections to an owner are looked at by others first, as dark ones are, and no longer shorten the wait for a former owner: a path can refuse, too. Doubtful records are read before the decision.

Tests of the engine store workers before they place on them; one takes the number of its batch from the engine in place of a constant.

--- a/src/cell/books.rs
+++ b/src/cell/books.rs
@@ -82,8 +82,10 @@
     pub entry: model::Registration,
     /// Whether it is registered now.
     pub listed: bool,
-    /// Whether it is stored as one that has lost its registration.
-    pub recorded: bool,
+    /// Its registration as it is stored, or on its way there, for later owners.
+    pub record: Option<model::Registration>,
+    /// Batch that stores the record; `u64::MAX` until it is in one.
+    pub recorded: u64,
     /// Its life; 0 until known.
     pub born: u64,
     /// Whether it has seen this owner's token in this life.
@@ -128,7 +130,8 @@
             born: entry.born,
             entry,
             listed: true,
-            recorded: false,
+            record: None,
+            recorded: u64::MAX,
             fenced: false,
             superseded: false,
             reading: None,
@@ -180,9 +183,11 @@
 
     /// Whether new tasks may be placed there.
     #[must_use]
-    pub fn is_open(&self, now: u64) -> bool {
+    pub fn is_open(&self, durable: u64, now: u64) -> bool {
         self.listed
             && self.fenced
+            // A later owner has to know every worker that may run tasks.
+            && self.recorded <= durable
             && self.silent.is_none()
             && self.reading.is_some()
             && self.suspended <= now
@@ -273,6 +278,12 @@
         key
     }
 
+    /// The workers of which nothing is left.
+    pub fn spent(&self) -> impl Iterator<Item = WorkerKey> {
+        let spent = self.workers.iter().filter(|(_, w)| w.is_spent());
+        spent.map(|(key, _)| key)
+    }
+
     /// Removes a worker without runs.
     pub fn remove(&mut self, key: WorkerKey) {
         if let Some(worker) = self.workers.remove(key) {
--- a/src/cell/election.rs
+++ b/src/cell/election.rs
@@ -80,7 +80,7 @@
     pub since: u64,
     /// The owner's last word.
     pub word: Word,
-    /// Whether the owner's machine refuses connections: the process is gone.
+    /// Whether connections to the owner are refused: the process is gone, or the path to it is.
     pub refused: bool,
     /// Whether no connection to it can be opened: it is gone, or the path to it is.
     pub dark: bool,
@@ -105,9 +105,9 @@
 
 /// Decides about a claim.
 ///
-/// Answers these patterns: the owner is killed (refused connections: the first candidate claims at
-/// once), loses power or is cut off (silence, confirmed by others that look), stops in an orderly
-/// way, loses the store alone, or this instance alone is cut off (others vouch for the owner).
+/// Answers these patterns: the owner is killed (refused connections) or loses power or is cut off
+/// (silence), each confirmed by others that look: the first candidate claims at once. Further: the
+/// owner stops in an orderly way, loses the store alone, or this instance alone is cut off (others vouch for the owner).
 #[must_use]
 pub fn decide(view: &View) -> Step {
     if !view.store {
@@ -127,7 +127,11 @@
     }
     match (view.word, view.refused) {
         (Word::Denies, _) => after(REFUSAL),
-        (_, true) => after(REFUSAL),
+        (_, true) => match view.witness {
+            Witness::Unasked => Step::Ask,
+            Witness::Alive => Step::Wait,
+            Witness::Silent | Witness::Nobody => after(REFUSAL),
+        },
         (Word::StepsDown, _) => after(STEP_DOWN),
         (Word::Well, false) => silence(view, passed, turn),
     }
--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -151,8 +151,8 @@
     fresh: Vec<(u64, JobKey)>,
     changed: Vec<(u64, JobKey)>,
     past: past::Past,
-    /// Registrations of unlisted workers that are to be stored.
-    unlisted: Vec<model::Registration>,
+    /// Workers whose record is to be stored.
+    unrecorded: Vec<WorkerKey>,
     timed: Vec<JobKey>,
     learned: Vec<Learned>,
     /// Instances through which the policy is asked.
@@ -187,7 +187,7 @@
             fresh: Vec::new(),
             changed: Vec::new(),
             past: past::Past::default(),
-            unlisted: Vec::new(),
+            unrecorded: Vec::new(),
             timed: Vec::new(),
             learned: Vec::new(),
             advisers: advisers::Advisers::default(),
--- a/src/cell/engine/batch.rs
+++ b/src/cell/engine/batch.rs
@@ -7,6 +7,7 @@
     Entry, //
 };
 use crate::cell::{
+    job::WorkerKey,
     journal,
     model::State, //
 };
@@ -14,12 +15,18 @@
 impl Engine {
     /// Takes everything that is to be stored, with the number of the batch.
     pub fn batch(&mut self) -> Option<(u64, Vec<Entry>)> {
-        if self.dirty.is_empty() && self.dropped.is_empty() && self.unlisted.is_empty() {
+        if self.dirty.is_empty() && self.dropped.is_empty() && self.unrecorded.is_empty() {
             return None;
         }
         let mut entries = Vec::with_capacity(self.dirty.len() + self.dropped.len());
-        for worker in std::mem::take(&mut self.unlisted) {
-            entries.push(entry(journal::Kind::Unlisted, &worker.id, &worker));
+        for key in std::mem::take(&mut self.unrecorded) {
+            let Some(worker) = self.books.workers.get_mut(key) else {
+                continue;
+            };
+            worker.recorded = self.open;
+            if let Some(record) = &worker.record {
+                entries.push(entry(journal::Kind::Worker, &record.id, record));
+            }
         }
         let mut gone = Vec::new();
         for key in std::mem::take(&mut self.dirty) {
@@ -68,6 +75,10 @@
     /// Takes note that a batch and all before it are stored.
     pub fn committed(&mut self, batch: u64, now: u64) {
         self.durable = batch;
+        let spent: Vec<WorkerKey> = self.books.spent().collect();
+        spent.into_iter().for_each(|key| self.drop_empty(key));
+        // Workers whose record is stored may take tasks.
+        self.stale = true;
         let changed = std::mem::take(&mut self.changed);
         for (number, key) in changed {
             if number > batch {
--- a/src/cell/engine/place.rs
+++ b/src/cell/engine/place.rs
@@ -159,7 +159,11 @@
     }
 
     fn pass(&self, now: u64) -> Pass {
-        let open = self.books.workers.iter().filter(|(_, w)| w.is_open(now));
+        let open = self
+            .books
+            .workers
+            .iter()
+            .filter(|(_, w)| w.is_open(self.durable, now));
         let slots = open.map(|(worker, state)| Slot {
             worker,
             born: state.born,
--- a/src/cell/engine/recovery.rs
+++ b/src/cell/engine/recovery.rs
@@ -68,7 +68,7 @@
                 journal::Kind::Progress => {
                     serde_json::from_slice(value).map(|p| progress.push((id.to_owned(), p)))
                 }
-                journal::Kind::Unlisted => serde_json::from_slice(value).map(|w| self.recall(w)),
+                journal::Kind::Worker => serde_json::from_slice(value).map(|w| self.recall(w)),
                 journal::Kind::Segment => {
                     serde_json::from_slice(value).map(|s| segments.push((key.into(), s)))
                 }
@@ -108,13 +108,13 @@
         info!(open = self.jobs.len(), finished = self.past.len(), faults, term = self.term, token = self.token; "stored jobs read");
     }
 
-    /// A worker that an earlier owner had runs on when its registration was gone.
+    /// A worker that an earlier owner gave tasks to, whether it is registered now or not.
     fn recall(&mut self, entry: model::Registration) {
-        info!(worker = entry.id.as_str(), born = entry.born; "worker without registration may run tasks");
-        let key = self.books.add(entry);
+        let key = self.books.add(entry.clone());
         let worker = &mut self.books.workers[key];
         worker.listed = false;
-        worker.recorded = true;
+        worker.record = Some(entry);
+        worker.recorded = 0;
     }
 
     /// Takes note that the former owner gives no orders any more: its process is gone, or has
@@ -164,16 +164,8 @@
         }
         info!(workers = self.books.workers.len(), unanswered = open; "runs of earlier owners are known");
         self.books.settled = true;
-        let gone: Vec<WorkerKey> = self
-            .books
-            .workers
-            .iter()
-            .filter(|(_, w)| w.is_spent())
-            .map(|(key, _)| key)
-            .collect();
-        for key in gone {
-            self.drop_worker(key);
-        }
+        let spent: Vec<WorkerKey> = self.books.spent().collect();
+        spent.into_iter().for_each(|key| self.drop_empty(key));
         self.stale = true;
         let keys: Vec<JobKey> = self.jobs.keys().collect();
         for key in keys {
--- a/src/cell/engine/registry.rs
+++ b/src/cell/engine/registry.rs
@@ -15,7 +15,8 @@
     pub fn register(&mut self, entry: model::Registration) {
         let Some(key) = self.books.find(&entry.id) else {
             info!(worker = entry.id.as_str(), service = entry.service.as_str(), born = entry.born; "worker joined");
-            self.books.add(entry);
+            let key = self.books.add(entry);
+            self.record(key);
             self.stale = true;
             return;
         };
@@ -36,7 +37,7 @@
         worker.superseded = false;
         worker.entry = entry;
         self.stale = true;
-        self.unrecord(key);
+        self.record(key);
     }
 
     /// Takes note that a worker's registration is gone.
@@ -47,44 +48,42 @@
         let worker = &mut self.books.workers[key];
         info!(worker = id, runs = worker.runs.len(); "worker left the list");
         worker.listed = false;
-        let runs = !worker.runs.is_empty();
-        if runs && !worker.recorded && worker.entry.standing == model::Standing::Ready {
-            // It may have lost the store alone and run on: a successor has to ask it as well.
-            worker.recorded = true;
-            self.unlisted.push(worker.entry.clone());
-        }
         self.drop_empty(key);
     }
 
-    /// Forgets a worker of which nothing is left, unless an earlier owner's runs may be there: it may
-    /// have lost the store alone.
+    /// Has the registration of a worker stored, so that a later owner asks the worker about its runs
+    /// even if it has lost its registration by then.
+    fn record(&mut self, key: WorkerKey) {
+        let worker = &mut self.books.workers[key];
+        let same = |record: &model::Registration| {
+            (record.born, &record.address) == (worker.entry.born, &worker.entry.address)
+        };
+        if worker.record.as_ref().is_some_and(same) {
+            return;
+        }
+        worker.record = Some(worker.entry.clone());
+        worker.recorded = u64::MAX;
+        if !self.unrecorded.contains(&key) {
+            self.unrecorded.push(key);
+        }
+    }
+
+    /// Forgets a worker of which nothing is left, unless ends that it listed are not stored yet, or
+    /// an earlier owner's runs may be there.
     pub(super) fn drop_empty(&mut self, key: WorkerKey) {
         let Some(worker) = self.books.workers.get(key) else {
             return;
         };
         let known = self.books.settled || worker.fenced || worker.superseded;
         let left = worker.entry.standing == model::Standing::Draining;
-        if worker.is_spent() && (known || left) {
-            self.drop_worker(key);
-        }
-    }
-
-    /// Forgets a worker.
-    pub(super) fn drop_worker(&mut self, key: WorkerKey) {
-        self.unrecord(key);
-        self.books.remove(key);
-    }
-
-    /// Drops the record of a worker without registration.
-    fn unrecord(&mut self, key: WorkerKey) {
-        let Some(worker) = self.books.workers.get_mut(key) else {
+        if !worker.is_spent() || worker.batch > self.durable || !known && !left {
             return;
-        };
-        if std::mem::take(&mut worker.recorded) {
-            self.unlisted.retain(|w| w.id != worker.entry.id);
-            let record = journal::key(journal::Kind::Unlisted, &worker.entry.id);
+        }
+        if worker.record.is_some() {
+            let record = journal::key(journal::Kind::Worker, &worker.entry.id);
             self.dropped.push(record);
         }
+        self.books.remove(key);
     }
 
     /// A new life answers for a worker, to a request sent at local time `sent`: what was confirmed
--- a/src/cell/engine/status.rs
+++ b/src/cell/engine/status.rs
@@ -18,7 +18,11 @@
                 Err(at) => waiting.insert(at, (queue, 1)),
             }
         }
-        let open = self.books.workers.values().filter(|w| w.is_open(now));
+        let open = self
+            .books
+            .workers
+            .values()
+            .filter(|w| w.is_open(self.durable, now));
         let (count, room, used) = open.fold((0, 0_u64, 0_u64), |(count, room, used), w| {
             let free = u64::from(w.free().millicores);
             let all = u64::from(w.entry.capacity.millicores);
--- a/src/cell/journal.rs
+++ b/src/cell/journal.rs
@@ -23,8 +23,8 @@
 /// Beginning of the keys of segments of finished jobs.
 const SEGMENT: char = 'f';
 
-/// Beginning of the keys of workers with runs whose registration is gone.
-const UNLISTED: char = 'w';
+/// Beginning of the keys of workers that may run tasks.
+const WORKER: char = 'w';
 
 /// A job as it was accepted.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -82,8 +82,8 @@
     Progress,
     /// A [`past::Segment`](super::past::Segment) of finished jobs.
     Segment,
-    /// The last [`model::Registration`] of a worker that has lost it and may still run tasks.
-    Unlisted,
+    /// The [`model::Registration`] of a worker that may run tasks.
+    Worker,
 }
 
 /// The key under which the record of a job, a segment or a worker lies.
@@ -93,7 +93,7 @@
         Kind::Accepted => ACCEPTED,
         Kind::Progress => PROGRESS,
         Kind::Segment => SEGMENT,
-        Kind::Unlisted => UNLISTED,
+        Kind::Worker => WORKER,
     };
     format_compact!("{first}{name}")
 }
@@ -111,7 +111,7 @@
         ACCEPTED => Kind::Accepted,
         PROGRESS => Kind::Progress,
         SEGMENT => Kind::Segment,
-        UNLISTED => Kind::Unlisted,
+        WORKER => Kind::Worker,
         _ => return None,
     };
     Some((kind, &key[1..]))
--- a/src/cell/shell/watch.rs
+++ b/src/cell/shell/watch.rs
@@ -50,8 +50,9 @@
 /// Time between looks while the owner does not answer.
 const ALERT: Duration = Duration::from_millis(50);
 
-/// Limit of a heartbeat: some round trips between regions, and a busy owner.
-const PING: Duration = Duration::from_millis(300);
+/// Limit of a heartbeat: some round trips between regions, and a busy owner. A longer silence is
+/// looked at by others before it leads to anything.
+const PING: Duration = Duration::from_millis(250);
 
 /// Limit of the question to other instances: a heartbeat of theirs and the way there.
 const SEEN: Duration = Duration::from_millis(400);
@@ -153,19 +154,19 @@
 pub async fn run(shared: Rc<Shared>) {
     shared.seat.borrow_mut().stale = true;
     loop {
-        if shared.seat.borrow().stale {
-            read(&shared).await;
-        }
+        refresh(&shared).await;
         let own = shared.owner.borrow().clone();
         if let Some(owner) = own {
             guard(&shared, &owner).await;
             continue;
         }
         let well = ping(&shared).await;
+        refresh(&shared).await;
         match election::decide(&view(&shared)) {
             Step::Wait => {}
             Step::Ask => {
                 ask(&shared).await;
+                refresh(&shared).await;
                 // What was said is acted upon before the next heartbeat times out.
                 if election::decide(&view(&shared)) == Step::Claim {
                     claim(&shared).await;
@@ -177,6 +178,14 @@
     }
 }
 
+/// Reads the record of the owner if something spoke against what is known of it.
+async fn refresh(shared: &Rc<Shared>) {
+    let stale = shared.seat.borrow().stale;
+    if stale && shared.owner.borrow().is_none() {
+        read(shared).await;
+    }
+}
+
 /// Time until the next heartbeat.
 fn pause(shared: &Shared, well: bool) -> Duration {
     match well {
@@ -371,9 +380,9 @@
 /// What is stored is read beside the claim when the owner is gone, and before it when the owner
 /// still works, so that the cell has none for as short as possible.
 async fn claim(shared: &Rc<Shared>) {
-    let (before, end, word, refused) = {
+    let (before, end, word) = {
         let seat = shared.seat.borrow();
-        (seat.owner.clone(), seat.end, seat.word, seat.refused)
+        (seat.owner.clone(), seat.end, seat.word)
     };
     let mine = record(shared, before.as_ref().map_or(0, |o| o.term) + 1);
     let (early, granted) = if word == Word::StepsDown {
@@ -398,9 +407,7 @@
     }
     shared.beginning.set(true);
     let begun = match early {
-        Ok(early) => {
-            owner::Owner::begin(shared, mine.term, former(before, refused, &mine), early).await
-        }
+        Ok(early) => owner::Owner::begin(shared, mine.term, former(before, &mine), early).await,
         Err(e) => Err(e),
     };
     shared.beginning.set(false);
@@ -417,15 +424,15 @@
     }
 }
 
-/// The owner before `mine`. Its process is gone when its machine refuses connections, or when it was
-/// an earlier life of this one.
-fn former(before: Option<election::Owner>, refused: bool, mine: &election::Owner) -> owner::Before {
+/// The owner before `mine`. Its process is gone for sure when it was an earlier life of this one; a
+/// refused connection may come from the path to it.
+fn former(before: Option<election::Owner>, mine: &election::Owner) -> owner::Before {
     let Some(before) = before else {
         return owner::Before::default();
     };
     let own = before.instance == mine.instance;
     owner::Before {
-        gone: refused || own && before.life != mine.life,
+        gone: own && before.life != mine.life,
         instance: before.instance,
     }
 }
--- a/tests/cell/election.rs
+++ b/tests/cell/election.rs
@@ -109,11 +109,37 @@
             Step::Wait,
         ),
         (
-            "its process is gone",
+            "its connections are refused: gone, or this instance is cut off",
             View {
                 refused: true,
                 ..CALM
             },
+            Step::Ask,
+        ),
+        (
+            "its connections are refused here and not for others",
+            View {
+                refused: true,
+                ..silent(60_000, Witness::Alive)
+            },
+            Step::Wait,
+        ),
+        (
+            "its process is gone for others too",
+            View {
+                refused: true,
+                witness: Witness::Silent,
+                ..CALM
+            },
+            Step::Claim,
+        ),
+        (
+            "its process is gone, and nobody else is up",
+            View {
+                refused: true,
+                witness: Witness::Nobody,
+                ..CALM
+            },
             Step::Claim,
         ),
         (
@@ -121,6 +147,7 @@
             View {
                 refused: true,
                 rank: 1,
+                witness: Witness::Silent,
                 ..CALM
             },
             Step::Wait,
--- a/tests/cell/inherited.rs
+++ b/tests/cell/inherited.rs
@@ -19,7 +19,10 @@
 
 /// An owner that has a task of a job on the only worker, and what it has stored.
 fn running() -> (Engine, Vec<(String, Option<Vec<u8>>)>) {
-    let mut engine = make::owner(&[("w1", 16_000)]);
+    let mut engine = make::owner(&[]);
+    engine.register(make::worker("w1", 1, 16_000));
+    let key = engine.books.find("w1").unwrap();
+    make::answer(&mut engine, key, make::report(1, 500), START);
     let work = make::work(vec![make::step(1, 1_000)]);
     engine
         .submit(JOB, make::queue("q", 0), work, START)
@@ -42,21 +45,21 @@
     for id in workers {
         engine.register(make::worker(id, 1, 16_000));
     }
-    engine.register(make::worker("w2", 1, 16_000));
-    let key = engine.books.find("w2").unwrap();
-    make::answer(&mut engine, key, make::report(1, 500), now);
+    make::join(&mut engine, "w2", now);
     engine.tick(now);
     engine
 }
 
 #[test]
 fn a_worker_that_lost_its_registration_is_asked_by_the_next_owner() {
-    let (mut engine, mut stored) = running();
-    engine.unregister("w1");
-    stored.extend(make::store(&mut engine, START + 10));
+    let (_, stored) = running();
     let now = START + 1_000;
     let mut next = successor(&stored, &[], now);
-    assert_eq!(make::starts(&mut next, now), [], "the task may run on w1");
+    assert_eq!(
+        make::starts(&mut next, now),
+        [],
+        "the task may run on w1, which is not registered"
+    );
     let key = next.books.find("w1").unwrap();
     let mut report = make::report(1, 1_500);
     report.running = vec![make::live(JOB, 0, 0, 1)];
@@ -67,31 +70,38 @@
 }
 
 #[test]
-fn the_record_of_such_a_worker_is_dropped_when_it_is_back_or_has_ended_everything() {
+fn a_worker_takes_tasks_only_once_it_is_stored() {
+    let mut engine = make::owner(&[]);
+    let work = make::work(vec![make::step(1, 1_000)]);
+    make::submit(&mut engine, JOB, make::queue("q", 0), work, START);
+    engine.register(make::worker("w1", 1, 16_000));
+    let key = engine.books.find("w1").unwrap();
+    make::answer(&mut engine, key, make::report(1, 500), START);
+    assert_eq!(make::starts(&mut engine, START), []);
+    make::store(&mut engine, START + 10);
+    assert_eq!(make::starts(&mut engine, START + 10).len(), 1);
+}
+
+#[test]
+fn the_record_of_a_worker_is_dropped_when_it_is_gone_and_all_its_ends_are_stored() {
     let (mut engine, _) = running();
+    let gone = |stored: &[(String, Option<Vec<u8>>)]| {
+        stored
+            .iter()
+            .any(|(key, value)| key == "ww1" && value.is_none())
+    };
     engine.unregister("w1");
-    assert_eq!(make::store(&mut engine, START + 10).len(), 1);
-    engine.register(make::worker("w1", 1, 16_000));
-    let dropped = make::store(&mut engine, START + 20);
     assert!(
-        matches!(dropped.as_slice(), [(key, None)] if key == "ww1"),
-        "{dropped:?}"
+        !gone(&make::store(&mut engine, START + 10)),
+        "it may run on"
     );
-    engine.unregister("w1");
-    make::store(&mut engine, START + 30);
     let key = engine.books.find("w1").unwrap();
     let mut report = make::report(1, 900);
     report.ended = vec![make::end(1, make::task(JOB, 0, 0), 1, How::Done)];
     make::answer(&mut engine, key, report, START + 400);
-    make::store(&mut engine, START + 410);
-    make::answer(&mut engine, key, make::report(1, 1_000), START + 500);
-    let dropped = make::store(&mut engine, START + 510);
-    assert!(
-        dropped
-            .iter()
-            .any(|(key, value)| key == "ww1" && value.is_none()),
-        "{dropped:?}"
-    );
+    assert!(engine.books.find("w1").is_some(), "the end is not stored");
+    assert!(!gone(&make::store(&mut engine, START + 410)));
+    assert!(gone(&make::store(&mut engine, START + 420)));
     assert_eq!(engine.books.find("w1"), None);
 }
 
--- a/tests/cell/make.rs
+++ b/tests/cell/make.rs
@@ -139,6 +139,8 @@
         let key = engine.books.find(id).unwrap();
         answer(&mut engine, key, report(1, 500), START);
     }
+    // Workers take tasks once they are stored.
+    store(&mut engine, START);
     engine.actions.clear();
     engine
 }
@@ -161,6 +163,14 @@
         .collect()
 }
 
+/// Adds a worker that has answered and is stored.
+pub(super) fn join(engine: &mut Engine, id: &str, now: u64) {
+    engine.register(worker(id, 1, 16_000));
+    let key = engine.books.find(id).unwrap();
+    answer(engine, key, report(1, 500), now);
+    store(engine, now);
+}
+
 /// Submits a job and stores it.
 pub(super) fn submit(
     engine: &mut Engine,
--- a/tests/cell/replaced.rs
+++ b/tests/cell/replaced.rs
@@ -30,9 +30,7 @@
     make::submit(&mut engine, JOB, make::queue("q", 0), work, START);
     let runs = make::starts(&mut engine, START);
     make::accept(&mut engine, &runs, START);
-    engine.register(make::worker("w2", 1, 16_000));
-    let other = engine.books.find("w2").unwrap();
-    make::answer(&mut engine, other, make::report(1, 500), START);
+    make::join(&mut engine, "w2", START);
     (engine, runs)
 }
 
--- a/tests/cell/rules.rs
+++ b/tests/cell/rules.rs
@@ -57,12 +57,12 @@
     let first = engine
         .submit(JOB, make::queue("q", 0), work.clone(), START)
         .unwrap();
-    engine.batch().unwrap();
+    let (batch, _) = engine.batch().unwrap();
     let again = engine
         .submit(JOB, make::queue("q", 0), work.clone(), START)
         .unwrap();
     assert_eq!(first, again);
-    engine.committed(1, START);
+    engine.committed(batch, START);
     assert_eq!(
         engine.submit(JOB, make::queue("q", 0), work, START),
         Ok(Taken::Known)
@@ -225,9 +225,7 @@
     );
     let runs = make::starts(&mut engine, START);
     make::accept(&mut engine, &runs, START);
-    engine.register(make::worker("w2", 1, 16_000));
-    let w2 = engine.books.find("w2").unwrap();
-    make::answer(&mut engine, w2, make::report(1, 500), START);
+    make::join(&mut engine, "w2", START);
     let key = engine.books.find("w1").unwrap();
     let order = engine.hold_order(key, START + 10).unwrap();
     let lease = order.expires.unwrap() - 500;
@@ -304,6 +302,7 @@
     make::answer(&mut engine, key, make::report(2, 10), START + 50);
     assert_eq!(make::starts(&mut engine, START + 60), []);
     engine.register(make::worker("w1", 2, 8_000));
+    make::store(&mut engine, START + 65);
     assert_eq!(make::starts(&mut engine, START + 70).len(), 2);
 }
 
--- a/tests/cell/workers.rs
+++ b/tests/cell/workers.rs
@@ -228,6 +228,8 @@
     pub(super) born: u64,
     pub(super) capacity: u32,
     pub(super) up: bool,
+    /// Whether it has lost the store, and with it its registration, but nothing else.
+    pub(super) unlisted: bool,
     /// Since when it is known to be about to leave.
     pub(super) leaving: Option<u64>,
     /// Rate of its clock, in thousandths.
@@ -250,6 +252,7 @@
             born: now,
             capacity,
             up: true,
+            unlisted: false,
             leaving: None,
             rate,
             started: now,
