--- a/tests/instances/standin.rs
+++ b/tests/instances/standin.rs
@@ -117,13 +117,14 @@
         topic.records.push(record);
     }
 
-    /// Lets the machines that are up register, and drops the entries of the others.
+    /// Lets the machines that can register, and drops the entries of the others.
     pub(super) fn register(&mut self) {
         let both = self.machines.iter().zip(&self.addresses);
-        let entries: Vec<(bool, (String, Value))> =
-            both.map(|(m, at)| (m.up, entry(m, *at))).collect();
-        for (up, (id, entry)) in entries {
-            match up {
+        let entries: Vec<(bool, (String, Value))> = both
+            .map(|(m, at)| (m.up && !m.unlisted, entry(m, *at)))
+            .collect();
+        for (listed, (id, entry)) in entries {
+            match listed {
                 true => self.publish("keyed.servers", &id, &entry),
                 false => self.put("keyed.servers", &id, &[]),
             }
