fix(cell): waiting steps are looked at again when nothing else happens

A pass over the waiting steps follows events. The end of a pause after a failed question, of a permit, of an instance's rest or of a worker's suspension is none, so that in a cell where nothing else ends or registers a step waits for good.

Change: a tick asks for a pass when steps wait and the last one is 100 ms old.

Conclusion: cell::waiting was red before the change.

--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -54,6 +54,10 @@
 /// Occurrences of a job that may run at once; later ones wait for the oldest to finish.
 const MAX_OCCURRENCES: usize = 256;
 
+/// Time after which waiting steps are looked at again though nothing has happened, in milliseconds:
+/// pauses, permits and suspensions end without an event; the shortest of them is as long.
+const LOOK_AGAIN: u64 = 100;
+
 /// Something to be carried out.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
@@ -146,6 +150,8 @@
     pub store: u64,
     /// Whether something changed since the last pass over the waiting steps.
     pub stale: bool,
+    /// Local time of that pass, in milliseconds.
+    looked: u64,
     dirty: Vec<JobKey>,
     dropped: Vec<CompactString>,
     fresh: Vec<(u64, JobKey)>,
@@ -182,6 +188,7 @@
             deposed: false,
             store: 0,
             stale: false,
+            looked: 0,
             dirty: Vec::new(),
             dropped: Vec::new(),
             fresh: Vec::new(),
@@ -351,6 +358,7 @@
         self.settle(now);
         self.hold_due(now);
         self.forget(now);
+        self.stale |= !self.ready.is_empty() && now >= self.looked + LOOK_AGAIN;
     }
 
     /// Books a run of a task.
--- a/src/cell/engine/place.rs
+++ b/src/cell/engine/place.rs
@@ -127,6 +127,7 @@
     /// Places what can be placed and asks the policy about what waits.
     pub fn schedule(&mut self, now: u64) {
         self.stale = false;
+        self.looked = now;
         if self.ready.is_empty() || self.deposed || !self.may_order(now) {
             return;
         }
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -14,6 +14,7 @@
     mod replaced;
     mod rules;
     mod spread;
+    mod waiting;
     #[expect(dead_code, reason = "the soak uses the rest")]
     mod workers;
     mod world;
--- a/tests/cell/inherited.rs
+++ b/tests/cell/inherited.rs
@@ -35,13 +35,9 @@
 
 /// A second owner that has read what is stored, and knows another worker that has answered.
 fn successor(stored: &[(String, Option<Vec<u8>>)], workers: &[&str], now: u64) -> Engine {
-    let mut engine = Engine::new(2, 2, TIMES);
-    engine.set_wall(now, now);
-    engine.store = u64::MAX / 2;
-    let records = stored
-        .iter()
-        .map(|(key, value)| (key.as_str(), value.as_deref()));
-    engine.load(records, now);
+    let records = stored.iter();
+    let records = records.map(|(key, value)| (key.as_str(), value.as_deref()));
+    let mut engine = make::successor(records, now);
     for id in workers {
         engine.register(make::worker(id, 1, 16_000));
     }
--- a/tests/cell/make.rs
+++ b/tests/cell/make.rs
@@ -171,6 +171,18 @@
     store(engine, now);
 }
 
+/// A second owner that has read what the first one stored.
+pub(super) fn successor<'a>(
+    records: impl Iterator<Item = (&'a str, Option<&'a [u8]>)>,
+    now: u64,
+) -> Engine {
+    let mut engine = Engine::new(2, 2, TIMES);
+    engine.set_wall(now, now);
+    engine.store = u64::MAX / 2;
+    engine.load(records, now);
+    engine
+}
+
 /// Submits a job and stores it.
 pub(super) fn submit(
     engine: &mut Engine,
--- a/tests/cell/past.rs
+++ b/tests/cell/past.rs
@@ -36,12 +36,8 @@
 }
 
 fn successor(stored: &Stored, now: u64) -> Engine {
-    let mut engine = Engine::new(2, 2, TIMES);
-    engine.set_wall(now, now);
-    engine.store = u64::MAX / 2;
     let records = stored.iter();
-    engine.load(records.map(|(k, v)| (k.as_str(), Some(v.as_slice()))), now);
-    engine
+    make::successor(records.map(|(k, v)| (k.as_str(), Some(v.as_slice()))), now)
 }
 
 /// Runs `count` jobs of one task to their end, one after the other.
--- a/tests/cell/rules.rs
+++ b/tests/cell/rules.rs
@@ -18,22 +18,18 @@
 
 use super::make::{
     self,
-    START,
-    TIMES, //
+    START, //
 };
 
 const JOB: &str = "00000000000000a1";
 
 /// A second owner that has read what the first one stored.
 fn successor(stored: &[(String, Option<Vec<u8>>)], now: u64) -> Engine {
-    let mut engine = Engine::new(2, 2, TIMES);
-    engine.set_wall(now, now);
-    engine.store = u64::MAX / 2;
-    let records = stored
-        .iter()
-        .map(|(key, value)| (key.as_str(), value.as_deref()));
-    engine.load(records, now);
-    engine
+    let records = stored.iter();
+    make::successor(
+        records.map(|(key, value)| (key.as_str(), value.as_deref())),
+        now,
+    )
 }
 
 #[test]
--- /dev/null
+++ b/tests/cell/waiting.rs
@@ -0,0 +1,46 @@
+//! Waiting work in a cell where nothing else happens.
+
+use bamboolock::cell::engine::{
+    Action,
+    Engine,
+    Question, //
+};
+
+use super::make::{
+    self,
+    START, //
+};
+
+const JOB: &str = "00000000000000e1";
+
+/// Lets time pass until the policy is asked; nothing else happens meanwhile.
+fn asked(engine: &mut Engine, from: u64, until: u64) -> Option<(u64, Question)> {
+    for now in (from..until).step_by(25) {
+        engine.tick(now);
+        if engine.stale {
+            engine.schedule(now);
+        }
+        let actions = std::mem::take(&mut engine.actions).into_iter();
+        let question = actions.filter_map(|action| match action {
+            Action::Ask(question) => Some(question),
+            _ => None,
+        });
+        if let Some(question) = question.last() {
+            return Some((now, question));
+        }
+    }
+    None
+}
+
+#[test]
+fn the_policy_is_asked_again_after_it_gave_no_answer() {
+    let mut engine = make::owner(&[("w1", 16_000), ("w2", 16_000)]);
+    engine.advisers.heard("i1", u64::MAX / 2);
+    let work = make::work(vec![make::step(1, 1_000)]);
+    let queue = make::advised(make::queue("q", 0));
+    make::submit(&mut engine, JOB, queue, work, START);
+    let (at, question) = asked(&mut engine, START, START + 1_000).unwrap();
+    engine.advised(&question, None, at + 700);
+    let again = asked(&mut engine, at + 700, at + 5_000);
+    assert!(again.is_some(), "the step waits for good");
+}
