--- /dev/null
+++ b/src/cell/shell/claim.rs
@@ -0,0 +1,133 @@
+//! Claims the cell: replaces the owner's record in the store, begins the term, and tells the others.
+
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+use futures_util::future;
+use log::{
+    info,
+    warn, //
+};
+use tokio::time;
+
+use crate::{
+    cell::election::{
+        self,
+        Word, //
+    },
+    platform::store,
+    remote::link, //
+};
+
+use super::{
+    Shared,
+    owner,
+    peer,
+    record,
+    watch, //
+};
+
+/// Time that an owner gets to recover when the store answers again: one repetition of an append.
+const SECOND_LOOK: Duration = Duration::from_millis(300);
+
+/// Asks the store for ownership, and begins the term when it was granted.
+///
+/// What is stored is read beside the claim when the owner is gone, and before it when the owner
+/// still works, so that the cell has none for as short as possible.
+pub(super) async fn run(shared: &Rc<Shared>) {
+    let (before, end, word) = {
+        let seat = shared.seat.borrow();
+        (seat.owner.clone(), seat.end, seat.word)
+    };
+    let mine = record(shared, before.as_ref().map_or(0, |o| o.term) + 1);
+    let (early, granted) = if word == Word::StepsDown {
+        let early = owner::Early::read(shared).await;
+        if let Err(e) = &early {
+            warn!("no claim, stored jobs cannot be read: {e}");
+            return;
+        }
+        // When the store was away for all, the owner is well again by now.
+        time::sleep(SECOND_LOOK).await;
+        if watch::ping(shared).await {
+            info!("no claim, the owner is well again");
+            return;
+        }
+        (early, grant(shared, &mine, before.as_ref(), end).await)
+    } else {
+        let early = owner::Early::read(shared);
+        future::join(early, grant(shared, &mine, before.as_ref(), end)).await
+    };
+    if !granted {
+        return;
+    }
+    shared.beginning.set(true);
+    let begun = match early {
+        Ok(early) => owner::Owner::begin(shared, mine.term, former(before, &mine), early).await,
+        Err(e) => Err(e),
+    };
+    shared.beginning.set(false);
+    match begun {
+        Ok(owner) => {
+            shared.owner.replace(Some(owner));
+            shared.changed.notify_waiters();
+            announce(shared, &mine).await;
+        }
+        Err(e) => {
+            warn!(term = mine.term; "the term could not begin: {e}");
+            shared.seat.borrow_mut().stale = true;
+        }
+    }
+}
+
+/// The owner before `mine`. Its process is gone for sure when it was an earlier life of this one; a
+/// refused connection may come from the path to it.
+fn former(before: Option<election::Owner>, mine: &election::Owner) -> owner::Before {
+    let Some(before) = before else {
+        return owner::Before::default();
+    };
+    let own = before.instance == mine.instance;
+    owner::Before {
+        gone: own && before.life != mine.life,
+        instance: before.instance,
+    }
+}
+
+/// Replaces the owner's record, which ends at `end` as far as is known; returns whether it was done.
+async fn grant(
+    shared: &Rc<Shared>,
+    mine: &election::Owner,
+    before: Option<&election::Owner>,
+    end: u64,
+) -> bool {
+    let value = serde_json::to_vec(mine).unwrap_or_default();
+    let records = store::encode(&[store::Record {
+        key: owner::RECORD.into(),
+        value: Some(value.into()),
+    }]);
+    let guard = store::Guard::At(end);
+    let answer = store::append(&shared.store, store::OWNER, guard, records, watch::STORE).await;
+    info!(term = mine.term, before = before.map_or("", |o| o.instance.as_str()), granted = answer.is_ok(),
+        error = answer.as_ref().err().map(ToString::to_string).unwrap_or_default(); "ownership claimed");
+    if answer.is_ok() {
+        shared.store_answered();
+        let now = shared.now();
+        let mut seat = shared.seat.borrow_mut();
+        seat.adopt(Some(mine.clone()), end + 1, now);
+        return true;
+    }
+    // An answer that was lost is read back; so is who won.
+    shared.seat.borrow_mut().stale = true;
+    watch::read(shared).await && shared.seat.borrow().owner.as_ref() == Some(mine)
+}
+
+/// Tells the other instances who owns the cell; those that are missed find it in the store.
+async fn announce(shared: &Rc<Shared>, mine: &election::Owner) {
+    let members = shared.seat.borrow().members.clone();
+    let others = members.iter().filter(|m| m.instance != mine.instance);
+    let tells = others.map(|m| peer::send(shared, &m.address, peer::OWNER, mine, watch::PING));
+    let answers: Vec<Result<(), link::Error>> = future::join_all(tells).await;
+    let heard = answers.iter().filter(|answer| answer.is_ok()).count();
+    info!(term = mine.term, told = answers.len(), heard; "others told of the term");
+}
--- a/src/cell/shell/mod.rs
+++ b/src/cell/shell/mod.rs
@@ -34,6 +34,7 @@
 };
 
 pub mod carry;
+pub mod claim;
 pub mod commit;
 pub mod follow;
 pub mod front;
--- a/src/cell/shell/watch.rs
+++ b/src/cell/shell/watch.rs
@@ -1,4 +1,4 @@
-//! Watches the owner, and becomes it when the rules of [`election`] say so.
+//! Watches the owner, and claims the cell when the rules of [`election`] say so.
 
 use std::{
     rc::Rc,
@@ -26,6 +26,7 @@
 
 use super::{
     Shared,
+    claim,
     owner,
     peer::{
         self,
@@ -33,8 +34,7 @@
         Ping,
         Pong,
         Seen, //
-    },
-    record, //
+    }, //
 };
 
 /// Time between heartbeats to the owner.
@@ -52,7 +52,7 @@
 
 /// Limit of a heartbeat: some round trips between regions, and a busy owner. A longer silence is
 /// looked at by others before it leads to anything.
-const PING: Duration = Duration::from_millis(250);
+pub(super) const PING: Duration = Duration::from_millis(250);
 
 /// Limit of the question to other instances: a heartbeat of theirs and the way there.
 const SEEN: Duration = Duration::from_millis(400);
@@ -72,10 +72,7 @@
 const VOUCHED: u64 = 300;
 
 /// Limit of an exchange with the store about ownership.
-const STORE: Duration = Duration::from_millis(1_200);
-
-/// Time that an owner gets to recover when the store answers again: one repetition of an append.
-const SECOND_LOOK: Duration = Duration::from_millis(300);
+pub(super) const STORE: Duration = Duration::from_millis(1_200);
 
 /// Time without any answer of the store after which an instance does not claim, in milliseconds.
 const STORE_AGE: u64 = 2_000;
@@ -103,11 +100,11 @@
     pub stale: bool,
     /// When the situation began that may call for a claim, in local milliseconds.
     since: u64,
-    word: Word,
+    pub(super) word: Word,
     refused: bool,
     dark: bool,
     /// Other instances, as the owner listed them last.
-    members: Vec<Member>,
+    pub(super) members: Vec<Member>,
     witness: Option<(u64, Witness)>,
 }
 
@@ -123,7 +120,7 @@
         self.stale = true;
     }
 
-    fn adopt(&mut self, owner: Option<election::Owner>, end: u64, now: u64) {
+    pub(super) fn adopt(&mut self, owner: Option<election::Owner>, end: u64, now: u64) {
         self.end = end;
         self.stale = false;
         if self.owner == owner {
@@ -169,10 +166,10 @@
                 refresh(&shared).await;
                 // What was said is acted upon before the next heartbeat times out.
                 if election::decide(&view(&shared)) == Step::Claim {
-                    claim(&shared).await;
+                    claim::run(&shared).await;
                 }
             }
-            Step::Claim => claim(&shared).await,
+            Step::Claim => claim::run(&shared).await,
         }
         time::sleep(pause(&shared, well)).await;
     }
@@ -210,7 +207,7 @@
 }
 
 /// Reads the record of the owner.
-async fn read(shared: &Rc<Shared>) -> bool {
+pub(super) async fn read(shared: &Rc<Shared>) -> bool {
     let newest = match store::newest(&shared.store, store::OWNER, STORE).await {
         Ok(newest) => newest,
         Err(e) => {
@@ -237,7 +234,7 @@
 }
 
 /// Sends a heartbeat; returns whether the owner is well.
-async fn ping(shared: &Rc<Shared>) -> bool {
+pub(super) async fn ping(shared: &Rc<Shared>) -> bool {
     let Some(owner) = peer::owner(shared) else {
         return false;
     };
@@ -374,103 +371,3 @@
         age: if mine { 0 } else { age(shared) },
     }
 }
-
-/// Asks the store for ownership, and begins the term when it was granted.
-///
-/// What is stored is read beside the claim when the owner is gone, and before it when the owner
-/// still works, so that the cell has none for as short as possible.
-async fn claim(shared: &Rc<Shared>) {
-    let (before, end, word) = {
-        let seat = shared.seat.borrow();
-        (seat.owner.clone(), seat.end, seat.word)
-    };
-    let mine = record(shared, before.as_ref().map_or(0, |o| o.term) + 1);
-    let (early, granted) = if word == Word::StepsDown {
-        let early = owner::Early::read(shared).await;
-        if let Err(e) = &early {
-            warn!("no claim, stored jobs cannot be read: {e}");
-            return;
-        }
-        // When the store was away for all, the owner is well again by now.
-        time::sleep(SECOND_LOOK).await;
-        if ping(shared).await {
-            info!("no claim, the owner is well again");
-            return;
-        }
-        (early, grant(shared, &mine, before.as_ref(), end).await)
-    } else {
-        let early = owner::Early::read(shared);
-        future::join(early, grant(shared, &mine, before.as_ref(), end)).await
-    };
-    if !granted {
-        return;
-    }
-    shared.beginning.set(true);
-    let begun = match early {
-        Ok(early) => owner::Owner::begin(shared, mine.term, former(before, &mine), early).await,
-        Err(e) => Err(e),
-    };
-    shared.beginning.set(false);
-    match begun {
-        Ok(owner) => {
-            shared.owner.replace(Some(owner));
-            shared.changed.notify_waiters();
-            announce(shared, &mine).await;
-        }
-        Err(e) => {
-            warn!(term = mine.term; "the term could not begin: {e}");
-            shared.seat.borrow_mut().stale = true;
-        }
-    }
-}
-
-/// The owner before `mine`. Its process is gone for sure when it was an earlier life of this one; a
-/// refused connection may come from the path to it.
-fn former(before: Option<election::Owner>, mine: &election::Owner) -> owner::Before {
-    let Some(before) = before else {
-        return owner::Before::default();
-    };
-    let own = before.instance == mine.instance;
-    owner::Before {
-        gone: own && before.life != mine.life,
-        instance: before.instance,
-    }
-}
-
-/// Replaces the owner's record, which ends at `end` as far as is known; returns whether it was done.
-async fn grant(
-    shared: &Rc<Shared>,
-    mine: &election::Owner,
-    before: Option<&election::Owner>,
-    end: u64,
-) -> bool {
-    let value = serde_json::to_vec(mine).unwrap_or_default();
-    let records = store::encode(&[store::Record {
-        key: owner::RECORD.into(),
-        value: Some(value.into()),
-    }]);
-    let guard = store::Guard::At(end);
-    let answer = store::append(&shared.store, store::OWNER, guard, records, STORE).await;
-    info!(term = mine.term, before = before.map_or("", |o| o.instance.as_str()), granted = answer.is_ok(),
-        error = answer.as_ref().err().map(ToString::to_string).unwrap_or_default(); "ownership claimed");
-    if answer.is_ok() {
-        shared.store_answered();
-        let now = shared.now();
-        let mut seat = shared.seat.borrow_mut();
-        seat.adopt(Some(mine.clone()), end + 1, now);
-        return true;
-    }
-    // An answer that was lost is read back; so is who won.
-    shared.seat.borrow_mut().stale = true;
-    read(shared).await && shared.seat.borrow().owner.as_ref() == Some(mine)
-}
-
-/// Tells the other instances who owns the cell; those that are missed find it in the store.
-async fn announce(shared: &Rc<Shared>, mine: &election::Owner) {
-    let members = shared.seat.borrow().members.clone();
-    let others = members.iter().filter(|m| m.instance != mine.instance);
-    let tells = others.map(|m| peer::send(shared, &m.address, peer::OWNER, mine, PING));
-    let answers: Vec<Result<(), link::Error>> = future::join_all(tells).await;
-    let heard = answers.iter().filter(|answer| answer.is_ok()).count();
-    info!(term = mine.term, told = answers.len(), heard; "others told of the term");
-}
