fix(cell): a run that never arrived is over after the first acknowledged stop

Stops are repeated until a report shows the run gone. Each acknowledgement moved the time from which a report is believed, and a worker with nothing to tell holds a report back for a second while stops go out every 0.4 s: no report was ever new enough.

Ruled out: orders that arrive late (none did), the policy (it had answered), room (39 of 48 workers were empty).

Change: the first acknowledgement counts.

Conclusion: cell::waiting was red before.

--- a/src/cell/engine/orders.rs
+++ b/src/cell/engine/orders.rs
@@ -266,8 +266,11 @@
             Ok(reply) => {
                 match reply.verdict {
                     Verdict::Accepted | Verdict::Old => {
-                        // A worker that has acknowledged a stop starts the run no more.
-                        run.footing = Footing::Confirmed(now);
+                        // A worker that has acknowledged a stop starts the run no more. The first
+                        // answer counts: a report that was asked for after it tells all.
+                        if !matches!(run.footing, Footing::Confirmed(_)) {
+                            run.footing = Footing::Confirmed(now);
+                        }
                         run.after = now + STOP_PAUSE.max(self.times.stop * 2);
                     }
                     Verdict::Fenced => self.deposed = true,
--- a/tests/cell/waiting.rs
+++ b/tests/cell/waiting.rs
@@ -1,9 +1,16 @@
 //! Waiting work in a cell where nothing else happens.
 
-use bamboolock::cell::engine::{
-    Action,
-    Engine,
-    Question, //
+use bamboolock::cell::{
+    engine::{
+        Action,
+        Engine,
+        Question,
+        orders::Lost, //
+    },
+    model::{
+        Reply,
+        Verdict, //
+    }, //
 };
 
 use super::make::{
@@ -44,3 +51,32 @@
     let again = asked(&mut engine, at + 700, at + 5_000);
     assert!(again.is_some(), "the step waits for good");
 }
+
+#[test]
+fn a_run_that_never_arrived_is_over_though_its_stop_is_repeated() {
+    let mut engine = make::owner(&[("w1", 16_000)]);
+    let work = make::work(vec![make::step(1, 1_000)]);
+    make::submit(&mut engine, JOB, make::queue("q", 0), work, START);
+    let run = make::starts(&mut engine, START)[0];
+    engine.start_order(run, START).unwrap();
+    engine.started(run, Err(Lost::Unknown), START + 350);
+    engine.cancel(JOB, START + 360).unwrap();
+    let accepted = Reply {
+        verdict: Verdict::Accepted,
+        clock: Some(1_000),
+    };
+    engine.stop_order(run, START + 400).unwrap();
+    engine.stop_answered(run, Ok(accepted), START + 410);
+    let worker = engine.books.find("w1").unwrap();
+    let order = engine.hold_order(worker, START + 500).unwrap();
+    assert!(
+        order.wait.as_millis() > 500,
+        "the worker has nothing to tell"
+    );
+    // The worker holds the report back; meanwhile the stop is repeated.
+    engine.stop_order(run, START + 900).unwrap();
+    engine.stop_answered(run, Ok(accepted), START + 910);
+    let report = make::report(1, 2_000);
+    engine.held(worker, order.sent, order.seen, &report, START + 1_500);
+    assert!(engine.books.runs.is_empty(), "its room is free");
+}
