fix(cell): a job that one request took back is not accepted through another

Both logs: two requests for one job wait for the same batch while the store is slow; "given up: the store does not answer" for one takes the job back, which was not sent yet; 88 ms later the batch is stored without it, and the other request is answered as accepted.

Ruled out: recovery (no owner had read a record of the job), the segments of finished jobs (it was in none).

Change: when its batch is stored, a request asks what became of its job: stored, handed in again, or taken back. In the last case it is refused, truly as not run.

--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -97,6 +97,17 @@
     Known,
 }
 
+/// What became of a submission once its batch is stored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// It is stored.
+    Stored,
+    /// It was handed in again and waits for a later batch.
+    Pending,
+    /// It was taken back and never runs.
+    Withdrawn,
+}
+
 /// Times that the engine needs, in milliseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Times {
--- a/src/cell/engine/intake.rs
+++ b/src/cell/engine/intake.rs
@@ -4,6 +4,7 @@
 
 use super::{
     Engine,
+    Fate,
     MAX_TASKS,
     Taken, //
 };
@@ -61,6 +62,19 @@
         true
     }
 
+    /// What became of a job whose batch is stored: it may have been taken back before the batch was
+    /// gathered, when another request for it was given up.
+    #[must_use]
+    pub fn fate(&self, id: &str) -> Fate {
+        if self.is_stored(id) {
+            Fate::Stored
+        } else if self.is_known(id) {
+            Fate::Pending
+        } else {
+            Fate::Withdrawn
+        }
+    }
+
     /// Cancels a job. Returns the batch that stores it, or none when no such job is known.
     pub fn cancel(&mut self, id: &str, now: u64) -> Option<u64> {
         if self.past.state(id).is_some() {
--- a/src/cell/shell/intake.rs
+++ b/src/cell/shell/intake.rs
@@ -9,7 +9,10 @@
 use tokio::time;
 
 use crate::cell::{
-    engine::Taken,
+    engine::{
+        Fate,
+        Taken, //
+    },
     model, //
 };
 
@@ -106,7 +109,7 @@
     let mut stored = std::pin::pin!(stored);
     loop {
         tokio::select! {
-            outcome = &mut stored => return outcome,
+            outcome = &mut stored => return confirmed(owner, id, outcome, retry),
             () = time::sleep(LOOK) => {}
         }
         if owner.waits(STORE_LOST) && owner.engine.borrow_mut().withdraw(id) {
@@ -116,6 +119,21 @@
     }
 }
 
+/// What a caller hears once the batch is stored that its job was to be in.
+fn confirmed(owner: &Owner, id: &str, outcome: Outcome, retry: u64) -> Outcome {
+    if outcome != Outcome::Accepted {
+        return outcome;
+    }
+    match owner.engine.borrow().fate(id) {
+        Fate::Stored => Outcome::Accepted,
+        Fate::Pending => Outcome::Unknown,
+        Fate::Withdrawn => {
+            info!(job = id; "given up: another request for it was");
+            Outcome::Refused(retry)
+        }
+    }
+}
+
 /// Waits until a batch is stored.
 async fn stored(owner: &Rc<Owner>, batch: u64, patience: u64) -> Outcome {
     let mut durable = owner.durable.subscribe();
--- a/tests/cell/rules.rs
+++ b/tests/cell/rules.rs
@@ -5,6 +5,7 @@
     engine::{
         Action,
         Engine,
+        Fate,
         Taken,
         orders::Lost, //
     },
@@ -84,6 +85,25 @@
     assert!(engine.is_known(JOB));
 }
 
+#[test]
+fn a_job_that_was_taken_back_is_not_accepted_with_the_batch_it_was_to_be_in() {
+    let mut engine = make::owner(&[("w1", 16_000)]);
+    let work = make::work(vec![make::step(1, 1_000)]);
+    let queue = make::queue("q", 0);
+    let first = engine.submit(JOB, queue.clone(), work.clone(), START);
+    // The same job through another instance: both wait for one batch.
+    assert_eq!(
+        first,
+        engine.submit(JOB, queue.clone(), work.clone(), START)
+    );
+    assert!(engine.withdraw(JOB), "the first request is given up");
+    let other = "00000000000000a2";
+    engine.submit(other, queue, work, START).unwrap();
+    make::store(&mut engine, START + 10);
+    assert_eq!(engine.fate(JOB), Fate::Withdrawn);
+    assert_eq!(engine.fate(other), Fate::Stored);
+}
+
 #[test]
 fn completed_is_shown_only_once_it_is_stored() {
     let mut engine = make::owner(&[("w1", 16_000)]);
--- a/tests/soak/seeds.rs
+++ b/tests/soak/seeds.rs
@@ -33,13 +33,15 @@
 };
 
 /// Seeds that failed once, and why.
-const FAILED: [(u64, Size); 4] = [
+const FAILED: [(u64, Size); 5] = [
     // The proxy swallowed a request and let the instance's later 408 through.
     (104, USUAL),
     (119, USUAL),
     // An instance's port was taken by an outgoing connection, and it ended without a word.
     (111, USUAL),
     (218, SHORT),
+    // A job that one request had taken back was accepted through another one.
+    (942, USUAL),
 ];
 
 /// The seeds that `BAMBOOLOCK_SOAK=FIRST..END` names, END not included; two when it is not set.
