--- a/src/cell/election.rs
+++ b/src/cell/election.rs
@@ -21,8 +21,8 @@
 /// last one, but is more likely cut off itself.
 const ISOLATION: u64 = 3_000;
 
-/// Time after a refused connection until a claim, in milliseconds: none, since the process that
-/// owned the cell is gone and a new one has to claim as well.
+/// Time until a claim once the owner denies, or others confirm that it refuses connections, in
+/// milliseconds: none, since its process is gone or claims anew itself.
 const REFUSAL: u64 = 0;
 
 /// Time for which a successor waits when the owner steps down or has lost the store, in
@@ -97,7 +97,7 @@
 pub enum Step {
     /// Nothing.
     Wait,
-    /// Ask other instances whether they hear from the owner.
+    /// Ask other instances to look whether the owner answers them.
     Ask,
     /// Ask the store for ownership.
     Claim,
@@ -105,9 +105,9 @@
 
 /// Decides about a claim.
 ///
-/// Answers these patterns: the owner is killed (refused connections) or loses power or is cut off
-/// (silence), each confirmed by others that look: the first candidate claims at once. Further: the
-/// owner stops in an orderly way, loses the store alone, or this instance alone is cut off (others vouch for the owner).
+/// Answers these patterns: the owner is killed (refused connections), loses power or is cut off
+/// (silence), each confirmed by others that look; it stops in an orderly way, or loses the store
+/// alone; this instance alone is cut off, and others vouch for the owner.
 #[must_use]
 pub fn decide(view: &View) -> Step {
     if !view.store {
--- a/src/cell/engine/orders.rs
+++ b/src/cell/engine/orders.rs
@@ -373,7 +373,8 @@
         self.stale = true;
     }
 
-    /// Takes a reading of a worker's clock; an answer without one does not come from its books.
+    /// Takes a reading of a worker's clock. Only an answer with one ends the worker's silence: others
+    /// may come from whoever else has its address.
     pub(super) fn reading(&mut self, key: WorkerKey, clock: Option<u64>, now: u64) {
         let Some(worker) = self.books.workers.get_mut(key) else {
             return;
--- a/src/cell/past.rs
+++ b/src/cell/past.rs
@@ -14,8 +14,8 @@
     model::State, //
 };
 
-/// Jobs in a segment from which another one is begun: a segment is written again with each batch
-/// that adds to it, so that a large one costs bytes, and a small one costs records.
+/// Number of jobs at which a segment is full. Each batch writes the open segment again, so that a
+/// large one costs bytes; a small one costs records at a change of owner.
 const SEGMENT_JOBS: usize = 100;
 
 /// A segment as it is stored.
@@ -127,7 +127,7 @@
     /// their keys.
     pub fn expire(&mut self, limit: u64) -> Vec<CompactString> {
         let mut keys = Vec::new();
-        // The one that is being filled is kept, so that it is never written after it was dropped.
+        // The open segment stays: it would be written again after it was dropped.
         while self.segments.len() > 1 && self.segments[0].ended < limit && self.stored > 0 {
             let old = self.segments.remove(0);
             self.stored -= 1;
