feat(cell): every run that ends without its worker's word has a reason

Cause: a run can count as over in nine places without an outcome from its worker.

New: counter losses_total{reason}, gauge silent_workers, the line "worker forgotten", the age of the store's answer at the end of a term, what shortened the wait of a successor. No decision changes.

--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -36,6 +36,7 @@
 
 pub mod batch;
 pub mod commands;
+pub mod losses;
 pub mod placement;
 pub mod policy;
 pub mod proxies;
@@ -184,6 +185,8 @@
     queue_stats: Vec<QueueStats>,
     /// Instances through which the policy is queried.
     pub proxies: proxies::Proxies,
+    /// Runs that ended without an outcome, not yet counted.
+    losses: Vec<losses::Loss>,
     /// Local time at which reconciliation ends at the latest, in milliseconds.
     reconcile_by: u64,
     /// Unix time minus local time, in milliseconds.
@@ -221,6 +224,7 @@
             timed_jobs: Vec::new(),
             queue_stats: Vec::new(),
             proxies: proxies::Proxies::default(),
+            losses: Vec::new(),
             reconcile_by: 0,
             wall_offset: 0,
         }
--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -10,7 +10,8 @@
 
 use super::{
     Action,
-    Engine, //
+    Engine,
+    losses::Loss, //
 };
 use crate::cell::{
     cluster::RunState,
@@ -183,7 +184,7 @@
             }
             Err(SendError::Unsent) if self.cluster.runs[key].state == RunState::Sent => {
                 self.mark_silent(worker, now);
-                self.end_run(key, model::Outcome::Lapsed, "", now);
+                self.lose_run(key, Loss::Unsent, now);
             }
             Err(_) => {
                 let run = &mut self.cluster.runs[key];
@@ -213,7 +214,7 @@
         }
         let id = &self.cluster.workers[worker].registration.id;
         info!(job = run.name.job.as_str(), step = run.name.step, task = run.name.index, run = run.number,
-            worker = id.as_str(), verdict:? = verdict; "start command refused");
+            worker = id.as_str(), verdict:? = verdict, state:? = run.state, age = now - run.ordered_at; "start command refused");
         match verdict {
             Verdict::Fenced => self.deposed = true,
             Verdict::Reborn => self.mark_superseded(worker, now),
@@ -235,13 +236,13 @@
                         step.policy.permits.retain(|t| t.worker != worker);
                     }
                 }
-                self.end_run(key, model::Outcome::Stopped, "", now);
+                self.lose_run(key, Loss::Refused(verdict), now);
             }
             Verdict::Unwell => {
                 self.cluster.workers[worker].suspend(now);
-                self.end_run(key, model::Outcome::Stopped, "", now);
+                self.lose_run(key, Loss::Refused(verdict), now);
             }
-            _ => self.end_run(key, model::Outcome::Stopped, "", now),
+            _ => self.lose_run(key, Loss::Refused(verdict), now),
         }
     }
 
@@ -390,7 +391,7 @@
         worker.clock_reading = None;
         worker.leases_end = 0;
         for run in worker.runs.clone() {
-            self.end_run(run, model::Outcome::Lapsed, "", now);
+            self.lose_run(run, Loss::Superseded, now);
         }
         self.pass_needed = true;
     }
@@ -441,7 +442,7 @@
             }
         }
         for run in expired {
-            self.end_run(run, model::Outcome::Lapsed, "", now);
+            self.lose_run(run, Loss::LeaseExpired, now);
         }
     }
 
--- a/src/cell/engine/recovery.rs
+++ b/src/cell/engine/recovery.rs
@@ -125,7 +125,7 @@
     pub fn former_owner_gone(&mut self, now: u64) {
         let by = now + cluster::local_duration(self.times.lease) + RECONCILE_MARGIN_MS;
         if !self.cluster.reconciled && by < self.reconcile_by {
-            info!(within = by - now; "former owner sends no more commands");
+            info!(within = by - now, before = self.reconcile_by - now; "former owner sends no more commands");
             self.reconcile_by = by;
         }
     }
--- a/src/cell/engine/registry.rs
+++ b/src/cell/engine/registry.rs
@@ -2,7 +2,10 @@
 
 use log::info;
 
-use super::Engine;
+use super::{
+    Engine,
+    losses::Loss, //
+};
 use crate::cell::{
     cluster::RunState,
     job::WorkerKey,
@@ -88,6 +91,8 @@
             let record = journal::key(journal::Kind::Worker, &worker.registration.id);
             self.dropped_keys.push(record);
         }
+        info!(worker = worker.registration.id.as_str(), standing:? = worker.registration.availability, reported = worker.fenced,
+            superseded = worker.superseded, reconciled = self.cluster.reconciled; "worker forgotten");
         self.cluster.remove_worker(key);
     }
 
@@ -117,7 +122,7 @@
         for key in runs {
             let run = &self.cluster.runs[key];
             if matches!(run.state, RunState::Confirmed(at) if at < sent) {
-                self.end_run(key, model::Outcome::Lapsed, "", now);
+                self.lose_run(key, Loss::Restarted, now);
             }
         }
         self.pass_needed = true;
--- a/src/cell/engine/reports.rs
+++ b/src/cell/engine/reports.rs
@@ -7,7 +7,8 @@
 
 use super::{
     Action,
-    Engine, //
+    Engine,
+    losses::Loss, //
 };
 use crate::cell::{
     cluster::{
@@ -165,18 +166,12 @@
             if listed.binary_search(&run).is_ok() || !self.cluster.runs.contains_key(run) {
                 continue;
             }
-            let lost = match self.cluster.runs[run].state {
-                RunState::Confirmed(at) => at < sent,
-                RunState::Unanswered => self.is_expired(run, report.clock),
-                RunState::Sent => false,
+            let loss = match self.cluster.runs[run].state {
+                RunState::Confirmed(at) if at < sent => Loss::Unlisted,
+                RunState::Unanswered if self.is_expired(run, report.clock) => Loss::CommandExpired,
+                _ => continue,
             };
-            if lost {
-                let run_ref = &self.cluster.runs[run];
-                info!(job = run_ref.name.job.as_str(), step = run_ref.name.step, task = run_ref.name.index,
-                    run = run_ref.number, worker = self.cluster.workers[key].registration.id.as_str(), born = report.incarnation;
-                    "run is missing from its worker's report");
-                self.end_run(run, Outcome::Lapsed, "", now);
-            }
+            self.lose_run(run, loss, now);
         }
     }
 
--- a/src/cell/shell/metrics.rs
+++ b/src/cell/shell/metrics.rs
@@ -14,6 +14,7 @@
     metrics::{
         counter::Counter,
         family::Family,
+        gauge::Gauge,
         histogram::{
             Histogram,
             exponential_buckets, //
@@ -22,7 +23,10 @@
     registry::Registry, //
 };
 
-use crate::program;
+use crate::{
+    cell::engine::losses::Loss,
+    program, //
+};
 
 use super::peer::Outcome;
 
@@ -42,6 +46,13 @@
     pub outcome: &'static str,
 }
 
+/// Labels of the runs that ended without an outcome.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct LossLabels {
+    /// Why the run counts as over.
+    pub reason: &'static str,
+}
+
 /// All metrics of the process.
 pub struct Metrics {
     registry: RefCell<Registry>,
@@ -57,6 +68,9 @@
     pub appends: Counter,
     /// Terms that this process has begun as owner.
     pub terms: Counter,
+    /// Workers that do not answer, as this process knows them in its own term.
+    pub silent_workers: Gauge,
+    losses: Family<LossLabels, Counter>,
     storing: Histogram,
 }
 
@@ -105,6 +119,8 @@
             reports: Counter::default(),
             appends: Counter::default(),
             terms: Counter::default(),
+            silent_workers: Gauge::default(),
+            losses: Family::default(),
             storing: histogram(),
         };
         metrics.register();
@@ -132,6 +148,16 @@
         );
         registry.register("appends", "Appends sent to the store", self.appends.clone());
         registry.register("terms", "Terms begun as owner", self.terms.clone());
+        registry.register(
+            "silent_workers",
+            "Workers that do not answer the owner",
+            self.silent_workers.clone(),
+        );
+        registry.register(
+            "losses",
+            "Runs presumed over without an outcome from their worker",
+            self.losses.clone(),
+        );
         registry.register(
             "storing_seconds",
             "Time to commit a batch",
@@ -156,6 +182,14 @@
             .observe(took.as_secs_f64());
     }
 
+    /// Counts a run that ended without an outcome.
+    pub fn count_loss(&self, loss: Loss) {
+        let label = LossLabels {
+            reason: loss.label(),
+        };
+        self.losses.get_or_create(&label).inc();
+    }
+
     /// Records the time that a batch took to commit.
     pub fn observe_commit(&self, took: Duration) {
         self.storing.observe(took.as_secs_f64());
--- a/src/cell/shell/owner.rs
+++ b/src/cell/shell/owner.rs
@@ -11,6 +11,7 @@
 
 use compact_str::CompactString;
 use log::{
+    debug,
     info,
     warn, //
 };
@@ -227,7 +228,10 @@
     /// Ends the term; `reason` is logged.
     pub fn end(&self, reason: &str) {
         if !self.over.send_replace(true) {
-            warn!(term = self.term, reason; "term ends");
+            let store = self
+                .now()
+                .saturating_sub(self.shared.store_answered_at.get());
+            warn!(term = self.term, reason, store; "term ends");
         }
     }
 
@@ -275,6 +279,7 @@
         let mut engine = self.engine.borrow_mut();
         engine.proxies.record_heartbeat(&beat.instance, now);
         if beat.instance == self.predecessor {
+            debug!(instance = beat.instance.as_str(), knows = beat.term, term = self.term; "predecessor sends heartbeats");
             engine.former_owner_gone(now);
         }
     }
@@ -387,6 +392,11 @@
             engine.set_wall_clock(unix_ms(), now);
             engine.last_store_answer = owner.shared.store_answered_at.get();
             engine.tick(now);
+            let metrics = &owner.shared.metrics;
+            for loss in engine.take_losses() {
+                metrics.count_loss(loss);
+            }
+            metrics.silent_workers.set(engine.silent_workers() as i64);
         }
         owner.run_actions();
     }
