--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -15,6 +15,7 @@
     mod rules;
     mod spread;
     mod superseded;
+    mod twice;
     mod waiting;
     #[expect(dead_code, reason = "the soak uses the rest")]
     mod workers;
--- /dev/null
+++ b/tests/cell/twice.rs
@@ -0,0 +1,230 @@
+//! Runs that end without their worker's word, and owners that may have been replaced: a task must
+//! not start again while an earlier run may still be active.
+
+use bamboolock::cell::{
+    cluster,
+    engine::{
+        Action,
+        Engine,
+        commands::SendError, //
+    },
+    job::RunKey,
+    model::{
+        Availability,
+        Reply,
+        Verdict, //
+    }, //
+};
+
+use super::make::{
+    self,
+    START,
+    TIMES, //
+};
+
+const JOB: &str = "00000000000000f1";
+
+/// Longest time without proof of ownership in which an owner sends commands, in milliseconds.
+const AUTHORITY: u64 = 6_000;
+
+fn reply(verdict: Verdict, clock: u64) -> Result<Reply, SendError> {
+    Ok(Reply {
+        verdict,
+        clock: Some(clock),
+    })
+}
+
+/// Creates an owner of two workers with a task that was just placed on the first one.
+fn placed() -> (Engine, RunKey) {
+    let mut engine = make::owner(&[("w1", 16_000)]);
+    let work = make::work(vec![make::step(1, 1_000)]);
+    make::submit(&mut engine, JOB, make::queue("q", 0), work, START);
+    let run = make::starts(&mut engine, START)[0];
+    make::join(&mut engine, "w2", START);
+    (engine, run)
+}
+
+#[test]
+fn a_refused_retry_does_not_end_a_run_whose_first_command_may_still_arrive() {
+    for verdict in [
+        Verdict::Unwell,
+        Verdict::Permit,
+        Verdict::Full,
+        Verdict::Invalid,
+    ] {
+        let (mut engine, run) = placed();
+        engine.start_command(run, START).unwrap();
+        engine.start_answered(run, Err(SendError::Unknown), START + 350);
+        engine.start_command(run, START + 400).unwrap();
+        engine.start_answered(run, reply(verdict, 910), START + 410);
+        assert_eq!(
+            make::starts(&mut engine, START + 420),
+            [],
+            "{verdict:?}: the first command is valid until 2500"
+        );
+        // The worker acknowledges a stop, after which the first command cannot start the run.
+        engine.tick(START + 450);
+        engine.stop_command(run, START + 450).unwrap();
+        engine.stop_answered(run, reply(Verdict::Accepted, 960), START + 460);
+        let worker = engine.cluster.find_worker("w1").unwrap();
+        make::answer(&mut engine, worker, make::report(1, 1_000), START + 500);
+        assert_eq!(make::starts(&mut engine, START + 510).len(), 1);
+    }
+}
+
+#[test]
+fn a_reply_from_a_former_address_does_not_end_runs_at_the_new_one() {
+    let (mut engine, run) = placed();
+    make::accept(&mut engine, &[run], START);
+    let worker = engine.cluster.find_worker("w1").unwrap();
+    engine.poll_command(worker, START + 100).unwrap();
+    let mut moved = make::worker("w1", 1, 16_000);
+    moved.address = "127.0.0.1:2".into();
+    engine.register(moved);
+    let refusal = Reply {
+        verdict: Verdict::Reborn,
+        clock: None,
+    };
+    engine.poll_refused(worker, refusal, START + 150);
+    assert_eq!(
+        make::starts(&mut engine, START + 160),
+        [],
+        "the run is active at the new address"
+    );
+    engine.tick(START + 400);
+    assert!(engine.poll_command(worker, START + 400).is_some());
+}
+
+#[test]
+fn a_report_with_a_full_page_of_ended_runs_says_nothing_about_other_runs() {
+    let (mut engine, run) = placed();
+    make::accept(&mut engine, &[run], START);
+    let worker = engine.cluster.find_worker("w1").unwrap();
+    let mut report = make::report(1, 900);
+    let other = |n: u64| {
+        let task = make::task("00000000000000f2", 0, n as u32);
+        make::end(n, task, 1, bamboolock::cell::model::Outcome::Done)
+    };
+    report.ended = (1..=500).map(other).collect();
+    make::answer(&mut engine, worker, report, START + 400);
+    assert_eq!(
+        make::starts(&mut engine, START + 410),
+        [],
+        "the end of the run may be on the next page"
+    );
+}
+
+#[test]
+fn a_command_that_was_decided_before_a_pause_is_not_sent_after_it() {
+    let (mut engine, run) = placed();
+    engine.last_store_answer = START;
+    let thaw = START + AUTHORITY + 3_000;
+    assert_eq!(
+        engine.start_command(run, thaw),
+        None,
+        "another instance may own the cell"
+    );
+    engine.last_store_answer = thaw + 50;
+    engine.tick(thaw + 50);
+    let again = make::starts(&mut engine, thaw + 50);
+    assert_eq!(again.len(), 1, "the task is placed again once it is proven");
+    assert!(engine.start_command(again[0], thaw + 50).is_some());
+}
+
+#[test]
+fn an_unanswered_start_is_not_retried_after_a_pause() {
+    let (mut engine, run) = placed();
+    engine.last_store_answer = START;
+    engine.start_command(run, START).unwrap();
+    engine.start_answered(run, Err(SendError::Unknown), START + 350);
+    let late = START + AUTHORITY + 1;
+    let worker = engine.cluster.find_worker("w1").unwrap();
+    // The worker's clock says that the command is still valid.
+    engine.cluster.workers[worker].clock_reading = Some((late, 600));
+    engine.tick(late);
+    let actions = std::mem::take(&mut engine.actions);
+    assert!(!actions.contains(&Action::Start(run)));
+    assert_eq!(engine.start_command(run, late), None);
+}
+
+/// What the first owner stores while a task runs on its only worker.
+fn stored_by_first() -> Vec<(String, Option<Vec<u8>>)> {
+    let mut engine = make::owner(&[]);
+    engine.register(make::worker("w1", 1, 16_000));
+    let key = engine.cluster.find_worker("w1").unwrap();
+    make::answer(&mut engine, key, make::report(1, 500), START);
+    let work = make::work(vec![make::step(1, 1_000)]);
+    engine
+        .submit(JOB, make::queue("q", 0), work, START)
+        .unwrap();
+    let stored = make::store(&mut engine, START);
+    let runs = make::starts(&mut engine, START);
+    make::accept(&mut engine, &runs, START);
+    stored
+}
+
+fn load(term: u64, stored: &[(String, Option<Vec<u8>>)], now: u64) -> Engine {
+    let mut engine = Engine::new(term, term, TIMES);
+    engine.set_wall_clock(now, now);
+    engine.last_store_answer = u64::MAX / 2;
+    let records = stored
+        .iter()
+        .map(|(key, value)| (key.as_str(), value.as_deref()));
+    engine.load(records, now);
+    engine
+}
+
+#[test]
+fn a_third_owner_waits_for_the_first_although_the_second_is_gone() {
+    let mut stored = stored_by_first();
+    // The second owner is gone before it has heard from w1; the first may still renew leases there.
+    let mut second = load(2, &stored, START + 1_000);
+    second.tick(START + 1_100);
+    stored.extend(make::store(&mut second, START + 1_100));
+    let began = START + 2_000;
+    let mut third = load(3, &stored, began);
+    make::join(&mut third, "w2", began);
+    third.former_owner_gone(began);
+    let once = began + cluster::local_duration(TIMES.lease) + 500;
+    third.tick(once + 25);
+    assert_eq!(make::starts(&mut third, once + 25), []);
+    let twice = began + AUTHORITY + TIMES.lease + 500;
+    third.tick(twice + 25);
+    assert_eq!(make::starts(&mut third, twice + 25).len(), 1);
+}
+
+#[test]
+fn a_third_owner_waits_one_lease_if_the_second_had_outwaited_the_first() {
+    let mut stored = stored_by_first();
+    let mut second = load(2, &stored, START + 1_000);
+    let over = START + 1_000 + AUTHORITY + TIMES.lease + 500;
+    second.tick(over);
+    assert!(second.is_reconciled());
+    stored.extend(make::store(&mut second, over));
+    let began = over + 100;
+    let mut third = load(3, &stored, began);
+    make::join(&mut third, "w2", began);
+    third.former_owner_gone(began);
+    let once = began + cluster::local_duration(TIMES.lease) + 500;
+    third.tick(once);
+    assert_eq!(make::starts(&mut third, once).len(), 1);
+}
+
+#[test]
+fn a_draining_worker_without_registration_may_still_run_tasks() {
+    let stored = stored_by_first();
+    let now = START + 1_000;
+    let mut next = load(2, &stored, now);
+    let mut leaving = make::worker("w1", 1, 16_000);
+    leaving.availability = Availability::Draining;
+    next.register(leaving);
+    make::join(&mut next, "w2", now);
+    // A worker that has lost the store loses its registration and runs on.
+    next.unregister("w1");
+    next.tick(now + 100);
+    assert!(!next.is_reconciled());
+    assert_eq!(make::starts(&mut next, now + 100), []);
+    let over = now + AUTHORITY + TIMES.lease + 500;
+    next.tick(over);
+    assert_eq!(make::starts(&mut next, over).len(), 1);
+}
--- a/tests/cell/waiting.rs
+++ b/tests/cell/waiting.rs
@@ -83,3 +83,27 @@
         "the capacity of the run is free"
     );
 }
+
+#[test]
+fn a_silent_worker_without_runs_is_polled_until_it_answers() {
+    let mut engine = make::owner(&[("w1", 16_000)]);
+    let work = make::work(vec![make::step(1, 1_000)]);
+    make::submit(&mut engine, JOB, make::queue("q", 0), work, START);
+    let runs = make::starts(&mut engine, START);
+    make::accept(&mut engine, &runs, START);
+    let worker = engine.cluster.find_worker("w1").unwrap();
+    engine.poll_command(worker, START + 100).unwrap();
+    engine.poll_failed(worker, START + 1_600);
+    let over = engine.cluster.workers[worker].leases_end + 1;
+    engine.tick(over);
+    assert!(engine.cluster.runs.is_empty(), "its leases have expired");
+    assert_eq!(make::starts(&mut engine, over), []);
+    engine.tick(over + 5_000);
+    let polls = std::mem::take(&mut engine.actions);
+    assert!(
+        polls.contains(&Action::Poll(worker)),
+        "no reply can end its silence"
+    );
+    make::answer(&mut engine, worker, make::report(1, 9_000), over + 5_100);
+    assert_eq!(make::starts(&mut engine, over + 5_200).len(), 1);
+}
--- a/tests/cell/workers.rs
+++ b/tests/cell/workers.rs
@@ -278,6 +278,11 @@
         *self = Self::new(self.id.clone(), self.capacity, self.rate, now);
     }
 
+    /// Whether a run is active on the worker.
+    pub(super) fn is_busy(&self) -> bool {
+        !self.running.is_empty()
+    }
+
     pub(super) fn clock(&self, now: u64) -> u64 {
         (now - self.started) * self.rate / 1_000
     }
--- a/tests/instances.rs
+++ b/tests/instances.rs
@@ -4,6 +4,7 @@
 #![expect(clippy::unwrap_used, reason = "a panic fails the test")]
 
 mod instances {
+    mod former_owner;
     #[expect(dead_code, reason = "the tests of the cell use the rest")]
     #[path = "../cell/make.rs"]
     mod make;
--- a/tests/instances/processes.rs
+++ b/tests/instances/processes.rs
@@ -34,6 +34,7 @@
     pub(super) name: String,
     pub(super) front: SocketAddr,
     pub(super) ready: SocketAddr,
+    pub(super) peer: SocketAddr,
     settings: PathBuf,
     child: Option<Child>,
 }
@@ -86,6 +87,7 @@
             name: name.to_owned(),
             front,
             ready,
+            peer,
             settings,
             child: None,
         }
--- a/tests/instances/standin.rs
+++ b/tests/instances/standin.rs
@@ -84,6 +84,10 @@
     started: Instant,
     /// Current fault of the store.
     pub(super) fault: StoreFault,
+    /// Worker that only owners up to a fencing token reach.
+    pub(super) partition: Option<(String, u64)>,
+    /// Duration of every run that starts, in milliseconds; drawn if absent.
+    pub(super) duration: Option<u64>,
     draws: u64,
 }
 
@@ -94,8 +98,10 @@
         START + self.started.elapsed().as_millis() as u64
     }
 
-    fn is_unreachable(&self, worker: &str) -> bool {
+    fn is_unreachable(&self, worker: &str, token: u64) -> bool {
+        let cut = self.partition.as_ref();
         self.machines.iter().any(|m| m.id == worker && !m.up)
+            || cut.is_some_and(|(id, last)| id == worker && token > *last)
     }
 
     /// Returns the newest value of a key.
@@ -144,7 +150,7 @@
             Outcome::Done
         };
         Behaviour {
-            duration: 100 + self.draws * 37 % 600,
+            duration: self.duration.unwrap_or(100 + self.draws * 37 % 600),
             outcome,
         }
     }
@@ -175,6 +181,8 @@
         judge: Oracle::default(),
         started: Instant::now(),
         fault: StoreFault::default(),
+        partition: None,
+        duration: None,
         draws: 0,
     };
     let shared: Shared = Arc::new(Mutex::new(state));
@@ -252,11 +260,12 @@
         .to_str()
         .unwrap()
         .to_owned();
-    if shared.lock().unwrap().is_unreachable(&worker) {
-        // A machine without power does not respond.
+    let body: Value = serde_json::from_slice(&body).unwrap();
+    let token = body["fencing_token"].as_u64().unwrap();
+    if shared.lock().unwrap().is_unreachable(&worker, token) {
+        // A machine without power, or behind a partition, does not respond.
         return std::future::pending().await;
     }
-    let body: Value = serde_json::from_slice(&body).unwrap();
     if path == "/bamboolock/hold" {
         return hold(&shared, &worker, &body).await;
     }
--- a/tests/instances/takeover.rs
+++ b/tests/instances/takeover.rs
@@ -31,14 +31,14 @@
 /// Longest time until all jobs are completed.
 const COMPLETION_TIMEOUT: Duration = Duration::from_secs(40);
 
-struct Cell {
-    platform: Shared,
-    instances: Vec<Instance>,
+pub(super) struct Cell {
+    pub(super) platform: Shared,
+    pub(super) instances: Vec<Instance>,
     jobs: Vec<String>,
 }
 
 impl Cell {
-    fn start(instances: usize) -> Self {
+    pub(super) fn start(instances: usize) -> Self {
         let (address, platform) = standin::start(4, 8_000);
         let config = json!({
             "version": 3,
@@ -114,7 +114,7 @@
     }
 
     /// Returns the index of the instance that owns the cell.
-    fn owner(&self) -> usize {
+    pub(super) fn owner(&self) -> usize {
         let record = self
             .platform
             .lock()
@@ -151,7 +151,7 @@
     }
 }
 
-fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+pub(super) fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
     let began = Instant::now();
     while !holds() {
         assert!(
