fix(cell): a silent worker is polled until it answers, also without runs

Cause: only a reply ends the silence of a worker, but a poll was due only for a worker with runs, with outcomes to acknowledge, or one that has not seen the token. Once the leases on a silent worker had expired, none of the three held: it was never polled again in that term, got no tasks, and the outcomes that it kept were never read.

Change: silence makes a poll due. A silent worker without registration is still dropped after its next failed poll.

--- a/src/cell/cluster.rs
+++ b/src/cell/cluster.rs
@@ -217,7 +217,8 @@
                 .clock_reading
                 .is_some_and(|(at, _)| now >= at + RENEWAL_INTERVAL_MS);
         }
-        pending || !self.runs.is_empty()
+        // Only a reply ends the silence of a worker.
+        pending || !self.runs.is_empty() || self.silent_since.is_some()
     }
 
     /// Records a failed run; returns whether the worker is suspended for it.
