fix(cell): a command is sent only while ownership is proven at that moment

Cause: only the placement pass asked whether the owner may command. A process that is paused between the pass and the command sends the start after the pause, with an expiry that is computed from the thawed clock; retries did not ask at all. A successor may have outwaited the former owner by then.

Evidence: by reading, and twice::a_command_that_was_decided_before_a_pause_is_not_sent_after_it: placed at 0 s, sent at 9 s with a validity of 2.5 s.

Change: the start command and its retries ask for the proof. A run whose command was never sent ends, so that its task can be placed again.

Conclusion: between the check and the worker the expiry on the worker's clock holds, which a successor waits for.

--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -127,12 +127,20 @@
         })
     }
 
-    /// The command that starts a run, if it is still needed.
+    /// The command that starts a run, if it is still needed and the ownership is proven. Any time may
+    /// have passed since the run was placed.
     pub fn start_command(&mut self, key: RunKey, now: u64) -> Option<Start> {
+        let may_command = self.may_command(now);
         let run = self.cluster.runs.get_mut(key)?;
         if run.stopping || run.in_flight {
             return None;
         }
+        if !may_command {
+            if run.start_expires == 0 {
+                self.lose_run(key, Loss::Unsent, now);
+            }
+            return None;
+        }
         let task = run.task?;
         let worker = self.cluster.workers.get_mut(run.worker)?;
         let clock = worker.clock_at(now)?;
@@ -448,6 +456,7 @@
 
     /// Retries unanswered commands.
     pub(super) fn retry_commands(&mut self, now: u64) {
+        let may_command = self.may_command(now);
         for (key, run) in &self.cluster.runs {
             if run.in_flight || now < run.retry_after {
                 continue;
@@ -456,7 +465,7 @@
                 self.actions.push(Action::Stop(key));
                 continue;
             }
-            if run.state != RunState::Unanswered {
+            if run.state != RunState::Unanswered || !may_command {
                 continue;
             }
             let clock = self.cluster.workers[run.worker].clock_at(now);
