fix(cell): a draining worker without registration may still run tasks

Cause: a worker whose registration was removed while it drained counted as gone together with its runs, before it had reported to the new owner; its record was deleted with it. A registration also lapses when a worker loses the store, and a draining worker works on for many seconds.

Evidence: twice::a_draining_worker_without_registration_may_still_run_tasks: the successor started the task at once.

Figures: the test failed before.

--- a/src/cell/engine/registry.rs
+++ b/src/cell/engine/registry.rs
@@ -83,8 +83,7 @@
             return;
         };
         let known = self.cluster.reconciled || worker.fenced || worker.superseded;
-        let left = worker.registration.availability == model::Availability::Draining;
-        if !worker.is_removable() || worker.outcome_batch > self.durable_batch || !known && !left {
+        if !worker.is_removable() || worker.outcome_batch > self.durable_batch || !known {
             return;
         }
         if worker.stored_registration.is_some() {
