fix(cell): a full page of ended runs says nothing about the runs it does not list

Cause: a worker lists at most 500 ended runs in a report and keeps the others until these are acknowledged, which waits for the store. A run that is neither active nor on the page counted as lost, and its task was placed again, although it may have succeeded.

Evidence: twice::a_report_with_a_full_page_of_ended_runs_says_nothing_about_other_runs.

Conclusion: needs an outage of the store of some ten seconds under load.

--- a/src/cell/engine/reports.rs
+++ b/src/cell/engine/reports.rs
@@ -161,6 +161,10 @@
                 None => self.adopt_run(key, live, now),
             }
         }
+        if report.partial {
+            // The end of a run that is not listed may be on the next page.
+            return;
+        }
         listed.sort();
         for run in booked {
             if listed.binary_search(&run).is_ok() || !self.cluster.runs.contains_key(run) {
--- a/src/cell/model.rs
+++ b/src/cell/model.rs
@@ -278,6 +278,8 @@
     pub running: Vec<LiveRun>,
     /// Ended runs that were not acknowledged.
     pub ended: Vec<EndedRun>,
+    /// Whether more ended runs may follow once these are acknowledged.
+    pub partial: bool,
 }
 
 /// Verdict of a worker on a command.
--- a/tests/cell/twice.rs
+++ b/tests/cell/twice.rs
@@ -121,6 +121,7 @@
         make::end(n, task, 1, bamboolock::cell::model::Outcome::Done)
     };
     report.ended = (1..=500).map(other).collect();
+    report.partial = true;
     make::answer(&mut engine, worker, report, START + 400);
     assert_eq!(
         make::starts(&mut engine, START + 410),
--- a/tests/cell/workers.rs
+++ b/tests/cell/workers.rs
@@ -473,6 +473,7 @@
         clock,
         running: machine.running.iter().map(live).collect(),
         ended: machine.ended.clone(),
+        partial: false,
     })
 }
 
