fix(cell): a reply from an address that the worker has left does not end its runs

Callers saw: nothing yet; found by reading, the same class as TWICE.

Cause: 421 says that another worker answers at the address, so that the one that was asked for has ended with its runs. The owner did not ask which address that was: a worker that started again under its id at another address lost the runs of its new incarnation to a reply from the former one, and they were placed again.

Evidence: twice::a_reply_from_a_former_address_does_not_end_runs_at_the_new_one.

Change: each command notes the number of the address to which it is sent; 421 counts only for the present one.

Figures: the test failed before.

Conclusion: of the class "a run is taken as ended without its worker's word".

--- a/src/cell/cluster.rs
+++ b/src/cell/cluster.rs
@@ -76,6 +76,8 @@
     pub retry_after: u64,
     /// Whether a command about the run is in flight.
     pub in_flight: bool,
+    /// Number of the worker's address to which the last command was sent.
+    pub sent_to: u32,
 }
 
 /// Worker as known to the owner.
@@ -83,6 +85,8 @@
 pub struct Worker {
     /// Newest registration of the worker.
     pub registration: model::Registration,
+    /// Number of the address in the registration: how often it has changed.
+    pub address_number: u32,
     /// Whether the worker is registered now.
     pub registered: bool,
     /// Registration that is stored, or about to be stored, for later owners.
@@ -114,6 +118,8 @@
     pub acknowledged: u64,
     /// Whether a poll is in flight.
     pub polling: bool,
+    /// Number of the address to which the last poll was sent.
+    pub polled_at: u32,
     /// Local time before which the worker is not polled, in milliseconds.
     pub poll_after: u64,
     /// Local time since which no command was answered, in milliseconds.
@@ -133,6 +139,7 @@
         Self {
             incarnation: registration.incarnation,
             registration,
+            address_number: 0,
             registered: true,
             stored_registration: None,
             record_batch: u64::MAX,
@@ -147,6 +154,7 @@
             outcome_batch: 0,
             acknowledged: 0,
             polling: false,
+            polled_at: 0,
             poll_after: 0,
             silent_since: None,
             failures: 0,
--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -425,6 +425,7 @@
             stopping: false,
             retry_after: 0,
             in_flight: false,
+            sent_to: 0,
         });
         if let Some(state) = job.task_mut(task) {
             state.phase = Phase::Active(run);
--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -149,6 +149,7 @@
         }
         worker.extend_leases(run.start_expires, now);
         run.in_flight = true;
+        run.sent_to = worker.address_number;
         let job = self.jobs.get(task.step.job)?;
         let checkpoint = job
             .step(task.step)?
@@ -226,7 +227,9 @@
         let retried = run.state != RunState::Sent;
         match verdict {
             Verdict::Fenced => self.deposed = true,
-            Verdict::Reborn => self.mark_superseded(worker, now),
+            Verdict::Reborn if run.sent_to == self.cluster.workers[worker].address_number => {
+                self.mark_superseded(worker, now);
+            }
             Verdict::Old | Verdict::Late if retried => {
                 // The run may have started and ended meanwhile; the worker's report tells.
                 run.retry_after = now + POLL_RETRY_MS;
@@ -278,6 +281,11 @@
         }
         run.in_flight = true;
         let (name, number, worker) = (run.name.clone(), run.number, run.worker);
+        run.sent_to = self
+            .cluster
+            .workers
+            .get(worker)
+            .map_or(0, |w| w.address_number);
         Some(Stop {
             to: self.address(worker)?,
             task: name,
@@ -310,7 +318,11 @@
                         run.retry_after = now + STOP_RETRY_MS.max(self.times.stop * 2);
                     }
                     Verdict::Fenced => self.deposed = true,
-                    Verdict::Reborn => return self.mark_superseded(worker, now),
+                    Verdict::Reborn
+                        if run.sent_to == self.cluster.workers[worker].address_number =>
+                    {
+                        return self.mark_superseded(worker, now);
+                    }
                     _ => run.retry_after = now + STOP_RETRY_MS,
                 }
                 self.record_clock(worker, reply.clock, now);
@@ -355,6 +367,7 @@
             worker.extend_leases(lease_end, now);
         }
         worker.polling = true;
+        worker.polled_at = worker.address_number;
         let idle = worker.fenced && lease_end.is_some() && stored && worker.silent_since.is_none();
         Some(Poll {
             to,
@@ -395,6 +408,8 @@
                 warn!(worker = worker.registration.id.as_str(), token = self.token; "worker has seen a higher fencing token");
                 self.deposed = true;
             }
+            // The worker has left the address that was polled.
+            Verdict::Reborn if worker.polled_at != worker.address_number => worker.poll_after = 0,
             Verdict::Reborn => self.mark_superseded(key, now),
             // No lease was renewed, so runs on this worker end with their lease.
             _ => self.mark_silent(key, now),
--- a/src/cell/engine/registry.rs
+++ b/src/cell/engine/registry.rs
@@ -37,6 +37,9 @@
         if worker.registration.availability != registration.availability {
             info!(worker = registration.id.as_str(), standing:? = registration.availability; "worker availability changed");
         }
+        if worker.registration.address != registration.address {
+            worker.address_number += 1;
+        }
         worker.registered = true;
         worker.superseded = false;
         worker.registration = registration;
--- a/src/cell/engine/reports.rs
+++ b/src/cell/engine/reports.rs
@@ -230,6 +230,7 @@
             stopping: task.is_none(),
             retry_after: 0,
             in_flight: false,
+            sent_to: 0,
         });
         let Some(task) = task else {
             self.actions.push(Action::Stop(key));
