test(cell): the record of a worker is deleted by the batch that stores it anew

It needs no partition and no pause: a registration lapses and is back within a batch, and the owner changes.

--- a/tests/cell/recovery.rs
+++ b/tests/cell/recovery.rs
@@ -83,6 +83,30 @@
     assert_eq!(make::starts(&mut engine, START + 10).len(), 1);
 }
 
+#[test]
+fn a_worker_that_registers_again_within_a_batch_keeps_its_record() {
+    let (mut engine, mut stored) = running();
+    let key = engine.cluster.find_worker("w1").unwrap();
+    let mut report = make::report(1, 900);
+    report.ended = vec![make::end(1, make::task(JOB, 0, 0), 1, Outcome::Failed)];
+    make::answer(&mut engine, key, report, START + 400);
+    stored.extend(make::store(&mut engine, START + 410));
+    // The registration lapses and is back before the next batch.
+    engine.unregister("w1");
+    assert_eq!(engine.cluster.find_worker("w1"), None);
+    engine.register(make::worker("w1", 1, 16_000));
+    let key = engine.cluster.find_worker("w1").unwrap();
+    make::answer(&mut engine, key, make::report(1, 1_000), START + 500);
+    stored.extend(make::store(&mut engine, START + 510));
+    let runs = make::starts(&mut engine, START + 520);
+    assert_eq!(runs.len(), 1);
+    make::accept(&mut engine, &runs, START + 520);
+    let now = START + 1_000;
+    let mut next = successor(&stored, &[], now);
+    assert!(next.cluster.find_worker("w1").is_some());
+    assert_eq!(make::starts(&mut next, now), [], "the task runs on w1");
+}
+
 #[test]
 fn a_departed_workers_record_is_deleted_once_its_ended_runs_are_stored() {
     let (mut engine, _) = running();
