fix(cell): a worker that registers again within a batch keeps its record

Cause: the record of a worker tells the next owner to wait for it. It is deleted when the worker has no registration and no runs, and stored again when it registers again. Both changes went into the same batch if they came within one read of the list, and a batch deletes after it stores: the newest record of the key was the deletion. The owner held the record for stored and gave the worker tasks. The next owner did not know the worker unless it was registered at that moment, found all workers that it knew reconciled, and started the tasks again.

Change: storing a record takes its key off the deletions of the batch.

Conclusion: the class is "state of the successor that is less than what the former owner relied on"; needs no pause and no partition.

--- a/src/cell/engine/registry.rs
+++ b/src/cell/engine/registry.rs
@@ -74,6 +74,9 @@
         }
         worker.stored_registration = Some(worker.registration.clone());
         worker.record_batch = u64::MAX;
+        // A batch deletes after it stores.
+        let record = journal::key(journal::Kind::Worker, &worker.registration.id);
+        self.dropped_keys.retain(|key| *key != record);
         if !self.unstored_workers.contains(&key) {
             self.unstored_workers.push(key);
         }
