fix(cell): what no worker has confirmed restarts only with a later proof of ownership

Callers saw: a start after an end that had been taken note of (in our fuzz).

Cause: an owner may command for 6 s after its last proof. Within that time a successor may have renewed the leases of a worker that the owner cannot reach, or have read and acknowledged the outcome of a run there. The owner ended the run by its own clock all the same and placed the task on a worker that the successor had not reached yet.

Change: a task whose run ended because its leases expired, its worker was superseded or has restarted waits until ownership is proven by a call that was sent after that; so does the end of reconciliation where a worker was not heard. The proof is asked for at once.

Conclusion: renewals, new tasks and retries keep the 6 s, since a successor waits for them; a decision by elapsed time alone does not.

--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -165,6 +165,9 @@
     /// Local time at which the newest call was sent by which the store confirmed the term, in
     /// milliseconds.
     pub proven_at: u64,
+    /// Local time from which a proof of ownership is needed for tasks to start again, in
+    /// milliseconds.
+    proof_from: u64,
     /// Whether something has changed since the last placement pass.
     pub pass_needed: bool,
     /// Local time of the last placement pass, in milliseconds.
@@ -217,6 +220,7 @@
             durable_batch: 0,
             deposed: false,
             proven_at: 0,
+            proof_from: 0,
             pass_needed: false,
             last_pass: 0,
             dirty_jobs: Vec::new(),
--- a/src/cell/engine/losses.rs
+++ b/src/cell/engine/losses.rs
@@ -45,6 +45,15 @@
         }
     }
 
+    /// Whether the worker was not heard, so that a later owner may have renewed the run or read its
+    /// outcome.
+    fn is_unheard(self) -> bool {
+        matches!(
+            self,
+            Loss::LeaseExpired | Loss::Superseded | Loss::Restarted
+        )
+    }
+
     fn outcome(self) -> Outcome {
         match self {
             Loss::Refused(_) => Outcome::Stopped,
@@ -66,6 +75,15 @@
                 proof = now.saturating_sub(self.proven_at);
                 "run presumed over");
         }
+        if let Some(task) = run.task.filter(|_| loss.is_unheard())
+            && let Some(state) = self
+                .jobs
+                .get_mut(task.step.job)
+                .and_then(|job| job.task_mut(task))
+        {
+            state.proof_from = now;
+            self.proof_from = now;
+        }
         self.losses.push(loss);
         self.end_run(key, loss.outcome(), "", now);
     }
--- a/src/cell/engine/placement.rs
+++ b/src/cell/engine/placement.rs
@@ -190,6 +190,9 @@
         if !job::may_start(job, &self.cluster) && !definition.copies {
             return false;
         }
+        if step.tasks.iter().any(|t| t.proof_from > self.proven_at) {
+            return false;
+        }
         let pending = PendingStep {
             key,
             demand: super::demand(definition),
--- a/src/cell/engine/recovery.rs
+++ b/src/cell/engine/recovery.rs
@@ -146,6 +146,9 @@
     /// time `sent`, in milliseconds. The reply may have been under way for any time: a later owner
     /// can have begun as soon as the call was sent.
     pub fn confirm_ownership(&mut self, sent: u64) {
+        if self.proven_at < self.proof_from {
+            self.pass_needed = true;
+        }
         self.proven_at = self.proven_at.max(sent);
     }
 
@@ -157,7 +160,7 @@
             true => SHORT_PROOF_INTERVAL_MS,
             false => PROOF_INTERVAL_MS,
         };
-        now > self.proven_at + interval
+        self.proven_at < self.proof_from || now > self.proven_at + interval
     }
 
     /// Whether the proof of ownership is so recent that no later owner can have begun long ago.
@@ -171,7 +174,7 @@
     }
 
     /// Ends reconciliation, in which runs of earlier owners may be unknown, once every worker has
-    /// reported or enough time has passed.
+    /// reported, or enough time has passed and ownership has been proven after it.
     pub(super) fn reconcile(&mut self, now: u64) {
         if self.cluster.reconciled || self.cluster.workers.is_empty() && now < self.reconcile_by {
             return;
@@ -181,6 +184,11 @@
         if count > 0 && now < self.reconcile_by {
             return;
         }
+        if count > 0 && self.proven_at < self.reconcile_by {
+            // A later owner may know the outcomes of the workers that were not heard.
+            self.proof_from = self.reconcile_by;
+            return;
+        }
         info!(workers = self.cluster.workers.len(), unanswered = count; "runs of earlier owners reconciled");
         self.cluster.reconciled = true;
         self.settle();
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -65,6 +65,9 @@
     pub checkpoint: CompactString,
     /// Workers on which a run of the task has failed.
     pub failed_on: Vec<WorkerKey>,
+    /// Local time from which ownership must be proven before the task starts again, in
+    /// milliseconds: another owner may know the outcome of the last run.
+    pub proof_from: u64,
 }
 
 /// Permit of the placement policy, as held by the engine.
--- a/tests/cell/twice.rs
+++ b/tests/cell/twice.rs
@@ -283,3 +283,67 @@
     next.tick(over);
     assert_eq!(make::starts(&mut next, over).len(), 1);
 }
+
+/// Creates an owner whose task was lost with a silent worker whose leases have expired, and the time
+/// of the loss.
+fn expired() -> (Engine, u64) {
+    let (mut engine, run) = placed();
+    make::accept(&mut engine, &[run], START);
+    let worker = engine.cluster.find_worker("w1").unwrap();
+    engine.poll_command(worker, START + 100).unwrap();
+    engine.poll_failed(worker, START + 1_600);
+    let over = engine.cluster.workers[worker].leases_end + 1;
+    // The proof is recent enough for commands, but older than the end of the leases.
+    engine.proven_at = over - 1_000;
+    engine.tick(over);
+    assert!(engine.cluster.runs.is_empty());
+    (engine, over)
+}
+
+#[test]
+fn a_task_whose_leases_expired_restarts_only_with_a_later_proof_of_ownership() {
+    let (mut engine, over) = expired();
+    assert_eq!(
+        make::starts(&mut engine, over),
+        [],
+        "a successor may have renewed the leases or read the outcome"
+    );
+    assert!(engine.needs_proof(over + 1));
+    engine.confirm_ownership(over + 5);
+    engine.pass_needed = true;
+    assert_eq!(make::starts(&mut engine, over + 10).len(), 1);
+}
+
+#[test]
+fn tasks_of_a_superseded_worker_restart_only_with_a_later_proof_of_ownership() {
+    let (mut engine, run) = placed();
+    make::accept(&mut engine, &[run], START);
+    engine.proven_at = START;
+    let worker = engine.cluster.find_worker("w1").unwrap();
+    engine.poll_command(worker, START + 100).unwrap();
+    let refusal = Reply {
+        verdict: Verdict::Reborn,
+        clock: None,
+    };
+    engine.poll_refused(worker, refusal, START + 150);
+    assert!(engine.cluster.runs.is_empty());
+    assert_eq!(make::starts(&mut engine, START + 160), []);
+    engine.confirm_ownership(START + 155);
+    assert_eq!(make::starts(&mut engine, START + 170).len(), 1);
+}
+
+#[test]
+fn inherited_tasks_of_unheard_workers_restart_only_with_a_later_proof_of_ownership() {
+    let stored = stored_by_first();
+    let now = START + 1_000;
+    let mut next = load(2, &stored, now);
+    make::join(&mut next, "w2", now);
+    let over = now + AUTHORITY + TIMES.lease + 500;
+    next.proven_at = over - 1_000;
+    next.tick(over + 25);
+    assert_eq!(make::starts(&mut next, over + 25), []);
+    assert!(next.needs_proof(over + 25));
+    next.confirm_ownership(over + 30);
+    next.tick(over + 50);
+    assert_eq!(make::starts(&mut next, over + 50).len(), 1);
+}
