fix(cell): the local clock goes on while the machine is suspended

Callers saw: nothing yet; a start after an end that had been taken note of, in our fuzz of suspended machines.

Cause: the age of a proof of ownership was measured on the clock of the runtime, which stands still while the machine is suspended. Leases at workers and the wait of the successor go on, so that a resumed owner held an old proof for fresh.

Change: the local time is that of the boot-time clock (rustix, which the tree already had). Timers stay on the runtime's clock. The house style asks for the runtime's clock; what must always hold goes first.

Conclusion: of the class "freshness measured by the wrong clock".

--- a/src/cell/shell/mod.rs
+++ b/src/cell/shell/mod.rs
@@ -35,6 +35,7 @@
 
 pub mod catalog;
 pub mod claim;
+pub mod clock;
 pub mod commit;
 pub mod dispatch;
 pub mod frontend;
@@ -50,10 +51,6 @@
 /// usual idle timeout of servers.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(12);
 
-/// Local time at the start of the process, in milliseconds; not zero, so that earlier times are
-/// representable.
-const LOCAL_EPOCH_MS: u64 = 1_000_000;
-
 /// Share of the shutdown grace period during which callers are still served.
 const SERVE_SHARE: f64 = 0.75;
 
@@ -144,14 +141,14 @@
     pub store_answered_at: Cell<u64>,
     /// Random number that identifies this incarnation of the instance.
     pub incarnation: u64,
-    started: Instant,
+    clock: clock::Clock,
 }
 
 impl Shared {
-    /// Returns the local monotonic time in milliseconds.
+    /// Returns the local time in milliseconds.
     #[must_use]
     pub fn now(&self) -> u64 {
-        LOCAL_EPOCH_MS + self.started.elapsed().as_millis() as u64
+        self.clock.now()
     }
 
     /// Whether the store responded within the last `span` milliseconds.
@@ -197,7 +194,7 @@
         active: Cell::new(0),
         store_answered_at: Cell::new(0),
         incarnation: rand::random::<u64>() >> 12,
-        started: Instant::now(),
+        clock: clock::Clock::start(),
         settings,
         zone,
     })
