--- a/tests/cell/twice.rs
+++ b/tests/cell/twice.rs
@@ -11,6 +11,7 @@
     job::RunKey,
     model::{
         Availability,
+        Outcome,
         Reply,
         Verdict, //
     }, //
@@ -347,3 +348,110 @@
     next.tick(over + 50);
     assert_eq!(make::starts(&mut next, over + 50).len(), 1);
 }
+
+#[test]
+fn an_outcome_is_acknowledged_only_once_the_batch_in_flight_is_stored() {
+    let mut engine = make::owner(&[("w1", 1_000), ("w2", 1_000)]);
+    let mut step = make::step(2, 1_000);
+    step.gang = true;
+    make::submit(
+        &mut engine,
+        JOB,
+        make::queue("q", 0),
+        make::work(vec![step]),
+        START,
+    );
+    let runs = make::starts(&mut engine, START);
+    make::accept(&mut engine, &runs, START);
+    let mut number = 0;
+    for run in &runs {
+        let (worker, name) = (
+            engine.cluster.runs[*run].worker,
+            engine.cluster.runs[*run].name.clone(),
+        );
+        let mut report = make::report(1, 1_000);
+        report.ended = vec![make::end(1, name, 1, Outcome::Done)];
+        make::answer(&mut engine, worker, report, START + 500);
+        if let Some((batch, _)) = engine.take_batch() {
+            number = batch;
+        }
+    }
+    assert!(engine.durable_batch < number);
+    for id in ["w1", "w2"] {
+        let worker = engine.cluster.find_worker(id).unwrap();
+        let poll = engine.poll_command(worker, START + 600);
+        assert_eq!(
+            poll.map_or(0, |poll| poll.acked),
+            0,
+            "{id}: a successor could not learn of the end"
+        );
+    }
+}
+
+#[test]
+fn an_unanswered_start_is_not_sent_again_to_a_new_incarnation_of_its_worker() {
+    let (mut engine, run) = placed();
+    engine.start_command(run, START).unwrap();
+    engine.start_answered(run, Err(SendError::Unknown), START + 350);
+    let worker = engine.cluster.find_worker("w1").unwrap();
+    make::answer(&mut engine, worker, make::report(2, 50), START + 2_000);
+    engine.actions.clear();
+    engine.tick(START + 2_100);
+    assert!(
+        !engine.actions.contains(&Action::Start(run))
+            || engine.start_command(run, START + 2_100).is_none(),
+        "the new incarnation may be of another kind, and the run may have ended in the former one"
+    );
+}
+
+#[test]
+fn leases_of_a_new_incarnation_are_not_measured_by_the_clock_of_the_former_one() {
+    let mut engine = make::owner(&[]);
+    engine.register(make::worker("w1", 1, 16_000));
+    let worker = engine.cluster.find_worker("w1").unwrap();
+    make::answer(&mut engine, worker, make::report(1, 400_000), START);
+    make::store(&mut engine, START);
+    let work = make::work(vec![make::step(1, 1_000)]);
+    make::submit(&mut engine, JOB, make::queue("q", 0), work, START);
+    let run = make::starts(&mut engine, START)[0];
+    engine.start_command(run, START).unwrap();
+    engine.start_answered(run, Err(SendError::Unknown), START + 350);
+    make::answer(&mut engine, worker, make::report(2, 50), START + 2_000);
+    engine.tick(START + 2_100);
+    engine.start_command(run, START + 2_100);
+    let longest = START + 2_100 + cluster::local_duration(TIMES.lease);
+    let end = engine.cluster.workers[worker].leases_end;
+    assert!(end <= longest, "{} ms too late", end - longest);
+}
+
+#[test]
+fn a_worker_that_restarted_counts_as_fenced_only_with_a_fresh_proof_of_ownership() {
+    let (mut engine, run) = placed();
+    make::accept(&mut engine, &[run], START);
+    engine.proven_at = START;
+    let worker = engine.cluster.find_worker("w1").unwrap();
+    // A successor may have heard from the former incarnation and given its tasks to other workers.
+    make::answer(&mut engine, worker, make::report(2, 50), START + 2_000);
+    assert!(!engine.cluster.workers[worker].fenced);
+    engine.confirm_ownership(START + 2_100);
+    make::answer(&mut engine, worker, make::report(2, 250), START + 2_200);
+    assert!(engine.cluster.workers[worker].fenced);
+}
+
+#[test]
+fn a_late_answer_of_a_former_incarnation_says_nothing_about_the_registered_one() {
+    let mut engine = make::owner(&[]);
+    engine.register(make::worker("w1", 1, 16_000));
+    make::store(&mut engine, START);
+    let worker = engine.cluster.find_worker("w1").unwrap();
+    let poll = engine.poll_command(worker, START).unwrap();
+    engine.register(make::worker("w1", 2, 16_000));
+    make::store(&mut engine, START + 1_000);
+    let report = make::report(1, 500);
+    engine.apply_report(worker, poll.sent_at, poll.acked, &report, START + 1_100);
+    let state = &engine.cluster.workers[worker];
+    assert!(
+        state.is_poll_due(engine.durable_batch, START + 2_000),
+        "the new incarnation has not seen the token and would never get a task"
+    );
+}
