fix(cell): an outcome is acknowledged only once the batch in flight is stored

Callers saw: nothing yet; found in review. It ends in a start after an end that was taken note of (TWICE).

Cause: the end of a run waits for the batch being gathered if it changed anything. The end of another member of a gang changes nothing, as the first one has completed the step; it was acknowledged at once, although the batch with the success was still on its way to the store. If the owner is gone then, and the worker of the first member cannot be reached, its successor starts the gang again.

Evidence: twice::an_outcome_is_acknowledged_only_once_the_batch_in_flight_is_stored.

Change: every new end waits for the newest batch that was taken, or for the one being gathered where it changed something.

Conclusion: of the class "the successor knows less than what was relied on".

--- a/src/cell/engine/reports.rs
+++ b/src/cell/engine/reports.rs
@@ -79,12 +79,19 @@
         let mut new_ends: Vec<&model::EndedRun> =
             report.ended.iter().filter(|e| e.number > known).collect();
         new_ends.sort_by_key(|end| end.number);
+        let any_new = !new_ends.is_empty();
         for end in new_ends {
             self.apply_end(key, end, now);
         }
-        if !self.dirty_jobs.is_empty() {
-            // The changes that follow from the ended runs are stored with this batch.
-            self.cluster.workers[key].outcome_batch = self.open_batch;
+        if any_new {
+            // What follows from the ended runs is stored with the batch being gathered, or with one
+            // in flight.
+            let last = match self.dirty_jobs.is_empty() {
+                true => self.open_batch - 1,
+                false => self.open_batch,
+            };
+            let worker = &mut self.cluster.workers[key];
+            worker.outcome_batch = worker.outcome_batch.max(last);
         }
         self.compare_runs(key, sent, report, now);
         let worker = &self.cluster.workers[key];
