fix(cell): a start for a former incarnation is recalled, not sent to the new one

Callers saw: nothing yet; found in review. It ends in a second run of a task that had succeeded (TWICE), in tasks on a worker that may be of another kind (ROUTE, LIMIT), or in tasks that never restart (LOST).

Cause: when a worker answers as a new incarnation, only its confirmed runs ended. An unanswered start was sent again, by its expiry on the clock of the former incarnation: the new clock starts anew, so that the command stayed valid for as long as the former one had lived, and the end of the leases was computed as that far away.

Change: such a run is stopped at the new incarnation, which makes it refuse late copies, and its task restarts only with a later proof of ownership.

Conclusion: of the class "a run is taken for another one".

--- a/src/cell/engine/losses.rs
+++ b/src/cell/engine/losses.rs
@@ -75,19 +75,27 @@
                 proof = now.saturating_sub(self.proven_at);
                 "run presumed over");
         }
-        if let Some(task) = run.task.filter(|_| loss.is_unheard())
-            && let Some(state) = self
-                .jobs
-                .get_mut(task.step.job)
-                .and_then(|job| job.task_mut(task))
-        {
-            state.proof_from = now;
-            self.proof_from = now;
+        if loss.is_unheard() {
+            self.require_proof(key, now);
         }
         self.losses.push(loss);
         self.end_run(key, loss.outcome(), "", now);
     }
 
+    /// Lets the task of a run start again only once ownership is proven after `now`, a local time in
+    /// milliseconds.
+    pub(super) fn require_proof(&mut self, key: RunKey, now: u64) {
+        let Some(task) = self.cluster.runs.get(key).and_then(|run| run.task) else {
+            return;
+        };
+        let job = self.jobs.get_mut(task.step.job);
+        let Some(state) = job.and_then(|job| job.task_mut(task)) else {
+            return;
+        };
+        state.proof_from = now;
+        self.proof_from = now;
+    }
+
     /// Takes the losses since the last call, for metrics.
     pub fn take_losses(&mut self) -> Vec<Loss> {
         std::mem::take(&mut self.losses)
--- a/src/cell/engine/registry.rs
+++ b/src/cell/engine/registry.rs
@@ -3,12 +3,16 @@
 use log::info;
 
 use super::{
+    Action,
     Engine,
     losses::Loss, //
 };
 use crate::cell::{
     cluster::RunState,
-    job::WorkerKey,
+    job::{
+        RunKey,
+        WorkerKey, //
+    },
     journal,
     model, //
 };
@@ -101,6 +105,16 @@
         self.cluster.remove_worker(key);
     }
 
+    /// Stops a run whose start command was meant for a former incarnation of its worker. The command
+    /// may have reached either, and another owner may know the outcome of the run in the former one.
+    fn recall_run(&mut self, key: RunKey, now: u64) {
+        self.require_proof(key, now);
+        let run = &mut self.cluster.runs[key];
+        run.stopping = true;
+        run.retry_after = now;
+        self.actions.push(Action::Stop(key));
+    }
+
     /// Handles a reply of a new worker incarnation to a command sent at local time `sent`, in
     /// milliseconds. Runs confirmed before that time have ended. Later commands may have reached
     /// the new incarnation; its report tells.
@@ -125,9 +139,10 @@
         worker.suspended_until = 0;
         let runs = worker.runs.clone();
         for key in runs {
-            let run = &self.cluster.runs[key];
-            if matches!(run.state, RunState::Confirmed(at) if at < sent) {
-                self.lose_run(key, Loss::Restarted, now);
+            match self.cluster.runs[key].state {
+                RunState::Confirmed(at) if at < sent => self.lose_run(key, Loss::Restarted, now),
+                RunState::Confirmed(_) => {}
+                RunState::Sent | RunState::Unanswered => self.recall_run(key, now),
             }
         }
         self.pass_needed = true;
