fix(cell): a restarted worker counts as fenced only with a fresh proof of ownership

Callers saw: nothing yet; found in review, the same class as TWICE.

Cause: the first poll of a worker needs a fresh proof of ownership, so that a former owner does not take a worker that its successor has not reached. A poll that was meant for an incarnation which had seen the token needs none; answered by the next incarnation, it fenced that one.

Change: the report counts as a sight of the token only if the proof was fresh when the poll was sent; otherwise the next poll, 200 ms later, waits for a proof.

--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -40,7 +40,7 @@
 const POLL_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Delay after a failed poll, in milliseconds.
-const POLL_RETRY_MS: u64 = 200;
+pub(super) const POLL_RETRY_MS: u64 = 200;
 
 /// Delay after polls that have failed for longer than a lease, in milliseconds.
 const SILENT_POLL_RETRY_MS: u64 = 1_000;
--- a/src/cell/engine/reports.rs
+++ b/src/cell/engine/reports.rs
@@ -8,6 +8,7 @@
 use super::{
     Action,
     Engine,
+    commands,
     losses::Loss, //
 };
 use crate::cell::{
@@ -64,10 +65,14 @@
             self.change_incarnation(key, report.incarnation, sent, now);
         }
         self.record_clock(key, Some(report.clock), now);
+        // The poll may have been meant for a former incarnation, which had seen the token.
+        let proven = self.has_fresh_proof(sent);
         let worker = &mut self.cluster.workers[key];
         worker.last_report = now;
         worker.incarnation = worker.incarnation.max(report.incarnation);
-        if !worker.fenced {
+        if !worker.fenced && !proven {
+            worker.poll_after = now + commands::POLL_RETRY_MS;
+        } else if !worker.fenced {
             worker.fenced = true;
             // An earlier owner may have renewed leases just before.
             let longest = cluster::local_duration(self.times.lease);
