fix(cell): a late answer of a former incarnation says nothing about the registered one

Callers saw: nothing yet; found in review (LOST: capacity that is never used).

Cause: a registration of a new incarnation makes a poll due; an answer of the former one that was processed after it counted as sight of the token. Without runs and without silence no poll was due any more, and the worker got no task for the rest of the term.

Evidence: twice::a_late_answer_of_a_former_incarnation_says_nothing_about_the_registered_one.

Change: a report counts as sight of the token only from the registered incarnation or a later one; a report that does not count is followed by the next poll after 200 ms, not at the next tick.

Figures: the test failed before.

--- a/src/cell/engine/reports.rs
+++ b/src/cell/engine/reports.rs
@@ -60,13 +60,17 @@
             && report.incarnation != worker.incarnation
         {
             if report.incarnation < worker.incarnation {
+                worker.poll_after = now + commands::POLL_RETRY_MS;
                 return;
             }
             self.change_incarnation(key, report.incarnation, sent, now);
         }
         self.record_clock(key, Some(report.clock), now);
-        // The poll may have been meant for a former incarnation, which had seen the token.
-        let proven = self.has_fresh_proof(sent);
+        // The poll may have been meant for a former incarnation, which had seen the token, or have been
+        // answered by one.
+        let registered = self.cluster.workers[key].registration.incarnation;
+        let newest = report.incarnation == 0 || report.incarnation >= registered;
+        let proven = newest && self.has_fresh_proof(sent);
         let worker = &mut self.cluster.workers[key];
         worker.last_report = now;
         worker.incarnation = worker.incarnation.max(report.incarnation);
