fix(cell): a worker that lists a full page of ended runs has not reported yet

Callers saw: nothing yet; a start after an end that was taken note of, in our fuzz.

Cause: a partial report counted as the word of the worker: a new owner held the runs of earlier owners for known and started inherited tasks whose ends stood on the next page.

Change: sight of the token is recorded with the first report that is complete.

Figures: twice::a_worker_with_more_ended_runs_than_it_lists_has_not_reported_yet is red without the change.

--- a/src/cell/engine/reports.rs
+++ b/src/cell/engine/reports.rs
@@ -70,7 +70,9 @@
         // answered by one.
         let registered = self.cluster.workers[key].registration.incarnation;
         let newest = report.incarnation == 0 || report.incarnation >= registered;
-        let proven = newest && self.has_fresh_proof(sent);
+        // The ends of runs of earlier owners may be on the next page.
+        let conclusive = newest && !report.partial;
+        let proven = conclusive && self.has_fresh_proof(sent);
         let worker = &mut self.cluster.workers[key];
         worker.last_report = now;
         worker.incarnation = worker.incarnation.max(report.incarnation);
--- a/tests/cell/twice.rs
+++ b/tests/cell/twice.rs
@@ -455,3 +455,26 @@
         "the new incarnation has not seen the token and would never get a task"
     );
 }
+
+#[test]
+fn a_worker_with_more_ended_runs_than_it_lists_has_not_reported_yet() {
+    let stored = stored_by_first();
+    let now = START + 1_000;
+    let mut next = load(2, &stored, now);
+    make::join(&mut next, "w2", now);
+    let worker = next.cluster.find_worker("w1").unwrap();
+    let mut report = make::report(1, 1_500);
+    let other = make::task("00000000000000f2", 0, 0);
+    report.ended = vec![make::end(1, other, 1, Outcome::Done)];
+    report.partial = true;
+    make::answer(&mut next, worker, report, now + 20);
+    next.tick(now + 25);
+    assert!(!next.is_reconciled());
+    assert_eq!(make::starts(&mut next, now + 25), []);
+    let mut report = make::report(1, 1_800);
+    report.ended = vec![make::end(2, make::task(JOB, 0, 0), 1, Outcome::Done)];
+    make::answer(&mut next, worker, report, now + 300);
+    next.tick(now + 325);
+    assert!(next.is_reconciled());
+    assert_eq!(make::starts(&mut next, now + 325), []);
+}
