fix(cell): a repeated append proves ownership as of its first copy

Cause: after a rejected append the same sequence number is sent again, and the proof counted from the repeat. The store may answer a repeat with its response to an earlier copy, which says nothing about the time since.

Change: the proof counts from the first copy over all repeats.

Found in review, by reading; not shown by a test. The price is one append without records after an outage.

Conclusion: of the class "freshness by the wrong time".

--- a/src/cell/shell/commit.rs
+++ b/src/cell/shell/commit.rs
@@ -106,10 +106,11 @@
 /// Retries an append until it succeeds; returns false if the term is over.
 async fn append(shared: &Rc<Shared>, owner: &Owner, sequence: &mut u64, body: Bytes) -> bool {
     let began = Instant::now();
+    // A repeated append may get the response to an earlier copy.
+    let sent = shared.now();
     let mut failing = false;
     loop {
         let condition = store::Condition::Epoch(owner.term(), *sequence);
-        let sent = shared.now();
         match append_hedged(shared, condition, &body).await {
             Ok(()) => {
                 *sequence += 1;
