fix(cell): the time from which a proof is needed never goes back

Cause: the end of reconciliation could set it before the time of a loss in the same tick, so that the task of the lost run waited up to 2 s for the next proof.

Change: the later of both holds.

Found in review, by reading; costs time, breaks nothing.

--- a/src/cell/engine/recovery.rs
+++ b/src/cell/engine/recovery.rs
@@ -186,7 +186,7 @@
         }
         if count > 0 && self.proven_at < self.reconcile_by {
             // A later owner may know the outcomes of the workers that were not heard.
-            self.proof_from = self.reconcile_by;
+            self.proof_from = self.proof_from.max(self.reconcile_by);
             return;
         }
         info!(workers = self.cluster.workers.len(), unanswered = count; "runs of earlier owners reconciled");
