fix(cell): a number acknowledged to a former incarnation says nothing about the next

Cause: a poll carries the number of the newest outcome that the worker need not report again. If the next incarnation answered that poll, the number counted as acknowledged to it, and its outcomes up to that number were never acknowledged.

Change: the number counts only if the incarnation that was polled has answered.

Found in review, by reading; not shown by a test.

--- a/src/cell/engine/reports.rs
+++ b/src/cell/engine/reports.rs
@@ -55,6 +55,7 @@
             return;
         };
         worker.polling = false;
+        let same = report.incarnation == 0 || report.incarnation == worker.incarnation;
         if report.incarnation > 0
             && worker.incarnation > 0
             && report.incarnation != worker.incarnation
@@ -85,7 +86,9 @@
             worker.leases_end = worker.leases_end.max(now + longest);
             self.pass_needed = true;
         }
-        worker.acknowledged = worker.acknowledged.max(seen);
+        if same {
+            worker.acknowledged = worker.acknowledged.max(seen);
+        }
         let known = worker.last_outcome;
         let mut new_ends: Vec<&model::EndedRun> =
             report.ended.iter().filter(|e| e.number > known).collect();
