fix(cell): an owner ends its term as soon as another instance knows a later one

Cause: an announcement or a heartbeat of a later term changed what the instance knew about the owner, but not its own term, which went on until the store or a worker refused it. An instance whose term was still beginning could send the later owner a heartbeat, which counts as a proof that it commands nothing, and begin its term afterwards.

Change: both end the term; an instance that begins a term sends no heartbeats, and a term that begins after a later one was announced ends at once.

Conclusion: a proof of ownership is still what counts; this ends the wait for it.

--- a/src/cell/shell/claim.rs
+++ b/src/cell/shell/claim.rs
@@ -75,6 +75,9 @@
     shared.starting_term.set(false);
     match begun {
         Ok(owner) => {
+            if shared.ownership.borrow().term() > mine.term {
+                owner.end("replaced: a later term was announced while this one began");
+            }
             shared.owner.replace(Some(owner));
             shared.owner_changed.notify_waiters();
             announce(shared, &mine).await;
--- a/src/cell/shell/mod.rs
+++ b/src/cell/shell/mod.rs
@@ -157,6 +157,15 @@
         self.store_answered_at.get() + span >= self.now()
     }
 
+    /// Ends the term of this instance if another instance knows a later one.
+    pub fn yield_to(&self, term: u64) {
+        if let Some(owner) = self.owner.borrow().as_ref()
+            && term > owner.term()
+        {
+            owner.end("replaced: another instance knows a later term");
+        }
+    }
+
     /// Records that the store has responded now.
     pub fn note_store_answer(&self) {
         self.store_answered_at.set(self.now());
--- a/src/cell/shell/peer.rs
+++ b/src/cell/shell/peer.rs
@@ -170,6 +170,7 @@
         SEEN => reply(body, |(): ()| async move { Ok(watch::age(shared).await) }).await,
         OWNER => {
             let announced = |owner: election::Owner| async move {
+                shared.yield_to(owner.term);
                 shared
                     .ownership
                     .borrow_mut()
@@ -212,7 +213,9 @@
 
 /// Records a heartbeat and responds to it.
 fn respond(shared: &Shared, beat: &Heartbeat) -> HeartbeatReply {
+    shared.yield_to(beat.term);
     let owner = shared.owner.borrow().clone();
+    let owner = owner.filter(|owner| !owner.is_over());
     let term = shared.ownership.borrow().term();
     if let Some(owner) = &owner {
         owner.heard(beat, shared.now());
--- a/src/cell/shell/watch.rs
+++ b/src/cell/shell/watch.rs
@@ -253,7 +253,8 @@
     let Some(owner) = peer::known_owner(shared) else {
         return false;
     };
-    if owner.instance == shared.settings.instance {
+    // A heartbeat tells the owner that this instance sends no commands.
+    if owner.instance == shared.settings.instance || shared.starting_term.get() {
         return false;
     }
     let message = Heartbeat {
