fix(cell): a job that was sent to the store is not rejected when the term ends

Callers saw: a job that was answered "not taken; it does not run" and ran (REFUSED).

Cause: the end of the term answered a waiting submission with "does not own the cell", whether or not the job was on its way to the store. The instance that had forwarded it took that for not sent, and rejected the job when it found no owner within two seconds. The next owner loaded the job and ran it.

Change: a job that may be stored gets an outcome of its own, which the forwarding instance takes as sent: it asks the next owner, and answers "not known" if there is none.

Figures: takeover::a_job_that_was_sent_to_the_store_is_not_rejected_when_the_term_ends: 503 without the change, 504 with it.

Conclusion: rejections are true again at the end of a term.

--- a/src/cell/engine/submissions.rs
+++ b/src/cell/engine/submissions.rs
@@ -104,6 +104,12 @@
         self.archive.state(id).is_some() || self.find_job(id).is_some()
     }
 
+    /// Whether a job may be stored.
+    #[must_use]
+    pub fn is_sent(&self, id: &str) -> bool {
+        self.archive.state(id).is_some() || self.find_job(id).is_some_and(|key| self.jobs[key].sent)
+    }
+
     /// Whether a job is stored.
     #[must_use]
     pub fn is_stored(&self, id: &str) -> bool {
--- a/src/cell/shell/frontend.rs
+++ b/src/cell/shell/frontend.rs
@@ -158,6 +158,7 @@
         let outcome = exchange(shared, &request, left.min(EXCHANGE_TIMEOUT)).await;
         match outcome {
             Ok(Outcome::Elsewhere) | Err(link::Error::Refused | link::Error::Unreachable) => {}
+            Ok(Outcome::Interrupted) => sent = true,
             Ok(outcome) => return outcome,
             Err(e) => {
                 debug!("no response from the owner: {e}");
@@ -214,7 +215,7 @@
         Outcome::Waiting(count) => Answer::json(200, api::encode_waiting(count)),
         Outcome::Gone => Answer::text(410, "no such job\n"),
         Outcome::Invalid(text) => Answer::text(400, &format!("{text}\n")),
-        Outcome::Unknown => Answer::text(
+        Outcome::Unknown | Outcome::Interrupted => Answer::text(
             504,
             "it is not known whether the job was taken; ask again\n",
         ),
--- a/src/cell/shell/handler.rs
+++ b/src/cell/shell/handler.rs
@@ -129,6 +129,10 @@
 
 /// Returns the outcome of a submission after the batch for its job is stored.
 fn stored_outcome(owner: &Owner, id: &str, outcome: Outcome, retry: u64) -> Outcome {
+    if outcome == Outcome::Elsewhere && owner.engine.borrow().is_sent(id) {
+        info!(job = id, term = owner.term(); "term ended before the submission was stored");
+        return Outcome::Interrupted;
+    }
     if outcome != Outcome::Accepted {
         return outcome;
     }
--- a/src/cell/shell/metrics.rs
+++ b/src/cell/shell/metrics.rs
@@ -94,6 +94,7 @@
         Outcome::Gone => "gone",
         Outcome::Waiting(_) => "waiting",
         Outcome::Elsewhere => "elsewhere",
+        Outcome::Interrupted => "interrupted",
     }
 }
 
--- a/src/cell/shell/peer.rs
+++ b/src/cell/shell/peer.rs
@@ -161,6 +161,9 @@
     Waiting(usize),
     /// The responding instance does not own the cell.
     Elsewhere,
+    /// The term ended while the job was on its way to the store; the next owner knows it if it is
+    /// stored.
+    Interrupted,
 }
 
 /// Serves a request of another instance.
--- a/tests/instances/standin.rs
+++ b/tests/instances/standin.rs
@@ -86,6 +86,10 @@
     pub(super) fault: StoreFault,
     /// Epoch up to which the store does not respond to appends.
     pub(super) silent_epoch: u64,
+    /// Whether these appends take effect all the same.
+    pub(super) applied_silently: bool,
+    /// Whether the store does not respond to claims.
+    pub(super) silent_claims: bool,
     /// Worker that only owners up to a fencing token reach.
     pub(super) partition: Option<(String, u64)>,
     /// Duration of every run that starts, in milliseconds; drawn if absent.
@@ -115,6 +119,14 @@
         Some(found.1)
     }
 
+    /// Lets the store refuse the jobs' producers below `epoch`.
+    pub(super) fn fence(&mut self, epoch: u64) {
+        self.topics
+            .entry("keyed.jobs".to_owned())
+            .or_default()
+            .epoch = epoch;
+    }
+
     pub(super) fn publish(&mut self, topic: &str, key: &str, value: &Value) {
         self.append_record(topic, key, value.to_string().as_bytes());
     }
@@ -184,6 +196,8 @@
         started: Instant::now(),
         fault: StoreFault::default(),
         silent_epoch: 0,
+        applied_silently: false,
+        silent_claims: false,
         partition: None,
         duration: None,
         draws: 0,
@@ -283,7 +297,7 @@
     body: &[u8],
 ) -> HttpResponse {
     let epoch = query.get("epoch").map(|text| text.parse::<u64>().unwrap());
-    if epoch.is_some_and(|epoch| epoch <= shared.lock().unwrap().silent_epoch) {
+    if is_silent(&mut shared.lock().unwrap(), query, epoch, body) {
         return std::future::pending().await;
     }
     let draw = shared.lock().unwrap().next_fate().duration * 7919 % 1_000;
@@ -300,6 +314,26 @@
     std::future::pending().await
 }
 
+/// Whether the store does not respond to an append; carries it out if it takes effect nevertheless.
+fn is_silent(
+    state: &mut State,
+    query: &BTreeMap<String, String>,
+    epoch: Option<u64>,
+    body: &[u8],
+) -> bool {
+    if state.silent_claims && query.contains_key("at") {
+        return true;
+    }
+    let newest = state.topics.get(&query["topic"]).map_or(0, |t| t.epoch);
+    if epoch.is_none_or(|epoch| epoch > state.silent_epoch || epoch < newest) {
+        return false;
+    }
+    if state.applied_silently {
+        append(state, query, body);
+    }
+    true
+}
+
 fn append(state: &mut State, query: &BTreeMap<String, String>, body: &[u8]) -> HttpResponse {
     let topic = state.topics.entry(query["topic"].clone()).or_default();
     let end = topic.records.len() as u64;
--- a/tests/instances/takeover.rs
+++ b/tests/instances/takeover.rs
@@ -199,6 +199,34 @@
     cell.finish();
 }
 
+#[test]
+fn a_job_that_was_sent_to_the_store_is_not_rejected_when_the_term_ends() {
+    let cell = Cell::start(1);
+    let front = cell.instances[0].front;
+    {
+        let mut state = cell.platform.lock().unwrap();
+        state.silent_epoch = 1;
+        state.applied_silently = true;
+        state.silent_claims = true;
+    }
+    let body = json!({"spec": "x", "steps": [{"count": 1, "cpu": 1}]}).to_string();
+    let caller =
+        thread::spawn(move || processes::exchange(front, "POST", "/q/00000000000000ff", &body));
+    thread::sleep(Duration::from_millis(300));
+    let stored = {
+        let mut state = cell.platform.lock().unwrap();
+        state.fence(2);
+        state.newest("keyed.jobs", "a00000000000000ff")
+    };
+    assert!(stored.is_some());
+    let answer = caller.join().unwrap();
+    assert_eq!(
+        answer.map(|(status, _)| status),
+        Some(504),
+        "the next owner runs the job"
+    );
+}
+
 #[test]
 fn a_store_outage_rejects_new_jobs_only() {
     let mut cell = Cell::start(2);
