fix(registrations): a worker gets no tasks while its entry is malformed

Cause: a malformed entry was skipped at level `debug`, so a worker whose entry was overwritten stayed schedulable with what it had said before. Callers' tasks went to a worker that the list no longer named. Change: a malformed entry is applied like a removed one. Runs on the worker are polled on, their ends count, and the next well-formed entry makes the worker usable again. Each such entry is counted, and logged when it first turns malformed. Conclusion: `a_worker_gets_no_tasks_while_its_registration_is_malformed` failed before.

--- a/src/cell/shell/registry.rs
+++ b/src/cell/shell/registry.rs
@@ -11,6 +11,10 @@
 
 use crate::{
     cell::engine::Engine,
+    malformed::{
+        self,
+        List, //
+    },
     platform::{
         registration,
         store, //
@@ -29,14 +33,23 @@
 const POLL_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Applies a record of the registrations to the engine.
-pub(super) fn apply(engine: &mut Engine, record: &store::Record) {
-    let Some(value) = &record.value else {
-        engine.unregister(&record.key);
-        return;
-    };
-    match registration::decode(&record.key, value) {
-        Ok(entry) => engine.register(entry),
-        Err(e) => debug!(worker = record.key.as_str(); "malformed registration ignored: {e}"),
+pub fn apply(engine: &mut Engine, record: &store::Record) {
+    let id = record.key.as_str();
+    let entry = record.value.as_ref();
+    match entry.map(|value| registration::decode(id, value)) {
+        Some(Ok(entry)) => {
+            malformed::forget(List::Registrations, id);
+            engine.register(entry);
+        }
+        Some(Err(e)) => {
+            malformed::note(List::Registrations, id, &e);
+            // The entry names no worker to use, but the one that it named before may have runs.
+            engine.unregister(id);
+        }
+        None => {
+            malformed::forget(List::Registrations, id);
+            engine.unregister(id);
+        }
     }
 }
 
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -10,6 +10,7 @@
     mod journal;
     mod load;
     mod make;
+    mod malformed;
     mod proxies;
     mod recovery;
     mod rules;
