fix(instances): a malformed entry does not hide the other instances

Cause: the list of instances was decoded as a whole. One entry with a missing field, a name that is no id, deep nesting or a number out of range made every reading fail: an instance that started then never learned of a worker. Entries with port 0, 65536, 0.0.0.0 or an incarnation near the maximum were taken. Entries that were not in the order of their ids made the search miss others, which were then removed. Change: entries are decoded one by one, malformed ones are skipped, counted (`bamboolock_entry_malformed_entries_total`) and logged within bounds, and the rest is sorted. An address is IP:port of one host; an incarnation is at most 2^53. Conclusion: two of the four new tests failed before (a malformed entry, entries out of order). A body that is no list was an error from the start, and a worker needed no address for peers.

--- a/src/cell/shell/metrics.rs
+++ b/src/cell/shell/metrics.rs
@@ -23,7 +23,10 @@
 };
 
 use crate::{
-    malformed,
+    malformed::{
+        self,
+        List, //
+    },
     program, //
 };
 
@@ -36,6 +39,16 @@
 /// Number of buckets; each bound is twice the one before, up to about a minute.
 const BUCKETS: u16 = 17;
 
+/// Lists that an instance of the cell reads.
+const LISTS: [List; 6] = [
+    List::Registrations,
+    List::Records,
+    List::Items,
+    List::Reports,
+    List::Permits,
+    List::Configuration,
+];
+
 /// Labels of the responses to callers.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct AnswerLabels {
@@ -148,7 +161,7 @@
         registry.register(
             "malformed_entries",
             "Malformed entries ignored, by list",
-            malformed::counts(),
+            malformed::counts(&LISTS),
         );
     }
 
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -28,7 +28,10 @@
     }, //
 };
 
-use crate::wire::caller::Code;
+use crate::{
+    malformed,
+    wire::caller::Code, //
+};
 
 /// Label of refusals.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -122,6 +125,11 @@
         let Ok(mut registry) = self.registry.lock() else {
             return;
         };
+        registry.register(
+            "malformed_entries",
+            "Malformed entries ignored, by list",
+            malformed::counts(&[malformed::List::Instances]),
+        );
         registry.register(
             "refusals",
             "Requests refused, by code",
--- a/src/malformed.rs
+++ b/src/malformed.rs
@@ -48,6 +48,8 @@
     Items,
     /// Reports of workers, and their rows.
     Reports,
+    /// Permits of the placement policy.
+    Permits,
     /// The operator's configuration.
     Configuration,
     /// The list of instances.
@@ -61,6 +63,7 @@
             List::Records => "records",
             List::Items => "items",
             List::Reports => "reports",
+            List::Permits => "permits",
             List::Configuration => "configuration",
             List::Instances => "instances",
         }
@@ -157,9 +160,16 @@
     entries.forget(list, name);
 }
 
-/// Returns the counter of malformed entries of this process.
+/// Returns the counter of malformed entries of this process, with a series for each of `lists`.
 #[must_use]
-pub fn counts() -> Family<Labels, Counter> {
+pub fn counts(lists: &[List]) -> Family<Labels, Counter> {
     let entries = ENTRIES.lock().unwrap_or_else(PoisonError::into_inner);
+    for list in lists {
+        // A series exists from its first use.
+        entries
+            .counts
+            .get_or_create(&Labels { list: list.name() })
+            .inc_by(0);
+    }
     entries.counts.clone()
 }
--- a/src/remote/link.rs
+++ b/src/remote/link.rs
@@ -118,11 +118,16 @@
     pub body: bytes::Bytes,
 }
 
-fn parse<B: DeserializeOwned>(response: Response) -> Result<B, Error> {
-    if !(200..300).contains(&response.status) {
-        return Err(Error::Status(response.status));
+/// Returns the body of a response that reports success.
+fn success(response: Response) -> Result<bytes::Bytes, Error> {
+    match response.status {
+        200..300 => Ok(response.body),
+        status => Err(Error::Status(status)),
     }
-    serde_json::from_slice(&response.body).map_err(|e| Error::Malformed(e.to_string()))
+}
+
+fn parse<B: DeserializeOwned>(body: &[u8]) -> Result<B, Error> {
+    serde_json::from_slice(body).map_err(|e| Error::Malformed(e.to_string()))
 }
 
 /// Connections to one address.
@@ -178,7 +183,7 @@
             headers: &self.headers(),
             body: text.into(),
         };
-        parse(self.call(request, limit).await?)
+        parse(&success(self.call(request, limit).await?)?)
     }
 
     /// Sends a GET request and decodes the response.
@@ -187,13 +192,22 @@
     ///
     /// Returns why the exchange failed.
     pub async fn get<B: DeserializeOwned>(&self, path: &str, limit: Duration) -> Result<B, Error> {
+        parse(&self.get_text(path, limit).await?)
+    }
+
+    /// Sends a GET request and returns the body of the response.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the exchange failed.
+    pub async fn get_text(&self, path: &str, limit: Duration) -> Result<bytes::Bytes, Error> {
         let request = Request {
             method: Method::GET,
             path,
             headers: &self.headers(),
             body: bytes::Bytes::new(),
         };
-        parse(self.call(request, limit).await?)
+        success(self.call(request, limit).await?)
     }
 
     fn headers(&self) -> [(&'static str, &str); 2] {
--- a/src/remote/list.rs
+++ b/src/remote/list.rs
@@ -16,5 +16,6 @@
 ///
 /// Returns why the exchange failed; the list that was fetched before stays in use.
 pub async fn read(link: &Link, limit: Duration) -> Result<list::Listing, link::Error> {
-    link.get("/v1/instances", limit).await
+    let text = link.get_text("/v1/instances", limit).await?;
+    list::Listing::decode(&text).map_err(|e| link::Error::Malformed(e.to_string()))
 }
--- a/src/wire/list.rs
+++ b/src/wire/list.rs
@@ -1,20 +1,30 @@
 //! The platform's list of instances, over HTTP: `GET /v1/instances`. The list lags behind the
 //! actual state.
 
+use std::net::SocketAddr;
+
 use compact_str::CompactString;
 use serde::{
     Deserialize,
-    Serialize, //
+    Serialize,
+    de::Error as _, //
 };
 
-use crate::ids::{
-    Millis,
-    RackId,
-    RegionId,
-    WorkerIncarnation,
-    ZoneId, //
+use crate::{
+    ids::{
+        self,
+        Millis,
+        RackId,
+        RegionId,
+        WorkerIncarnation,
+        ZoneId, //
+    },
+    json, malformed,
 };
 
+/// Highest incarnation: no later incarnation would exceed one near the maximum of its type.
+const MAX_INCARNATION: u64 = 1 << 53;
+
 /// Role of an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -69,3 +79,68 @@
     /// Instances, sorted by id.
     pub instances: Vec<Instance>,
 }
+
+impl Instance {
+    /// Returns what is wrong with the entry, beyond the types of its fields.
+    fn fault(&self) -> Option<&'static str> {
+        let entry = self.role == Role::Entry;
+        if ids::check(&self.id).is_err() {
+            Some("the id is invalid")
+        } else if !is_address(&self.address) || entry && !is_address(&self.peer) {
+            Some("an address is not IP:port of one host")
+        } else if self.incarnation.0 > MAX_INCARNATION {
+            Some("the incarnation is out of range")
+        } else {
+            None
+        }
+    }
+}
+
+/// Whether a text is the `IP:port` of one host.
+fn is_address(text: &str) -> bool {
+    let Ok(address) = text.parse::<SocketAddr>() else {
+        return false;
+    };
+    let ip = address.ip();
+    address.port() > 0 && !ip.is_unspecified() && !ip.is_multicast()
+}
+
+impl Listing {
+    /// Decodes a list. Malformed entries are skipped, and the others are sorted by id.
+    ///
+    /// # Errors
+    ///
+    /// Fails if `text` is no list.
+    pub fn decode(text: &[u8]) -> Result<Self, serde_json::Error> {
+        let fields = json::Fields::new(text)?;
+        let mut listing = Self {
+            at: fields.get("at")?,
+            instances: Vec::new(),
+        };
+        for entry in json::elements(fields.text("instances").unwrap_or_default())? {
+            match decode_instance(entry) {
+                Ok(instance) => {
+                    malformed::forget(malformed::List::Instances, &instance.id);
+                    listing.instances.push(instance);
+                }
+                Err(e) => malformed::note(malformed::List::Instances, &entry_name(entry), &e),
+            }
+        }
+        listing.instances.sort_by(|a, b| a.id.cmp(&b.id));
+        Ok(listing)
+    }
+}
+
+fn decode_instance(entry: &[u8]) -> Result<Instance, serde_json::Error> {
+    let instance: Instance = serde_json::from_slice(entry)?;
+    match instance.fault() {
+        Some(fault) => Err(serde_json::Error::custom(fault)),
+        None => Ok(instance),
+    }
+}
+
+/// Id of a malformed entry; empty if it cannot be read.
+fn entry_name(entry: &[u8]) -> CompactString {
+    let id = json::Fields::new(entry).and_then(|fields| fields.get("id"));
+    id.unwrap_or_default()
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -29,6 +29,7 @@
 use serde_json::json;
 
 mod platform {
+    mod instances;
     mod registrations;
     mod reports;
     mod server;
