--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -30,6 +30,7 @@
 
 mod platform {
     mod instances;
+    mod permits;
     mod registrations;
     mod reports;
     mod server;
