--- a/src/cell/shell/catalog.rs
+++ b/src/cell/shell/catalog.rs
@@ -12,9 +12,12 @@
 };
 use tokio::time;
 
-use crate::platform::{
-    catalog,
-    store, //
+use crate::{
+    malformed,
+    platform::{
+        catalog,
+        store, //
+    },
 };
 
 use super::Shared;
@@ -97,10 +100,12 @@
     let fresh = match catalog::decode(value) {
         Ok(fresh) => fresh,
         Err(e) => {
+            malformed::note(malformed::List::Configuration, &record.key, &e);
             error!(kept = version(shared); "malformed configuration ignored: {e}");
             return;
         }
     };
+    malformed::forget(malformed::List::Configuration, &record.key);
     let before = version(shared);
     if shared.catalog.borrow().is_some() && fresh.version <= before {
         return;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -29,6 +29,7 @@
 use serde_json::json;
 
 mod platform {
+    mod configuration;
     mod instances;
     mod permits;
     mod registrations;
