fix(recovery): a stored record that no owner wrote is skipped

Cause: stored records were checked by their types alone. A stored job with tasks made each instance that began a term ask for 377 GB and end ("memory allocation of bytes failed"): the processes ended one after the other. Times near the maximum overflowed in the deadline and in the rank of a step. A worker's record under another name added a worker that no later registration could find, and one with an unusable address, or a start that no worker exceeds, added a worker to wait for. Unreadable records had a line each, without a bound. And the longest chain of steps was found by trying every path: a caller's job of 200 steps, each after all before it, kept the owner busy for good. Change: a stored job passes the checks of a submission, and a worker's record those of a registration, which move to the model. Sums of times saturate. The longest chains are found in one pass from the last step. Malformed records are counted. Conclusion: five of the new tests failed before: jobs that no caller could have submitted (aborted), largest times (overflow), two of worker records, and steps that depend on one another (ended after 20 s). Three were green: records that cannot be read, numbers of another type, progress out of range.

--- a/src/cell/engine/placement.rs
+++ b/src/cell/engine/placement.rs
@@ -73,11 +73,12 @@
     );
     let objective = match due {
         0 => job.deadline,
-        due => due + (job.deadline - job.accepted_at),
+        due => due.saturating_add(job.deadline - job.accepted_at),
     };
     let start = due.max(job.accepted_at);
-    let last = start + (objective - start) * LATE_FACTOR;
-    let finish = unix + rest;
+    let slack = objective.saturating_sub(start);
+    let last = start.saturating_add(slack.saturating_mul(LATE_FACTOR));
+    let finish = unix.saturating_add(rest);
     let class = match finish {
         finish if finish <= objective => ON_TIME,
         finish if finish <= last => LATE,
--- a/src/cell/engine/recovery.rs
+++ b/src/cell/engine/recovery.rs
@@ -2,29 +2,31 @@
 //! of the workers.
 
 use compact_str::CompactString;
-use log::{
-    info,
-    warn, //
-};
+use log::info;
+use serde::de::DeserializeOwned;
 
 use super::{
     Engine,
-    reports, //
+    reports,
+    submissions, //
 };
-use crate::cell::{
-    archive, //
-    cluster,
-    job::{
-        JobKey,
-        Occurrence,
-        StepKey,
-        WorkerKey, //
-    },
-    journal,
-    model::{
-        self,
-        State, //
+use crate::{
+    cell::{
+        archive, //
+        cluster,
+        job::{
+            JobKey,
+            Occurrence,
+            StepKey,
+            WorkerKey, //
+        },
+        journal,
+        model::{
+            self,
+            State, //
+        },
     },
+    malformed,
 };
 
 /// Longest time without a reply from the store in which the owner places tasks and renews leases,
@@ -39,9 +41,13 @@
 /// Added to the wait for workers that cannot be reached, in milliseconds.
 const RECONCILE_MARGIN_MS: u64 = 500;
 
+fn decode<T: DeserializeOwned>(value: &[u8]) -> Result<T, String> {
+    serde_json::from_slice(value).map_err(|e| e.to_string())
+}
+
 impl Engine {
-    /// Loads the stored records, oldest first; a record without a value deletes its key. Unreadable
-    /// records are logged and skipped.
+    /// Loads the stored records, oldest first; a record without a value deletes its key. Malformed
+    /// records are counted and skipped.
     pub fn load<'a>(
         &mut self,
         records: impl Iterator<Item = (&'a str, Option<&'a [u8]>)>,
@@ -64,20 +70,14 @@
                 continue;
             };
             let read = match kind {
-                journal::Kind::Accepted => {
-                    serde_json::from_slice(value).map(|a| self.load_job(id, a))
-                }
-                journal::Kind::Progress => {
-                    serde_json::from_slice(value).map(|p| progress.push((id.to_owned(), p)))
-                }
-                journal::Kind::Worker => serde_json::from_slice(value).map(|w| self.load_worker(w)),
-                journal::Kind::Segment => {
-                    serde_json::from_slice(value).map(|s| segments.push((key.into(), s)))
-                }
+                journal::Kind::Accepted => decode(value).and_then(|a| self.load_job(id, a)),
+                journal::Kind::Progress => decode(value).map(|p| progress.push((id.to_owned(), p))),
+                journal::Kind::Worker => decode(value).and_then(|w| self.load_worker(id, w)),
+                journal::Kind::Segment => decode(value).map(|s| segments.push((key.into(), s))),
             };
             if let Err(e) = read {
                 skipped += 1;
-                warn!(key; "stored record cannot be read; skipping it: {e}");
+                malformed::note(malformed::List::Records, key, &e);
             }
         }
         for (id, progress) in &progress {
@@ -112,12 +112,17 @@
     }
 
     /// Adds a worker that an earlier owner gave tasks to, whether or not it is registered now.
-    fn load_worker(&mut self, registration: model::Registration) {
+    fn load_worker(&mut self, id: &str, registration: model::Registration) -> Result<(), String> {
+        registration.check()?;
+        if registration.id != id {
+            return Err(format!("the record names worker {}", registration.id));
+        }
         let key = self.cluster.add_worker(registration.clone());
         let worker = &mut self.cluster.workers[key];
         worker.registered = false;
         worker.stored_registration = Some(registration);
         worker.record_batch = 0;
+        Ok(())
     }
 
     /// Records that the former owner sends no more commands: its process has exited or has learned
@@ -130,8 +135,9 @@
         }
     }
 
-    fn load_job(&mut self, id: &str, accepted: journal::Accepted) {
-        let mut job = super::submissions::new_job(
+    fn load_job(&mut self, id: &str, accepted: journal::Accepted) -> Result<(), String> {
+        submissions::validate(&accepted.submission)?;
+        let mut job = submissions::new_job(
             id,
             accepted.queue,
             accepted.submission,
@@ -142,6 +148,7 @@
         job.sent = true;
         job.inherited = true;
         self.insert_job(job);
+        Ok(())
     }
 
     /// Whether the store's last reply is so recent that no later owner can have begun long ago.
--- a/src/cell/engine/submissions.rs
+++ b/src/cell/engine/submissions.rs
@@ -152,12 +152,14 @@
         inherited: false,
     };
     let span = job.critical_path() as f64 * job.queue.stretch;
-    job.deadline = accepted_at + span as u64 + job.queue.target;
+    job.deadline = accepted_at
+        .saturating_add(span as u64)
+        .saturating_add(job.queue.target);
     job
 }
 
 /// Validates what the job format cannot express.
-fn validate(work: &model::Submission) -> Result<(), String> {
+pub(super) fn validate(work: &model::Submission) -> Result<(), String> {
     if work.steps.is_empty() {
         return Err("/steps: a job needs at least one step".to_owned());
     }
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -284,7 +284,8 @@
         if self.submission.occurrences == 0 {
             return 0;
         }
-        self.submission.first_due + u64::from(number) * self.submission.interval
+        let elapsed = u64::from(number).saturating_mul(self.submission.interval);
+        self.submission.first_due.saturating_add(elapsed)
     }
 
     /// Whether all tasks of all occurrences have succeeded.
@@ -298,18 +299,29 @@
     /// Estimated run time of the longest chain of steps that begins with `step`, in milliseconds.
     #[must_use]
     pub fn critical_path_from(&self, step: usize) -> u64 {
-        let steps = &self.submission.steps;
-        let own = steps.get(step).map_or(0, |s| s.estimate);
-        let next =
-            (step + 1..steps.len()).filter(|i| steps[*i].depends_on.contains(&(step as u32)));
-        own + next.map(|i| self.critical_path_from(i)).max().unwrap_or(0)
+        self.chains().get(step).copied().unwrap_or(0)
     }
 
     /// Estimated run time of the longest chain of steps in the job, in milliseconds.
     #[must_use]
     pub fn critical_path(&self) -> u64 {
-        let chains = (0..self.submission.steps.len()).map(|i| self.critical_path_from(i));
-        chains.max().unwrap_or(0)
+        self.chains().into_iter().max().unwrap_or(0)
+    }
+
+    /// Estimated run time of the longest chain from each step on, in milliseconds.
+    fn chains(&self) -> Vec<u64> {
+        let steps = &self.submission.steps;
+        let mut chains = vec![0_u64; steps.len()];
+        // Steps depend on earlier steps only.
+        for (i, step) in steps.iter().enumerate().rev() {
+            chains[i] = chains[i].saturating_add(step.estimate);
+            for before in step.depends_on.iter().map(|before| *before as usize) {
+                if before < i {
+                    chains[before] = chains[before].max(chains[i]);
+                }
+            }
+        }
+        chains
     }
 }
 
--- a/src/cell/journal.rs
+++ b/src/cell/journal.rs
@@ -15,10 +15,6 @@
     model, //
 };
 
-/// Maximum length of the name of a job, a segment or a worker, in bytes: with its prefix, the name
-/// fits into a key.
-pub const MAX_NAME_BYTES: usize = 254;
-
 /// Prefix of the keys of accepted jobs.
 const ACCEPTED_PREFIX: char = 'a';
 
--- a/src/cell/model.rs
+++ b/src/cell/model.rs
@@ -1,6 +1,12 @@
 //! Jobs, workers and configuration of the cell, as plain data without any wire format.
 
-use std::time::Duration;
+use std::{
+    net::{
+        Ipv4Addr,
+        SocketAddrV4, //
+    },
+    time::Duration, //
+};
 
 use compact_str::CompactString;
 use serde::{
@@ -177,6 +183,26 @@
     Draining,
 }
 
+/// Maximum length of the name of a job, a segment or a worker, in bytes: with its prefix, the name
+/// fits into a key of the store.
+const MAX_NAME_BYTES: usize = 254;
+
+/// Maximum amount of a resource of one worker, so that sums over all workers fit into 32 bits.
+const MAX_AMOUNT: u32 = 1 << 22;
+
+/// Latest time that counts as one, in milliseconds: the year 2100. A worker's incarnation or clock
+/// beyond it would never be exceeded.
+pub const MAX_TIME_MS: u64 = 4_102_444_800_000;
+
+/// Whether an address is the IPv4 address of one host with a port.
+fn is_host(address: &str) -> bool {
+    let Ok(address) = address.parse::<SocketAddrV4>() else {
+        return false;
+    };
+    let ip = *address.ip();
+    address.port() > 0 && !ip.is_unspecified() && !ip.is_multicast() && ip != Ipv4Addr::BROADCAST
+}
+
 /// Registration of a worker.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registration {
@@ -202,6 +228,34 @@
 }
 
 impl Registration {
+    /// Checks that the registration can be that of a worker.
+    ///
+    /// # Errors
+    ///
+    /// Returns what no worker has.
+    pub fn check(&self) -> Result<(), &'static str> {
+        let id = self.id.as_bytes();
+        let printable = id.iter().all(|b| b.is_ascii_graphic() && *b != b'/');
+        if id.is_empty() || id.len() > MAX_NAME_BYTES || !printable {
+            return Err("the key is not an id");
+        }
+        if !is_host(&self.address) {
+            return Err("the address is not IP:port of one host");
+        }
+        if self
+            .capacity
+            .parts()
+            .iter()
+            .any(|amount| *amount > MAX_AMOUNT)
+        {
+            return Err("the capacity is out of range");
+        }
+        if self.incarnation > MAX_TIME_MS {
+            return Err("the start is out of range");
+        }
+        Ok(())
+    }
+
     /// Rack of the worker: its last label.
     #[must_use]
     pub fn rack(&self) -> &str {
--- a/src/cell/shell/handler.rs
+++ b/src/cell/shell/handler.rs
@@ -70,8 +70,8 @@
 
 /// Returns the delay after which a rejected caller should retry, in seconds.
 fn retry_after(queue: &model::Queue, work: &model::Submission) -> u64 {
-    let longest: u64 = work.steps.iter().map(|step| step.estimate).sum();
-    let objective = (longest as f64 * queue.stretch) as u64 + queue.target;
+    let longest: f64 = work.steps.iter().map(|step| step.estimate as f64).sum();
+    let objective = ((longest * queue.stretch) as u64).saturating_add(queue.target);
     let (short, long) = STORE_RETRY_S;
     if objective < SLACK_MS { short } else { long }
 }
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -15,6 +15,7 @@
     mod recovery;
     mod rules;
     mod spread;
+    mod stored;
     mod superseded;
     mod waiting;
     #[expect(dead_code, reason = "the soak uses the rest")]
