--- a/src/cell/engine/recovery.rs
+++ b/src/cell/engine/recovery.rs
@@ -8,7 +8,8 @@
 use super::{
     Engine,
     reports,
-    submissions, //
+    submissions,
+    succession, //
 };
 use crate::{
     cell::{
@@ -29,17 +30,20 @@
     malformed,
 };
 
-/// Longest time without a reply from the store in which the owner places tasks and renews leases,
-/// in milliseconds. Outages of the store are shorter, and a successor waits this long for unknown
-/// runs.
+/// Longest time without proof of ownership in which the owner places tasks and renews leases, in
+/// milliseconds. Outages of the store are shorter, and a successor waits this long for unknown runs.
 const MAX_STORE_OUTAGE_MS: u64 = 6_000;
 
-/// Age of the store's last reply up to which no other instance can have owned the cell for long, in
+/// Age of the proof of ownership up to which no other instance can have owned the cell for long, in
 /// milliseconds: shorter than any change of owner.
-const STORE_FRESH_MS: u64 = 700;
+const FRESH_PROOF_MS: u64 = 700;
 
-/// Added to the wait for workers that cannot be reached, in milliseconds.
-const RECONCILE_MARGIN_MS: u64 = 500;
+/// Age of the proof of ownership at which an owner without changes to store obtains another one, in
+/// milliseconds: a third of the time in which it may command.
+const PROOF_INTERVAL_MS: u64 = MAX_STORE_OUTAGE_MS / 3;
+
+/// The same while workers wait for a command that requires a fresh proof.
+const SHORT_PROOF_INTERVAL_MS: u64 = FRESH_PROOF_MS / 2;
 
 fn decode<T: DeserializeOwned>(value: &[u8]) -> Result<T, String> {
     serde_json::from_slice(value).map_err(|e| e.to_string())
@@ -60,6 +64,7 @@
         newest.dedup_by_key(|(key, _)| *key);
         let mut progress: Vec<(String, journal::Progress)> = Vec::new();
         let mut segments: Vec<(CompactString, archive::Segment)> = Vec::new();
+        let mut owners: Vec<journal::Owner> = Vec::new();
         let mut skipped = 0_usize;
         for (key, value) in newest {
             let Some(value) = value else {
@@ -74,6 +79,12 @@
                 journal::Kind::Progress => decode(value).map(|p| progress.push((id.to_owned(), p))),
                 journal::Kind::Worker => decode(value).and_then(|w| self.load_worker(id, w)),
                 journal::Kind::Segment => decode(value).map(|s| segments.push((key.into(), s))),
+                journal::Kind::Owner => decode(value).map(|o| owners.push(o)),
+                journal::Kind::Segment => decode(value).map(|s| segments.push((key.into(), s))),
+                journal::Kind::Owner => {
+                    let owner = decode(value).and_then(|o| self.check_owner(id, o));
+                    owner.map(|owner| owners.push(owner))
+                }
             };
             if let Err(e) = read {
                 skipped += 1;
@@ -106,8 +117,10 @@
             }
             self.advance(key, now);
         }
+        self.succession.load(owners);
         self.cluster.reconciled = false;
-        self.reconcile_by = now + MAX_STORE_OUTAGE_MS + self.times.lease + RECONCILE_MARGIN_MS;
+        self.reconcile_by =
+            now + MAX_STORE_OUTAGE_MS + self.times.lease + succession::RECONCILE_MARGIN_MS;
         info!(open = self.jobs.len(), finished = self.archive.len(), skipped, term = self.term, token = self.token; "stored jobs loaded");
     }
 
@@ -125,16 +138,6 @@
         Ok(())
     }
 
-    /// Records that the former owner sends no more commands: its process has exited or has learned
-    /// of this term. The runs that it started end within one lease unless they are renewed.
-    pub fn former_owner_gone(&mut self, now: u64) {
-        let by = now + cluster::local_duration(self.times.lease) + RECONCILE_MARGIN_MS;
-        if !self.cluster.reconciled && by < self.reconcile_by {
-            info!(within = by - now; "former owner sends no more commands");
-            self.reconcile_by = by;
-        }
-    }
-
     fn load_job(&mut self, id: &str, accepted: journal::Accepted) -> Result<(), String> {
         submissions::validate(&accepted.submission)?;
         let mut job = submissions::new_job(
@@ -151,14 +154,32 @@
         Ok(())
     }
 
-    /// Whether the store's last reply is so recent that no later owner can have begun long ago.
-    pub(super) fn is_store_fresh(&self, now: u64) -> bool {
-        now <= self.last_store_answer + STORE_FRESH_MS
+    /// Records that the store has confirmed this term in reply to a call that was sent at local
+    /// time `sent`, in milliseconds. The reply may have been under way for any time: a later owner
+    /// can have begun as soon as the call was sent.
+    pub fn confirm_ownership(&mut self, sent: u64) {
+        self.proven_at = self.proven_at.max(sent);
+    }
+
+    /// Whether the store should be asked to confirm the term.
+    #[must_use]
+    pub fn needs_proof(&self, now: u64) -> bool {
+        let waiting = |w: &cluster::Worker| !w.fenced && !w.superseded;
+        let interval = match self.cluster.workers.values().any(waiting) {
+            true => SHORT_PROOF_INTERVAL_MS,
+            false => PROOF_INTERVAL_MS,
+        };
+        now > self.proven_at + interval
+    }
+
+    /// Whether the proof of ownership is so recent that no later owner can have begun long ago.
+    pub(super) fn has_fresh_proof(&self, now: u64) -> bool {
+        now <= self.proven_at + FRESH_PROOF_MS
     }
 
-    /// Whether tasks may be placed and leases renewed, by the age of the store's last reply.
+    /// Whether tasks may be placed and leases renewed, by the age of the proof of ownership.
     pub(super) fn may_command(&self, now: u64) -> bool {
-        now <= self.last_store_answer + MAX_STORE_OUTAGE_MS
+        now <= self.proven_at + MAX_STORE_OUTAGE_MS
     }
 
     /// Ends reconciliation, in which runs of earlier owners may be unknown, once every worker has
@@ -174,6 +195,7 @@
         }
         info!(workers = self.cluster.workers.len(), unanswered = count; "runs of earlier owners reconciled");
         self.cluster.reconciled = true;
+        self.settle();
         let removable: Vec<WorkerKey> = self.cluster.removable().collect();
         removable
             .into_iter()
--- a/tests/cell/stored.rs
+++ b/tests/cell/stored.rs
@@ -50,7 +50,7 @@
     stored.insert(0, (key.to_owned(), Some(value.to_vec())));
     let mut engine = Engine::new(2, 2, TIMES);
     engine.set_wall_clock(now, now);
-    engine.last_store_answer = u64::MAX / 2;
+    engine.proven_at = u64::MAX / 2;
     let records = stored.iter();
     engine.load(
         records.map(|(key, value)| (key.as_str(), value.as_deref())),
@@ -199,7 +199,7 @@
         let now = START + 1_000;
         let mut engine = Engine::new(2, 2, TIMES);
         engine.set_wall_clock(now, now);
-        engine.last_store_answer = u64::MAX / 2;
+        engine.proven_at = u64::MAX / 2;
         engine.load(
             stored
                 .iter()
