fix(recovery): only records of earlier terms tell which former owners are gone

Cause: the stored record of an owner was taken whatever its term. One under another key, or with this owner's term or a later one, could count as the settled predecessor: the wait for former owners ended after one lease although an earlier owner was not known to be gone. Change: the record's term is its name and precedes this term; others are malformed, counted and skipped. Conclusion: `a_record_of_a_later_owner_settles_nothing` failed before ("2 2": reconciled after 7 s).

--- a/src/cell/engine/recovery.rs
+++ b/src/cell/engine/recovery.rs
@@ -79,8 +79,6 @@
                 journal::Kind::Progress => decode(value).map(|p| progress.push((id.to_owned(), p))),
                 journal::Kind::Worker => decode(value).and_then(|w| self.load_worker(id, w)),
                 journal::Kind::Segment => decode(value).map(|s| segments.push((key.into(), s))),
-                journal::Kind::Owner => decode(value).map(|o| owners.push(o)),
-                journal::Kind::Segment => decode(value).map(|s| segments.push((key.into(), s))),
                 journal::Kind::Owner => {
                     let owner = decode(value).and_then(|o| self.check_owner(id, o));
                     owner.map(|owner| owners.push(owner))
@@ -138,6 +136,14 @@
         Ok(())
     }
 
+    /// Checks the record of a former owner, whose term is its name and precedes this term.
+    fn check_owner(&self, name: &str, owner: journal::Owner) -> Result<journal::Owner, String> {
+        if owner.term >= self.term || name.parse() != Ok(owner.term) {
+            return Err(format!("the record names term {}", owner.term));
+        }
+        Ok(owner)
+    }
+
     fn load_job(&mut self, id: &str, accepted: journal::Accepted) -> Result<(), String> {
         submissions::validate(&accepted.submission)?;
         let mut job = submissions::new_job(
--- a/tests/cell/stored.rs
+++ b/tests/cell/stored.rs
@@ -233,3 +233,23 @@
     assert_eq!(job.critical_path_from(199), 1_000);
     assert_eq!(job.critical_path_from(200), 0);
 }
+
+#[test]
+fn a_record_of_a_later_owner_settles_nothing() {
+    for (name, term) in [
+        ("2", "2"),
+        ("7", "7"),
+        ("18446744073709551615", "18446744073709551615"),
+        ("1", "7"),
+        ("x", "1"),
+    ] {
+        let value = format!(r#"{{"term":{term},"instance":"i9","settled":true}}"#);
+        let now = START + 1_000;
+        let mut engine = load_beside(&journal::key(Kind::Owner, name), value.as_bytes(), now);
+        engine.register(make::worker("w2", 1, 16_000));
+        engine.tick(now + 100);
+        engine.former_owner_gone("i9", now + 100);
+        engine.tick(now + 7_000);
+        assert!(!engine.is_reconciled(), "{name} {term}");
+    }
+}
