--- a/src/wire/list.rs
+++ b/src/wire/list.rs
@@ -83,10 +83,9 @@
 impl Instance {
     /// Returns what is wrong with the entry, beyond the types of its fields.
     fn fault(&self) -> Option<&'static str> {
-        let entry = self.role == Role::Entry;
         if ids::check(&self.id).is_err() {
             Some("the id is invalid")
-        } else if !is_address(&self.address) || entry && !is_address(&self.peer) {
+        } else if !is_address(&self.address) || !self.peer.is_empty() && !is_address(&self.peer) {
             Some("an address is not IP:port of one host")
         } else if self.incarnation.0 > MAX_INCARNATION {
             Some("the incarnation is out of range")
