fix(program): a value from outside cannot begin a log line of its own

Cause: fields of log lines were written as they are. A registration whose service held a line break wrote a whole line of its choice into the log of each owner ("2026-01-01T00:00:00.000Z FORGED born=1"). Change: a field with control characters is escaped. Evidence: `thousands_of_malformed_entries_stop_no_instance`, two processes that take over from each other beside 3,000 malformed registrations over seven pages of the stand-in's store, which now has pages. It failed before at the forged line alone; jobs complete, the lines are bounded and each entry is counted. `malformed_messages_of_instances_are_rejected` was green from the start, and red with another status in place of 400.

--- a/src/program.rs
+++ b/src/program.rs
@@ -192,12 +192,17 @@
     let _ = builder.try_init();
 }
 
-/// Writes the fields of a log event as ` key=value`.
+/// Writes the fields of a log event as ` key=value`. Control characters are escaped, since a value
+/// from outside could begin a line of its own.
 struct FieldWriter<'a, W: Write>(&'a mut W);
 
 impl<'kvs, W: Write> VisitSource<'kvs> for FieldWriter<'_, W> {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), kv::Error> {
-        write!(self.0, " {key}={value}")?;
+        let text = value.to_string();
+        match text.contains(char::is_control) {
+            true => write!(self.0, " {key}={}", text.escape_debug())?,
+            false => write!(self.0, " {key}={text}")?,
+        }
         Ok(())
     }
 }
--- a/tests/instances.rs
+++ b/tests/instances.rs
@@ -8,7 +8,7 @@
     #[expect(dead_code, reason = "the tests of the cell use the rest")]
     #[path = "../cell/make.rs"]
     mod make;
-    #[expect(dead_code, reason = "the soak uses the rest")]
+    mod malformed;
     mod processes;
     mod standin;
     mod startup;
--- a/tests/instances/processes.rs
+++ b/tests/instances/processes.rs
@@ -139,6 +139,20 @@
         child.try_wait().unwrap().is_some()
     }
 
+    /// Returns the lines that the process has logged so far.
+    pub(super) fn log(&self) -> String {
+        fs::read_to_string(self.settings.with_extension("log")).unwrap()
+    }
+
+    /// Returns the value of a metric, by its name and labels.
+    pub(super) fn metric(&self, name: &str) -> Option<u64> {
+        let (_, page) = exchange(self.peer, "GET", "/metrics", "")?;
+        let line = page
+            .lines()
+            .find_map(|l| l.strip_prefix(name)?.strip_prefix(' '))?;
+        line.parse().ok()
+    }
+
     pub(super) fn is_ready(&self) -> bool {
         exchange(self.ready, "GET", "/bamboolock/ready", "")
             .is_some_and(|(status, _)| status == 200)
--- a/tests/instances/standin.rs
+++ b/tests/instances/standin.rs
@@ -48,6 +48,9 @@
 /// Interval at which workers register.
 const HEARTBEAT: Duration = Duration::from_millis(300);
 
+/// Maximum number of items in a page of the newest records.
+const PAGE_ITEMS: usize = 500;
+
 /// Interval at which the state advances and polls are checked.
 const STEP: Duration = Duration::from_millis(5);
 
@@ -120,7 +123,7 @@
     }
 
     /// Appends a record; an empty value deletes the key.
-    fn append_record(&mut self, topic: &str, key: &str, value: &[u8]) {
+    pub(super) fn append_record(&mut self, topic: &str, key: &str, value: &[u8]) {
         let mut record = vec![key.len() as u8];
         record.extend(key.as_bytes());
         record.extend(value);
@@ -160,7 +163,7 @@
 
 fn decode_record(record: &[u8]) -> (String, Vec<u8>) {
     let len = usize::from(record[0]);
-    let key = String::from_utf8(record[1..=len].to_vec()).unwrap();
+    let key = String::from_utf8_lossy(&record[1..=len]).into_owned();
     (key, record[1 + len..].to_vec())
 }
 
@@ -369,11 +372,17 @@
         }
     }
     let encode = |value: &[u8]| base64::engine::general_purpose::STANDARD.encode(value);
-    let items: Vec<Value> = values
+    let after = query.get("depends_on");
+    let mut rest = values
         .iter()
+        .filter(|(k, _)| after.is_none_or(|after| *k > after));
+    let items: Vec<Value> = rest
+        .by_ref()
+        .take(PAGE_ITEMS)
         .map(|(k, v)| json!({"key": k, "value": encode(v), "offset": 0}))
         .collect();
-    HttpResponse::Ok().json(json!({"items": items, "truncated": false, "end": records.len()}))
+    let truncated = rest.next().is_some();
+    HttpResponse::Ok().json(json!({"items": items, "truncated": truncated, "end": records.len()}))
 }
 
 fn decode_task(text: &str) -> TaskName {
--- a/tests/instances/takeover.rs
+++ b/tests/instances/takeover.rs
@@ -105,7 +105,7 @@
         self.jobs.push(id);
     }
 
-    fn submit_for(&mut self, span: Duration) {
+    pub(super) fn submit_for(&mut self, span: Duration) {
         let began = Instant::now();
         while began.elapsed() < span {
             self.submit();
@@ -127,7 +127,7 @@
     }
 
     /// Waits until all jobs are reported as completed, and checks what the judge has recorded.
-    fn finish(&self) {
+    pub(super) fn finish(&self) {
         let front = |id: &str| {
             let answers = self
                 .instances
