test(ledger): entries of another writer advance the offset

Green from the start: an entry of the log that cannot be read is skipped with a finding. Seen red by leaving the offset at such an entry ("left: 1, right: 2").

--- a/tests/ledger/replay.rs
+++ b/tests/ledger/replay.rs
@@ -86,6 +86,36 @@
     }
 }
 
+#[test]
+fn entries_of_another_writer_advance_the_offset() {
+    let nested = "[".repeat(100_000) + &"]".repeat(100_000);
+    let by = r#""by":{"instance":"i","incarnation":1}"#;
+    let payloads = [
+        nested.clone(),
+        "1e400".to_owned(),
+        "\u{0}\u{fffd}".to_owned(),
+        format!(r#"{{"format":1,"id":"b",{by},"records":{nested}}}"#),
+        format!(r#"{{"format":1,"id":"b",{by},"records":[{nested}]}}"#),
+        format!(r#"{{"format":1e400,"id":"b",{by},"records":[]}}"#),
+        format!(r#"{{"format":-1,"id":"b",{by},"records":[]}}"#),
+        format!(r#"{{"format":1.5,"id":"b",{by},"records":[]}}"#),
+        format!(r#"{{"format":1,"id":"b b",{by},"records":[]}}"#),
+        format!(r#"{{"format":1,"id":"b",{by},"records":[1e400]}}"#),
+        format!(r#"{{"format":1,"id":"b",{by},"records":[7]}}"#),
+        batch("b", vec![part(u64::MAX, 0, u32::MAX, "x")]),
+        batch("b", vec![part(0, u32::MAX, u32::MAX, "x")]),
+        batch("b", vec![part(1, 0, 1, "no state")]),
+    ];
+    for payload in payloads {
+        let mut state = published();
+        state.apply(&entry(1, &payload));
+        assert_eq!(state.next().0, 2, "{payload:.60}");
+        assert!(state.complete(), "{payload:.60}");
+        let next = apply(&mut state, vec![change("c3", "checks", 1, body(3))]);
+        assert_matches!(verdict(&next[0]), Some((_, 2, true)), "{payload:.60}");
+    }
+}
+
 #[test]
 fn an_invalid_record_does_not_affect_the_rest_of_its_batch() {
     let mut state = State::new();
