--- a/src/cell/engine/registry.rs
+++ b/src/cell/engine/registry.rs
@@ -37,6 +37,9 @@
         if worker.registration.availability != registration.availability {
             info!(worker = registration.id.as_str(), standing:? = registration.availability; "worker availability changed");
         }
+        if worker.registration.address != registration.address {
+            worker.address_number += 1;
+        }
         worker.registered = true;
         worker.superseded = false;
         worker.registration = registration;
@@ -71,6 +74,9 @@
         }
         worker.stored_registration = Some(worker.registration.clone());
         worker.record_batch = u64::MAX;
+        // A batch deletes after it stores.
+        let record = journal::key(journal::Kind::Worker, &worker.registration.id);
+        self.dropped_keys.retain(|key| *key != record);
         if !self.unstored_workers.contains(&key) {
             self.unstored_workers.push(key);
         }
@@ -83,8 +89,7 @@
             return;
         };
         let known = self.cluster.reconciled || worker.fenced || worker.superseded;
-        let left = worker.registration.availability == model::Availability::Draining;
-        if !worker.is_removable() || worker.outcome_batch > self.durable_batch || !known && !left {
+        if !worker.is_removable() || worker.outcome_batch > self.durable_batch || !known {
             return;
         }
         if worker.stored_registration.is_some() {
--- a/tests/platform/reports.rs
+++ b/tests/platform/reports.rs
@@ -223,3 +223,12 @@
         );
     }
 }
+
+#[actix::test]
+async fn a_full_page_is_partial_although_its_ends_are_malformed() {
+    let row = |n: u32| format!(r#"[{n},"no task",1,"done",""]"#);
+    let ended = (1..=500).map(row).collect::<Vec<_>>().join(",");
+    assert!(report(&body("", &ended)).await.unwrap().partial);
+    let ended = (1..=499).map(row).collect::<Vec<_>>().join(",");
+    assert!(!report(&body("", &ended)).await.unwrap().partial);
+}
