--- a/src/cell/engine/recovery.rs
+++ b/src/cell/engine/recovery.rs
@@ -2,30 +2,32 @@
 //! of the workers.
 
 use compact_str::CompactString;
-use log::{
-    info,
-    warn, //
-};
+use log::info;
+use serde::de::DeserializeOwned;
 
 use super::{
     Engine,
     reports,
+    submissions,
     succession, //
 };
-use crate::cell::{
-    archive, //
-    cluster,
-    job::{
-        JobKey,
-        Occurrence,
-        StepKey,
-        WorkerKey, //
-    },
-    journal,
-    model::{
-        self,
-        State, //
+use crate::{
+    cell::{
+        archive, //
+        cluster,
+        job::{
+            JobKey,
+            Occurrence,
+            StepKey,
+            WorkerKey, //
+        },
+        journal,
+        model::{
+            self,
+            State, //
+        },
     },
+    malformed,
 };
 
 /// Longest time without proof of ownership in which the owner places tasks and renews leases, in
@@ -43,9 +45,13 @@
 /// The same while workers wait for a command that requires a fresh proof.
 const SHORT_PROOF_INTERVAL_MS: u64 = FRESH_PROOF_MS / 2;
 
+fn decode<T: DeserializeOwned>(value: &[u8]) -> Result<T, String> {
+    serde_json::from_slice(value).map_err(|e| e.to_string())
+}
+
 impl Engine {
-    /// Loads the stored records, oldest first; a record without a value deletes its key. Unreadable
-    /// records are logged and skipped.
+    /// Loads the stored records, oldest first; a record without a value deletes its key. Malformed
+    /// records are counted and skipped.
     pub fn load<'a>(
         &mut self,
         records: impl Iterator<Item = (&'a str, Option<&'a [u8]>)>,
@@ -69,21 +75,18 @@
                 continue;
             };
             let read = match kind {
-                journal::Kind::Accepted => {
-                    serde_json::from_slice(value).map(|a| self.load_job(id, a))
-                }
-                journal::Kind::Progress => {
-                    serde_json::from_slice(value).map(|p| progress.push((id.to_owned(), p)))
-                }
-                journal::Kind::Worker => serde_json::from_slice(value).map(|w| self.load_worker(w)),
-                journal::Kind::Owner => serde_json::from_slice(value).map(|o| owners.push(o)),
-                journal::Kind::Segment => {
-                    serde_json::from_slice(value).map(|s| segments.push((key.into(), s)))
+                journal::Kind::Accepted => decode(value).and_then(|a| self.load_job(id, a)),
+                journal::Kind::Progress => decode(value).map(|p| progress.push((id.to_owned(), p))),
+                journal::Kind::Worker => decode(value).and_then(|w| self.load_worker(id, w)),
+                journal::Kind::Segment => decode(value).map(|s| segments.push((key.into(), s))),
+                journal::Kind::Owner => {
+                    let owner = decode(value).and_then(|o| self.check_owner(id, o));
+                    owner.map(|owner| owners.push(owner))
                 }
             };
             if let Err(e) = read {
                 skipped += 1;
-                warn!(key; "stored record cannot be read; skipping it: {e}");
+                malformed::note(malformed::List::Records, key, &e);
             }
         }
         for (id, progress) in &progress {
@@ -120,16 +123,30 @@
     }
 
     /// Adds a worker that an earlier owner gave tasks to, whether or not it is registered now.
-    fn load_worker(&mut self, registration: model::Registration) {
+    fn load_worker(&mut self, id: &str, registration: model::Registration) -> Result<(), String> {
+        registration.check()?;
+        if registration.id != id {
+            return Err(format!("the record names worker {}", registration.id));
+        }
         let key = self.cluster.add_worker(registration.clone());
         let worker = &mut self.cluster.workers[key];
         worker.registered = false;
         worker.stored_registration = Some(registration);
         worker.record_batch = 0;
+        Ok(())
+    }
+
+    /// Checks the record of a former owner, whose term is its name and precedes this term.
+    fn check_owner(&self, name: &str, owner: journal::Owner) -> Result<journal::Owner, String> {
+        if owner.term >= self.term || name.parse() != Ok(owner.term) {
+            return Err(format!("the record names term {}", owner.term));
+        }
+        Ok(owner)
     }
 
-    fn load_job(&mut self, id: &str, accepted: journal::Accepted) {
-        let mut job = super::submissions::new_job(
+    fn load_job(&mut self, id: &str, accepted: journal::Accepted) -> Result<(), String> {
+        submissions::validate(&accepted.submission)?;
+        let mut job = submissions::new_job(
             id,
             accepted.queue,
             accepted.submission,
@@ -140,6 +157,7 @@
         job.sent = true;
         job.inherited = true;
         self.insert_job(job);
+        Ok(())
     }
 
     /// Records that the store has confirmed this term in reply to a call that was sent at local
--- a/src/cell/shell/metrics.rs
+++ b/src/cell/shell/metrics.rs
@@ -25,6 +25,10 @@
 
 use crate::{
     cell::engine::losses::Loss,
+    malformed::{
+        self,
+        List, //
+    },
     program, //
 };
 
@@ -37,6 +41,16 @@
 /// Number of buckets; each bound is twice the one before, up to about a minute.
 const BUCKETS: u16 = 17;
 
+/// Lists that an instance of the cell reads.
+const LISTS: [List; 6] = [
+    List::Registrations,
+    List::Records,
+    List::Items,
+    List::Reports,
+    List::Permits,
+    List::Configuration,
+];
+
 /// Labels of the responses to callers.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct AnswerLabels {
@@ -169,6 +183,11 @@
             "Log lines dropped because of a slow reader",
             program::dropped_lines(),
         );
+        registry.register(
+            "malformed_entries",
+            "Malformed entries ignored, by list",
+            malformed::counts(&LISTS),
+        );
     }
 
     /// Records a response to a caller.
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -10,10 +10,12 @@
     mod journal;
     mod load;
     mod make;
+    mod malformed;
     mod proxies;
     mod recovery;
     mod rules;
     mod spread;
+    mod stored;
     mod superseded;
     mod twice;
     mod waiting;
