fix(cell): a term that the store has seen before is not begun again

Cause: an owner record that cannot be read counted as none, so the next claim was for term 1, or for the next ones after it. A term equal to the former owner's was answered with the expected sequence number, which counted as success: two owners acted in the same term with the same fencing token, and neither the store nor a worker could tell them apart. Ruled out: a repeat of this instance's own call, which receives its first answer; after any other failure it claims a later term. Change: the term fails to begin, and the next claim is for a later one. Conclusion: `a_malformed_owner_record_does_not_repeat_a_term` failed before ("term 1 after term 1"). Left: several claims until the terms are above the former owner's; a highest known term would spare them.

--- a/src/cell/shell/owner.rs
+++ b/src/cell/shell/owner.rs
@@ -135,20 +135,16 @@
         let began = shared.now();
         let fence = store::Condition::Epoch(term, 0);
         let fenced_at = shared.now();
-        let mut sequence = 0;
-        match store::append(
+        // A term that the store has seen before is that of another owner, who may still act in it.
+        store::append(
             &shared.store,
             store::JOBS,
             fence,
             bytes::Bytes::new(),
             LOAD_TIMEOUT,
         )
-        .await
-        {
-            Ok(()) => sequence = 1,
-            Err(store::Error::WrongSequence(expected)) => sequence = expected.unwrap_or(sequence),
-            Err(e) => return Err(e),
-        }
+        .await?;
+        let sequence = 1;
         let Preloaded { jobs, workers } = preloaded;
         let jobs = catch_up(shared, jobs).await?;
         let cfg = &shared.settings;
--- a/tests/instances/malformed.rs
+++ b/tests/instances/malformed.rs
@@ -152,3 +152,28 @@
     cell.finish();
     assert!(cell.instances.iter_mut().all(|i| !i.has_ended()));
 }
+
+#[test]
+fn a_malformed_owner_record_does_not_repeat_a_term() {
+    let mut cell = Cell::start(3);
+    cell.submit_for(Duration::from_millis(1_000));
+    let first = cell.owner();
+    let term = |cell: &Cell| {
+        let record = cell.platform.lock().unwrap().newest("keyed.owner", "owner");
+        let record: Option<serde_json::Value> = serde_json::from_slice(&record.unwrap()).ok();
+        record.and_then(|r| r["term"].as_u64())
+    };
+    let before = term(&cell).unwrap();
+    {
+        let mut state = cell.platform.lock().unwrap();
+        state.append_record("keyed.owner", "owner", b"no JSON");
+    }
+    cell.instances[first].signal("STOP");
+    takeover::wait_until("another instance claims", || term(&cell).is_some());
+    cell.submit_for(Duration::from_millis(2_000));
+    let after = term(&cell).unwrap();
+    assert!(after > before, "term {after} after term {before}");
+    cell.instances[first].signal("CONT");
+    cell.submit_for(Duration::from_millis(1_000));
+    cell.finish();
+}
