fix(entry): a state that skipped entries of a newer release claims nothing

Callers would see: during an upgrade to a release with a newer record format, a task or a non-idempotent request with a key run twice. No release has raised the format yet.

Cause: an instance of the older release skips entries of the newer format.

Change: with an incomplete state, an instance plans nothing, carries out no commands of the planner (outcomes and deletions follow from the same state), and refuses jobs and non-idempotent requests with a key as not run, to be retried elsewhere. Tasks that run go on: their leases are renewed as before.

Conclusion: of the class "a successor that knows less than its predecessor relied on".

--- a/src/entry/idempotency.rs
+++ b/src/entry/idempotency.rs
@@ -76,6 +76,9 @@
     let Some(key) = required_key(incoming) else {
         return Ok(Claim::NotRequired);
     };
+    if !app.ledger.is_complete() {
+        return Err(refusal::outdated());
+    }
     // The holder must be this request alone; the id that a caller chose could be used more than
     // once.
     let holder: RequestId = app.unique_id().parse().map_err(|_| refusal::draining())?;
--- a/src/entry/refusal.rs
+++ b/src/entry/refusal.rs
@@ -62,6 +62,13 @@
     retry_later(Code::LogUnavailable, message, RETRY_SOON_MS)
 }
 
+/// Returns the refusal of an instance whose log holds records of a newer release.
+#[must_use]
+pub fn outdated() -> Refusal {
+    let message = "the log holds records of a newer release; ask an instance of that one";
+    retry_later(Code::LogUnavailable, message, RETRY_SOON_MS)
+}
+
 /// Returns a refusal of malformed input with a single finding.
 #[must_use]
 pub fn invalid_field(place: &str, problem: String) -> Refusal {
--- a/src/entry/scheduler/jobs.rs
+++ b/src/entry/scheduler/jobs.rs
@@ -251,6 +251,9 @@
         if !self.ledger.is_caught_up() {
             return Err(refusal::starting());
         }
+        if !self.ledger.is_complete() {
+            return Err(refusal::outdated());
+        }
         let Submit { run, job } = submit;
         let active = self.active_profile(&job.profile)?;
         let profile = &active.profile;
@@ -323,7 +326,7 @@
 
     /// Runs one round of planning and appends its claims to the log.
     pub(super) fn plan_round(&mut self, ctx: &mut Context<Self>) {
-        if self.draining || !self.ledger.is_caught_up() {
+        if self.draining || !self.ledger.is_caught_up() || !self.ledger.is_complete() {
             return;
         }
         let now = self.now();
@@ -353,8 +356,11 @@
         });
     }
 
-    /// Executes the commands of the planner.
+    /// Executes the commands of the planner, unless they follow from an incomplete state.
     pub(super) fn execute(&mut self, commands: Vec<Command>, ctx: &mut Context<Self>) {
+        if !self.ledger.is_complete() {
+            return;
+        }
         for command in commands {
             match command {
                 Command::Start {
--- a/src/ledger/replica.rs
+++ b/src/ledger/replica.rs
@@ -91,6 +91,13 @@
         self.caught_up.load(Ordering::Acquire)
     }
 
+    /// Whether this release supports every entry that the replica has applied. Otherwise, a skipped
+    /// entry may have claimed a task or a key, and the state must not be used for claims.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.read(State::complete)
+    }
+
     /// Calls a function with the state under the read lock. The function must be short, because it
     /// blocks the application of entries.
     pub fn read<T>(&self, look: impl FnOnce(&State) -> T) -> T {
--- a/tests/process/cell.rs
+++ b/tests/process/cell.rs
@@ -220,6 +220,12 @@
         statuses
     }
 
+    /// Returns the log offset up to which each instance has read.
+    pub(crate) async fn next_offsets(&self) -> Vec<u64> {
+        let statuses = self.statuses().await;
+        statuses.iter().filter_map(|s| s["next"].as_u64()).collect()
+    }
+
     /// Waits until a condition holds; panics after [`TIMEOUT`].
     pub(crate) async fn wait_until(&self, what: &str, mut holds: impl AsyncFnMut() -> bool) {
         let start = Instant::now();
@@ -244,8 +250,13 @@
             "body": body, "operator": "test"});
         let by = json!({"instance": "test", "incarnation": 1});
         let batch = json!({"format": 1, "id": change, "by": by, "records": [record]});
+        self.append(&batch).await;
+    }
+
+    /// Appends an entry to the log.
+    pub(crate) async fn append(&self, entry: &Value) {
         let append = Append {
-            payload: batch.to_string(),
+            payload: entry.to_string(),
         };
         let url = format!("http://{}/v1/log/append", self.standin.platform);
         let answer = client().post(url).send_json(&append).await.unwrap();
--- a/tests/process/jobs.rs
+++ b/tests/process/jobs.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bamboolock::{
+    ledger::record,
     standin::command::{
         Command,
         Select, //
@@ -116,3 +117,27 @@
         "{body}"
     );
 }
+
+#[actix_web::test]
+async fn an_instance_that_skipped_entries_of_a_newer_release_starts_no_tasks() {
+    let cell = Cell::start(cell::ONE_ZONE).await;
+    cell.append(&json!({"format": record::FORMAT + 1})).await;
+    let id = "job-of-another-instance";
+    let accepted = json!({"type": "accepted", "run": id, "profile": "run", "version": 1,
+        "zone": cell::ONE_ZONE[0].name, "tasks": 4, "demand": {"slots": 1}, "estimate": 100,
+        "deadline": 60_000, "key": null, "payload": {"run_ms": 100}});
+    let by = json!({"instance": "test", "incarnation": 1});
+    let batch = json!({"format": record::FORMAT, "id": "b1", "by": by, "records": [accepted]});
+    cell.append(&batch).await;
+    cell.wait_until("the job is known", async || {
+        cell.job_status(id).await.is_some()
+    })
+    .await;
+    sleep(Duration::from_secs(1)).await;
+    // A skipped entry may have claimed the tasks.
+    assert_eq!(cell.verdict().counters.starts, 0);
+    let url = format!("http://{}/v1/jobs", cell.instances[0].address);
+    let job = json!({"profile": "run", "tasks": 1});
+    let answer = client().post(url).send_json(&job).await.unwrap();
+    assert_eq!(answer.status(), 503);
+}
--- a/tests/process/requests.rs
+++ b/tests/process/requests.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
-use bamboolock::standin::command::{
-    Command,
-    Select, //
+use bamboolock::{
+    ledger::record,
+    standin::command::{
+        Command,
+        Select, //
+    }, //
 };
 use serde_json::json;
 use tokio::time::{
@@ -64,6 +67,26 @@
     assert_eq!(cell.verdict().counters.nonidempotent, 1);
 }
 
+#[actix_web::test]
+async fn an_idempotency_key_that_a_skipped_entry_may_hold_is_not_claimed() {
+    let cell = Cell::start(cell::ONE_ZONE).await;
+    let offset = cell.next_offsets().await;
+    cell.append(&json!({"format": record::FORMAT + 1})).await;
+    cell.wait_until("the entry is read", async || {
+        cell.next_offsets()
+            .await
+            .iter()
+            .zip(&offset)
+            .all(|(new, old)| new > old)
+    })
+    .await;
+    let body = json!({"mark": "parcel"});
+    let sent = load::send_once(cell.instances[0].address, "once", Some("parcel"), &body).await;
+    let (not_run, reason) = sent.unwrap_err();
+    assert!(not_run, "{reason}");
+    assert_eq!(cell.verdict().counters.nonidempotent, 0);
+}
+
 #[actix_web::test]
 async fn stalled_connections_are_replaced_without_failing_requests() {
     let cell = Cell::start(cell::ONE_ZONE).await;
