--- a/tests/instances/former_owner.rs
+++ b/tests/instances/former_owner.rs
@@ -100,3 +100,22 @@
     thread::sleep(SUCCESSOR_WAIT);
     assert_ran_once(&cell);
 }
+
+#[test]
+fn a_former_owner_does_not_deny_a_job_that_its_successor_accepted() {
+    let (cell, former) = replaced_owner();
+    let next = cell.owner();
+    let id = "000000000000f0f1";
+    let body = json!({"spec": "x", "steps": [{"count": 1, "cpu": 1_000, "mem_mb": 64, "estimated_ms": 300}]});
+    let path = format!("/q/{id}");
+    let submitted =
+        processes::exchange(cell.instances[next].front, "POST", &path, &body.to_string());
+    assert_eq!(submitted.map(|(status, _)| status), Some(200));
+    cell.platform.lock().unwrap().silent_epoch = 1;
+    cell.instances[former].signal("CONT");
+    for _ in 0..20 {
+        let answer = processes::exchange(cell.instances[former].front, "GET", &path, "");
+        assert_ne!(answer.map(|(status, _)| status), Some(410));
+        thread::sleep(Duration::from_millis(100));
+    }
+}
