--- a/tests/cell/twice.rs
+++ b/tests/cell/twice.rs
@@ -455,3 +455,21 @@
         "the new incarnation has not seen the token and would never get a task"
     );
 }
+
+#[test]
+fn a_late_copy_of_a_start_may_reach_the_next_incarnation_of_its_worker() {
+    let (mut engine, run) = placed();
+    let worker = engine.cluster.find_worker("w1").unwrap();
+    engine.start_command(run, START).unwrap();
+    engine.start_answered(run, Err(SendError::Unknown), START + 350);
+    engine.start_command(run, START + 400).unwrap();
+    engine.start_answered(run, reply(Verdict::Accepted, 910), START + 410);
+    // The worker restarts; its clock starts anew, so that the first copy is valid there.
+    make::answer(&mut engine, worker, make::report(2, 50), START + 1_600);
+    assert_eq!(make::starts(&mut engine, START + 1_610), []);
+    engine.tick(START + 1_650);
+    assert!(engine.stop_command(run, START + 1_650).is_some());
+    engine.stop_answered(run, reply(Verdict::Accepted, 110), START + 1_660);
+    make::answer(&mut engine, worker, make::report(2, 200), START + 1_900);
+    assert_eq!(make::starts(&mut engine, START + 1_910).len(), 1);
+}
