--- a/tests/cell/twice.rs
+++ b/tests/cell/twice.rs
@@ -473,3 +473,25 @@
     make::answer(&mut engine, worker, make::report(2, 200), START + 1_900);
     assert_eq!(make::starts(&mut engine, START + 1_910).len(), 1);
 }
+
+#[test]
+fn an_acknowledgement_for_a_former_incarnation_does_not_count_for_the_next_one() {
+    let (mut engine, run) = placed();
+    make::accept(&mut engine, &[run], START);
+    let worker = engine.cluster.find_worker("w1").unwrap();
+    let mut report = make::report(1, 900);
+    report.ended = vec![make::end(5, make::task(JOB, 0, 0), 1, Outcome::Done)];
+    make::answer(&mut engine, worker, report, START + 400);
+    make::store(&mut engine, START + 450);
+    let poll = engine.poll_command(worker, START + 500).unwrap();
+    assert_eq!(poll.acked, 5);
+    // The poll was held up until the worker had restarted.
+    let mut report = make::report(2, 50);
+    report.ended = vec![make::end(1, make::task(JOB, 0, 1), 1, Outcome::Done)];
+    engine.apply_report(worker, poll.sent_at, poll.acked, &report, START + 1_900);
+    let state = &engine.cluster.workers[worker];
+    assert!(
+        state.is_poll_due(engine.durable_batch, START + 2_200),
+        "the end is never acknowledged"
+    );
+}
