fix(cell): each claim has a higher term, whether or not the record can be read

Callers saw: nothing yet; two owners with one fencing token in a test that overwrites the owner's record.

Cause: an unreadable record of the owner made the next claim use term 1. The store and the workers accept a term that another owner holds.

Change: the term is above the number of records of the topic, to which each claim adds one; the condition of the claim is that number.

Conclusion: terms rise even where the record cannot be read.

--- a/src/cell/shell/claim.rs
+++ b/src/cell/shell/claim.rs
@@ -43,7 +43,9 @@
         let ownership = shared.ownership.borrow();
         (ownership.owner.clone(), ownership.end, ownership.word)
     };
-    let mine = owner_record(shared, before.as_ref().map_or(0, |o| o.term) + 1);
+    // Each claim adds a record, so that the term rises even if the former record cannot be read.
+    let last = before.as_ref().map_or(0, |o| o.term).max(end);
+    let mine = owner_record(shared, last.saturating_add(1));
     let (jobs, granted) = if word == OwnerStatus::StepsDown {
         let jobs = owner::Preloaded::read(shared).await;
         if let Err(e) = &jobs {
