fix(cell): a repeated start is recalled when its worker restarts, also if confirmed

Cause: a confirmed run ends at once when its worker answers as a new incarnation. If a copy of its start command had no answer, that copy may reach the new incarnation, whose clock starts anew, so that the copy is valid there.

Evidence: twice::a_late_copy_of_a_start_may_reach_the_next_incarnation_of_its_worker. Whether the platform hands such a copy on is open (question 1 in docs/design/platform.md).

Change: such a run is stopped at the new incarnation before its task restarts, like one that was not confirmed.

--- a/src/cell/cluster.rs
+++ b/src/cell/cluster.rs
@@ -76,6 +76,8 @@
     pub retry_after: u64,
     /// Whether a command about the run is in flight.
     pub in_flight: bool,
+    /// Whether a start command was not answered: a copy may still be under way.
+    pub repeated: bool,
     /// Number of the worker's address to which the last command was sent.
     pub sent_to: u32,
 }
--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -429,6 +429,7 @@
             stopping: false,
             retry_after: 0,
             in_flight: false,
+            repeated: false,
             sent_to: 0,
         });
         if let Some(state) = job.task_mut(task) {
--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -198,6 +198,7 @@
             Err(_) => {
                 let run = &mut self.cluster.runs[key];
                 run.state = RunState::Unanswered;
+                run.repeated = true;
                 run.retry_after = now + RETRY_DELAY_MS;
                 warn!(job = run.name.job.as_str(), step = run.name.step, task = run.name.index, run = run.number,
                     age = now - run.ordered_at; "start command not answered");
--- a/src/cell/engine/registry.rs
+++ b/src/cell/engine/registry.rs
@@ -110,6 +110,7 @@
     fn recall_run(&mut self, key: RunKey, now: u64) {
         self.require_proof(key, now);
         let run = &mut self.cluster.runs[key];
+        run.state = RunState::Unanswered;
         run.stopping = true;
         run.retry_after = now;
         self.actions.push(Action::Stop(key));
@@ -139,10 +140,13 @@
         worker.suspended_until = 0;
         let runs = worker.runs.clone();
         for key in runs {
-            match self.cluster.runs[key].state {
-                RunState::Confirmed(at) if at < sent => self.lose_run(key, Loss::Restarted, now),
-                RunState::Confirmed(_) => {}
-                RunState::Sent | RunState::Unanswered => self.recall_run(key, now),
+            let run = &self.cluster.runs[key];
+            match run.state {
+                RunState::Confirmed(at) if at < sent && !run.repeated => {
+                    self.lose_run(key, Loss::Restarted, now);
+                }
+                RunState::Confirmed(at) if at >= sent => {}
+                _ => self.recall_run(key, now),
             }
         }
         self.pass_needed = true;
--- a/src/cell/engine/reports.rs
+++ b/src/cell/engine/reports.rs
@@ -251,6 +251,7 @@
             stopping: task.is_none(),
             retry_after: 0,
             in_flight: false,
+            repeated: false,
             sent_to: 0,
         });
         let Some(task) = task else {
