fix(cell): the success of a run that no task waits for counts

Cause: a run that is found on a worker while another run of its task is active is tracked without a task and stopped. If it succeeded before the stop, its end was acknowledged to the worker and had no effect; the task went on, and the next owner started it again after an end that had been taken note of.

Change: the end of a run without a task is applied to the task by its name, as for a run that is not tracked. The end of a task that has succeeded changes nothing.

Conclusion: an outcome that is acknowledged always has its effect stored.

--- a/src/cell/engine/reports.rs
+++ b/src/cell/engine/reports.rs
@@ -117,8 +117,14 @@
     /// Applies one ended run from a report.
     fn apply_end(&mut self, worker: WorkerKey, end: &model::EndedRun, now: u64) {
         self.cluster.workers[worker].last_outcome = end.number;
-        match self.cluster.find_run(worker, &end.task, end.run) {
-            Some(run) => self.end_run(run, end.outcome, &end.checkpoint, now),
+        let run = self.cluster.find_run(worker, &end.task, end.run);
+        match run.map(|key| (key, self.cluster.runs[key].task)) {
+            Some((key, Some(_))) => self.end_run(key, end.outcome, &end.checkpoint, now),
+            Some((key, None)) => {
+                // No task waits for the run, but its outcome is acknowledged and must count.
+                self.end_run(key, end.outcome, &end.checkpoint, now);
+                self.apply_untracked_end(worker, end, now);
+            }
             None => self.apply_untracked_end(worker, end, now),
         }
     }
@@ -137,6 +143,9 @@
             return;
         };
         state.last_run = state.last_run.max(end.run);
+        if state.phase == Phase::Done {
+            return;
+        }
         let live = matches!(state.phase, Phase::Active(_));
         info!(job = end.task.job.as_str(), step = end.task.step, task = end.task.index, run = end.run,
             worker = self.cluster.workers[worker].registration.id.as_str(), how:? = end.outcome; "untracked run ended");
--- a/tests/cell/twice.rs
+++ b/tests/cell/twice.rs
@@ -518,3 +518,23 @@
         "the end is never acknowledged"
     );
 }
+
+#[test]
+fn the_success_of_a_superfluous_run_counts() {
+    let (mut engine, run) = placed();
+    make::accept(&mut engine, &[run], START);
+    let other = engine.cluster.find_worker("w2").unwrap();
+    // An earlier run that counted as lost is still active elsewhere, and succeeds before it is stopped.
+    let mut report = make::report(1, 900);
+    report.running = vec![make::live(JOB, 0, 0, 9)];
+    engine.apply_report(other, START + 100, 0, &report, START + 120);
+    let mut report = make::report(1, 1_000);
+    report.ended = vec![make::end(1, make::task(JOB, 0, 0), 9, Outcome::Done)];
+    engine.apply_report(other, START + 200, 0, &report, START + 220);
+    make::store(&mut engine, START + 230);
+    assert_eq!(
+        engine.visible_state(JOB),
+        Some(bamboolock::cell::model::State::Completed),
+        "its outcome is acknowledged, so that the task must not start again"
+    );
+}
