fix(cell): an owner proves its term before it denies a job or shows an old state

Cause: reads and cancellations were answered from the owner's own state without a look at its proof of ownership. An owner that is paused and replaced answers what waits in its sockets before it learns of its successor.

Evidence: former_owner::a_former_owner_does_not_deny_a_job_that_its_successor_accepted (410), found in review.

While the store is away, known states are still shown, and an unknown job is "not known" instead of gone.

--- a/src/cell/engine/recovery.rs
+++ b/src/cell/engine/recovery.rs
@@ -170,6 +170,11 @@
         self.proven_at = self.proven_at.max(sent);
     }
 
+    /// Asks for a proof of ownership after local time `now`, in milliseconds.
+    pub fn request_proof(&mut self, now: u64) {
+        self.proof_from = self.proof_from.max(now);
+    }
+
     /// Whether the store should be asked to confirm the term.
     #[must_use]
     pub fn needs_proof(&self, now: u64) -> bool {
@@ -182,12 +187,14 @@
     }
 
     /// Whether the proof of ownership is so recent that no later owner can have begun long ago.
-    pub(super) fn has_fresh_proof(&self, now: u64) -> bool {
+    #[must_use]
+    pub fn has_fresh_proof(&self, now: u64) -> bool {
         now <= self.proven_at + FRESH_PROOF_MS
     }
 
     /// Whether tasks may be placed and leases renewed, by the age of the proof of ownership.
-    pub(super) fn may_command(&self, now: u64) -> bool {
+    #[must_use]
+    pub fn may_command(&self, now: u64) -> bool {
         now <= self.proven_at + MAX_STORE_OUTAGE_MS
     }
 
--- a/src/cell/shell/handler.rs
+++ b/src/cell/shell/handler.rs
@@ -39,6 +39,12 @@
 /// Interval at which the store's reachability is checked while a job waits to be stored.
 const STORE_POLL: Duration = Duration::from_millis(150);
 
+/// Longest wait for a proof of ownership: an append and its first repetition.
+const PROOF_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Interval at which the proof of ownership is checked while a caller waits for it.
+const PROOF_POLL: Duration = Duration::from_millis(5);
+
 /// Handles a caller's request.
 pub async fn handle(owner: &Rc<Owner>, request: Request) -> Outcome {
     if owner.is_over() {
@@ -51,16 +57,13 @@
             work,
             timeout,
         } => submit(owner, &id, *queue, *work, timeout).await,
-        Request::State { id } => match owner.engine.borrow().visible_state(&id) {
-            Some(state) => Outcome::State(state),
-            None => Outcome::Gone,
-        },
+        Request::State { id } => state(owner, &id).await,
         Request::Cancel { id, timeout } => {
             let now = owner.now();
             let batch = owner.engine.borrow_mut().cancel(&id, now);
             owner.run_actions();
             let Some(batch) = batch else {
-                return Outcome::Gone;
+                return gone(owner).await;
             };
             wait_durable(owner, batch, timeout).await
         }
@@ -68,6 +71,49 @@
     }
 }
 
+/// Returns the state of a job. Another owner may have moved it on unless ownership is proven.
+async fn state(owner: &Rc<Owner>, id: &str) -> Outcome {
+    let state = owner.engine.borrow().visible_state(id);
+    let Some(state) = state else {
+        return gone(owner).await;
+    };
+    if state.is_final() || owner.engine.borrow().has_fresh_proof(owner.now()) {
+        return Outcome::State(state);
+    }
+    // While the store is away, the state is as good as the right to command.
+    if confirm(owner).await || !owner.is_over() && owner.engine.borrow().may_command(owner.now()) {
+        return Outcome::State(state);
+    }
+    Outcome::Elsewhere
+}
+
+/// Returns that a job does not exist once ownership is proven, since another owner may have accepted
+/// it.
+async fn gone(owner: &Rc<Owner>) -> Outcome {
+    match confirm(owner).await {
+        true => Outcome::Gone,
+        false if owner.is_over() => Outcome::Elsewhere,
+        false => Outcome::Unknown,
+    }
+}
+
+/// Waits until the store has confirmed the term after now; returns whether it has in time.
+async fn confirm(owner: &Rc<Owner>) -> bool {
+    let since = owner.now();
+    owner.engine.borrow_mut().request_proof(since);
+    owner.commit.notify_one();
+    let proven = async {
+        while owner.engine.borrow().proven_at < since {
+            time::sleep(PROOF_POLL).await;
+        }
+    };
+    tokio::select! {
+        () = proven => true,
+        () = owner.ended() => false,
+        () = time::sleep(PROOF_TIMEOUT) => false,
+    }
+}
+
 /// Returns the delay after which a rejected caller should retry, in seconds.
 fn retry_after(queue: &model::Queue, work: &model::Submission) -> u64 {
     let longest: f64 = work.steps.iter().map(|step| step.estimate as f64).sum();
