test(instances): a port is not probed while a process starts

Cause: tests timed out waiting until all instances are ready: "cannot listen on 127.0.0.1:24137: Address already in use". The port had been probed by the same process: a child that another thread starts at that moment shares the listener of the probe until it has replaced its program. With 12 tests in parallel it showed once in four runs of the file (two tests in that run).

Change: probing and starting exclude each other.

--- a/tests/instances/processes.rs
+++ b/tests/instances/processes.rs
@@ -17,9 +17,12 @@
         Command,
         Stdio, //
     },
-    sync::atomic::{
-        AtomicU32,
-        Ordering, //
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{
+            AtomicU32,
+            Ordering, //
+        },
     },
     time::Duration, //
 };
@@ -49,10 +52,19 @@
 /// Distance between the first ports of two test processes with consecutive process ids.
 const STRIDE: u32 = 331;
 
+/// Held while a port is probed and while a process starts: until it has replaced its program, a new
+/// process shares the probe's listener, and the port is not free.
+static PROBE: Mutex<()> = Mutex::new(());
+
+fn probe_lock() -> MutexGuard<'static, ()> {
+    PROBE.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Returns an address with a free port.
 fn free_port() -> SocketAddr {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     loop {
+        let _probe = probe_lock();
         let n = std::process::id() * STRIDE + NEXT.fetch_add(1, Ordering::Relaxed);
         let port = (FIRST_PORT + n % PORTS) as u16;
         if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
@@ -111,6 +123,7 @@
             .append(true)
             .open(log)
             .unwrap();
+        let _probe = probe_lock();
         let child = Command::new(env!("CARGO_BIN_EXE_bamboolock-cell"))
             .env("BAMBOOLOCK_BOOT", &self.settings)
             .stdout(Stdio::from(log))
