test(cell): the fuzz pauses owners, cuts single paths and lets workers refuse

Change: the world is split into its owners, its faults and its network; the new faults draw from dice of their own, so that the seeds of the existing families stay as they are.

--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -6,10 +6,12 @@
 mod cell {
     mod archive;
     mod election;
+    mod faults;
     mod fuzz;
     mod journal;
     mod load;
     mod make;
+    mod network;
     mod proxies;
     mod recovery;
     mod rules;
--- /dev/null
+++ b/tests/cell/faults.rs
@@ -0,0 +1,276 @@
+//! Faults of the simulation: what breaks, how often and for how long.
+
+use bamboolock::cell::{
+    engine::Action,
+    model::Verdict, //
+};
+use rand::Rng;
+
+use super::world::{
+    Event,
+    INSTANCES,
+    TAKE_OVER,
+    World, //
+};
+
+/// Fault rates of a simulation, in thousandths.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct FaultRates {
+    /// Lost commands and replies.
+    pub(super) loss: u32,
+    /// Commands that are carried out seconds later.
+    pub(super) delayed: u32,
+    /// Kills of the owner, partitions of the owner from the store, restarts and partitions of
+    /// workers, each per second.
+    pub(super) faults: u32,
+    /// Commands that are carried out 0.5 to 2.4 s late, after a retry may have been answered.
+    pub(super) late: u32,
+    /// Spells of a worker that refuses starts, per second.
+    pub(super) unwell: u32,
+    /// Cuts between one instance and one worker: per second, and for each worker when a term begins.
+    pub(super) paths: u32,
+    /// Runs that take up to 20 s.
+    pub(super) long: u32,
+    /// Pauses of the owner's process, per second.
+    pub(super) pauses: u32,
+    /// Pauses that the owner's clock does not count, of all pauses.
+    pub(super) suspended: u32,
+    /// Pauses after which the owner gets a late answer of the store and is then cut off from it, of
+    /// all pauses.
+    pub(super) late_answers: u32,
+    /// Owners that are killed or paused within two seconds of the beginning of their term.
+    pub(super) series: u32,
+    /// Whether instances that have ended a term send heartbeats to the owner.
+    pub(super) heartbeats: bool,
+}
+
+/// Time for which an owner's process does nothing.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Pause {
+    pub(super) since: u64,
+    pub(super) until: u64,
+    /// Whether the owner's clock stands still meanwhile.
+    pub(super) suspended: bool,
+    /// Whether an answer of the store waits for the owner at the end.
+    pub(super) late_answer: bool,
+}
+
+impl World {
+    pub(super) fn faults(&mut self) {
+        if !self.now.is_multiple_of(1_000) {
+            return;
+        }
+        let faults = self.rates.faults;
+        if self.chance(faults) {
+            if let Some(owner) = self.current() {
+                self.kill(owner);
+            }
+        } else if self.chance(faults)
+            && let Some(owner) = self.current()
+        {
+            self.owners[owner].cut = self.now + 20_000;
+            self.judge.trace(|| format!("{} owner cut off", self.now));
+            self.successor = Some(self.now + TAKE_OVER);
+        }
+        if self.chance(faults) {
+            let at = self.rng.random_range(0..self.machines.len());
+            if self.machines[at].up {
+                self.machines[at].up = false;
+                self.judge
+                    .trace(|| format!("{} worker {at} down", self.now));
+                self.downs[at] = self.now + self.rng.random_range(1_200..5_000);
+            }
+        }
+        if self.chance(faults) {
+            let at = self.rng.random_range(0..self.machines.len());
+            self.cuts[at] = self.now + self.rng.random_range(500..9_000);
+            self.judge
+                .trace(|| format!("{} worker {at} cut off until {}", self.now, self.cuts[at]));
+        }
+        self.further_faults();
+    }
+
+    fn further_faults(&mut self) {
+        if self.roll(self.rates.pauses)
+            && let Some(owner) = self.current()
+        {
+            self.owners[owner].armed = Some(self.now + self.dice.random_range(0..900));
+        }
+        if self.roll(self.rates.paths) {
+            let instance = self.dice.random_range(0..INSTANCES);
+            let at = self.dice.random_range(0..self.machines.len());
+            self.cut_path(instance, at);
+        }
+        if self.roll(self.rates.unwell) {
+            let at = self.dice.random_range(0..self.machines.len());
+            let verdicts = [Verdict::Unwell, Verdict::Permit, Verdict::Full];
+            let verdict = verdicts[self.dice.random_range(0..verdicts.len())];
+            let until = self.now + self.dice.random_range(300..3_000);
+            self.judge.trace(|| {
+                format!(
+                    "{} worker {at} refuses until {until}: {verdict:?}",
+                    self.now
+                )
+            });
+            self.spells[at] = (until, verdict);
+        }
+    }
+
+    /// Rolls the dice of the faults that were added later, so that the seeds of the others stay.
+    pub(super) fn roll(&mut self, thousandths: u32) -> bool {
+        thousandths > 0 && !self.calm && self.dice.random_range(0..1_000) < thousandths
+    }
+
+    /// Kills the process of an owner; another instance takes over.
+    pub(super) fn kill(&mut self, owner: usize) {
+        let up = self.now + self.dice.random_range(1_000..3_000);
+        let state = &mut self.owners[owner];
+        self.judge.trace(|| {
+            format!(
+                "{} owner {} killed on instance {}",
+                self.now, state.engine.token, state.instance
+            )
+        });
+        state.alive = false;
+        state.killed = true;
+        self.downs_of_instances[state.instance] = up;
+        if owner + 1 == self.owners.len() {
+            self.successor = Some(self.now + TAKE_OVER);
+        }
+    }
+
+    fn cut_path(&mut self, instance: usize, at: usize) {
+        let until = self.now + self.dice.random_range(2_000..15_000);
+        self.judge.trace(|| {
+            format!(
+                "{} instance {instance} is cut off from worker {at} until {until}",
+                self.now
+            )
+        });
+        self.paths[instance][at] = until;
+    }
+
+    /// Draws the faults that come with a change of owner.
+    pub(super) fn faults_of_term(&mut self, owner: usize) {
+        let instance = self.owners[owner].instance;
+        for at in 0..self.machines.len() {
+            if self.roll(self.rates.paths) {
+                self.cut_path(instance, at);
+            }
+        }
+        if self.roll(self.rates.series) {
+            self.doom = Some((self.now + self.dice.random_range(300..2_000), owner));
+        }
+    }
+
+    /// Kills or pauses an owner whose term has just begun.
+    pub(super) fn doom(&mut self) {
+        let Some((at, owner)) = self.doom else {
+            return;
+        };
+        if at > self.now {
+            return;
+        }
+        self.doom = None;
+        if self.calm || !self.owners[owner].alive || self.owners[owner].pause.is_some() {
+            return;
+        }
+        match self.dice.random_range(0..2) {
+            0 => self.kill(owner),
+            _ => self.owners[owner].armed = Some(self.now),
+        }
+    }
+
+    /// Pauses an armed owner, if possible between its decision to start a run and the command.
+    pub(super) fn pause_if_armed(&mut self, owner: usize, actions: &[Action]) {
+        let Some(at) = self.owners[owner].armed else {
+            return;
+        };
+        let starts = actions.iter().any(|a| matches!(a, Action::Start(_)));
+        // Without a start to interrupt, the pause begins a little later anywhere.
+        if self.calm || self.now < at || !starts && self.now < at + 300 {
+            return;
+        }
+        let pause = Pause {
+            since: self.now,
+            until: self.now + self.dice.random_range(2_000..9_000),
+            suspended: self.roll(self.rates.suspended),
+            late_answer: self.roll(self.rates.late_answers),
+        };
+        let state = &mut self.owners[owner];
+        self.judge.trace(|| {
+            format!(
+                "{} owner {} paused on instance {} until {} with {} actions {pause:?}",
+                self.now,
+                state.engine.token,
+                state.instance,
+                pause.until,
+                actions.len()
+            )
+        });
+        state.armed = None;
+        state.pause = Some(pause);
+        if pause.late_answer {
+            state.cut = pause.until + self.dice.random_range(500..8_000);
+        }
+        if owner + 1 == self.owners.len() {
+            self.successor = Some(self.now + TAKE_OVER);
+        }
+    }
+
+    /// Ends the pause of an owner: it carries out what it had decided, then handles what has arrived.
+    pub(super) fn thaw(&mut self, owner: usize, pause: Pause) {
+        let early = self.dice.random_range(0..2) == 0;
+        let now = self.now;
+        let state = &mut self.owners[owner];
+        let sent = state.local(pause.since);
+        state.pause = None;
+        if pause.suspended {
+            state.lost += now - pause.since;
+        }
+        let held = std::mem::take(&mut state.held);
+        let inbox = std::mem::take(&mut state.inbox);
+        self.judge.trace(|| {
+            format!(
+                "{now} owner {} continues with {} actions and {} events",
+                state.engine.token,
+                held.len(),
+                inbox.len()
+            )
+        });
+        if pause.late_answer && early {
+            self.store_answered(owner, false, sent);
+        }
+        held.into_iter().for_each(|action| self.act(owner, action));
+        inbox
+            .into_iter()
+            .for_each(|event: Event| self.handle(event));
+        if pause.late_answer && !early {
+            self.store_answered(owner, false, sent);
+        }
+    }
+
+    /// Sends heartbeats of the instances that have ended a term; the owner learns from those of its
+    /// direct predecessor that this one sends no more commands.
+    pub(super) fn heartbeats(&mut self) {
+        if !self.rates.heartbeats || !self.now.is_multiple_of(150) {
+            return;
+        }
+        let Some(current) = self.current().filter(|o| self.owners[*o].pause.is_none()) else {
+            return;
+        };
+        let Some(instance) = self.owners[current].predecessor else {
+            return;
+        };
+        let follows = self.downs_of_instances[instance] <= self.now
+            && self
+                .owners
+                .iter()
+                .all(|o| !o.alive || o.instance != instance);
+        if follows {
+            let state = &mut self.owners[current];
+            let now = state.local(self.now);
+            state.engine.former_owner_gone(now);
+        }
+    }
+}
--- a/tests/cell/fuzz.rs
+++ b/tests/cell/fuzz.rs
@@ -2,24 +2,28 @@
 //! commands are lost or carried out late. The oracle checks the documented guarantees only.
 
 use super::{
+    faults::FaultRates,
     make::START,
-    world::{
-        FaultRates,
-        World, //
-    }, //
+    world::World, //
 };
 
 /// Time with faults, and the time without faults after it, in simulated milliseconds.
 const TROUBLED: u64 = 40_000;
 const CALM: u64 = 60_000;
 
-fn play(seed: u64, trouble: FaultRates) {
+/// Plays a seed until long after its last fault.
+fn simulate(seed: u64, rates: FaultRates) -> World {
     if std::env::var_os("BAMBOOLOCK_TRACE").is_some() {
         bamboolock::program::log_to_stderr();
     }
-    let mut world = World::new(seed, trouble);
+    let mut world = World::new(seed, rates);
     world.run(START + TROUBLED, false);
     world.run(START + TROUBLED + CALM, true);
+    world
+}
+
+fn play(seed: u64, rates: FaultRates) {
+    let world = simulate(seed, rates);
     let broken = &world.judge.violations;
     assert!(broken.is_empty(), "seed {seed}: {broken:?}");
     let unfinished = world.unfinished();
@@ -32,12 +36,41 @@
     assert!(world.judge.starts >= world.judge.completions);
 }
 
+/// Plays `count` seeds from `first` on and shows all that fail. `BAMBOOLOCK_FUZZ` sets another count,
+/// `BAMBOOLOCK_SEED` another first seed.
+fn play_all(first: u64, count: u64, rates: FaultRates, faulty: fn(&World) -> Vec<String>) {
+    let wanted = |name| std::env::var(name).ok().and_then(|n| n.parse().ok());
+    let count = wanted("BAMBOOLOCK_FUZZ").unwrap_or(count);
+    let first = wanted("BAMBOOLOCK_SEED").unwrap_or(first);
+    let failed: Vec<String> = (first..first + count)
+        .filter_map(|seed| {
+            let wrong = faulty(&simulate(seed, rates));
+            (!wrong.is_empty()).then(|| format!("seed {seed}: {wrong:?}"))
+        })
+        .collect();
+    let shown = failed.join("\n");
+    assert!(failed.is_empty(), "{} of {count}:\n{shown}", failed.len());
+}
+
+/// What is wrong at the end of a simulation, broken guarantees first.
+fn faulty(world: &World) -> Vec<String> {
+    if !world.judge.violations.is_empty() {
+        return world.judge.violations.clone();
+    }
+    let mut wrong = world.unfinished();
+    if world.judge.completions <= 50 {
+        wrong.push(format!("only {} tasks succeeded", world.judge.completions));
+    }
+    wrong
+}
+
 #[test]
 fn guarantees_hold_without_faults() {
     let trouble = FaultRates {
         loss: 0,
         delayed: 0,
         faults: 0,
+        ..FaultRates::default()
     };
     (0..4).for_each(|seed| play(seed, trouble));
 }
@@ -48,6 +81,7 @@
         loss: 60,
         delayed: 100,
         faults: 0,
+        ..FaultRates::default()
     };
     (0..12).for_each(|seed| play(seed, trouble));
 }
@@ -58,6 +92,7 @@
         loss: 0,
         delayed: 0,
         faults: 120,
+        ..FaultRates::default()
     };
     (0..12).for_each(|seed| play(seed, trouble));
 }
@@ -68,6 +103,7 @@
         loss: 40,
         delayed: 100,
         faults: 120,
+        ..FaultRates::default()
     };
     (0..24).for_each(|seed| play(seed, trouble));
 }
@@ -82,6 +118,129 @@
         loss: 40,
         delayed: 100,
         faults: 150,
+        ..FaultRates::default()
     };
     (1_000..1_000 + count.unwrap_or(20)).for_each(|seed| play(seed, trouble));
 }
+
+/// Workers and paths of which each lies still for seconds, and commands that are lost.
+const CUTS: FaultRates = FaultRates {
+    loss: 40,
+    faults: 150,
+    paths: 200,
+    ..NONE
+};
+
+const NONE: FaultRates = FaultRates {
+    loss: 0,
+    delayed: 0,
+    faults: 0,
+    late: 0,
+    unwell: 0,
+    paths: 0,
+    long: 0,
+    pauses: 0,
+    suspended: 0,
+    late_answers: 0,
+    series: 0,
+    heartbeats: false,
+};
+
+#[test]
+fn workers_that_are_reachable_again_get_tasks_again() {
+    play_all(10_000, 8, CUTS, World::unused);
+}
+
+#[test]
+fn guarantees_hold_with_refusals_beside_commands_that_arrive_late() {
+    let rates = FaultRates {
+        loss: 40,
+        late: 40,
+        unwell: 500,
+        ..NONE
+    };
+    play_all(11_000, 8, rates, faulty);
+}
+
+#[test]
+fn guarantees_hold_with_paths_cut_one_by_one() {
+    let rates = FaultRates {
+        faults: 100,
+        paths: 250,
+        long: 150,
+        heartbeats: true,
+        ..NONE
+    };
+    play_all(12_000, 8, rates, faulty);
+}
+
+#[test]
+fn guarantees_hold_with_paused_owners() {
+    let rates = FaultRates {
+        paths: 250,
+        long: 150,
+        pauses: 120,
+        heartbeats: true,
+        ..NONE
+    };
+    play_all(13_000, 8, rates, faulty);
+}
+
+#[test]
+fn guarantees_hold_with_suspended_machines() {
+    let rates = FaultRates {
+        paths: 250,
+        long: 150,
+        pauses: 120,
+        suspended: 1_000,
+        heartbeats: true,
+        ..NONE
+    };
+    play_all(14_000, 8, rates, faulty);
+}
+
+#[test]
+fn guarantees_hold_with_late_store_answers_after_a_pause() {
+    let rates = FaultRates {
+        paths: 250,
+        long: 150,
+        pauses: 120,
+        late_answers: 1_000,
+        heartbeats: true,
+        ..NONE
+    };
+    play_all(15_000, 8, rates, faulty);
+}
+
+#[test]
+fn guarantees_hold_with_owner_changes_in_series() {
+    let rates = FaultRates {
+        paths: 250,
+        long: 150,
+        pauses: 80,
+        late_answers: 500,
+        series: 600,
+        heartbeats: true,
+        ..NONE
+    };
+    play_all(16_000, 8, rates, faulty);
+}
+
+#[test]
+fn guarantees_hold_with_all_faults_of_production_combined() {
+    let rates = FaultRates {
+        loss: 20,
+        delayed: 60,
+        faults: 60,
+        late: 20,
+        unwell: 200,
+        paths: 150,
+        long: 150,
+        pauses: 80,
+        suspended: 300,
+        late_answers: 500,
+        series: 400,
+        heartbeats: true,
+    };
+    play_all(20_000, 16, rates, faulty);
+}
--- /dev/null
+++ b/tests/cell/network.rs
@@ -0,0 +1,346 @@
+//! Network of the simulation: commands and answers that are lost, late or held up by a pause.
+
+use bamboolock::cell::{
+    engine::{
+        Action,
+        commands::SendError, //
+    },
+    job::{
+        RunKey,
+        WorkerKey, //
+    },
+    model::{
+        Outcome,
+        Reply,
+        Report,
+        TaskName, //
+    }, //
+};
+use rand::Rng;
+
+use super::{
+    workers::{
+        self,
+        Behaviour, //
+    },
+    world::World, //
+};
+
+/// Time after which an owner gives up waiting for the answer to a command, in milliseconds.
+const ANSWER_TIMEOUT: u64 = 350;
+
+#[derive(Debug, Clone)]
+pub(super) enum Call {
+    Start(RunKey, TaskName, u32, u64),
+    Stop(RunKey, TaskName, u32),
+    Poll(WorkerKey, u64, Option<u64>, u64),
+}
+
+#[derive(Debug, Clone)]
+pub(super) enum Answer {
+    Reply(Result<Reply, SendError>),
+    Poll(Option<Result<Report, Reply>>),
+}
+
+#[derive(Debug, Clone)]
+pub(super) enum Event {
+    Arrive {
+        owner: usize,
+        at: usize,
+        /// Incarnation that a delayed command was meant for.
+        incarnation: Option<u64>,
+        call: Call,
+        answered: bool,
+    },
+    Return {
+        owner: usize,
+        call: Call,
+        answer: Answer,
+    },
+    Stored {
+        owner: usize,
+        batch: u64,
+    },
+}
+
+impl Event {
+    /// Owner that handles the event itself, and only while it is not paused.
+    fn addressee(&self) -> Option<usize> {
+        match self {
+            Event::Arrive { .. } => None,
+            Event::Return { owner, .. } | Event::Stored { owner, .. } => Some(*owner),
+        }
+    }
+}
+
+impl World {
+    pub(super) fn act(&mut self, owner: usize, action: Action) {
+        let now = self.owners[owner].local(self.now);
+        let engine = &mut self.owners[owner].engine;
+        let (id, call) = match action {
+            Action::Start(run) => {
+                let Some(call) = engine.start_command(run, now) else {
+                    return;
+                };
+                (
+                    call.to.worker,
+                    Call::Start(run, call.task, call.run, call.expires_at),
+                )
+            }
+            Action::Stop(run) => {
+                let Some(call) = engine.stop_command(run, now) else {
+                    return;
+                };
+                (call.to.worker, Call::Stop(run, call.task, call.run))
+            }
+            Action::Poll(worker) => {
+                let Some(call) = engine.poll_command(worker, now) else {
+                    return;
+                };
+                (
+                    call.to.worker,
+                    Call::Poll(worker, call.acked, call.lease_end, call.sent_at),
+                )
+            }
+            Action::Query(_) => return,
+        };
+        let at = self.machines.iter().position(|m| m.id == id).unwrap();
+        let now = self.now;
+        if let Some(pause) = self.owners[owner].pause {
+            return self.hold_up(owner, at, call, pause.until - now);
+        }
+        if self.paths[self.owners[owner].instance][at] > now {
+            return self.unreachable(owner, call);
+        }
+        if self.roll(self.rates.late) {
+            let delay = self.dice.random_range(500..2_400);
+            self.delay(owner, at, call.clone(), delay);
+            return self.unanswered(owner, call);
+        }
+        let (loss, late) = (self.rates.loss, self.rates.delayed);
+        let cut = self.cuts[at] > now || !self.machines[at].up;
+        if cut || self.chance(loss) {
+            // The command is lost, or arrives seconds later; in both cases there is no reply.
+            let late = !cut && self.chance(late * 5);
+            if late {
+                let delay = self.rng.random_range(2_000..12_000);
+                self.delay(owner, at, call.clone(), delay);
+            }
+            self.unanswered(owner, call);
+            return;
+        }
+        let answered = !self.chance(loss);
+        let delay = self.rng.random_range(1..30);
+        if !answered {
+            self.unanswered(owner, call.clone());
+        }
+        self.post(
+            delay,
+            Event::Arrive {
+                owner,
+                at,
+                incarnation: None,
+                call,
+                answered,
+            },
+        );
+    }
+
+    /// Lets a command arrive late, and at no other incarnation of the worker; there is no answer.
+    fn delay(&mut self, owner: usize, at: usize, call: Call, delay: u64) {
+        let incarnation = Some(self.machines[at].incarnation);
+        self.post(
+            delay,
+            Event::Arrive {
+                owner,
+                at,
+                incarnation,
+                call,
+                answered: false,
+            },
+        );
+    }
+
+    /// Sends a command that a pause of the owner interrupts: it leaves only when the pause is over.
+    fn hold_up(&mut self, owner: usize, at: usize, call: Call, rest: u64) {
+        let delay = rest + self.dice.random_range(1..30);
+        let answered = self.dice.random_range(0..2) == 0;
+        let incarnation = Some(self.machines[at].incarnation);
+        if !answered {
+            self.unanswered(owner, call.clone());
+        }
+        self.post(
+            delay,
+            Event::Arrive {
+                owner,
+                at,
+                incarnation,
+                call,
+                answered,
+            },
+        );
+    }
+
+    /// Answers a command on a path that is cut: the connection is refused at once, or nothing comes.
+    fn unreachable(&mut self, owner: usize, call: Call) {
+        if self.dice.random_range(0..2) == 0 {
+            return self.unanswered(owner, call);
+        }
+        let answer = match call {
+            Call::Poll(..) => Answer::Poll(None),
+            _ => Answer::Reply(Err(SendError::Unsent)),
+        };
+        self.post(
+            5,
+            Event::Return {
+                owner,
+                call,
+                answer,
+            },
+        );
+    }
+
+    fn unanswered(&mut self, owner: usize, call: Call) {
+        let answer = match call {
+            Call::Poll(..) => Answer::Poll(None),
+            _ => Answer::Reply(Err(SendError::Unknown)),
+        };
+        self.post(
+            ANSWER_TIMEOUT,
+            Event::Return {
+                owner,
+                call,
+                answer,
+            },
+        );
+    }
+
+    pub(super) fn handle(&mut self, event: Event) {
+        if let Some(owner) = event.addressee()
+            && self.owners[owner].pause.is_some()
+        {
+            self.owners[owner].inbox.push(event);
+            return;
+        }
+        match event {
+            Event::Arrive {
+                owner,
+                at,
+                incarnation,
+                call,
+                answered,
+            } => {
+                // A worker refuses what was meant for a former incarnation.
+                let other = incarnation
+                    .is_some_and(|incarnation| incarnation != self.machines[at].incarnation);
+                if !other {
+                    self.arrive(owner, at, call, answered);
+                }
+            }
+            Event::Return {
+                owner,
+                call,
+                answer,
+            } => self.give(owner, call, answer),
+            Event::Stored { owner, batch } => {
+                let now = self.owners[owner].local(self.now);
+                let state = &mut self.owners[owner];
+                state.batch = None;
+                state.engine.batch_stored(batch, now);
+            }
+        }
+    }
+
+    fn arrive(&mut self, owner: usize, at: usize, call: Call, answered: bool) {
+        let now = self.now;
+        if !self.machines[at].up {
+            if answered {
+                self.unanswered(owner, call);
+            }
+            return;
+        }
+        let token = self.owners[owner].engine.token;
+        let long = matches!(call, Call::Start(..)) && self.roll(self.rates.long);
+        let judge = &mut self.judge;
+        let answer = match &call {
+            Call::Start(_, task, run, expires) => {
+                let outcome = if self.rng.random_range(0..10) == 0 {
+                    Outcome::Failed
+                } else {
+                    Outcome::Done
+                };
+                let mut duration = self.rng.random_range(100..2_500);
+                if long {
+                    duration = self.dice.random_range(4_000..20_000);
+                }
+                let fate = Behaviour { duration, outcome };
+                let call = (task, *run, *expires, token);
+                let (until, verdict) = self.spells[at];
+                let refusal = (until > now).then_some(verdict);
+                let refused = refusal.and_then(|verdict| {
+                    workers::refuse(&mut self.machines[at], call, verdict, now)
+                });
+                let reply = refused.unwrap_or_else(|| {
+                    workers::start(&mut self.machines, at, call, fate, judge, now)
+                });
+                Answer::Reply(Ok(reply))
+            }
+            Call::Stop(_, task, run) => {
+                let machine = &mut self.machines[at];
+                Answer::Reply(Ok(workers::stop(
+                    machine,
+                    at,
+                    (task, *run, token),
+                    judge,
+                    now,
+                )))
+            }
+            Call::Poll(_, seen, expires, _) => {
+                let machine = &mut self.machines[at];
+                Answer::Poll(Some(workers::poll(
+                    machine,
+                    at,
+                    (*seen, *expires, token),
+                    judge,
+                    now,
+                )))
+            }
+        };
+        let path = self.paths[self.owners[owner].instance][at];
+        if answered && path > now {
+            return self.unanswered(owner, call);
+        }
+        if answered {
+            let delay = self.rng.random_range(1..30);
+            self.post(
+                delay,
+                Event::Return {
+                    owner,
+                    call,
+                    answer,
+                },
+            );
+        }
+    }
+
+    fn give(&mut self, owner: usize, call: Call, answer: Answer) {
+        let now = self.owners[owner].local(self.now);
+        let state = &mut self.owners[owner];
+        if !state.alive {
+            return;
+        }
+        let engine = &mut state.engine;
+        match (call, answer) {
+            (Call::Start(run, ..), Answer::Reply(reply)) => engine.start_answered(run, reply, now),
+            (Call::Stop(run, ..), Answer::Reply(reply)) => engine.stop_answered(run, reply, now),
+            (Call::Poll(worker, seen, _, sent), Answer::Poll(Some(Ok(report)))) => {
+                engine.apply_report(worker, sent, seen, &report, now);
+            }
+            (Call::Poll(worker, ..), Answer::Poll(Some(Err(reply)))) => {
+                engine.poll_refused(worker, reply, now)
+            }
+            (Call::Poll(worker, ..), Answer::Poll(None)) => engine.poll_failed(worker, now),
+            _ => unreachable!("an answer of the other kind"),
+        }
+    }
+}
--- a/tests/cell/workers.rs
+++ b/tests/cell/workers.rs
@@ -374,6 +374,31 @@
     reply(Verdict::Accepted)
 }
 
+/// Refuses a start command that a healthy worker might accept. The reply is `None` where even this
+/// worker carries on: a run that is there already counts as started, unless the worker is unwell and
+/// does nothing at all.
+pub(super) fn refuse(
+    machine: &mut SimWorker,
+    order: (&TaskName, u32, u64, u64),
+    verdict: Verdict,
+    now: u64,
+) -> Option<Reply> {
+    let (task, run, expires, token) = order;
+    let clock = Some(machine.clock(now));
+    if verdict == Verdict::Unwell {
+        return Some(Reply { verdict, clock });
+    }
+    let there = |r: &Run| r.task == *task && r.run == run;
+    if token < machine.token || machine.running.iter().any(there) {
+        return None;
+    }
+    machine.fence(token);
+    if verdict == Verdict::Full {
+        machine.extend(expires, now);
+    }
+    Some(Reply { verdict, clock })
+}
+
 /// Starts the gang once all its members are present.
 fn begin_gang(
     machines: &mut [SimWorker],
--- a/tests/cell/world.rs
+++ b/tests/cell/world.rs
@@ -6,19 +6,11 @@
     engine::{
         Action,
         Engine,
-        Record,
-        commands::SendError, //
-    },
-    job::{
-        RunKey,
-        WorkerKey, //
+        Record, //
     },
     model::{
-        Outcome,
-        Reply,
-        Report,
         State,
-        TaskName, //
+        Verdict, //
     }, //
 };
 use rand::{
@@ -27,7 +19,12 @@
     rngs::SmallRng, //
 };
 
+pub(super) use super::network::Event;
 use super::{
+    faults::{
+        FaultRates,
+        Pause, //
+    },
     make::{
         self,
         START,
@@ -35,7 +32,6 @@
     },
     workers::{
         self,
-        Behaviour,
         JobSpec,
         Oracle,
         SimWorker, //
@@ -46,84 +42,73 @@
 const STEP: u64 = 5;
 
 /// Time until a successor takes over, in milliseconds.
-const TAKE_OVER: u64 = 700;
-
-/// Fault rates of a simulation.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct FaultRates {
-    /// Lost commands and replies, in thousandths.
-    pub(super) loss: u32,
-    /// Commands that are carried out seconds later, in thousandths.
-    pub(super) delayed: u32,
-    /// Kills of the owner, partitions of the owner from the store, restarts and partitions of
-    /// workers, each in thousandths per second.
-    pub(super) faults: u32,
-}
-
-#[derive(Debug, Clone)]
-enum Call {
-    Start(RunKey, TaskName, u32, u64),
-    Stop(RunKey, TaskName, u32),
-    Poll(WorkerKey, u64, Option<u64>, u64),
-}
+pub(super) const TAKE_OVER: u64 = 700;
 
-#[derive(Debug, Clone)]
-enum Answer {
-    Reply(Result<Reply, SendError>),
-    Poll(Option<Result<Report, Reply>>),
-}
+/// Number of instances.
+pub(super) const INSTANCES: usize = 4;
 
-#[derive(Debug, Clone)]
-enum Event {
-    Arrive {
-        owner: usize,
-        at: usize,
-        /// Incarnation that a delayed command was meant for.
-        incarnation: Option<u64>,
-        call: Call,
-        answered: bool,
-    },
-    Return {
-        owner: usize,
-        call: Call,
-        answer: Answer,
-    },
-    Stored {
-        owner: usize,
-        batch: u64,
-    },
+pub(super) struct Owner {
+    pub(super) engine: Engine,
+    pub(super) alive: bool,
+    /// Whether the process was killed.
+    pub(super) killed: bool,
+    /// Time until which the store refuses the owner, in milliseconds.
+    pub(super) cut: u64,
+    pub(super) batch: Option<(u64, Vec<Record>)>,
+    /// Instance that the owner runs on.
+    pub(super) instance: usize,
+    /// Instance of the previous owner.
+    pub(super) predecessor: Option<usize>,
+    /// Time from which the owner is to be paused, in milliseconds.
+    pub(super) armed: Option<u64>,
+    pub(super) pause: Option<Pause>,
+    /// Actions that were decided before a pause.
+    pub(super) held: Vec<Action>,
+    /// Events that have arrived during a pause.
+    pub(super) inbox: Vec<Event>,
+    /// Time that the owner's clock has not counted, in milliseconds.
+    pub(super) lost: u64,
 }
 
-struct Owner {
-    engine: Engine,
-    alive: bool,
-    /// Time until which the store refuses the owner, in milliseconds.
-    cut: u64,
-    batch: Option<(u64, Vec<Record>)>,
+impl Owner {
+    /// Time on the owner's clock, in milliseconds.
+    pub(super) fn local(&self, now: u64) -> u64 {
+        now - self.lost
+    }
 }
 
 pub(super) struct World {
     pub(super) now: u64,
-    rng: SmallRng,
-    trouble: FaultRates,
+    pub(super) rng: SmallRng,
+    /// Random numbers of the faults that were added later.
+    pub(super) dice: SmallRng,
+    pub(super) rates: FaultRates,
     pub(super) judge: Oracle,
-    machines: Vec<SimWorker>,
+    pub(super) machines: Vec<SimWorker>,
     /// Time until which owners cannot reach each worker, in milliseconds.
-    cuts: Vec<u64>,
+    pub(super) cuts: Vec<u64>,
     /// Time until which each worker is down, in milliseconds.
-    downs: Vec<u64>,
+    pub(super) downs: Vec<u64>,
+    /// Time until which each worker refuses starts, in milliseconds, and how.
+    pub(super) spells: Vec<(u64, Verdict)>,
+    /// Time until which each instance cannot reach each worker, in milliseconds.
+    pub(super) paths: Vec<Vec<u64>>,
+    /// Time until which each instance is down, in milliseconds.
+    pub(super) downs_of_instances: Vec<u64>,
+    /// Time at which a new owner is killed or paused, in milliseconds.
+    pub(super) doom: Option<(u64, usize)>,
     events: BTreeMap<(u64, u64), Event>,
     serial: u64,
-    owners: Vec<Owner>,
+    pub(super) owners: Vec<Owner>,
     epoch: u64,
     log: Vec<(String, Option<Vec<u8>>)>,
-    successor: Option<u64>,
+    pub(super) successor: Option<u64>,
     submitted: Vec<String>,
-    calm: bool,
+    pub(super) calm: bool,
 }
 
 impl World {
-    pub(super) fn new(seed: u64, trouble: FaultRates) -> Self {
+    pub(super) fn new(seed: u64, rates: FaultRates) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let machine = |n: u64| {
             SimWorker::new(
@@ -141,8 +126,13 @@
             now: START,
             cuts: vec![0; machines.len()],
             downs: vec![0; machines.len()],
+            spells: vec![(0, Verdict::Unwell); machines.len()],
+            paths: vec![vec![0; machines.len()]; INSTANCES],
+            downs_of_instances: vec![0; INSTANCES],
+            doom: None,
             rng,
-            trouble,
+            dice: SmallRng::seed_from_u64(!seed),
+            rates,
             judge,
             machines,
             events: BTreeMap::new(),
@@ -156,11 +146,11 @@
         }
     }
 
-    fn chance(&mut self, thousandths: u32) -> bool {
+    pub(super) fn chance(&mut self, thousandths: u32) -> bool {
         !self.calm && self.rng.random_range(0..1_000) < thousandths
     }
 
-    fn post(&mut self, delay: u64, event: Event) {
+    pub(super) fn post(&mut self, delay: u64, event: Event) {
         self.serial += 1;
         self.events.insert((self.now + delay, self.serial), event);
     }
@@ -185,51 +175,19 @@
                 self.successor = None;
                 self.begin();
             }
+            self.doom();
+            self.heartbeats();
             for owner in 0..self.owners.len() {
                 self.drive(owner);
             }
         }
     }
 
-    fn current(&self) -> Option<usize> {
+    pub(super) fn current(&self) -> Option<usize> {
         let last = self.owners.len().checked_sub(1)?;
         self.owners[last].alive.then_some(last)
     }
 
-    fn faults(&mut self) {
-        if !self.now.is_multiple_of(1_000) {
-            return;
-        }
-        let faults = self.trouble.faults;
-        if self.chance(faults) {
-            if let Some(owner) = self.current() {
-                self.owners[owner].alive = false;
-                self.successor = Some(self.now + TAKE_OVER);
-            }
-        } else if self.chance(faults)
-            && let Some(owner) = self.current()
-        {
-            self.owners[owner].cut = self.now + 20_000;
-            self.judge.trace(|| format!("{} owner cut off", self.now));
-            self.successor = Some(self.now + TAKE_OVER);
-        }
-        if self.chance(faults) {
-            let at = self.rng.random_range(0..self.machines.len());
-            if self.machines[at].up {
-                self.machines[at].up = false;
-                self.judge
-                    .trace(|| format!("{} worker {at} down", self.now));
-                self.downs[at] = self.now + self.rng.random_range(1_200..5_000);
-            }
-        }
-        if self.chance(faults) {
-            let at = self.rng.random_range(0..self.machines.len());
-            self.cuts[at] = self.now + self.rng.random_range(500..9_000);
-            self.judge
-                .trace(|| format!("{} worker {at} cut off until {}", self.now, self.cuts[at]));
-        }
-    }
-
     /// Restarts workers whose downtime is over.
     fn restart(&mut self) {
         for (machine, until) in self.machines.iter_mut().zip(&self.downs) {
@@ -260,12 +218,50 @@
                 machine.capacity,
             ));
         }
+        let instance = self.elect();
+        let predecessor = self.owners.last();
+        if self.rates.heartbeats && predecessor.is_some_and(|o| o.killed && o.instance == instance)
+        {
+            engine.former_owner_gone(self.now);
+        }
+        let predecessor = predecessor.map(|o| o.instance);
+        self.judge
+            .trace(|| format!("{} owner {} on instance {instance}", self.now, self.epoch));
         self.owners.push(Owner {
             engine,
             alive: true,
+            killed: false,
             cut: 0,
             batch: None,
+            instance,
+            predecessor,
+            armed: None,
+            pause: None,
+            held: Vec::new(),
+            inbox: Vec::new(),
+            lost: 0,
         });
+        self.faults_of_term(self.owners.len() - 1);
+    }
+
+    /// Instance that takes over: one that is up and has no term of its own.
+    fn elect(&mut self) -> usize {
+        let free = |i: &usize| {
+            self.downs_of_instances[*i] <= self.now
+                && self.owners.iter().all(|o| !o.alive || o.instance != *i)
+        };
+        let free: Vec<usize> = (0..INSTANCES).filter(free).collect();
+        match free.len() {
+            0 => 0,
+            count => free[self.dice.random_range(0..count)],
+        }
+    }
+
+    /// Takes note of an answer of the store to a call that was sent at local time `sent`, as the
+    /// shell does. Only an append proves that the owner still owns the cell (`proof`).
+    pub(super) fn store_answered(&mut self, owner: usize, _proof: bool, _sent: u64) {
+        let state = &mut self.owners[owner];
+        state.engine.last_store_answer = state.local(self.now);
     }
 
     fn submit(&mut self) {
@@ -275,7 +271,7 @@
         let Some(owner) = self.current() else {
             return;
         };
-        if self.owners[owner].cut > self.now {
+        if self.owners[owner].cut > self.now || self.owners[owner].pause.is_some() {
             return;
         }
         let id = format!("{:016x}", self.submitted.len() + 1);
@@ -300,7 +296,7 @@
         self.judge.jobs.insert(id.clone(), known);
         let mut queue = make::queue("q", self.rng.random_range(0..3));
         queue.attempts = self.judge.attempts;
-        let now = self.now;
+        let now = self.owners[owner].local(self.now);
         self.owners[owner]
             .engine
             .submit(&id, queue, make::work(steps), now)
@@ -314,7 +310,8 @@
 
     fn cancel(&mut self, owner: usize, id: &str) {
         let now = self.now;
-        if self.owners[owner].engine.cancel(id, now).is_some() {
+        let local = self.owners[owner].local(now);
+        if self.owners[owner].engine.cancel(id, local).is_some() {
             let job = self.judge.jobs.get_mut(id).unwrap();
             // The cancellation is acknowledged only once it is stored; the slack of the check
             // covers the wait.
@@ -324,6 +321,13 @@
 
     fn drive(&mut self, owner: usize) {
         let now = self.now;
+        if let Some(pause) = self.owners[owner].pause {
+            if pause.until > now {
+                return;
+            }
+            self.thaw(owner, pause);
+        }
+        let local = self.owners[owner].local(now);
         let state = &mut self.owners[owner];
         if !state.alive {
             return;
@@ -333,11 +337,13 @@
             return;
         }
         if now.is_multiple_of(25) {
-            state.engine.set_wall_clock(now, now);
+            state.engine.set_wall_clock(now, local);
             if state.cut <= now {
-                state.engine.last_store_answer = now;
+                // Reads of the registrations succeed for a former owner as well.
+                self.store_answered(owner, true, local);
             }
-            state.engine.tick(now);
+            let state = &mut self.owners[owner];
+            state.engine.tick(local);
             for machine in self.machines.iter().filter(|_| now.is_multiple_of(500)) {
                 state.engine.register(make::worker(
                     &machine.id,
@@ -346,12 +352,19 @@
                 ));
             }
         }
+        let state = &mut self.owners[owner];
         if state.engine.pass_needed {
-            state.engine.schedule(now);
+            state.engine.schedule(local);
         }
         self.commit(owner);
-        for action in std::mem::take(&mut self.owners[owner].engine.actions) {
-            self.act(owner, action);
+        let actions = std::mem::take(&mut self.owners[owner].engine.actions);
+        self.pause_if_armed(owner, &actions);
+        for action in actions {
+            if self.owners[owner].pause.is_some() && self.dice.random_range(0..2) == 0 {
+                self.owners[owner].held.push(action);
+            } else {
+                self.act(owner, action);
+            }
         }
     }
 
@@ -376,207 +389,6 @@
         self.post(delay, Event::Stored { owner, batch });
     }
 
-    fn act(&mut self, owner: usize, action: Action) {
-        let now = self.now;
-        let engine = &mut self.owners[owner].engine;
-        let (id, call) = match action {
-            Action::Start(run) => {
-                let Some(call) = engine.start_command(run, now) else {
-                    return;
-                };
-                (
-                    call.to.worker,
-                    Call::Start(run, call.task, call.run, call.expires_at),
-                )
-            }
-            Action::Stop(run) => {
-                let Some(call) = engine.stop_command(run, now) else {
-                    return;
-                };
-                (call.to.worker, Call::Stop(run, call.task, call.run))
-            }
-            Action::Poll(worker) => {
-                let Some(call) = engine.poll_command(worker, now) else {
-                    return;
-                };
-                (
-                    call.to.worker,
-                    Call::Poll(worker, call.acked, call.lease_end, call.sent_at),
-                )
-            }
-            Action::Query(_) => return,
-        };
-        let at = self.machines.iter().position(|m| m.id == id).unwrap();
-        let (loss, late) = (self.trouble.loss, self.trouble.delayed);
-        let cut = self.cuts[at] > now || !self.machines[at].up;
-        if cut || self.chance(loss) {
-            // The command is lost, or arrives seconds later; in both cases there is no reply.
-            let late = !cut && self.chance(late * 5);
-            if late {
-                let delay = self.rng.random_range(2_000..12_000);
-                let call = call.clone();
-                self.post(
-                    delay,
-                    Event::Arrive {
-                        owner,
-                        at,
-                        incarnation: Some(self.machines[at].incarnation),
-                        call,
-                        answered: false,
-                    },
-                );
-            }
-            self.unanswered(owner, call);
-            return;
-        }
-        let answered = !self.chance(loss);
-        let delay = self.rng.random_range(1..30);
-        if !answered {
-            self.unanswered(owner, call.clone());
-        }
-        self.post(
-            delay,
-            Event::Arrive {
-                owner,
-                at,
-                incarnation: None,
-                call,
-                answered,
-            },
-        );
-    }
-
-    fn unanswered(&mut self, owner: usize, call: Call) {
-        let answer = match call {
-            Call::Poll(..) => Answer::Poll(None),
-            _ => Answer::Reply(Err(SendError::Unknown)),
-        };
-        self.post(
-            350,
-            Event::Return {
-                owner,
-                call,
-                answer,
-            },
-        );
-    }
-
-    fn handle(&mut self, event: Event) {
-        match event {
-            Event::Arrive {
-                owner,
-                at,
-                incarnation,
-                call,
-                answered,
-            } => {
-                // A worker refuses what was meant for a former incarnation.
-                let other = incarnation
-                    .is_some_and(|incarnation| incarnation != self.machines[at].incarnation);
-                if !other {
-                    self.arrive(owner, at, call, answered);
-                }
-            }
-            Event::Return {
-                owner,
-                call,
-                answer,
-            } => self.give(owner, call, answer),
-            Event::Stored { owner, batch } => {
-                let now = self.now;
-                let state = &mut self.owners[owner];
-                state.batch = None;
-                state.engine.batch_stored(batch, now);
-            }
-        }
-    }
-
-    fn arrive(&mut self, owner: usize, at: usize, call: Call, answered: bool) {
-        let now = self.now;
-        if !self.machines[at].up {
-            if answered {
-                self.unanswered(owner, call);
-            }
-            return;
-        }
-        let token = self.owners[owner].engine.token;
-        let judge = &mut self.judge;
-        let answer = match &call {
-            Call::Start(_, task, run, expires) => {
-                let outcome = if self.rng.random_range(0..10) == 0 {
-                    Outcome::Failed
-                } else {
-                    Outcome::Done
-                };
-                let fate = Behaviour {
-                    duration: self.rng.random_range(100..2_500),
-                    outcome,
-                };
-                let call = (task, *run, *expires, token);
-                Answer::Reply(Ok(workers::start(
-                    &mut self.machines,
-                    at,
-                    call,
-                    fate,
-                    judge,
-                    now,
-                )))
-            }
-            Call::Stop(_, task, run) => {
-                let machine = &mut self.machines[at];
-                Answer::Reply(Ok(workers::stop(
-                    machine,
-                    at,
-                    (task, *run, token),
-                    judge,
-                    now,
-                )))
-            }
-            Call::Poll(_, seen, expires, _) => {
-                let machine = &mut self.machines[at];
-                Answer::Poll(Some(workers::poll(
-                    machine,
-                    at,
-                    (*seen, *expires, token),
-                    judge,
-                    now,
-                )))
-            }
-        };
-        if answered {
-            let delay = self.rng.random_range(1..30);
-            self.post(
-                delay,
-                Event::Return {
-                    owner,
-                    call,
-                    answer,
-                },
-            );
-        }
-    }
-
-    fn give(&mut self, owner: usize, call: Call, answer: Answer) {
-        let now = self.now;
-        let state = &mut self.owners[owner];
-        if !state.alive {
-            return;
-        }
-        let engine = &mut state.engine;
-        match (call, answer) {
-            (Call::Start(run, ..), Answer::Reply(reply)) => engine.start_answered(run, reply, now),
-            (Call::Stop(run, ..), Answer::Reply(reply)) => engine.stop_answered(run, reply, now),
-            (Call::Poll(worker, seen, _, sent), Answer::Poll(Some(Ok(report)))) => {
-                engine.apply_report(worker, sent, seen, &report, now);
-            }
-            (Call::Poll(worker, ..), Answer::Poll(Some(Err(reply)))) => {
-                engine.poll_refused(worker, reply, now)
-            }
-            (Call::Poll(worker, ..), Answer::Poll(None)) => engine.poll_failed(worker, now),
-            _ => unreachable!("an answer of the other kind"),
-        }
-    }
-
     /// Submitted jobs that the current owner shows as unfinished, or falsely as completed.
     pub(super) fn unfinished(&self) -> Vec<String> {
         let Some(owner) = self.current() else {
@@ -597,4 +409,21 @@
         }
         wrong
     }
+
+    /// Workers that are up, but get no tasks from the current owner.
+    pub(super) fn unused(&self) -> Vec<String> {
+        let Some(owner) = self.current() else {
+            return vec!["no owner".to_owned()];
+        };
+        let state = &self.owners[owner];
+        let (engine, now) = (&state.engine, state.local(self.now));
+        let serves = |id: &str| {
+            let key = engine.cluster.find_worker(id);
+            key.is_some_and(|key| {
+                engine.cluster.workers[key].is_schedulable(engine.durable_batch, now)
+            })
+        };
+        let unused = self.machines.iter().filter(|m| m.up && !serves(&m.id));
+        unused.map(|m| m.id.clone()).collect()
+    }
 }
