--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -10,7 +10,8 @@
 
 use super::{
     Action,
-    Engine, //
+    Engine,
+    losses::Loss, //
 };
 use crate::cell::{
     cluster::RunState,
@@ -126,12 +127,20 @@
         })
     }
 
-    /// The command that starts a run, if it is still needed.
+    /// The command that starts a run, if it is still needed and the ownership is proven. Any time may
+    /// have passed since the run was placed.
     pub fn start_command(&mut self, key: RunKey, now: u64) -> Option<Start> {
+        let may_command = self.may_command(now);
         let run = self.cluster.runs.get_mut(key)?;
         if run.stopping || run.in_flight {
             return None;
         }
+        if !may_command {
+            if run.start_expires == 0 {
+                self.lose_run(key, Loss::Unsent, now);
+            }
+            return None;
+        }
         let task = run.task?;
         let worker = self.cluster.workers.get_mut(run.worker)?;
         let clock = worker.clock_at(now)?;
@@ -183,7 +192,7 @@
             }
             Err(SendError::Unsent) if self.cluster.runs[key].state == RunState::Sent => {
                 self.mark_silent(worker, now);
-                self.end_run(key, model::Outcome::Lapsed, "", now);
+                self.lose_run(key, Loss::Unsent, now);
             }
             Err(_) => {
                 let run = &mut self.cluster.runs[key];
@@ -213,7 +222,7 @@
         }
         let id = &self.cluster.workers[worker].registration.id;
         info!(job = run.name.job.as_str(), step = run.name.step, task = run.name.index, run = run.number,
-            worker = id.as_str(), verdict:? = verdict; "start command refused");
+            worker = id.as_str(), verdict:? = verdict, state:? = run.state, age = now - run.ordered_at; "start command refused");
         match verdict {
             Verdict::Fenced => self.deposed = true,
             Verdict::Reborn => self.mark_superseded(worker, now),
@@ -235,13 +244,13 @@
                         step.policy.permits.retain(|t| t.worker != worker);
                     }
                 }
-                self.end_run(key, model::Outcome::Stopped, "", now);
+                self.lose_run(key, Loss::Refused(verdict), now);
             }
             Verdict::Unwell => {
                 self.cluster.workers[worker].suspend(now);
-                self.end_run(key, model::Outcome::Stopped, "", now);
+                self.lose_run(key, Loss::Refused(verdict), now);
             }
-            _ => self.end_run(key, model::Outcome::Stopped, "", now),
+            _ => self.lose_run(key, Loss::Refused(verdict), now),
         }
     }
 
@@ -299,9 +308,9 @@
 
     /// The poll of a worker, if one is due.
     pub fn poll_command(&mut self, key: WorkerKey, now: u64) -> Option<Poll> {
-        let (durable, store_fresh, may_command) = (
+        let (durable, fresh_proof, may_command) = (
             self.durable_batch,
-            self.is_store_fresh(now),
+            self.has_fresh_proof(now),
             self.may_command(now),
         );
         let lease = (self.times.lease as f64 * LEASE_SHARE) as u64;
@@ -309,7 +318,7 @@
         let worker = self.cluster.workers.get_mut(key)?;
         // A worker incarnation that has acked no fencing token yet would accept commands from a
         // former owner.
-        if !worker.is_poll_due(durable, now) || !worker.fenced && !store_fresh {
+        if !worker.is_poll_due(durable, now) || !worker.fenced && !fresh_proof {
             return None;
         }
         let stored = worker.outcome_batch <= durable;
@@ -390,7 +399,7 @@
         worker.clock_reading = None;
         worker.leases_end = 0;
         for run in worker.runs.clone() {
-            self.end_run(run, model::Outcome::Lapsed, "", now);
+            self.lose_run(run, Loss::Superseded, now);
         }
         self.pass_needed = true;
     }
@@ -441,12 +450,13 @@
             }
         }
         for run in expired {
-            self.end_run(run, model::Outcome::Lapsed, "", now);
+            self.lose_run(run, Loss::LeaseExpired, now);
         }
     }
 
     /// Retries unanswered commands.
     pub(super) fn retry_commands(&mut self, now: u64) {
+        let may_command = self.may_command(now);
         for (key, run) in &self.cluster.runs {
             if run.in_flight || now < run.retry_after {
                 continue;
@@ -455,7 +465,7 @@
                 self.actions.push(Action::Stop(key));
                 continue;
             }
-            if run.state != RunState::Unanswered {
+            if run.state != RunState::Unanswered || !may_command {
                 continue;
             }
             let clock = self.cluster.workers[run.worker].clock_at(now);
--- a/tests/cell/faults.rs
+++ b/tests/cell/faults.rs
@@ -10,7 +10,8 @@
     Event,
     INSTANCES,
     TAKE_OVER,
-    World, //
+    World,
+    instance_name, //
 };
 
 /// Fault rates of a simulation, in thousandths.
@@ -40,8 +41,9 @@
     pub(super) late_answers: u32,
     /// Owners that are killed or paused within two seconds of the beginning of their term.
     pub(super) series: u32,
-    /// Whether instances that have ended a term send heartbeats to the owner.
-    pub(super) heartbeats: bool,
+    /// Whether the instances act as in the shell: they send heartbeats to the owner, and the owner
+    /// proves by appends that it still owns the cell.
+    pub(super) instances: bool,
 }
 
 /// Time for which an owner's process does nothing.
@@ -53,6 +55,8 @@
     pub(super) suspended: bool,
     /// Whether an answer of the store waits for the owner at the end.
     pub(super) late_answer: bool,
+    /// Whether this is the answer to an append that was carried out before the pause.
+    pub(super) proof: bool,
 }
 
 impl World {
@@ -132,7 +136,6 @@
             )
         });
         state.alive = false;
-        state.killed = true;
         self.downs_of_instances[state.instance] = up;
         if owner + 1 == self.owners.len() {
             self.successor = Some(self.now + TAKE_OVER);
@@ -159,7 +162,12 @@
             }
         }
         if self.roll(self.rates.series) {
-            self.doom = Some((self.now + self.dice.random_range(300..2_000), owner));
+            // Some are gone before their first batch is stored.
+            let delay = match self.dice.random_range(0..4) {
+                0 => self.dice.random_range(5..100),
+                _ => self.dice.random_range(300..2_000),
+            };
+            self.doom = Some((self.now + delay, owner));
         }
     }
 
@@ -196,6 +204,9 @@
             until: self.now + self.dice.random_range(2_000..9_000),
             suspended: self.roll(self.rates.suspended),
             late_answer: self.roll(self.rates.late_answers),
+            proof: owner + 1 == self.owners.len()
+                && self.owners[owner].cut <= self.now
+                && self.roll(500),
         };
         let state = &mut self.owners[owner];
         self.judge.trace(|| {
@@ -239,38 +250,37 @@
             )
         });
         if pause.late_answer && early {
-            self.store_answered(owner, false, sent);
+            self.store_answered(owner, pause.proof, sent);
         }
         held.into_iter().for_each(|action| self.act(owner, action));
         inbox
             .into_iter()
             .for_each(|event: Event| self.handle(event));
         if pause.late_answer && !early {
-            self.store_answered(owner, false, sent);
+            self.store_answered(owner, pause.proof, sent);
         }
     }
 
-    /// Sends heartbeats of the instances that have ended a term; the owner learns from those of its
-    /// direct predecessor that this one sends no more commands.
+    /// Sends heartbeats of the instances without a term of their own: the owner learns that the
+    /// earlier terms of these instances are over.
     pub(super) fn heartbeats(&mut self) {
-        if !self.rates.heartbeats || !self.now.is_multiple_of(150) {
+        if !self.rates.instances || !self.now.is_multiple_of(150) {
             return;
         }
         let Some(current) = self.current().filter(|o| self.owners[*o].pause.is_none()) else {
             return;
         };
-        let Some(instance) = self.owners[current].predecessor else {
-            return;
+        let follows = |i: &usize| {
+            self.downs_of_instances[*i] <= self.now
+                && self.owners.iter().all(|o| !o.alive || o.instance != *i)
         };
-        let follows = self.downs_of_instances[instance] <= self.now
-            && self
-                .owners
-                .iter()
-                .all(|o| !o.alive || o.instance != instance);
-        if follows {
-            let state = &mut self.owners[current];
-            let now = state.local(self.now);
-            state.engine.former_owner_gone(now);
+        let followers: Vec<usize> = (0..INSTANCES).filter(follows).collect();
+        let state = &mut self.owners[current];
+        let now = state.local(self.now);
+        for instance in followers {
+            state
+                .engine
+                .former_owner_gone(&instance_name(instance), now);
         }
     }
 }
--- a/tests/cell/fuzz.rs
+++ b/tests/cell/fuzz.rs
@@ -38,7 +38,7 @@
 
 /// Plays `count` seeds from `first` on and shows all that fail. `BAMBOOLOCK_FUZZ` sets another count,
 /// `BAMBOOLOCK_SEED` another first seed.
-fn play_all(first: u64, count: u64, rates: FaultRates, faulty: fn(&World) -> Vec<String>) {
+fn play_all(first: u64, count: u64, rates: FaultRates) {
     let wanted = |name| std::env::var(name).ok().and_then(|n| n.parse().ok());
     let count = wanted("BAMBOOLOCK_FUZZ").unwrap_or(count);
     let first = wanted("BAMBOOLOCK_SEED").unwrap_or(first);
@@ -58,6 +58,10 @@
         return world.judge.violations.clone();
     }
     let mut wrong = world.unfinished();
+    let unused = world.unused();
+    if !unused.is_empty() {
+        wrong.push(format!("without tasks, but reachable: {unused:?}"));
+    }
     if world.judge.completions <= 50 {
         wrong.push(format!("only {} tasks succeeded", world.judge.completions));
     }
@@ -128,6 +132,7 @@
     loss: 40,
     faults: 150,
     paths: 200,
+    instances: true,
     ..NONE
 };
 
@@ -143,12 +148,12 @@
     suspended: 0,
     late_answers: 0,
     series: 0,
-    heartbeats: false,
+    instances: false,
 };
 
 #[test]
 fn workers_that_are_reachable_again_get_tasks_again() {
-    play_all(10_000, 8, CUTS, World::unused);
+    play_all(10_000, 8, CUTS);
 }
 
 #[test]
@@ -157,9 +162,10 @@
         loss: 40,
         late: 40,
         unwell: 500,
+        instances: true,
         ..NONE
     };
-    play_all(11_000, 8, rates, faulty);
+    play_all(11_000, 8, rates);
 }
 
 #[test]
@@ -168,10 +174,10 @@
         faults: 100,
         paths: 250,
         long: 150,
-        heartbeats: true,
+        instances: true,
         ..NONE
     };
-    play_all(12_000, 8, rates, faulty);
+    play_all(12_000, 8, rates);
 }
 
 #[test]
@@ -180,10 +186,10 @@
         paths: 250,
         long: 150,
         pauses: 120,
-        heartbeats: true,
+        instances: true,
         ..NONE
     };
-    play_all(13_000, 8, rates, faulty);
+    play_all(13_000, 8, rates);
 }
 
 #[test]
@@ -193,10 +199,10 @@
         long: 150,
         pauses: 120,
         suspended: 1_000,
-        heartbeats: true,
+        instances: true,
         ..NONE
     };
-    play_all(14_000, 8, rates, faulty);
+    play_all(14_000, 8, rates);
 }
 
 #[test]
@@ -206,10 +212,10 @@
         long: 150,
         pauses: 120,
         late_answers: 1_000,
-        heartbeats: true,
+        instances: true,
         ..NONE
     };
-    play_all(15_000, 8, rates, faulty);
+    play_all(15_000, 8, rates);
 }
 
 #[test]
@@ -220,10 +226,10 @@
         pauses: 80,
         late_answers: 500,
         series: 600,
-        heartbeats: true,
+        instances: true,
         ..NONE
     };
-    play_all(16_000, 8, rates, faulty);
+    play_all(16_000, 8, rates);
 }
 
 #[test]
@@ -240,7 +246,7 @@
         suspended: 300,
         late_answers: 500,
         series: 400,
-        heartbeats: true,
+        instances: true,
     };
-    play_all(20_000, 16, rates, faulty);
+    play_all(20_000, 16, rates);
 }
--- a/tests/cell/network.rs
+++ b/tests/cell/network.rs
@@ -57,10 +57,15 @@
         call: Call,
         answer: Answer,
     },
+    /// Answer to an append that was sent at local time `sent`; `batch` is `None` for one without
+    /// records.
     Stored {
         owner: usize,
-        batch: u64,
+        batch: Option<u64>,
+        sent: u64,
     },
+    /// Answer to an append of a former owner.
+    Refused { owner: usize },
 }
 
 impl Event {
@@ -68,7 +73,9 @@
     fn addressee(&self) -> Option<usize> {
         match self {
             Event::Arrive { .. } => None,
-            Event::Return { owner, .. } | Event::Stored { owner, .. } => Some(*owner),
+            Event::Return { owner, .. }
+            | Event::Stored { owner, .. }
+            | Event::Refused { owner } => Some(*owner),
         }
     }
 }
@@ -242,12 +249,8 @@
                 call,
                 answer,
             } => self.give(owner, call, answer),
-            Event::Stored { owner, batch } => {
-                let now = self.owners[owner].local(self.now);
-                let state = &mut self.owners[owner];
-                state.batch = None;
-                state.engine.batch_stored(batch, now);
-            }
+            Event::Stored { owner, batch, sent } => self.stored(owner, batch, sent),
+            Event::Refused { owner } => self.owners[owner].alive = false,
         }
     }
 
--- a/tests/cell/workers.rs
+++ b/tests/cell/workers.rs
@@ -202,6 +202,13 @@
         }
     }
 
+    /// Records that the cancellation of a job was acknowledged.
+    pub(super) fn cancel(&mut self, id: &str, now: u64) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.cancelled.get_or_insert(now);
+        }
+    }
+
     /// Whether a task of a job has used up its attempts.
     pub(super) fn is_failed(&self, id: &str) -> bool {
         let mut of_job = self.tasks.iter().filter(|(task, _)| task.job == id);
@@ -278,6 +285,11 @@
         *self = Self::new(self.id.clone(), self.capacity, self.rate, now);
     }
 
+    /// Whether a run is active on the worker.
+    pub(super) fn is_busy(&self) -> bool {
+        !self.running.is_empty()
+    }
+
     pub(super) fn clock(&self, now: u64) -> u64 {
         (now - self.started) * self.rate / 1_000
     }
--- a/tests/cell/world.rs
+++ b/tests/cell/world.rs
@@ -50,15 +50,13 @@
 pub(super) struct Owner {
     pub(super) engine: Engine,
     pub(super) alive: bool,
-    /// Whether the process was killed.
-    pub(super) killed: bool,
     /// Time until which the store refuses the owner, in milliseconds.
     pub(super) cut: u64,
     pub(super) batch: Option<(u64, Vec<Record>)>,
     /// Instance that the owner runs on.
     pub(super) instance: usize,
-    /// Instance of the previous owner.
-    pub(super) predecessor: Option<usize>,
+    /// Whether an append without records is under way.
+    pub(super) proving: bool,
     /// Time from which the owner is to be paused, in milliseconds.
     pub(super) armed: Option<u64>,
     pub(super) pause: Option<Pause>,
@@ -104,9 +102,16 @@
     log: Vec<(String, Option<Vec<u8>>)>,
     pub(super) successor: Option<u64>,
     submitted: Vec<String>,
+    /// Cancellations that are not acknowledged yet: owner, batch, job.
+    cancels: Vec<(usize, u64, String)>,
     pub(super) calm: bool,
 }
 
+/// Name of an instance.
+pub(super) fn instance_name(instance: usize) -> String {
+    format!("i{instance}")
+}
+
 impl World {
     pub(super) fn new(seed: u64, rates: FaultRates) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
@@ -142,6 +147,7 @@
             log: Vec::new(),
             successor: Some(START),
             submitted: Vec::new(),
+            cancels: Vec::new(),
             calm: false,
         }
     }
@@ -206,7 +212,7 @@
             .trace(|| format!("{} term {}", self.now, self.epoch));
         let mut engine = Engine::new(self.epoch, self.epoch, TIMES);
         engine.set_wall_clock(self.now, self.now);
-        engine.last_store_answer = self.now;
+        engine.proven_at = self.now;
         engine.load(
             self.log.iter().map(|(k, v)| (k.as_str(), v.as_deref())),
             self.now,
@@ -219,22 +225,21 @@
             ));
         }
         let instance = self.elect();
-        let predecessor = self.owners.last();
-        if self.rates.heartbeats && predecessor.is_some_and(|o| o.killed && o.instance == instance)
-        {
-            engine.former_owner_gone(self.now);
+        if self.rates.instances {
+            let before = self.owners.last();
+            let before = before.map(|o| (o.engine.term, instance_name(o.instance)));
+            let predecessor = before.as_ref().map(|(term, name)| (*term, name.as_str()));
+            engine.succeed(&instance_name(instance), predecessor, self.now);
         }
-        let predecessor = predecessor.map(|o| o.instance);
         self.judge
             .trace(|| format!("{} owner {} on instance {instance}", self.now, self.epoch));
         self.owners.push(Owner {
             engine,
             alive: true,
-            killed: false,
             cut: 0,
             batch: None,
+            proving: false,
             instance,
-            predecessor,
             armed: None,
             pause: None,
             held: Vec::new(),
@@ -258,10 +263,12 @@
     }
 
     /// Takes note of an answer of the store to a call that was sent at local time `sent`, as the
-    /// shell does. Only an append proves that the owner still owns the cell (`proof`).
-    pub(super) fn store_answered(&mut self, owner: usize, _proof: bool, _sent: u64) {
-        let state = &mut self.owners[owner];
-        state.engine.last_store_answer = state.local(self.now);
+    /// shell does: an append proves that the owner owned the cell then (`proof`), a read proves
+    /// nothing.
+    pub(super) fn store_answered(&mut self, owner: usize, proof: bool, sent: u64) {
+        if proof {
+            self.owners[owner].engine.confirm_ownership(sent);
+        }
     }
 
     fn submit(&mut self) {
@@ -308,14 +315,17 @@
         }
     }
 
+    /// Cancels a job; the cancellation is acknowledged once it is stored.
     fn cancel(&mut self, owner: usize, id: &str) {
-        let now = self.now;
-        let local = self.owners[owner].local(now);
-        if self.owners[owner].engine.cancel(id, local).is_some() {
-            let job = self.judge.jobs.get_mut(id).unwrap();
-            // The cancellation is acknowledged only once it is stored; the slack of the check
-            // covers the wait.
-            job.cancelled.get_or_insert(now + 20_000);
+        let state = &mut self.owners[owner];
+        let now = state.local(self.now);
+        let Some(batch) = state.engine.cancel(id, now) else {
+            return;
+        };
+        if batch <= state.engine.durable_batch {
+            self.judge.cancel(id, self.now);
+        } else {
+            self.cancels.push((owner, batch, id.to_owned()));
         }
     }
 
@@ -338,11 +348,9 @@
         }
         if now.is_multiple_of(25) {
             state.engine.set_wall_clock(now, local);
-            if state.cut <= now {
-                // Reads of the registrations succeed for a former owner as well.
-                self.store_answered(owner, true, local);
+            if state.cut <= now && !self.rates.instances {
+                state.engine.proven_at = local;
             }
-            let state = &mut self.owners[owner];
             state.engine.tick(local);
             for machine in self.machines.iter().filter(|_| now.is_multiple_of(500)) {
                 state.engine.register(make::worker(
@@ -369,24 +377,61 @@
     }
 
     fn commit(&mut self, owner: usize) {
-        let (now, epoch) = (self.now, self.epoch);
+        let (now, epoch, instances) = (self.now, self.epoch, self.rates.instances);
         let state = &mut self.owners[owner];
-        if state.batch.is_some() || state.cut > now {
+        let sent = state.local(now);
+        if state.batch.is_some() || state.proving || state.cut > now {
             return;
         }
         if state.engine.token < epoch {
             // The store refuses an earlier epoch, which ends the term.
-            state.alive = state.engine.take_batch().is_none();
+            let refused = state.engine.take_batch().is_some();
+            if !instances {
+                state.alive = !refused;
+            } else if refused || state.engine.needs_proof(sent) {
+                state.proving = true;
+                let delay = 5 + u64::from(self.roll(100)) * 300;
+                self.post(delay, Event::Refused { owner });
+            }
             return;
         }
         let Some((batch, entries)) = state.engine.take_batch() else {
+            if instances && state.engine.needs_proof(sent) {
+                state.proving = true;
+                let delay = 5 + u64::from(self.roll(100)) * 300;
+                let batch = None;
+                self.post(delay, Event::Stored { owner, batch, sent });
+            }
             return;
         };
         self.log
             .extend(entries.iter().map(|(k, v)| (k.to_string(), v.clone())));
         state.batch = Some((batch, entries));
         let delay = 5 + u64::from(self.chance(100)) * 300;
-        self.post(delay, Event::Stored { owner, batch });
+        let batch = Some(batch);
+        self.post(delay, Event::Stored { owner, batch, sent });
+    }
+
+    /// Continues after an append; without a batch, it only proved the ownership.
+    pub(super) fn stored(&mut self, owner: usize, batch: Option<u64>, sent: u64) {
+        if self.rates.instances {
+            self.store_answered(owner, true, sent);
+        }
+        let state = &mut self.owners[owner];
+        let Some(batch) = batch else {
+            state.proving = false;
+            return;
+        };
+        let now = state.local(self.now);
+        state.batch = None;
+        state.engine.batch_stored(batch, now);
+        let now = self.now;
+        for (_, _, id) in self
+            .cancels
+            .extract_if(.., |(o, b, _)| *o == owner && *b <= batch)
+        {
+            self.judge.cancel(&id, now);
+        }
     }
 
     /// Submitted jobs that the current owner shows as unfinished, or falsely as completed.
