--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -149,6 +149,7 @@
         }
         worker.extend_leases(run.start_expires, now);
         run.in_flight = true;
+        run.sent_to = worker.address_number;
         let job = self.jobs.get(task.step.job)?;
         let checkpoint = job
             .step(task.step)?
@@ -223,10 +224,13 @@
         let id = &self.cluster.workers[worker].registration.id;
         info!(job = run.name.job.as_str(), step = run.name.step, task = run.name.index, run = run.number,
             worker = id.as_str(), verdict:? = verdict, state:? = run.state, age = now - run.ordered_at; "start command refused");
+        let retried = run.state != RunState::Sent;
         match verdict {
             Verdict::Fenced => self.deposed = true,
-            Verdict::Reborn => self.mark_superseded(worker, now),
-            Verdict::Old | Verdict::Late if run.state != RunState::Sent => {
+            Verdict::Reborn if run.sent_to == self.cluster.workers[worker].address_number => {
+                self.mark_superseded(worker, now);
+            }
+            Verdict::Old | Verdict::Late if retried => {
                 // The run may have started and ended meanwhile; the worker's report tells.
                 run.retry_after = now + POLL_RETRY_MS;
                 if run.state == RunState::Unanswered {
@@ -244,14 +248,29 @@
                         step.policy.permits.retain(|t| t.worker != worker);
                     }
                 }
-                self.lose_run(key, Loss::Refused(verdict), now);
+                self.end_refused(key, verdict, retried, now);
             }
             Verdict::Unwell => {
                 self.cluster.workers[worker].suspend(now);
-                self.lose_run(key, Loss::Refused(verdict), now);
+                self.end_refused(key, verdict, retried, now);
             }
-            _ => self.lose_run(key, Loss::Refused(verdict), now),
+            _ => self.end_refused(key, verdict, retried, now),
+        }
+    }
+
+    /// Ends a run whose start command was refused. The refusal of a retry says nothing about the
+    /// commands before it: the run is kept if its worker has reported it, and stopped otherwise.
+    fn end_refused(&mut self, key: RunKey, verdict: Verdict, retried: bool, now: u64) {
+        if !retried {
+            return self.lose_run(key, Loss::Refused(verdict), now);
         }
+        let run = &mut self.cluster.runs[key];
+        if run.state != RunState::Unanswered {
+            return;
+        }
+        run.stopping = true;
+        run.retry_after = now;
+        self.actions.push(Action::Stop(key));
     }
 
     /// The command that stops a run, if it is still needed.
@@ -262,6 +281,11 @@
         }
         run.in_flight = true;
         let (name, number, worker) = (run.name.clone(), run.number, run.worker);
+        run.sent_to = self
+            .cluster
+            .workers
+            .get(worker)
+            .map_or(0, |w| w.address_number);
         Some(Stop {
             to: self.address(worker)?,
             task: name,
@@ -294,7 +318,11 @@
                         run.retry_after = now + STOP_RETRY_MS.max(self.times.stop * 2);
                     }
                     Verdict::Fenced => self.deposed = true,
-                    Verdict::Reborn => return self.mark_superseded(worker, now),
+                    Verdict::Reborn
+                        if run.sent_to == self.cluster.workers[worker].address_number =>
+                    {
+                        return self.mark_superseded(worker, now);
+                    }
                     _ => run.retry_after = now + STOP_RETRY_MS,
                 }
                 self.record_clock(worker, reply.clock, now);
@@ -339,6 +367,7 @@
             worker.extend_leases(lease_end, now);
         }
         worker.polling = true;
+        worker.polled_at = worker.address_number;
         let idle = worker.fenced && lease_end.is_some() && stored && worker.silent_since.is_none();
         Some(Poll {
             to,
@@ -379,6 +408,8 @@
                 warn!(worker = worker.registration.id.as_str(), token = self.token; "worker has seen a higher fencing token");
                 self.deposed = true;
             }
+            // The worker has left the address that was polled.
+            Verdict::Reborn if worker.polled_at != worker.address_number => worker.poll_after = 0,
             Verdict::Reborn => self.mark_superseded(key, now),
             // No lease was renewed, so runs on this worker end with their lease.
             _ => self.mark_silent(key, now),
--- a/src/cell/engine/registry.rs
+++ b/src/cell/engine/registry.rs
@@ -37,6 +37,9 @@
         if worker.registration.availability != registration.availability {
             info!(worker = registration.id.as_str(), standing:? = registration.availability; "worker availability changed");
         }
+        if worker.registration.address != registration.address {
+            worker.address_number += 1;
+        }
         worker.registered = true;
         worker.superseded = false;
         worker.registration = registration;
@@ -83,8 +86,7 @@
             return;
         };
         let known = self.cluster.reconciled || worker.fenced || worker.superseded;
-        let left = worker.registration.availability == model::Availability::Draining;
-        if !worker.is_removable() || worker.outcome_batch > self.durable_batch || !known && !left {
+        if !worker.is_removable() || worker.outcome_batch > self.durable_batch || !known {
             return;
         }
         if worker.stored_registration.is_some() {
--- a/tests/cell/workers.rs
+++ b/tests/cell/workers.rs
@@ -505,6 +505,7 @@
         clock,
         running: machine.running.iter().map(live).collect(),
         ended: machine.ended.clone(),
+        partial: false,
     })
 }
 
