--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -9,6 +9,7 @@
     mod faults;
     mod fuzz;
     mod journal;
+    mod listing;
     mod load;
     mod make;
     mod network;
--- a/tests/cell/faults.rs
+++ b/tests/cell/faults.rs
@@ -41,6 +41,14 @@
     pub(super) late_answers: u32,
     /// Owners that are killed or paused within two seconds of the beginning of their term.
     pub(super) series: u32,
+    /// Workers that drain, and workers that lose their registration, each per second.
+    pub(super) drains: u32,
+    /// Workers that start again at another address, of all that start again.
+    pub(super) moves: u32,
+    /// Lists of registrations that are behind, of all that are read.
+    pub(super) lags: u32,
+    /// Number of ended runs that a worker lists at once; 0 for all.
+    pub(super) page: usize,
     /// Whether the instances act as in the shell: they send heartbeats to the owner, and the owner
     /// proves by appends that it still owns the cell.
     pub(super) instances: bool,
@@ -92,6 +100,7 @@
                 .trace(|| format!("{} worker {at} cut off until {}", self.now, self.cuts[at]));
         }
         self.further_faults();
+        self.list_faults();
     }
 
     fn further_faults(&mut self) {
--- a/tests/cell/fuzz.rs
+++ b/tests/cell/fuzz.rs
@@ -148,6 +148,10 @@
     suspended: 0,
     late_answers: 0,
     series: 0,
+    drains: 0,
+    moves: 0,
+    lags: 0,
+    page: 0,
     instances: false,
 };
 
@@ -232,6 +236,33 @@
     play_all(16_000, 8, rates);
 }
 
+#[test]
+fn guarantees_hold_with_workers_that_drain_move_and_lose_their_registration() {
+    let rates = FaultRates {
+        loss: 20,
+        faults: 100,
+        long: 150,
+        drains: 300,
+        moves: 700,
+        lags: 300,
+        instances: true,
+        ..NONE
+    };
+    play_all(17_000, 8, rates);
+}
+
+#[test]
+fn guarantees_hold_with_ended_runs_listed_page_by_page() {
+    let rates = FaultRates {
+        loss: 60,
+        faults: 200,
+        page: 2,
+        instances: true,
+        ..NONE
+    };
+    play_all(18_000, 8, rates);
+}
+
 #[test]
 fn guarantees_hold_with_all_faults_of_production_combined() {
     let rates = FaultRates {
@@ -246,6 +277,10 @@
         suspended: 300,
         late_answers: 500,
         series: 400,
+        drains: 150,
+        moves: 500,
+        lags: 200,
+        page: 4,
         instances: true,
     };
     play_all(20_000, 16, rates);
--- a/tests/cell/network.rs
+++ b/tests/cell/network.rs
@@ -13,12 +13,14 @@
         Outcome,
         Reply,
         Report,
-        TaskName, //
+        TaskName,
+        Verdict, //
     }, //
 };
 use rand::Rng;
 
 use super::{
+    listing,
     workers::{
         self,
         Behaviour, //
@@ -84,13 +86,13 @@
     pub(super) fn act(&mut self, owner: usize, action: Action) {
         let now = self.owners[owner].local(self.now);
         let engine = &mut self.owners[owner].engine;
-        let (id, call) = match action {
+        let (to, call) = match action {
             Action::Start(run) => {
                 let Some(call) = engine.start_command(run, now) else {
                     return;
                 };
                 (
-                    call.to.worker,
+                    call.to.clone(),
                     Call::Start(run, call.task, call.run, call.expires_at),
                 )
             }
@@ -98,20 +100,24 @@
                 let Some(call) = engine.stop_command(run, now) else {
                     return;
                 };
-                (call.to.worker, Call::Stop(run, call.task, call.run))
+                (call.to.clone(), Call::Stop(run, call.task, call.run))
             }
             Action::Poll(worker) => {
                 let Some(call) = engine.poll_command(worker, now) else {
                     return;
                 };
                 (
-                    call.to.worker,
+                    call.to.clone(),
                     Call::Poll(worker, call.acked, call.lease_end, call.sent_at),
                 )
             }
             Action::Query(_) => return,
         };
-        let at = self.machines.iter().position(|m| m.id == id).unwrap();
+        let at = self
+            .machines
+            .iter()
+            .position(|m| m.id == to.worker)
+            .unwrap();
         let now = self.now;
         if let Some(pause) = self.owners[owner].pause {
             return self.hold_up(owner, at, call, pause.until - now);
@@ -119,6 +125,9 @@
         if self.paths[self.owners[owner].instance][at] > now {
             return self.unreachable(owner, call);
         }
+        if to.address != listing::address(self.listings[at].port) {
+            return self.misdirected(owner, call);
+        }
         if self.roll(self.rates.late) {
             let delay = self.dice.random_range(500..2_400);
             self.delay(owner, at, call.clone(), delay);
@@ -188,6 +197,30 @@
         );
     }
 
+    /// Answers a command to an address that the worker has left: another worker answers there, or none.
+    fn misdirected(&mut self, owner: usize, call: Call) {
+        if self.dice.random_range(0..2) == 0 {
+            return self.unreachable(owner, call);
+        }
+        let reply = Reply {
+            verdict: Verdict::Reborn,
+            clock: None,
+        };
+        let answer = match call {
+            Call::Poll(..) => Answer::Poll(Some(Err(reply))),
+            _ => Answer::Reply(Ok(reply)),
+        };
+        let delay = self.dice.random_range(1..300);
+        self.post(
+            delay,
+            Event::Return {
+                owner,
+                call,
+                answer,
+            },
+        );
+    }
+
     /// Answers a command on a path that is cut: the connection is refused at once, or nothing comes.
     fn unreachable(&mut self, owner: usize, call: Call) {
         if self.dice.random_range(0..2) == 0 {
@@ -242,6 +275,8 @@
                     .is_some_and(|incarnation| incarnation != self.machines[at].incarnation);
                 if !other {
                     self.arrive(owner, at, call, answered);
+                } else if answered {
+                    self.misdirected(owner, call);
                 }
             }
             Event::Return {
@@ -300,13 +335,15 @@
             }
             Call::Poll(_, seen, expires, _) => {
                 let machine = &mut self.machines[at];
-                Answer::Poll(Some(workers::poll(
-                    machine,
-                    at,
-                    (*seen, *expires, token),
-                    judge,
-                    now,
-                )))
+                let order = (*seen, *expires, token);
+                let mut reply = workers::poll(machine, at, order, judge, now);
+                if let Ok(report) = &mut reply
+                    && self.rates.page > 0
+                {
+                    report.ended.truncate(self.rates.page);
+                    report.partial = report.ended.len() == self.rates.page;
+                }
+                Answer::Poll(Some(reply))
             }
         };
         let path = self.paths[self.owners[owner].instance][at];
--- a/tests/cell/world.rs
+++ b/tests/cell/world.rs
@@ -25,6 +25,7 @@
         FaultRates,
         Pause, //
     },
+    listing::Listing,
     make::{
         self,
         START,
@@ -89,6 +90,8 @@
     pub(super) downs: Vec<u64>,
     /// Time until which each worker refuses starts, in milliseconds, and how.
     pub(super) spells: Vec<(u64, Verdict)>,
+    /// Registration of each worker.
+    pub(super) listings: Vec<Listing>,
     /// Time until which each instance cannot reach each worker, in milliseconds.
     pub(super) paths: Vec<Vec<u64>>,
     /// Time until which each instance is down, in milliseconds.
@@ -132,6 +135,7 @@
             cuts: vec![0; machines.len()],
             downs: vec![0; machines.len()],
             spells: vec![(0, Verdict::Unwell); machines.len()],
+            listings: vec![Listing::default(); machines.len()],
             paths: vec![vec![0; machines.len()]; INSTANCES],
             downs_of_instances: vec![0; INSTANCES],
             doom: None,
@@ -168,6 +172,7 @@
             self.now += STEP;
             self.faults();
             self.restart();
+            self.list();
             self.submit();
             workers::advance(&mut self.machines, &mut self.judge, self.now);
             while let Some(entry) = self.events.first_entry() {
@@ -196,11 +201,11 @@
 
     /// Restarts workers whose downtime is over.
     fn restart(&mut self) {
-        for (machine, until) in self.machines.iter_mut().zip(&self.downs) {
-            if !machine.up && *until <= self.now {
-                machine.restart(self.now);
-                self.judge
-                    .trace(|| format!("{} worker {} up", self.now, machine.id));
+        for at in 0..self.machines.len() {
+            if !self.machines[at].up && self.downs[at] <= self.now {
+                self.machines[at].restart(self.now);
+                self.judge.trace(|| format!("{} worker {at} up", self.now));
+                self.move_worker(at);
             }
         }
     }
@@ -217,13 +222,7 @@
             self.log.iter().map(|(k, v)| (k.as_str(), v.as_deref())),
             self.now,
         );
-        for machine in &self.machines {
-            engine.register(make::worker(
-                &machine.id,
-                machine.incarnation,
-                machine.capacity,
-            ));
-        }
+        self.read_list(&mut engine);
         let instance = self.elect();
         if self.rates.instances {
             let before = self.owners.last();
@@ -352,13 +351,9 @@
                 state.engine.proven_at = local;
             }
             state.engine.tick(local);
-            for machine in self.machines.iter().filter(|_| now.is_multiple_of(500)) {
-                state.engine.register(make::worker(
-                    &machine.id,
-                    machine.incarnation,
-                    machine.capacity,
-                ));
-            }
+        }
+        if now.is_multiple_of(500) {
+            self.read_registrations(owner);
         }
         let state = &mut self.owners[owner];
         if state.engine.pass_needed {
@@ -376,6 +371,13 @@
         }
     }
 
+    fn read_registrations(&mut self, owner: usize) {
+        let own = Engine::new(0, 0, TIMES);
+        let mut engine = std::mem::replace(&mut self.owners[owner].engine, own);
+        self.read_list(&mut engine);
+        self.owners[owner].engine = engine;
+    }
+
     fn commit(&mut self, owner: usize) {
         let (now, epoch, instances) = (self.now, self.epoch, self.rates.instances);
         let state = &mut self.owners[owner];
