test(cell): owners that are replaced while they work, and cuts from the store of any length

Change: a family in which an instance takes over from an owner that works; the store refuses the former owner 10 to 60 ms before the new term begins. Where the simulation acts as the shell, a cut from the store lasts 1 to 15 s.

--- a/tests/cell/faults.rs
+++ b/tests/cell/faults.rs
@@ -41,6 +41,8 @@
     pub(super) late_answers: u32,
     /// Owners that are killed or paused within two seconds of the beginning of their term.
     pub(super) series: u32,
+    /// Owners that another instance replaces although they work, per second.
+    pub(super) handovers: u32,
     /// Workers that drain, and workers that lose their registration, each per second.
     pub(super) drains: u32,
     /// Workers that start again at another address, of all that start again.
@@ -80,7 +82,11 @@
         } else if self.chance(faults)
             && let Some(owner) = self.current()
         {
-            self.owners[owner].cut = self.now + 20_000;
+            let span = match self.rates.instances {
+                true => self.dice.random_range(1_000..15_000),
+                false => 20_000,
+            };
+            self.owners[owner].cut = self.now + span;
             self.judge.trace(|| format!("{} owner cut off", self.now));
             self.successor = Some(self.now + TAKE_OVER);
         }
@@ -109,6 +115,12 @@
         {
             self.owners[owner].armed = Some(self.now + self.dice.random_range(0..900));
         }
+        if self.roll(self.rates.handovers) && self.successor.is_none() && self.current().is_some() {
+            self.judge.trace(|| format!("{} handover", self.now));
+            // The store refuses the former owner a little before the new one has read everything.
+            self.fence();
+            self.successor = Some(self.now + self.dice.random_range(10..60));
+        }
         if self.roll(self.rates.paths) {
             let instance = self.dice.random_range(0..INSTANCES);
             let at = self.dice.random_range(0..self.machines.len());
--- a/tests/cell/fuzz.rs
+++ b/tests/cell/fuzz.rs
@@ -148,6 +148,7 @@
     suspended: 0,
     late_answers: 0,
     series: 0,
+    handovers: 0,
     drains: 0,
     moves: 0,
     lags: 0,
@@ -236,6 +237,19 @@
     play_all(16_000, 8, rates);
 }
 
+#[test]
+fn guarantees_hold_with_owners_replaced_while_they_work() {
+    let rates = FaultRates {
+        loss: 20,
+        paths: 250,
+        long: 150,
+        handovers: 200,
+        instances: true,
+        ..NONE
+    };
+    play_all(19_000, 8, rates);
+}
+
 #[test]
 fn guarantees_hold_with_workers_that_drain_move_and_lose_their_registration() {
     let rates = FaultRates {
@@ -276,6 +290,7 @@
     suspended: 300,
     late_answers: 500,
     series: 400,
+    handovers: 30,
     drains: 150,
     moves: 500,
     lags: 200,
--- a/tests/cell/world.rs
+++ b/tests/cell/world.rs
@@ -102,6 +102,8 @@
     serial: u64,
     pub(super) owners: Vec<Owner>,
     epoch: u64,
+    /// Whether the store refuses the newest owner, since another one is about to begin.
+    fenced: bool,
     log: Vec<(String, Option<Vec<u8>>)>,
     pub(super) successor: Option<u64>,
     submitted: Vec<String>,
@@ -148,6 +150,7 @@
             serial: 0,
             owners: Vec::new(),
             epoch: 0,
+            fenced: false,
             log: Vec::new(),
             successor: Some(START),
             submitted: Vec::new(),
@@ -210,9 +213,17 @@
         }
     }
 
+    /// Lets the store refuse all owners but the next one.
+    pub(super) fn fence(&mut self) {
+        self.epoch += 1;
+        self.fenced = true;
+    }
+
     /// Begins a term: the new owner fences the store, loads the log and registers all workers.
     fn begin(&mut self) {
-        self.epoch += 1;
+        if !std::mem::take(&mut self.fenced) {
+            self.epoch += 1;
+        }
         self.judge
             .trace(|| format!("{} term {}", self.now, self.epoch));
         let mut engine = Engine::new(self.epoch, self.epoch, TIMES);
