--- a/tests/cell/faults.rs
+++ b/tests/cell/faults.rs
@@ -88,7 +88,7 @@
             };
             self.owners[owner].cut = self.now + span;
             self.judge.trace(|| format!("{} owner cut off", self.now));
-            self.successor = Some(self.now + TAKE_OVER);
+            self.successor = Some(self.now + self.take_over());
         }
         if self.chance(faults) {
             let at = self.rng.random_range(0..self.machines.len());
@@ -141,6 +141,14 @@
         }
     }
 
+    /// Time until a successor takes over, in milliseconds.
+    fn take_over(&mut self) -> u64 {
+        match self.rates.instances {
+            true => self.dice.random_range(200..1_500),
+            false => TAKE_OVER,
+        }
+    }
+
     /// Rolls the dice of the faults that were added later, so that the seeds of the others stay.
     pub(super) fn roll(&mut self, thousandths: u32) -> bool {
         thousandths > 0 && !self.calm && self.dice.random_range(0..1_000) < thousandths
@@ -159,7 +167,7 @@
         state.alive = false;
         self.downs_of_instances[state.instance] = up;
         if owner + 1 == self.owners.len() {
-            self.successor = Some(self.now + TAKE_OVER);
+            self.successor = Some(self.now + self.take_over());
         }
     }
 
@@ -246,7 +254,7 @@
             state.cut = pause.until + self.dice.random_range(500..8_000);
         }
         if owner + 1 == self.owners.len() {
-            self.successor = Some(self.now + TAKE_OVER);
+            self.successor = Some(self.now + self.take_over());
         }
     }
 
--- a/tests/cell/fuzz.rs
+++ b/tests/cell/fuzz.rs
@@ -311,3 +311,21 @@
     };
     play_all(21_000, 8, rates);
 }
+
+/// Owners change every few seconds, and each successor reaches other workers.
+#[test]
+fn guarantees_hold_where_no_owner_lasts() {
+    let rates = FaultRates {
+        loss: 20,
+        late: 20,
+        paths: 400,
+        long: 250,
+        pauses: 250,
+        late_answers: 500,
+        series: 700,
+        handovers: 100,
+        instances: true,
+        ..NONE
+    };
+    play_all(22_000, 8, rates);
+}
