merge main: the clock of an owner counts suspensions, its timers don't

Owners of the new families have clocks of different origins; in a suspension, the timers for answers stand still and the clock goes on.

--- a/tests/cell/faults.rs
+++ b/tests/cell/faults.rs
@@ -6,12 +6,17 @@
 };
 use rand::Rng;
 
-use super::world::{
-    Event,
-    INSTANCES,
-    TAKE_OVER,
-    World,
-    instance_name, //
+use super::{
+    network::{
+        ANSWER_TIMEOUT,
+        Event, //
+    },
+    world::{
+        INSTANCES,
+        TAKE_OVER,
+        World,
+        instance_name, //
+    }, //
 };
 
 /// Fault rates of a simulation, in thousandths.
@@ -34,7 +39,7 @@
     pub(super) long: u32,
     /// Pauses of the owner's process, per second.
     pub(super) pauses: u32,
-    /// Pauses that the owner's clock does not count, of all pauses.
+    /// Suspensions of the machine, in which the owner's timers stand still, of all pauses.
     pub(super) suspended: u32,
     /// Pauses after which the owner gets a late answer of the store and is then cut off from it, of
     /// all pauses.
@@ -61,7 +66,7 @@
 pub(super) struct Pause {
     pub(super) since: u64,
     pub(super) until: u64,
-    /// Whether the owner's clock stands still meanwhile.
+    /// Whether the owner's timers stand still meanwhile.
     pub(super) suspended: bool,
     /// Whether an answer of the store waits for the owner at the end.
     pub(super) late_answer: bool,
@@ -265,11 +270,11 @@
         let state = &mut self.owners[owner];
         let sent = state.local(pause.since);
         state.pause = None;
-        if pause.suspended {
-            state.lost += now - pause.since;
-        }
         let held = std::mem::take(&mut state.held);
-        let inbox = std::mem::take(&mut state.inbox);
+        let mut inbox = std::mem::take(&mut state.inbox);
+        let timeouts: Vec<Event> = inbox
+            .extract_if(.., |event| pause.suspended && event.is_timeout())
+            .collect();
         self.judge.trace(|| {
             format!(
                 "{now} owner {} continues with {} actions and {} events",
@@ -285,6 +290,10 @@
         inbox
             .into_iter()
             .for_each(|event: Event| self.handle(event));
+        for timeout in timeouts {
+            let rest = self.dice.random_range(1..ANSWER_TIMEOUT);
+            self.post(rest, timeout);
+        }
         if pause.late_answer && !early {
             self.store_answered(owner, pause.proof, sent);
         }
--- a/tests/cell/network.rs
+++ b/tests/cell/network.rs
@@ -29,7 +29,7 @@
 };
 
 /// Time after which an owner gives up waiting for the answer to a command, in milliseconds.
-const ANSWER_TIMEOUT: u64 = 350;
+pub(super) const ANSWER_TIMEOUT: u64 = 350;
 
 #[derive(Debug, Clone)]
 pub(super) enum Call {
@@ -80,6 +80,17 @@
             | Event::Refused { owner } => Some(*owner),
         }
     }
+
+    /// Whether the owner notices the event by a timer of its own.
+    pub(super) fn is_timeout(&self) -> bool {
+        let Event::Return { answer, .. } = self else {
+            return false;
+        };
+        matches!(
+            answer,
+            Answer::Poll(None) | Answer::Reply(Err(SendError::Unknown))
+        )
+    }
 }
 
 impl World {
--- a/tests/cell/world.rs
+++ b/tests/cell/world.rs
@@ -19,7 +19,6 @@
     rngs::SmallRng, //
 };
 
-pub(super) use super::network::Event;
 use super::{
     faults::{
         FaultRates,
@@ -31,6 +30,7 @@
         START,
         TIMES, //
     },
+    network::Event,
     workers::{
         self,
         JobSpec,
@@ -65,14 +65,14 @@
     pub(super) held: Vec<Action>,
     /// Events that have arrived during a pause.
     pub(super) inbox: Vec<Event>,
-    /// Time that the owner's clock has not counted, in milliseconds.
-    pub(super) lost: u64,
+    /// Time at which the owner's clock began, in milliseconds.
+    origin: u64,
 }
 
 impl Owner {
     /// Time on the owner's clock, in milliseconds.
     pub(super) fn local(&self, now: u64) -> u64 {
-        now - self.lost
+        now - self.origin
     }
 }
 
@@ -227,11 +227,17 @@
         self.judge
             .trace(|| format!("{} term {}", self.now, self.epoch));
         let mut engine = Engine::new(self.epoch, self.epoch, TIMES);
-        engine.set_wall_clock(self.now, self.now);
-        engine.proven_at = self.now;
+        // The clock of a process says nothing about that of another one.
+        let origin = match self.rates.instances {
+            true => self.dice.random_range(0..START / 2),
+            false => 0,
+        };
+        let now = self.now - origin;
+        engine.set_wall_clock(self.now, now);
+        engine.proven_at = now;
         engine.load(
             self.log.iter().map(|(k, v)| (k.as_str(), v.as_deref())),
-            self.now,
+            now,
         );
         self.read_list(&mut engine);
         let instance = self.elect();
@@ -239,7 +245,7 @@
             let before = self.owners.last();
             let before = before.map(|o| (o.engine.term, instance_name(o.instance)));
             let predecessor = before.as_ref().map(|(term, name)| (*term, name.as_str()));
-            engine.succeed(&instance_name(instance), predecessor, self.now);
+            engine.succeed(&instance_name(instance), predecessor, now);
         }
         self.judge
             .trace(|| format!("{} owner {} on instance {instance}", self.now, self.epoch));
@@ -254,7 +260,7 @@
             pause: None,
             held: Vec::new(),
             inbox: Vec::new(),
-            lost: 0,
+            origin,
         });
         self.faults_of_term(self.owners.len() - 1);
     }
