--- a/src/cell/engine/reports.rs
+++ b/src/cell/engine/reports.rs
@@ -8,6 +8,7 @@
 use super::{
     Action,
     Engine,
+    commands,
     losses::Loss, //
 };
 use crate::cell::{
@@ -64,10 +65,14 @@
             self.change_incarnation(key, report.incarnation, sent, now);
         }
         self.record_clock(key, Some(report.clock), now);
+        // The poll may have been meant for a former incarnation, which had seen the token.
+        let proven = self.has_fresh_proof(sent);
         let worker = &mut self.cluster.workers[key];
         worker.last_report = now;
         worker.incarnation = worker.incarnation.max(report.incarnation);
-        if !worker.fenced {
+        if !worker.fenced && !proven {
+            worker.poll_after = now + commands::POLL_RETRY_MS;
+        } else if !worker.fenced {
             worker.fenced = true;
             // An earlier owner may have renewed leases just before.
             let longest = cluster::local_duration(self.times.lease);
@@ -79,12 +84,19 @@
         let mut new_ends: Vec<&model::EndedRun> =
             report.ended.iter().filter(|e| e.number > known).collect();
         new_ends.sort_by_key(|end| end.number);
+        let any_new = !new_ends.is_empty();
         for end in new_ends {
             self.apply_end(key, end, now);
         }
-        if !self.dirty_jobs.is_empty() {
-            // The changes that follow from the ended runs are stored with this batch.
-            self.cluster.workers[key].outcome_batch = self.open_batch;
+        if any_new {
+            // What follows from the ended runs is stored with the batch being gathered, or with one
+            // in flight.
+            let last = match self.dirty_jobs.is_empty() {
+                true => self.open_batch - 1,
+                false => self.open_batch,
+            };
+            let worker = &mut self.cluster.workers[key];
+            worker.outcome_batch = worker.outcome_batch.max(last);
         }
         self.compare_runs(key, sent, report, now);
         let worker = &self.cluster.workers[key];
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -13,6 +13,7 @@
     mod load;
     mod make;
     mod network;
+    mod owners;
     mod proxies;
     mod recovery;
     mod rules;
