--- a/tests/cell/faults.rs
+++ b/tests/cell/faults.rs
@@ -20,7 +20,7 @@
 };
 
 /// Fault rates of a simulation, in thousandths.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub(super) struct FaultRates {
     /// Lost commands and replies.
     pub(super) loss: u32,
@@ -61,6 +61,28 @@
     pub(super) instances: bool,
 }
 
+impl FaultRates {
+    pub(super) const NONE: Self = Self {
+        loss: 0,
+        delayed: 0,
+        faults: 0,
+        late: 0,
+        unwell: 0,
+        paths: 0,
+        long: 0,
+        pauses: 0,
+        suspended: 0,
+        late_answers: 0,
+        series: 0,
+        handovers: 0,
+        drains: 0,
+        moves: 0,
+        lags: 0,
+        page: 0,
+        instances: false,
+    };
+}
+
 /// Time for which an owner's process does nothing.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Pause {
--- a/tests/cell/fuzz.rs
+++ b/tests/cell/fuzz.rs
@@ -74,7 +74,7 @@
         loss: 0,
         delayed: 0,
         faults: 0,
-        ..FaultRates::default()
+        ..FaultRates::NONE
     };
     (0..4).for_each(|seed| play(seed, trouble));
 }
@@ -85,7 +85,7 @@
         loss: 60,
         delayed: 100,
         faults: 0,
-        ..FaultRates::default()
+        ..FaultRates::NONE
     };
     (0..12).for_each(|seed| play(seed, trouble));
 }
@@ -96,7 +96,7 @@
         loss: 0,
         delayed: 0,
         faults: 120,
-        ..FaultRates::default()
+        ..FaultRates::NONE
     };
     (0..12).for_each(|seed| play(seed, trouble));
 }
@@ -107,7 +107,7 @@
         loss: 40,
         delayed: 100,
         faults: 120,
-        ..FaultRates::default()
+        ..FaultRates::NONE
     };
     (0..24).for_each(|seed| play(seed, trouble));
 }
@@ -122,7 +122,7 @@
         loss: 40,
         delayed: 100,
         faults: 150,
-        ..FaultRates::default()
+        ..FaultRates::NONE
     };
     (1_000..1_000 + count.unwrap_or(20)).for_each(|seed| play(seed, trouble));
 }
@@ -133,27 +133,7 @@
     faults: 150,
     paths: 200,
     instances: true,
-    ..NONE
-};
-
-const NONE: FaultRates = FaultRates {
-    loss: 0,
-    delayed: 0,
-    faults: 0,
-    late: 0,
-    unwell: 0,
-    paths: 0,
-    long: 0,
-    pauses: 0,
-    suspended: 0,
-    late_answers: 0,
-    series: 0,
-    handovers: 0,
-    drains: 0,
-    moves: 0,
-    lags: 0,
-    page: 0,
-    instances: false,
+    ..FaultRates::NONE
 };
 
 #[test]
@@ -168,7 +148,7 @@
         late: 40,
         unwell: 500,
         instances: true,
-        ..NONE
+        ..FaultRates::NONE
     };
     play_all(11_000, 8, rates);
 }
@@ -180,7 +160,7 @@
         paths: 250,
         long: 150,
         instances: true,
-        ..NONE
+        ..FaultRates::NONE
     };
     play_all(12_000, 8, rates);
 }
@@ -192,7 +172,7 @@
         long: 150,
         pauses: 120,
         instances: true,
-        ..NONE
+        ..FaultRates::NONE
     };
     play_all(13_000, 8, rates);
 }
@@ -205,7 +185,7 @@
         pauses: 120,
         suspended: 1_000,
         instances: true,
-        ..NONE
+        ..FaultRates::NONE
     };
     play_all(14_000, 8, rates);
 }
@@ -218,7 +198,7 @@
         pauses: 120,
         late_answers: 1_000,
         instances: true,
-        ..NONE
+        ..FaultRates::NONE
     };
     play_all(15_000, 8, rates);
 }
@@ -232,7 +212,7 @@
         late_answers: 500,
         series: 600,
         instances: true,
-        ..NONE
+        ..FaultRates::NONE
     };
     play_all(16_000, 8, rates);
 }
@@ -245,7 +225,7 @@
         long: 150,
         handovers: 200,
         instances: true,
-        ..NONE
+        ..FaultRates::NONE
     };
     play_all(19_000, 8, rates);
 }
@@ -260,7 +240,7 @@
         moves: 700,
         lags: 300,
         instances: true,
-        ..NONE
+        ..FaultRates::NONE
     };
     play_all(17_000, 8, rates);
 }
@@ -272,7 +252,7 @@
         faults: 200,
         page: 2,
         instances: true,
-        ..NONE
+        ..FaultRates::NONE
     };
     play_all(18_000, 8, rates);
 }
@@ -325,7 +305,7 @@
         series: 700,
         handovers: 100,
         instances: true,
-        ..NONE
+        ..FaultRates::NONE
     };
     play_all(22_000, 8, rates);
 }
