--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -6,11 +6,15 @@
 mod cell {
     mod archive;
     mod election;
+    mod faults;
     mod fuzz;
     mod journal;
+    mod listing;
     mod load;
     mod make;
     mod malformed;
+    mod network;
+    mod owners;
     mod proxies;
     mod recovery;
     mod rules;
