test(cell): simulated workers have ports that can be used

Cause: port 0 is no address of a worker; the check of stored records rejects it.

Change: the simulation counts from 1.

--- a/tests/cell/listing.rs
+++ b/tests/cell/listing.rs
@@ -148,5 +148,5 @@
 
 /// Address of a worker.
 pub(super) fn address(port: u16) -> compact_str::CompactString {
-    compact_str::format_compact!("127.0.0.1:{port}")
+    compact_str::format_compact!("127.0.0.1:{}", port + 1)
 }
