--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -36,6 +36,7 @@
 
 pub mod batch;
 pub mod commands;
+pub mod losses;
 pub mod placement;
 pub mod policy;
 pub mod proxies;
@@ -44,6 +45,7 @@
 pub mod reports;
 pub mod status;
 pub mod submissions;
+pub mod succession;
 
 /// Run numbers reserved for each earlier owner, whose run numbers are not all stored. An owner
 /// rarely starts a task more than a few times.
@@ -160,8 +162,9 @@
     pub durable_batch: u64,
     /// Whether a worker has seen a higher fencing token.
     pub deposed: bool,
-    /// Local time of the store's last reply, in milliseconds.
-    pub last_store_answer: u64,
+    /// Local time at which the newest call was sent by which the store confirmed the term, in
+    /// milliseconds.
+    pub proven_at: u64,
     /// Whether something has changed since the last placement pass.
     pub pass_needed: bool,
     /// Local time of the last placement pass, in milliseconds.
@@ -184,6 +187,10 @@
     queue_stats: Vec<QueueStats>,
     /// Instances through which the policy is queried.
     pub proxies: proxies::Proxies,
+    /// Runs that ended without an outcome, not yet counted.
+    losses: Vec<losses::Loss>,
+    /// Owners of the cell up to this one.
+    succession: succession::Succession,
     /// Local time at which reconciliation ends at the latest, in milliseconds.
     reconcile_by: u64,
     /// Unix time minus local time, in milliseconds.
@@ -209,7 +216,7 @@
             open_batch: 1,
             durable_batch: 0,
             deposed: false,
-            last_store_answer: 0,
+            proven_at: 0,
             pass_needed: false,
             last_pass: 0,
             dirty_jobs: Vec::new(),
@@ -221,6 +228,8 @@
             timed_jobs: Vec::new(),
             queue_stats: Vec::new(),
             proxies: proxies::Proxies::default(),
+            losses: Vec::new(),
+            succession: succession::Succession::default(),
             reconcile_by: 0,
             wall_offset: 0,
         }
@@ -416,6 +425,7 @@
             stopping: false,
             retry_after: 0,
             in_flight: false,
+            sent_to: 0,
         });
         if let Some(state) = job.task_mut(task) {
             state.phase = Phase::Active(run);
--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -10,7 +10,8 @@
 
 use super::{
     Action,
-    Engine, //
+    Engine,
+    losses::Loss, //
 };
 use crate::cell::{
     cluster::RunState,
@@ -126,12 +127,20 @@
         })
     }
 
-    /// The command that starts a run, if it is still needed.
+    /// The command that starts a run, if it is still needed and the ownership is proven. Any time may
+    /// have passed since the run was placed.
     pub fn start_command(&mut self, key: RunKey, now: u64) -> Option<Start> {
+        let may_command = self.may_command(now);
         let run = self.cluster.runs.get_mut(key)?;
         if run.stopping || run.in_flight {
             return None;
         }
+        if !may_command {
+            if run.start_expires == 0 {
+                self.lose_run(key, Loss::Unsent, now);
+            }
+            return None;
+        }
         let task = run.task?;
         let worker = self.cluster.workers.get_mut(run.worker)?;
         let clock = worker.clock_at(now)?;
@@ -140,6 +149,7 @@
         }
         worker.extend_leases(run.start_expires, now);
         run.in_flight = true;
+        run.sent_to = worker.address_number;
         let job = self.jobs.get(task.step.job)?;
         let checkpoint = job
             .step(task.step)?
@@ -183,7 +193,7 @@
             }
             Err(SendError::Unsent) if self.cluster.runs[key].state == RunState::Sent => {
                 self.mark_silent(worker, now);
-                self.end_run(key, model::Outcome::Lapsed, "", now);
+                self.lose_run(key, Loss::Unsent, now);
             }
             Err(_) => {
                 let run = &mut self.cluster.runs[key];
@@ -213,11 +223,14 @@
         }
         let id = &self.cluster.workers[worker].registration.id;
         info!(job = run.name.job.as_str(), step = run.name.step, task = run.name.index, run = run.number,
-            worker = id.as_str(), verdict:? = verdict; "start command refused");
+            worker = id.as_str(), verdict:? = verdict, state:? = run.state, age = now - run.ordered_at; "start command refused");
+        let retried = run.state != RunState::Sent;
         match verdict {
             Verdict::Fenced => self.deposed = true,
-            Verdict::Reborn => self.mark_superseded(worker, now),
-            Verdict::Old | Verdict::Late if run.state != RunState::Sent => {
+            Verdict::Reborn if run.sent_to == self.cluster.workers[worker].address_number => {
+                self.mark_superseded(worker, now);
+            }
+            Verdict::Old | Verdict::Late if retried => {
                 // The run may have started and ended meanwhile; the worker's report tells.
                 run.retry_after = now + POLL_RETRY_MS;
                 if run.state == RunState::Unanswered {
@@ -235,16 +248,31 @@
                         step.policy.permits.retain(|t| t.worker != worker);
                     }
                 }
-                self.end_run(key, model::Outcome::Stopped, "", now);
+                self.end_refused(key, verdict, retried, now);
             }
             Verdict::Unwell => {
                 self.cluster.workers[worker].suspend(now);
-                self.end_run(key, model::Outcome::Stopped, "", now);
+                self.end_refused(key, verdict, retried, now);
             }
-            _ => self.end_run(key, model::Outcome::Stopped, "", now),
+            _ => self.end_refused(key, verdict, retried, now),
         }
     }
 
+    /// Ends a run whose start command was refused. The refusal of a retry says nothing about the
+    /// commands before it: the run is kept if its worker has reported it, and stopped otherwise.
+    fn end_refused(&mut self, key: RunKey, verdict: Verdict, retried: bool, now: u64) {
+        if !retried {
+            return self.lose_run(key, Loss::Refused(verdict), now);
+        }
+        let run = &mut self.cluster.runs[key];
+        if run.state != RunState::Unanswered {
+            return;
+        }
+        run.stopping = true;
+        run.retry_after = now;
+        self.actions.push(Action::Stop(key));
+    }
+
     /// The command that stops a run, if it is still needed.
     pub fn stop_command(&mut self, key: RunKey, now: u64) -> Option<Stop> {
         let run = self.cluster.runs.get_mut(key)?;
@@ -253,6 +281,11 @@
         }
         run.in_flight = true;
         let (name, number, worker) = (run.name.clone(), run.number, run.worker);
+        run.sent_to = self
+            .cluster
+            .workers
+            .get(worker)
+            .map_or(0, |w| w.address_number);
         Some(Stop {
             to: self.address(worker)?,
             task: name,
@@ -285,7 +318,11 @@
                         run.retry_after = now + STOP_RETRY_MS.max(self.times.stop * 2);
                     }
                     Verdict::Fenced => self.deposed = true,
-                    Verdict::Reborn => return self.mark_superseded(worker, now),
+                    Verdict::Reborn
+                        if run.sent_to == self.cluster.workers[worker].address_number =>
+                    {
+                        return self.mark_superseded(worker, now);
+                    }
                     _ => run.retry_after = now + STOP_RETRY_MS,
                 }
                 self.record_clock(worker, reply.clock, now);
@@ -299,9 +336,9 @@
 
     /// The poll of a worker, if one is due.
     pub fn poll_command(&mut self, key: WorkerKey, now: u64) -> Option<Poll> {
-        let (durable, store_fresh, may_command) = (
+        let (durable, fresh_proof, may_command) = (
             self.durable_batch,
-            self.is_store_fresh(now),
+            self.has_fresh_proof(now),
             self.may_command(now),
         );
         let lease = (self.times.lease as f64 * LEASE_SHARE) as u64;
@@ -309,7 +346,7 @@
         let worker = self.cluster.workers.get_mut(key)?;
         // A worker incarnation that has acked no fencing token yet would accept commands from a
         // former owner.
-        if !worker.is_poll_due(durable, now) || !worker.fenced && !store_fresh {
+        if !worker.is_poll_due(durable, now) || !worker.fenced && !fresh_proof {
             return None;
         }
         let stored = worker.outcome_batch <= durable;
@@ -330,6 +367,7 @@
             worker.extend_leases(lease_end, now);
         }
         worker.polling = true;
+        worker.polled_at = worker.address_number;
         let idle = worker.fenced && lease_end.is_some() && stored && worker.silent_since.is_none();
         Some(Poll {
             to,
@@ -370,6 +408,8 @@
                 warn!(worker = worker.registration.id.as_str(), token = self.token; "worker has seen a higher fencing token");
                 self.deposed = true;
             }
+            // The worker has left the address that was polled.
+            Verdict::Reborn if worker.polled_at != worker.address_number => worker.poll_after = 0,
             Verdict::Reborn => self.mark_superseded(key, now),
             // No lease was renewed, so runs on this worker end with their lease.
             _ => self.mark_silent(key, now),
@@ -390,7 +430,7 @@
         worker.clock_reading = None;
         worker.leases_end = 0;
         for run in worker.runs.clone() {
-            self.end_run(run, model::Outcome::Lapsed, "", now);
+            self.lose_run(run, Loss::Superseded, now);
         }
         self.pass_needed = true;
     }
@@ -441,12 +481,13 @@
             }
         }
         for run in expired {
-            self.end_run(run, model::Outcome::Lapsed, "", now);
+            self.lose_run(run, Loss::LeaseExpired, now);
         }
     }
 
     /// Retries unanswered commands.
     pub(super) fn retry_commands(&mut self, now: u64) {
+        let may_command = self.may_command(now);
         for (key, run) in &self.cluster.runs {
             if run.in_flight || now < run.retry_after {
                 continue;
@@ -455,7 +496,7 @@
                 self.actions.push(Action::Stop(key));
                 continue;
             }
-            if run.state != RunState::Unanswered {
+            if run.state != RunState::Unanswered || !may_command {
                 continue;
             }
             let clock = self.cluster.workers[run.worker].clock_at(now);
--- a/src/cell/engine/registry.rs
+++ b/src/cell/engine/registry.rs
@@ -2,7 +2,10 @@
 
 use log::info;
 
-use super::Engine;
+use super::{
+    Engine,
+    losses::Loss, //
+};
 use crate::cell::{
     cluster::RunState,
     job::WorkerKey,
@@ -34,6 +37,9 @@
         if worker.registration.availability != registration.availability {
             info!(worker = registration.id.as_str(), standing:? = registration.availability; "worker availability changed");
         }
+        if worker.registration.address != registration.address {
+            worker.address_number += 1;
+        }
         worker.registered = true;
         worker.superseded = false;
         worker.registration = registration;
@@ -68,6 +74,9 @@
         }
         worker.stored_registration = Some(worker.registration.clone());
         worker.record_batch = u64::MAX;
+        // A batch deletes after it stores.
+        let record = journal::key(journal::Kind::Worker, &worker.registration.id);
+        self.dropped_keys.retain(|key| *key != record);
         if !self.unstored_workers.contains(&key) {
             self.unstored_workers.push(key);
         }
@@ -80,14 +89,15 @@
             return;
         };
         let known = self.cluster.reconciled || worker.fenced || worker.superseded;
-        let left = worker.registration.availability == model::Availability::Draining;
-        if !worker.is_removable() || worker.outcome_batch > self.durable_batch || !known && !left {
+        if !worker.is_removable() || worker.outcome_batch > self.durable_batch || !known {
             return;
         }
         if worker.stored_registration.is_some() {
             let record = journal::key(journal::Kind::Worker, &worker.registration.id);
             self.dropped_keys.push(record);
         }
+        info!(worker = worker.registration.id.as_str(), standing:? = worker.registration.availability, reported = worker.fenced,
+            superseded = worker.superseded, reconciled = self.cluster.reconciled; "worker forgotten");
         self.cluster.remove_worker(key);
     }
 
@@ -117,7 +127,7 @@
         for key in runs {
             let run = &self.cluster.runs[key];
             if matches!(run.state, RunState::Confirmed(at) if at < sent) {
-                self.end_run(key, model::Outcome::Lapsed, "", now);
+                self.lose_run(key, Loss::Restarted, now);
             }
         }
         self.pass_needed = true;
--- a/src/cell/engine/reports.rs
+++ b/src/cell/engine/reports.rs
@@ -7,7 +7,8 @@
 
 use super::{
     Action,
-    Engine, //
+    Engine,
+    losses::Loss, //
 };
 use crate::cell::{
     cluster::{
@@ -160,23 +161,21 @@
                 None => self.adopt_run(key, live, now),
             }
         }
+        if report.partial {
+            // The end of a run that is not listed may be on the next page.
+            return;
+        }
         listed.sort();
         for run in booked {
             if listed.binary_search(&run).is_ok() || !self.cluster.runs.contains_key(run) {
                 continue;
             }
-            let lost = match self.cluster.runs[run].state {
-                RunState::Confirmed(at) => at < sent,
-                RunState::Unanswered => self.is_expired(run, report.clock),
-                RunState::Sent => false,
+            let loss = match self.cluster.runs[run].state {
+                RunState::Confirmed(at) if at < sent => Loss::Unlisted,
+                RunState::Unanswered if self.is_expired(run, report.clock) => Loss::CommandExpired,
+                _ => continue,
             };
-            if lost {
-                let run_ref = &self.cluster.runs[run];
-                info!(job = run_ref.name.job.as_str(), step = run_ref.name.step, task = run_ref.name.index,
-                    run = run_ref.number, worker = self.cluster.workers[key].registration.id.as_str(), born = report.incarnation;
-                    "run is missing from its worker's report");
-                self.end_run(run, Outcome::Lapsed, "", now);
-            }
+            self.lose_run(run, loss, now);
         }
     }
 
@@ -231,6 +230,7 @@
             stopping: task.is_none(),
             retry_after: 0,
             in_flight: false,
+            sent_to: 0,
         });
         let Some(task) = task else {
             self.actions.push(Action::Stop(key));
--- a/src/cell/shell/owner.rs
+++ b/src/cell/shell/owner.rs
@@ -23,11 +23,14 @@
 };
 
 use crate::{
-    cell::engine::{
-        Action,
-        Engine,
-        Times,
-        commands::Address, //
+    cell::{
+        election,
+        engine::{
+            Action,
+            Engine,
+            Times,
+            commands::Address, //
+        }, //
     },
     platform::store,
     remote::link::Link, //
@@ -72,15 +75,6 @@
 /// CPU share from which another instance should take over, as a multiple of the owner's.
 const TAKEOVER_RATIO: f64 = 1.5;
 
-/// The owner of the previous term.
-#[derive(Debug, Default)]
-pub struct Predecessor {
-    /// Instance of the previous owner; empty for none.
-    pub instance: CompactString,
-    /// Whether the process of the previous owner is certainly gone.
-    pub gone: bool,
-}
-
 /// State that is read from the store before a term begins.
 #[derive(Debug, Default)]
 pub struct Preloaded {
@@ -121,8 +115,6 @@
     /// Local time since which a batch waits to be stored, in milliseconds; 0 if none waits.
     pub(super) waiting_since: Cell<u64>,
     pub(super) term: u64,
-    /// Instance that owned the cell in the previous term; empty for none.
-    predecessor: CompactString,
     /// Local time at which the term began, in milliseconds.
     began: u64,
 }
@@ -137,11 +129,12 @@
     pub async fn begin(
         shared: &Rc<Shared>,
         term: u64,
-        predecessor: Predecessor,
+        predecessor: Option<election::Owner>,
         preloaded: Preloaded,
     ) -> Result<Rc<Self>, store::Error> {
         let began = shared.now();
         let fence = store::Condition::Epoch(term, 0);
+        let fenced_at = shared.now();
         let mut sequence = 0;
         match store::append(
             &shared.store,
@@ -168,16 +161,15 @@
         let mut engine = Engine::new(term, term, times);
         let now = shared.now();
         engine.set_wall_clock(unix_ms(), now);
-        engine.last_store_answer = now;
+        engine.confirm_ownership(fenced_at);
         engine.proxies.record_heartbeat(&cfg.instance, u64::MAX / 2);
         let values = jobs
             .records
             .iter()
             .map(|r| (r.key.as_str(), r.value.as_deref()));
         engine.load(values, now);
-        if predecessor.gone {
-            engine.former_owner_gone(now);
-        }
+        let predecessor = predecessor.as_ref().map(|o| (o.term, o.instance.as_str()));
+        engine.succeed(&cfg.instance, predecessor, now);
         for record in &workers.records {
             registry::apply(&mut engine, record);
         }
@@ -192,7 +184,6 @@
             members: RefCell::new(Vec::new()),
             waiting_since: Cell::new(0),
             term,
-            predecessor: predecessor.instance,
             began: now,
         });
         shared.metrics.terms.inc();
@@ -227,7 +218,8 @@
     /// Ends the term; `reason` is logged.
     pub fn end(&self, reason: &str) {
         if !self.over.send_replace(true) {
-            warn!(term = self.term, reason; "term ends");
+            let proof = self.now().saturating_sub(self.engine.borrow().proven_at);
+            warn!(term = self.term, reason, proof; "term ends");
         }
     }
 
@@ -274,8 +266,9 @@
         }
         let mut engine = self.engine.borrow_mut();
         engine.proxies.record_heartbeat(&beat.instance, now);
-        if beat.instance == self.predecessor {
-            engine.former_owner_gone(now);
+        // A heartbeat of an earlier term may be older than a term of the instance that sent it.
+        if beat.term >= self.term {
+            engine.former_owner_gone(&beat.instance, now);
         }
     }
 
@@ -385,8 +378,12 @@
             let mut engine = owner.engine.borrow_mut();
             let now = owner.now();
             engine.set_wall_clock(unix_ms(), now);
-            engine.last_store_answer = owner.shared.store_answered_at.get();
             engine.tick(now);
+            let metrics = &owner.shared.metrics;
+            for loss in engine.take_losses() {
+                metrics.count_loss(loss);
+            }
+            metrics.silent_workers.set(engine.silent_workers() as i64);
         }
         owner.run_actions();
     }
