test(soak): mode split: paused owners, cut paths, late commands

Cause: the soak froze and cut single instances and workers, but never let a former owner reach workers that its successor did not reach, nor a worker carry a command out after the owner had given it up.

Change: a mode beside the others. The owner is paused for 2 to 15 s with answers of the store on their way, and the next ones are paused or killed up to 2 s after their claim; paths between single instances and workers are cut for 2 to 20 s and healed; workers carry commands out 0.5 to 12 s late or answer 503; draining workers lose their registration and run on; registrations stand still. At the end half of the workers are lost to the owner for longer than a lease and come back with no change of owner.

For all modes: a process that ends by itself, a start over a second after its job was shown as completed while nothing is disturbed, and a gang on all of every worker that does not complete within 17 s of the traffic are violations; a failure prints the faults with the owners that they met, the open tasks and all workers. An append that the stand-in carries out late takes effect also if the client has given up. Two seeds run with every test run.

Cuts stand in the stand-in, which tells instances apart by the fencing token, not in the proxy; a path whose connections cannot be opened is not covered.

--- a/tests/cell/workers.rs
+++ b/tests/cell/workers.rs
@@ -51,13 +51,19 @@
     pub(super) starts: u32,
     pub(super) completions: u32,
     pub(super) traced: bool,
-    /// Whether owners must know by now which workers leave.
+    /// Whether owners must know by now which workers leave and which jobs have completed.
     pub(super) informed: bool,
+    /// Time at which each job was first shown as completed, in milliseconds.
+    pub(super) shown: BTreeMap<String, u64>,
 }
 
 /// Time after which a leaving worker gets no new tasks, in milliseconds: the platform's bound.
 const LEAVE: u64 = 2_500;
 
+/// Time after which a job that was shown as completed gets no start, in milliseconds: the platform's
+/// bound.
+const COMPLETED: u64 = 1_000;
+
 impl Oracle {
     /// Prints an event if `BAMBOOLOCK_TRACE` is set.
     pub(super) fn trace(&self, text: impl FnOnce() -> String) {
@@ -100,6 +106,10 @@
         if self.informed && machine.leaving.is_some_and(|since| now > since + LEAVE) {
             self.violate(now, "placed on a leaving worker", task);
         }
+        let shown = self.shown.get(task.job.as_str());
+        if self.informed && shown.is_some_and(|at| now > at + COMPLETED) {
+            self.violate(now, "started after the job was shown as completed", task);
+        }
         if job.cancelled.is_some_and(|at| now > at + 3_000 + 12_000) {
             self.violate(now, "started long after its cancellation", task);
         }
@@ -208,6 +218,19 @@
         of_job.any(|(_, record)| record.failed.len() >= self.attempts as usize)
     }
 
+    /// Describes the tasks of a job, for a failed run.
+    pub(super) fn describe(&self, id: &str) -> String {
+        let of_job = self.tasks.iter().filter(|(task, _)| task.job == id);
+        let tasks = of_job.map(|(task, record)| {
+            let (starts, done, failed) = (record.starts.len(), &record.done, &record.failed);
+            format!(
+                "{}.{}: {starts} starts, done {done:?}, failed {failed:?}",
+                task.step, task.index
+            )
+        });
+        format!("{:?} {:#?}", self.jobs[id], tasks.collect::<Vec<_>>())
+    }
+
     /// Whether all tasks of a job have succeeded.
     pub(super) fn is_done(&self, id: &str) -> bool {
         let steps = self.jobs[id].steps.len();
@@ -287,6 +310,31 @@
         (now - self.started) * self.rate / 1_000
     }
 
+    /// Describes the worker, for a failed run.
+    pub(super) fn describe(&self, now: u64) -> String {
+        let clock = self.clock(now);
+        let lease = self.lease as i64 - clock as i64;
+        let used: u32 = self.running.iter().map(|r| r.demand).sum();
+        let running = self.running.iter().map(|r| {
+            let (task, since) = (&r.task, clock - r.since);
+            format!(
+                "{}.{}.{} run {} since {since} ms",
+                task.job, task.step, task.index, r.run
+            )
+        });
+        let running: Vec<String> = running.collect();
+        format!(
+            "{}: up {}, unregistered {}, leaving {:?}, token {}, lease {lease} ms, used {used} of {}, {} ends listed, running {running:?}",
+            self.id,
+            self.up,
+            self.unregistered,
+            self.leaving,
+            self.token,
+            self.capacity,
+            self.ended.len()
+        )
+    }
+
     fn end(&mut self, at: usize, index: usize, outcome: Outcome, judge: &mut Oracle) {
         let run = self.running.remove(index);
         let end = EndedRun {
--- a/tests/instances.rs
+++ b/tests/instances.rs
@@ -4,12 +4,15 @@
 #![expect(clippy::unwrap_used, reason = "a panic fails the test")]
 
 mod instances {
+    #[expect(dead_code, reason = "the soak uses the rest")]
+    mod delivery;
     mod former_owner;
     #[expect(dead_code, reason = "the tests of the cell use the rest")]
     #[path = "../cell/make.rs"]
     mod make;
     #[expect(dead_code, reason = "the soak uses the rest")]
     mod processes;
+    #[expect(dead_code, reason = "the soak uses the rest")]
     mod standin;
     mod startup;
     mod takeover;
--- a/tests/instances/processes.rs
+++ b/tests/instances/processes.rs
@@ -61,6 +61,16 @@
     }
 }
 
+/// Returns the program under test: `BAMBOOLOCK_CELL`, to play a test on another build, or that of
+/// this one.
+fn program() -> PathBuf {
+    let other = std::env::var_os("BAMBOOLOCK_CELL");
+    other.map_or_else(
+        || env!("CARGO_BIN_EXE_bamboolock-cell").into(),
+        PathBuf::from,
+    )
+}
+
 impl Instance {
     /// Starts an instance that uses the store and the workers at `platform`.
     pub(super) fn start(name: &str, platform: SocketAddr) -> Self {
@@ -95,7 +105,7 @@
 
     /// Runs the process to its end; returns its exit status and its output.
     pub(super) fn run(&self) -> (Option<i32>, String) {
-        let output = Command::new(env!("CARGO_BIN_EXE_bamboolock-cell"))
+        let output = Command::new(program())
             .env("BAMBOOLOCK_BOOT", &self.settings)
             .output()
             .unwrap();
@@ -111,7 +121,7 @@
             .append(true)
             .open(log)
             .unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_bamboolock-cell"))
+        let child = Command::new(program())
             .env("BAMBOOLOCK_BOOT", &self.settings)
             .stdout(Stdio::from(log))
             .spawn();
--- a/tests/instances/standin.rs
+++ b/tests/instances/standin.rs
@@ -36,6 +36,10 @@
 };
 
 use super::{
+    delivery::{
+        Delivery,
+        Faults, //
+    },
     make::START,
     workers::{
         self,
@@ -69,6 +73,8 @@
     /// Number of appends per thousand that get no response: half of them take effect at once, and a
     /// quarter late.
     pub(super) lossy: u64,
+    /// The registrations are not updated.
+    pub(super) behind: bool,
 }
 
 /// Delay of an append that takes effect late and gets no response.
@@ -84,6 +90,14 @@
     started: Instant,
     /// Current fault of the store.
     pub(super) fault: StoreFault,
+    /// Faults of paths and workers.
+    pub(super) delivery: Faults,
+    /// Names of the instances, by their numbers in cuts.
+    pub(super) instances: Vec<String>,
+    /// Range of the durations of runs, in milliseconds.
+    pub(super) run_ms: u64,
+    /// Duration that one run in sixteen has in addition, in milliseconds: up to twice this.
+    pub(super) long_ms: u64,
     /// Epoch up to which the store does not respond to appends.
     pub(super) silent_epoch: u64,
     /// Worker that only owners up to a fencing token reach.
@@ -128,8 +142,32 @@
         topic.records.push(record);
     }
 
+    /// Returns the term and the instance of the newest owner.
+    pub(super) fn owner(&self) -> Option<(u64, usize)> {
+        let record: Value = serde_json::from_slice(&self.newest("keyed.owner", "owner")?).ok()?;
+        let at = self
+            .instances
+            .iter()
+            .position(|i| record["instance"] == **i)?;
+        Some((record["term"].as_u64()?, at))
+    }
+
+    /// Returns the instance that owns the cell, or owned it, with this fencing token.
+    fn sender(&self, token: u64) -> Option<usize> {
+        let records = self.topics.get("keyed.owner")?.records.iter().rev();
+        let mut records =
+            records.map(|r| serde_json::from_slice::<Value>(&decode_record(r).1).unwrap());
+        let record = records.find(|record| record["term"] == token)?;
+        self.instances
+            .iter()
+            .position(|i| record["instance"] == **i)
+    }
+
     /// Registers the machines that are up and listed, and removes the registrations of the others.
     pub(super) fn register(&mut self) {
+        if self.fault.behind {
+            return;
+        }
         let both = self.machines.iter().zip(&self.addresses);
         let entries: Vec<(bool, (String, Value))> = both
             .map(|(m, at)| (m.up && !m.unregistered, registration(m, *at)))
@@ -151,8 +189,14 @@
         } else {
             Outcome::Done
         };
+        let long = match self.draws.is_multiple_of(16) {
+            true => self.long_ms + self.draws * 53 % (self.long_ms + 1),
+            false => 0,
+        };
         Behaviour {
-            duration: self.duration.unwrap_or(100 + self.draws * 37 % 600),
+            duration: self
+                .duration
+                .unwrap_or(100 + self.draws * 37 % self.run_ms + long),
             outcome,
         }
     }
@@ -183,6 +227,10 @@
         judge: Oracle::default(),
         started: Instant::now(),
         fault: StoreFault::default(),
+        delivery: Faults::new(0),
+        instances: Vec::new(),
+        run_ms: 600,
+        long_ms: 0,
         silent_epoch: 0,
         partition: None,
         duration: None,
@@ -269,10 +317,76 @@
         // A machine without power, or behind a partition, does not respond.
         return std::future::pending().await;
     }
-    if path == "/bamboolock/hold" {
-        return hold(&shared, &worker, &body).await;
+    let command = Command { path, worker, body };
+    deliver(&shared, command).await
+}
+
+/// Command to a worker.
+struct Command {
+    path: String,
+    worker: String,
+    body: Value,
+}
+
+/// Delivers a command to its worker, on a path and to a worker that may be faulty.
+async fn deliver(shared: &Shared, command: Command) -> HttpResponse {
+    let token = command.body["fencing_token"].as_u64().unwrap();
+    let (at, sender, delivery) = {
+        let mut state = shared.lock().unwrap();
+        let at = state.machines.iter().position(|m| m.id == command.worker);
+        let Some(at) = at else {
+            return HttpResponse::MisdirectedRequest().finish();
+        };
+        let sender = state.sender(token);
+        (at, sender, state.delivery.draw(sender, at))
+    };
+    let answer = match delivery {
+        Delivery::Prompt => carry_out(shared, &command).await,
+        Delivery::Unwell => return HttpResponse::ServiceUnavailable().finish(),
+        Delivery::Lost => None,
+        Delivery::Late(delay) => {
+            actix_web::rt::spawn(carry_out_late(shared.clone(), command, at, delay));
+            None
+        }
+    };
+    let answer = answer.filter(|_| !shared.lock().unwrap().delivery.is_cut(sender, at, true));
+    match answer {
+        Some(answer) => answer,
+        // No response follows on this connection until the client closes it.
+        None => std::future::pending().await,
+    }
+}
+
+/// Carries a command out; without an answer if the incarnation that received it has ended.
+async fn carry_out(shared: &Shared, command: &Command) -> Option<HttpResponse> {
+    match command.path.as_str() {
+        "/bamboolock/hold" => hold(shared, &command.worker, &command.body).await,
+        _ => Some(order(&mut shared.lock().unwrap(), command)),
+    }
+}
+
+/// Carries a command out after a delay, if the incarnation that received it still runs.
+async fn carry_out_late(shared: Shared, mut command: Command, at: usize, delay: u64) {
+    let incarnation = {
+        let mut state = shared.lock().unwrap();
+        state.delivery.late += 1;
+        state.machines[at].incarnation
+    };
+    actix_web::rt::time::sleep(Duration::from_millis(delay)).await;
+    command.body["wait_ms"] = json!(0);
+    let same = {
+        let state = shared.lock().unwrap();
+        let machine = &state.machines[at];
+        let now = state.now();
+        state
+            .judge
+            .trace(|| format!("{now} late {} at {at}: {}", command.path, command.body));
+        machine.up && machine.incarnation == incarnation
+    };
+    if same {
+        carry_out(&shared, &command).await;
     }
-    order(&mut shared.lock().unwrap(), &path, &worker, &body)
+    shared.lock().unwrap().delivery.late -= 1;
 }
 
 /// Appends records, but loses some responses; such an append takes effect at once, late or never.
@@ -293,8 +407,12 @@
     if draw.is_multiple_of(2) {
         append(&mut shared.lock().unwrap(), query, body);
     } else if draw % 4 == 1 {
-        actix_web::rt::time::sleep(LATE_DELAY).await;
-        append(&mut shared.lock().unwrap(), query, body);
+        let (shared, query, body) = (shared.clone(), query.clone(), body.to_vec());
+        actix_web::rt::spawn(async move {
+            // The append takes effect even if the client has given up meanwhile.
+            actix_web::rt::time::sleep(LATE_DELAY).await;
+            append(&mut shared.lock().unwrap(), &query, &body);
+        });
     }
     // No response follows on this connection until the client closes it.
     std::future::pending().await
@@ -403,10 +521,11 @@
     HttpResponse::Conflict().json(json!({"clock_ms": reply.clock, "reason": reason}))
 }
 
-fn order(state: &mut State, path: &str, worker: &str, body: &Value) -> HttpResponse {
+fn order(state: &mut State, command: &Command) -> HttpResponse {
     let now = state.now();
     let fate = state.next_fate();
-    let Some(at) = state.machines.iter().position(|m| m.id == worker) else {
+    let body = &command.body;
+    let Some(at) = state.machines.iter().position(|m| m.id == command.worker) else {
         return HttpResponse::MisdirectedRequest().finish();
     };
     let task = decode_task(body["task"].as_str().unwrap());
@@ -415,7 +534,7 @@
     let State {
         machines, judge, ..
     } = state;
-    respond(match path {
+    respond(match command.path.as_str() {
         "/bamboolock/run-start" => {
             let order = (&task, run, number("expires_ms"), token);
             workers::start(machines, at, order, fate, judge, now)
@@ -424,7 +543,8 @@
     })
 }
 
-async fn hold(shared: &Shared, worker: &str, body: &Value) -> HttpResponse {
+/// Renews leases and reports; without an answer if the incarnation that received it has ended.
+async fn hold(shared: &Shared, worker: &str, body: &Value) -> Option<HttpResponse> {
     let wait = body["wait_ms"].as_u64().unwrap_or(0);
     let seen = body["last_seen"].as_u64().unwrap();
     let order = (
@@ -439,19 +559,20 @@
             let mut state = shared.lock().unwrap();
             let now = state.now();
             let Some(at) = state.machines.iter().position(|m| m.id == worker) else {
-                return HttpResponse::MisdirectedRequest().finish();
+                return Some(HttpResponse::MisdirectedRequest().finish());
             };
             let machine = &state.machines[at];
             if !machine.up || *incarnation.get_or_insert(machine.incarnation) != machine.incarnation
             {
-                break;
+                // The incarnation that received the request has ended.
+                return None;
             }
             let State {
                 machines, judge, ..
             } = &mut *state;
             let report = match workers::poll(&mut machines[at], at, order, judge, now) {
                 Ok(report) => report,
-                Err(reply) => return respond(reply),
+                Err(reply) => return Some(respond(reply)),
             };
             if !report.ended.is_empty() || started.elapsed().as_millis() as u64 >= wait {
                 let running: Vec<Value> = report
@@ -464,13 +585,11 @@
                 let ended: Vec<Value> = ended
                     .map(|e| json!([e.number, encode_task(&e.task), e.run, how(e.outcome), ""]))
                     .collect();
-                return HttpResponse::Ok().json(json!({
+                return Some(HttpResponse::Ok().json(json!({
                     "clock_ms": report.clock, "born": report.incarnation, "running": running, "ended": ended,
-                }));
+                })));
             }
         }
         actix_web::rt::time::sleep(STEP).await;
     }
-    // The incarnation that received the request has ended.
-    std::future::pending().await
 }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -7,8 +7,12 @@
 
 mod soak {
     mod callers;
+    mod cell;
+    #[path = "../instances/delivery.rs"]
+    mod delivery;
     mod disruptions;
     mod faults;
+    mod inject;
     #[expect(dead_code, reason = "the cell's table tests use the rest")]
     #[path = "../cell/make.rs"]
     mod make;
@@ -21,6 +25,7 @@
     #[expect(dead_code, reason = "the instance tests use the rest")]
     #[path = "../instances/standin.rs"]
     mod standin;
+    #[expect(dead_code, reason = "the instance tests use the rest")]
     #[path = "../cell/workers.rs"]
     mod workers;
 }
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -39,6 +39,7 @@
 
 use super::{
     disruptions::Disruptions,
+    run::FINISH_TIMEOUT,
     standin,
     workers::JobSpec, //
 };
@@ -227,11 +228,15 @@
     /// Submits a job until it is accepted or the attempts run out. Returns whether it was accepted.
     fn submit(&self, rng: &mut SmallRng, clients: &mut [Client], id: &str) -> bool {
         let body = self.generate_job(rng, id);
+        self.submit_job(rng, clients, id, &body)
+    }
+
+    fn submit_job(&self, rng: &mut SmallRng, clients: &mut [Client], id: &str, body: &str) -> bool {
         let mut rejected = true;
         let mut accepted = false;
         for _ in 0..ATTEMPTS {
             let at = rng.random_range(0..clients.len());
-            let pause = match self.exchange(&mut clients[at], at, ("POST", id, &body)) {
+            let pause = match self.exchange(&mut clients[at], at, ("POST", id, body)) {
                 Ok((200, ..)) => {
                     self.accepted(id);
                     accepted = true;
@@ -294,14 +299,19 @@
             );
             known.push((count, cpu, gang, after));
         }
+        self.register(id, known);
+        json!({"spec": "x", "steps": steps}).to_string()
+    }
+
+    /// Registers the steps of a job with the judge.
+    fn register(&self, id: &str, steps: Vec<(u32, u32, bool, Vec<u32>)>) {
         let known = JobSpec {
-            steps: known,
+            steps,
             accepted: true,
             cancelled: None,
         };
         let mut world = self.platform.lock().unwrap();
         world.judge.jobs.insert(id.to_owned(), known);
-        json!({"spec": "x", "steps": steps}).to_string()
     }
 
     fn cancel(&self, rng: &mut SmallRng, clients: &mut [Client], id: &str) {
@@ -354,9 +364,13 @@
         let state = value["state"].as_str().unwrap().to_owned();
         let cancelled = self.results.lock().unwrap().is_cancelled(id);
         let is_correct = {
-            let world = self.platform.lock().unwrap();
+            let mut world = self.platform.lock().unwrap();
+            let now = world.now();
             match state.as_str() {
-                "completed" => world.judge.is_done(id),
+                "completed" => {
+                    world.judge.shown.entry(id.to_owned()).or_insert(now);
+                    world.judge.is_done(id)
+                }
                 "failed" => world.judge.is_failed(id),
                 "cancelled" => cancelled,
                 _ => true,
@@ -384,6 +398,31 @@
         end
     }
 
+    /// Submits a gang that takes all of every worker at the same time, and waits for its end.
+    /// Returns its id if it has not ended in time.
+    pub(super) fn occupy_all(
+        &self,
+        rng: &mut SmallRng,
+        workers: u32,
+        capacity: u32,
+    ) -> Option<String> {
+        let started = Instant::now();
+        let id = format!("{:016x}", self.next.fetch_add(1, Ordering::Relaxed));
+        self.register(&id, vec![(workers, capacity, true, Vec::new())]);
+        let step = json!({"count": workers, "cpu": capacity, "mem_mb": 64, "estimated_ms": 300, "gang": true});
+        let body = json!({"spec": "x", "steps": [step]}).to_string();
+        let clients = self.frontends.iter().map(|front| Client::new(*front));
+        let mut clients: Vec<Client> = clients.collect();
+        self.submit_job(rng, &mut clients, &id, &body);
+        while started.elapsed() < FINISH_TIMEOUT {
+            if self.query(&mut clients[0], 0, &id) {
+                return None;
+            }
+            thread::sleep(JOB_INTERVAL);
+        }
+        Some(format!("{id}, a gang on all workers,"))
+    }
+
     /// Returns the accepted jobs that no instance reports as ended.
     pub(super) fn unfinished(&self) -> Vec<String> {
         let open = {
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -8,6 +8,10 @@
 };
 
 use super::{
+    delivery::{
+        Manners,
+        PathCut, //
+    },
     proxy::Mode,
     standin::StoreFault, //
 };
@@ -16,6 +20,9 @@
 /// settings plus a margin for a busy machine.
 pub(super) const STOP_MS: u64 = 6_500;
 
+/// Time after which leases on a silent worker have lapsed, in milliseconds, with a margin.
+const LEASE_MS: u64 = 7_500;
+
 /// Fault or maintenance action.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum Fault {
@@ -49,6 +56,34 @@
     Leave(usize),
     /// A new version of the configuration is published.
     Configure,
+    /// The process is paused while answers of the store to it are on their way; they arrive once it
+    /// goes on.
+    HoldAndFreeze(usize),
+    /// The present owner and those that follow it are paused or killed, each soon after its claim.
+    Succession([Blow; 3]),
+    /// Paths between instances and workers are cut.
+    Cut(PathCut),
+    /// Paths from the present owner are cut, or those from all other instances.
+    OwnerCut { others: bool, cut: PathCut },
+    /// Some workers, one bit each, carry commands out late or not at all.
+    Manners(u64, Manners),
+    /// The worker announces that it leaves and loses its registration, but runs on for a while.
+    Retire(usize),
+    /// The worker runs on without a registration, stops, and is replaced by another one.
+    Retired(usize),
+}
+
+/// Fault of an owner's process.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Blow {
+    /// Time after the owner's claim, in milliseconds.
+    pub(super) delay: u64,
+    /// Time for which the process is paused or gone, in milliseconds.
+    pub(super) duration: u64,
+    /// Whether the process is killed, not paused.
+    pub(super) kill: bool,
+    /// Whether answers of the store are held back before the pause.
+    pub(super) hold: bool,
 }
 
 /// Fault with its start, in milliseconds from the start of the schedule, and its duration in
@@ -119,6 +154,173 @@
     scheduled
 }
 
+/// Draws faults that let former owners, their successors and workers know different things, and
+/// that start before `until`, in milliseconds.
+pub(super) fn split_faults(
+    rng: &mut SmallRng,
+    instances: usize,
+    workers: usize,
+    until: u64,
+) -> Vec<Scheduled> {
+    let mut scheduled = Vec::new();
+    let mut at = 1_000;
+    while at < until {
+        let i = rng.random_range(0..instances);
+        let w = rng.random_range(0..workers);
+        let (fault, longest) = match rng.random_range(0..24) {
+            0 | 1 => {
+                scheduled.extend(eclipse(rng, workers, at));
+                at += rng.random_range(300..2_500);
+                continue;
+            }
+            2 | 3 => (succession(rng), 0),
+            4..=7 => {
+                let some = half(rng, workers);
+                let cut = path_cut(rng, i, some);
+                if rng.random() {
+                    // The other half is reached by this owner alone.
+                    let rest = !some & ((1 << workers) - 1);
+                    let cut = path_cut(rng, i, rest);
+                    scheduled.push(Scheduled {
+                        at,
+                        duration: rng.random_range(2_000..15_000),
+                        fault: Fault::OwnerCut { others: true, cut },
+                    });
+                }
+                let others = rng.random_range(0..3) == 0;
+                (Fault::OwnerCut { others, cut }, 15_000)
+            }
+            8 | 9 => (Fault::Cut(path_cut(rng, i, 1 << w)), 15_000),
+            10..=15 => {
+                let some = match rng.random_range(0..3) {
+                    0 => 1 << w,
+                    1 => half(rng, workers),
+                    _ => (1 << workers) - 1,
+                };
+                (Fault::Manners(some, manners(rng)), 8_000)
+            }
+            16..=18 => (Fault::Retire(w), 0),
+            19 => (Fault::Unlist(w), 8_000),
+            20 => (Fault::Crash(w), 2_000),
+            _ => (Fault::Store(late_store(rng)), 5_000),
+        };
+        scheduled.push(Scheduled {
+            at,
+            duration: rng.random_range(2_000..=longest.max(2_000)),
+            fault,
+        });
+        // What a worker or path does matters most while the owner changes.
+        if rng.random() {
+            let duration = 0;
+            let (at, fault) = (at + rng.random_range(0..2_500), succession(rng));
+            scheduled.push(Scheduled {
+                at,
+                duration,
+                fault,
+            });
+        }
+        at += rng.random_range(300..2_500);
+    }
+    scheduled.sort_by_key(|scheduled| scheduled.at);
+    scheduled
+}
+
+/// Draws a pause of the owner that lasts longer than leases, after which it reaches the workers that
+/// its successors do not reach, and no others.
+fn eclipse(rng: &mut SmallRng, workers: usize, at: u64) -> Vec<Scheduled> {
+    let all = (1 << workers) - 1;
+    let dark = half(rng, workers);
+    let duration = rng.random_range(15_000..20_000);
+    let cut = |others: bool, workers: u64| Scheduled {
+        at,
+        duration,
+        fault: Fault::OwnerCut {
+            others,
+            cut: PathCut {
+                instances: 0,
+                workers,
+                answers: false,
+            },
+        },
+    };
+    let mut blows = blows(rng);
+    blows[0] = Blow {
+        delay: 0,
+        duration: rng.random_range(2_000..15_000),
+        kill: false,
+        hold: rng.random(),
+    };
+    vec![
+        cut(true, dark),
+        cut(false, all & !dark),
+        Scheduled {
+            at,
+            duration: 0,
+            fault: Fault::Succession(blows),
+        },
+    ]
+}
+
+/// Draws a cut between the owner and half of the workers that is longer than a lease and leaves 3 s
+/// of `span`, in milliseconds; none if the span is too short.
+pub(super) fn last_cut(rng: &mut SmallRng, workers: usize, span: u64) -> Vec<Scheduled> {
+    let longest = span.saturating_sub(3_000);
+    if longest <= LEASE_MS {
+        return Vec::new();
+    }
+    let half = half(rng, workers);
+    let cut = path_cut(rng, 0, half);
+    vec![Scheduled {
+        at: 0,
+        duration: rng.random_range(LEASE_MS..longest),
+        fault: Fault::OwnerCut { others: false, cut },
+    }]
+}
+
+fn succession(rng: &mut SmallRng) -> Fault {
+    Fault::Succession(blows(rng))
+}
+
+fn blows(rng: &mut SmallRng) -> [Blow; 3] {
+    std::array::from_fn(|_| Blow {
+        delay: rng.random_range(0..2_000),
+        duration: rng.random_range(2_000..9_000),
+        kill: rng.random_range(0..3) == 0,
+        hold: rng.random(),
+    })
+}
+
+fn path_cut(rng: &mut SmallRng, instance: usize, workers: u64) -> PathCut {
+    PathCut {
+        instances: 1 << instance,
+        workers,
+        answers: rng.random_range(0..3) == 0,
+    }
+}
+
+/// Draws half of the workers, one bit each.
+fn half(rng: &mut SmallRng, workers: usize) -> u64 {
+    let drawn = rand::seq::index::sample(rng, workers, workers / 2);
+    drawn.into_iter().fold(0, |set, at| set | 1 << at)
+}
+
+fn manners(rng: &mut SmallRng) -> Manners {
+    Manners {
+        late: rng.random_range(50..500),
+        unwell: rng.random_range(0..500),
+    }
+}
+
+fn late_store(rng: &mut SmallRng) -> StoreFault {
+    let mut fault = StoreFault::default();
+    match rng.random_range(0..3) {
+        0 => fault.slow = rng.random_range(50..300),
+        1 => fault.lossy = rng.random_range(150..500),
+        _ => fault.behind = true,
+    }
+    fault
+}
+
 /// Draws maintenance actions that start before `until`, in milliseconds, without faults.
 pub(super) fn maintenance(
     rng: &mut SmallRng,
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -41,6 +41,8 @@
     Silent,
     /// Requests are forwarded, answers are dropped.
     OneWay,
+    /// Requests are forwarded, answers wait until the mode changes.
+    Hold,
     /// Open and new connections are reset.
     Refuse,
 }
@@ -130,11 +132,14 @@
     mut to: OwnedWriteHalf,
     answers: bool,
     dead: &AtomicBool,
-    mode: watch::Receiver<Mode>,
+    mut mode: watch::Receiver<Mode>,
 ) {
     let mut chunk = vec![0; CHUNK_BYTES];
     while let Ok(len @ 1..) = from.read(&mut chunk).await {
-        let now = *mode.borrow();
+        let now = match mode.wait_for(|mode| !answers || *mode != Mode::Hold).await {
+            Ok(mode) => *mode,
+            Err(_) => return,
+        };
         if now == Mode::Silent || now == Mode::OneWay && answers {
             dead.store(true, Ordering::Relaxed);
         }
--- a/tests/soak/seeds.rs
+++ b/tests/soak/seeds.rs
@@ -1,8 +1,11 @@
 //! Seeds and sizes of the soak runs.
 
-use super::run::{
-    self,
-    Size, //
+use super::{
+    faults,
+    run::{
+        self,
+        Size, //
+    }, //
 };
 
 /// Few processes for some seconds, short enough for every test run.
@@ -10,7 +13,11 @@
     instances: 3,
     workers: 6,
     callers: 3,
+    capacity: 8_000,
+    run_ms: (600, 0),
+    faults: faults::random_faults,
     fault_ms: 10_000,
+    last_ms: 0,
     maintenance_ms: 8_000,
 };
 
@@ -19,7 +26,11 @@
     instances: 5,
     workers: 10,
     callers: 6,
+    capacity: 8_000,
+    run_ms: (600, 0),
+    faults: faults::random_faults,
     fault_ms: 20_000,
+    last_ms: 0,
     maintenance_ms: 8_000,
 };
 
@@ -28,10 +39,28 @@
     instances: 60,
     workers: 24,
     callers: 16,
+    capacity: 8_000,
+    run_ms: (600, 0),
+    faults: faults::random_faults,
     fault_ms: 30_000,
+    last_ms: 0,
     maintenance_ms: 10_000,
 };
 
+/// Paused owners, cut paths to workers and late commands, with runs that last longer than a change
+/// of owner.
+const SPLIT: Size = Size {
+    instances: 5,
+    workers: 10,
+    callers: 5,
+    capacity: 16_000,
+    run_ms: (600, 4_000),
+    faults: faults::split_faults,
+    fault_ms: 16_000,
+    last_ms: 14_000,
+    maintenance_ms: 0,
+};
+
 /// Seeds that have failed before, with the cause.
 const FAILED: [(u64, Size); 5] = [
     // Seeds 104 and 119: the proxy dropped a request but forwarded the instance's later 408.
@@ -45,6 +74,10 @@
     (942, USUAL),
 ];
 
+/// Seeds of the mode `split` that have failed before. 200: a worker whose runs had all been given up
+/// was never polled again. 303: a refused retry ended a run whose first command was under way.
+const SPLIT_FAILED: [u64; 2] = [200, 303];
+
 /// Returns the seeds of `BAMBOOLOCK_SOAK=FIRST..END`, END excluded; seeds 1 and 2 if it is not set.
 fn named() -> std::ops::Range<u64> {
     let text = std::env::var("BAMBOOLOCK_SOAK").unwrap_or("1..3".to_owned());
@@ -60,8 +93,9 @@
     match std::env::var("BAMBOOLOCK_SOAK_SIZE").as_deref() {
         Ok("usual") => USUAL,
         Ok("large") => LARGE,
+        Ok("split") => SPLIT,
         Ok("short") | Err(_) => SHORT,
-        Ok(other) => panic!("BAMBOOLOCK_SOAK_SIZE={other:?} is not short, usual or large"),
+        Ok(other) => panic!("BAMBOOLOCK_SOAK_SIZE={other:?} is not short, usual, large or split"),
     }
 }
 
@@ -76,3 +110,10 @@
         .iter()
         .for_each(|(seed, size)| run::run_seed(*seed, *size));
 }
+
+#[test]
+fn split_seeds_keep_the_promises() {
+    SPLIT_FAILED
+        .iter()
+        .for_each(|seed| run::run_seed(*seed, SPLIT));
+}
