--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -342,7 +342,7 @@
         };
         let answer = self.exchange(client, at, ("GET", id, ""));
         match answer {
-            Ok((200, _, body)) => self.check_state(id, &record, &body),
+            Ok((200, _, body)) => self.check_state(id, at, &record, &body),
             Ok((410, ..)) => {
                 let due = record
                     .accepted
@@ -359,7 +359,7 @@
     }
 
     /// Checks a state that an instance reports. Returns whether it is final.
-    fn check_state(&self, id: &str, record: &JobRecord, body: &str) -> bool {
+    fn check_state(&self, id: &str, at: usize, record: &JobRecord, body: &str) -> bool {
         let value: Value = serde_json::from_str(body).unwrap();
         let state = value["state"].as_str().unwrap().to_owned();
         let cancelled = self.results.lock().unwrap().is_cancelled(id);
@@ -389,7 +389,7 @@
         let before = newest.unwrap_or(record).outcome.clone();
         if before.as_ref().is_some_and(|before| *before != state) {
             results.violations.push(format!(
-                "{id} was reported as {before:?} and now as {state}"
+                "{id} was reported as {before:?} and now as {state} by instance {at}"
             ));
         }
         if end && let Some(record) = results.jobs.get_mut(id) {
