test(cell): tests of ownership and of ends have a file each

Change: twice.rs keeps the runs that end without their worker's word, ownership.rs holds what needs a proof and how long a successor waits; the fixture moved to make.rs. No check, bound or name of a test changed.

--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -15,6 +15,7 @@
     mod malformed;
     mod network;
     mod owners;
+    mod ownership;
     mod proxies;
     mod recovery;
     mod rules;
--- a/tests/cell/make.rs
+++ b/tests/cell/make.rs
@@ -228,3 +228,13 @@
     let worker = engine.cluster.runs[run].worker;
     engine.cluster.workers[worker].registration.id.to_string()
 }
+
+/// Creates an owner of two workers with a task that was just placed on the first one.
+pub(super) fn placed(id: &str) -> (Engine, RunKey) {
+    let mut engine = owner(&[("w1", 16_000)]);
+    let work = work(vec![step(1, 1_000)]);
+    submit(&mut engine, id, queue("q", 0), work, START);
+    let run = starts(&mut engine, START)[0];
+    join(&mut engine, "w2", START);
+    (engine, run)
+}
