--- a/src/cell/election.rs
+++ b/src/cell/election.rs
@@ -13,10 +13,14 @@
 /// Delay between the claims of two candidates, in milliseconds: a claim takes a few round trips.
 const STAGGER_MS: u64 = 150;
 
-/// Silence of the owner after which other instances are asked to probe it, in milliseconds: one
-/// unanswered heartbeat of the first candidates. The probe tells a slow owner from a dead one.
+/// Shortest silence of the owner after which other instances are asked to probe it, in milliseconds:
+/// one unanswered heartbeat of the first candidates. The probe tells a slow owner from a dead one.
 const SILENCE_MS: u64 = 350;
 
+/// Silence beyond the timeout of a heartbeat after which other instances are asked, in milliseconds:
+/// the pause between two heartbeats.
+const SILENCE_SLACK_MS: u64 = 100;
+
 /// Silence after which an instance that reaches no other instance claims, in milliseconds. The
 /// instance may be the last one, but is more likely to be partitioned itself.
 const ISOLATION_MS: u64 = 3_000;
@@ -80,6 +84,8 @@
     /// Start of the situation that may lead to a claim: time of the owner's last reply, or of
     /// reading the record.
     pub since: u64,
+    /// Time after which a response of the owner is late on this path, in milliseconds.
+    pub timeout: u64,
     /// Status from the owner's last reply.
     pub status: OwnerStatus,
     /// Whether the owner refuses connections: its process has exited, or the path to it is broken.
@@ -141,12 +147,13 @@
 }
 
 fn silence(view: &View, passed: u64, turn: u64) -> Decision {
-    if passed < SILENCE_MS && !view.unreachable {
+    let silence = SILENCE_MS.max(view.timeout + SILENCE_SLACK_MS);
+    if passed < silence && !view.unreachable {
         return Decision::Wait;
     }
     match view.witness {
         Witness::Unasked => Decision::AskWitnesses,
-        Witness::Silent if passed >= SILENCE_MS + turn => Decision::Claim,
+        Witness::Silent if passed >= silence + turn => Decision::Claim,
         Witness::Nobody if passed >= ISOLATION_MS + turn => Decision::Claim,
         _ => Decision::Wait,
     }
--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -168,6 +168,8 @@
     /// Local time from which a proof of ownership is needed for tasks to start again, in
     /// milliseconds.
     proof_from: u64,
+    /// Bytes of start commands that the next placement pass may emit.
+    pub start_budget: usize,
     /// Whether something has changed since the last placement pass.
     pub pass_needed: bool,
     /// Local time of the last placement pass, in milliseconds.
@@ -223,6 +225,7 @@
             deposed: false,
             proven_at: 0,
             proof_from: 0,
+            start_budget: usize::MAX,
             pass_needed: false,
             last_pass: 0,
             dirty_jobs: Vec::new(),
--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -16,6 +16,7 @@
 use crate::cell::{
     cluster::RunState,
     job::{
+        Job,
         RunKey,
         WorkerKey, //
     },
@@ -29,6 +30,9 @@
 /// for a busy worker and a retry, short enough to resolve a lost command soon.
 const START_VALIDITY_MS: u64 = 2_500;
 
+/// Size of a start command without the job's specification, in bytes.
+const START_BYTES: usize = 300;
+
 /// Delay before an unanswered command is retried, in milliseconds: a round trip to another region
 /// with some queueing.
 const RETRY_DELAY_MS: u64 = 30;
@@ -116,6 +120,13 @@
     Unsent,
     /// The command may have been carried out, or may still be.
     Unknown,
+    /// Like [`SendError::Unknown`], but the path through a relay may be at fault and not the worker.
+    Relay,
+}
+
+/// Size of a command that starts a task of `job`, in bytes.
+pub(super) fn start_size(job: &Job) -> usize {
+    START_BYTES + job.submission.spec.len()
 }
 
 impl Engine {
@@ -127,6 +138,14 @@
         })
     }
 
+    /// Size of the command that starts a run, in bytes.
+    #[must_use]
+    pub fn start_size(&self, key: RunKey) -> usize {
+        let task = self.cluster.runs.get(key).and_then(|run| run.task);
+        let job = task.and_then(|task| self.jobs.get(task.step.job));
+        job.map_or(0, start_size)
+    }
+
     /// The command that starts a run, if it is still needed and the ownership is proven. Any time may
     /// have passed since the run was placed.
     pub fn start_command(&mut self, key: RunKey, now: u64) -> Option<Start> {
@@ -195,14 +214,16 @@
                 self.mark_silent(worker, now);
                 self.lose_run(key, Loss::Unsent, now);
             }
-            Err(_) => {
+            Err(e) => {
                 let run = &mut self.cluster.runs[key];
                 run.state = RunState::Unanswered;
                 run.repeated = true;
                 run.retry_after = now + RETRY_DELAY_MS;
                 warn!(job = run.name.job.as_str(), step = run.name.step, task = run.name.index, run = run.number,
-                    age = now - run.ordered_at; "start command not answered");
-                self.mark_silent(worker, now);
+                    age = now - run.ordered_at, relayed = e == SendError::Relay; "start command not answered");
+                if e != SendError::Relay {
+                    self.mark_silent(worker, now);
+                }
             }
         }
     }
--- a/src/cell/engine/placement.rs
+++ b/src/cell/engine/placement.rs
@@ -5,7 +5,8 @@
 
 use super::{
     Action,
-    Engine, //
+    Engine,
+    commands, //
 };
 use crate::{
     cell::{
@@ -107,6 +108,8 @@
 /// One placement pass over the backlog.
 pub(super) struct Pass {
     pub(super) slots: Vec<Slot>,
+    /// Bytes of start commands that may still be emitted; the last step may exceed it.
+    budget: usize,
     gang_slots: usize,
     pub(super) now: u64,
 }
@@ -127,6 +130,9 @@
 
 impl Engine {
     /// Places waiting tasks where possible and queries the policy about the rest.
+    ///
+    /// Handles more starts than the owner's link can carry: steps that do not fit into the budget of
+    /// the pass keep waiting here, where their order still follows the current priorities.
     pub fn schedule(&mut self, now: u64) {
         self.pass_needed = false;
         self.last_pass = now;
@@ -177,6 +183,7 @@
         slots.sort_by_key(|slot| slot.worker);
         Pass {
             slots,
+            budget: self.start_budget,
             gang_slots: 0,
             now,
         }
@@ -298,6 +305,10 @@
         }
         let mut left = pending.waiting;
         for (index, avoid) in tasks {
+            if pass.budget == 0 {
+                // The permits that are held are used first.
+                return false;
+            }
             let Some(at) = self.best_offer(pass, pending, &usable, &avoid) else {
                 break;
             };
@@ -369,6 +380,9 @@
             }
         }
         if let Some(chosen) = self.choose_gang_workers(pass, pending, usable, need) {
+            if pass.budget == 0 {
+                return false;
+            }
             self.start_gang(pass, pending, &chosen);
             return true;
         }
@@ -525,6 +539,7 @@
         info!(job = job.id.as_str(), step = task.step.step, task = task.index, run = number,
             worker = self.worker_id(worker), waited = self.unix(pass.now).saturating_sub(job.accepted_at),
             room = slot.free.millicores; "task placed");
+        pass.budget = pass.budget.saturating_sub(commands::start_size(job));
         let key = self.add_run(task, worker, number, permit, pass.now);
         self.actions.push(Action::Start(key));
     }
--- a/src/cell/engine/submissions.rs
+++ b/src/cell/engine/submissions.rs
@@ -1,5 +1,6 @@
 //! Submission, cancellation and status of jobs.
 
+use compact_str::CompactString;
 use log::info;
 
 use super::{
@@ -9,7 +10,10 @@
     Submitted, //
 };
 use crate::cell::{
-    job::Job,
+    job::{
+        Job,
+        RunKey, //
+    },
     model::{
         self,
         State, //
@@ -47,6 +51,24 @@
         Ok(Submitted::InBatch(self.open_batch))
     }
 
+    /// Records the instance that received a job from its caller, unless one is recorded already.
+    pub fn set_origin(&mut self, id: &str, instance: &str) {
+        if let Some(key) = self.find_job(id)
+            && self.jobs[key].origin.is_empty()
+        {
+            self.jobs[key].origin = instance.into();
+        }
+    }
+
+    /// Instance that received the job of a run from its caller, if the start command of the run may
+    /// be relayed by it: a command that may be under way already is repeated directly.
+    #[must_use]
+    pub fn relay_for(&self, key: RunKey) -> Option<CompactString> {
+        let run = self.cluster.runs.get(key).filter(|run| !run.repeated)?;
+        let origin = &self.jobs.get(run.task?.step.job)?.origin;
+        (!origin.is_empty()).then(|| origin.clone())
+    }
+
     /// Withdraws a job that was never sent to the store; returns whether the job is withdrawn.
     pub fn withdraw(&mut self, id: &str) -> bool {
         let Some(key) = self.find_job(id) else {
@@ -156,6 +178,7 @@
         ended_at: 0,
         deadline: 0,
         inherited: false,
+        origin: CompactString::default(),
     };
     let span = job.critical_path() as f64 * job.queue.stretch;
     job.deadline = accepted_at
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -210,6 +210,8 @@
     pub queue: model::Queue,
     /// Job as submitted.
     pub submission: model::Submission,
+    /// Instance that received the job from its caller; empty if not known in this term.
+    pub origin: CompactString,
     /// Time of acceptance, in Unix milliseconds.
     pub accepted_at: u64,
     /// Owner's term in which the job was accepted.
--- a/src/cell/model.rs
+++ b/src/cell/model.rs
@@ -281,7 +281,7 @@
 }
 
 /// Name of one task: job, occurrence, step and index.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct TaskName {
     /// Id of the job.
     pub job: CompactString,
@@ -337,7 +337,8 @@
 }
 
 /// Verdict of a worker on a command.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Verdict {
     /// The command was carried out, now or before.
     Accepted,
@@ -360,7 +361,7 @@
 }
 
 /// Reply of a worker to a command.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reply {
     /// Verdict on the command.
     pub verdict: Verdict,
--- a/src/cell/settings.rs
+++ b/src/cell/settings.rs
@@ -7,6 +7,9 @@
 
 use compact_str::CompactString;
 
+/// CPU share that keeps up with one megabit per second of an owner's traffic, in millicores.
+const MILLICORES_PER_MBIT: u32 = 10;
+
 /// Settings of one process.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Cell {
@@ -16,6 +19,8 @@
     pub zone: CompactString,
     /// CPU share of the instance, in millicores.
     pub cpu_millicores: u32,
+    /// Bandwidth of the instance's network link, in kilobits per second; `None` if not limited.
+    pub link_kbps: Option<u32>,
     /// Listening address for callers.
     pub front: SocketAddr,
     /// Listening address for readiness checks.
@@ -41,3 +46,21 @@
     /// Retention time for the state of a finished job.
     pub retention: Duration,
 }
+
+impl Cell {
+    /// Capacity of the instance to own the cell, in millicores: the CPU share, or less if the
+    /// network link is the bottleneck.
+    #[must_use]
+    pub fn strength(&self) -> u32 {
+        let link = self.link_kbps.unwrap_or(u32::MAX);
+        let carried = u64::from(link) * u64::from(MILLICORES_PER_MBIT) / 1_000;
+        self.cpu_millicores
+            .min(u32::try_from(carried.max(1)).unwrap_or(u32::MAX))
+    }
+
+    /// Bandwidth of the instance's network link, in bytes per second.
+    #[must_use]
+    pub fn link_bytes(&self) -> Option<u64> {
+        self.link_kbps.map(|kbps| u64::from(kbps) * 125)
+    }
+}
--- a/src/cell/shell/commit.rs
+++ b/src/cell/shell/commit.rs
@@ -166,7 +166,8 @@
                 APPEND_TIMEOUT,
             ));
         }
-        let pause = time::sleep(REPEAT_INTERVAL);
+        // A copy that still waits for the link needs no duplicate.
+        let pause = time::sleep(REPEAT_INTERVAL + shared.uplink.backlog());
         let mut pause = std::pin::pin!(pause);
         loop {
             tokio::select! {
--- a/src/cell/shell/dispatch.rs
+++ b/src/cell/shell/dispatch.rs
@@ -23,7 +23,10 @@
         }, //
     },
     platform::worker,
-    remote::link, //
+    remote::{
+        link,
+        uplink, //
+    }, //
 };
 
 use super::{
@@ -31,6 +34,10 @@
     peer::{
         self,
         AdviceRequest, //
+    },
+    relay::{
+        self,
+        Relayed, //
     }, //
 };
 
@@ -49,13 +56,37 @@
     }
 }
 
-/// Sends the start request of a run, and passes the result to the engine.
+/// Sends the start request of a run when the link has room for it, and passes the result to the
+/// engine. While the link is full, the request goes through the instance that received the job.
 pub(super) async fn start(owner: Rc<Owner>, run: RunKey) {
+    let uplink = owner.shared.uplink.clone();
+    let origin = owner.engine.borrow().relay_for(run);
+    let via = relay::choose(&owner, origin);
+    let size = match via {
+        Some(_) => relay::RELAY_BYTES,
+        None => owner.engine.borrow().start_size(run),
+    };
+    uplink.turn(uplink::Kind::Start, size).await;
+    // Any time may have passed: the engine decides now whether the run may still start.
     let now = owner.now();
     let order = owner.engine.borrow_mut().start_command(run, now);
     let Some(order) = order.filter(|_| !owner.is_over()) else {
         return;
     };
+    if let Some(via) = &via {
+        let answer = match relay::start(&owner, via, &order).await {
+            Relayed::Replied(reply) => Some(Ok(reply)),
+            Relayed::Unknown => Some(Err(SendError::Relay)),
+            Relayed::Unsent => None,
+        };
+        if answer.is_some() || owner.is_over() {
+            let now = owner.now();
+            let answer = answer.unwrap_or(Err(SendError::Relay));
+            owner.engine.borrow_mut().start_answered(run, answer, now);
+            owner.run_actions();
+            return;
+        }
+    }
     let link = owner.link(&order.to);
     let start = worker::StartRequest {
         task: &order.task,
@@ -67,7 +98,8 @@
         permit: &order.permit,
     };
     owner.shared.metrics.starts.inc();
-    let answer = worker::start(&link, &order.to.worker, &start, ORDER_TIMEOUT).await;
+    let limit = ORDER_TIMEOUT + uplink.backlog().min(ORDER_TIMEOUT);
+    let answer = worker::start(&link, &order.to.worker, &start, limit).await;
     let answer = answer.map_err(|e| delivery_error(&e));
     let now = owner.now();
     owner.engine.borrow_mut().start_answered(run, answer, now);
--- a/src/cell/shell/frontend.rs
+++ b/src/cell/shell/frontend.rs
@@ -89,7 +89,7 @@
     let id = incoming.path[queue.prefix.len()..].trim_end_matches('/');
     let timeout = incoming.timeout.unwrap_or(DEFAULT_TIMEOUT_MS);
     let timeout = (timeout as f64 * TIMEOUT_SHARE) as u64;
-    let request = match request(&incoming, queue, id, timeout) {
+    let request = match request(shared, &incoming, queue, id, timeout) {
         Ok(request) => request,
         Err(answer) => return answer,
     };
@@ -108,6 +108,7 @@
 
 /// Decodes a caller's request into a request to the owner.
 fn request(
+    shared: &Shared,
     incoming: &CallerRequest,
     queue: &model::Queue,
     id: &str,
@@ -129,8 +130,10 @@
         Method::POST => {
             let work = api::decode_job(&incoming.body)
                 .map_err(|e| Answer::text(400, &format!("the job cannot be read: {e}\n")))?;
+            shared.specs.insert(&id, &work.spec);
             Ok(Request::Submit {
                 id,
+                origin: shared.settings.instance.clone(),
                 queue: Box::new(queue.clone()),
                 work: Box::new(work),
                 timeout,
@@ -191,7 +194,12 @@
     };
     let sent = peer::send(shared, &owner.address, peer::ASK, request, limit);
     tokio::select! {
-        answer = sent => answer,
+        answer = sent => {
+            if matches!(answer, Ok(ref outcome) if !matches!(outcome, Outcome::Elsewhere | Outcome::Interrupted)) {
+                shared.ownership.borrow_mut().note_sign_of_life(owner.term, shared.now());
+            }
+            answer
+        }
         // The next owner knows what this owner stored, and recognises a repeated request by its id.
         () = replaced(shared, owner.term) => Err(link::Error::NoResponse),
     }
--- a/src/cell/shell/handler.rs
+++ b/src/cell/shell/handler.rs
@@ -55,8 +55,9 @@
             id,
             queue,
             work,
+            origin,
             timeout,
-        } => submit(owner, &id, *queue, *work, timeout).await,
+        } => submit(owner, &id, (*queue, *work), &origin, timeout).await,
         Request::State { id } => state(owner, &id).await,
         Request::Cancel { id, timeout } => {
             let now = owner.now();
@@ -125,8 +126,8 @@
 async fn submit(
     owner: &Rc<Owner>,
     id: &str,
-    queue: model::Queue,
-    work: model::Submission,
+    (queue, work): (model::Queue, model::Submission),
+    origin: &str,
     timeout: u64,
 ) -> Outcome {
     let retry = retry_after(&queue, &work);
@@ -142,6 +143,7 @@
     }
     let now = owner.now();
     let submitted = owner.engine.borrow_mut().submit(id, queue, work, now);
+    owner.engine.borrow_mut().set_origin(id, origin);
     owner.run_actions();
     match submitted {
         Ok(Submitted::Known) => Outcome::Accepted,
--- a/src/cell/shell/metrics.rs
+++ b/src/cell/shell/metrics.rs
@@ -29,7 +29,8 @@
         self,
         List, //
     },
-    program, //
+    program,
+    remote::uplink::Uplink, //
 };
 
 use super::peer::Outcome;
@@ -88,12 +89,6 @@
     storing: Histogram,
 }
 
-impl Default for Metrics {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 fn histogram() -> Histogram {
     Histogram::new(exponential_buckets(SMALLEST_BUCKET_S, 2.0, BUCKETS))
 }
@@ -124,7 +119,7 @@
 impl Metrics {
     /// Creates the metrics with all values at zero, under the prefix `bamboolock_cell`.
     #[must_use]
-    pub fn new() -> Self {
+    pub fn new(uplink: &Uplink) -> Self {
         let metrics = Self {
             registry: RefCell::new(Registry::with_prefix("bamboolock_cell")),
             answers: Family::default(),
@@ -139,6 +134,7 @@
             storing: histogram(),
         };
         metrics.register();
+        uplink.register(&mut metrics.registry.borrow_mut());
         metrics
     }
 
--- a/src/cell/shell/mod.rs
+++ b/src/cell/shell/mod.rs
@@ -24,7 +24,10 @@
     ids,
     platform::boot,
     program,
-    remote::link::Link, //
+    remote::{
+        link::Link,
+        uplink::Uplink, //
+    }, //
 };
 
 use super::{
@@ -44,6 +47,8 @@
 pub mod owner;
 pub mod peer;
 pub mod registry;
+pub mod relay;
+pub mod roster;
 pub mod server;
 pub mod watch;
 
@@ -77,14 +82,23 @@
 }
 
 /// Links by address, created on first use.
-#[derive(Default)]
 pub struct Links {
+    zone: ids::ZoneId,
+    uplink: Rc<Uplink>,
     list: RefCell<Vec<(CompactString, Rc<Link>)>>,
 }
 
 impl Links {
+    fn new(zone: &ids::ZoneId, uplink: &Rc<Uplink>) -> Self {
+        Self {
+            zone: zone.clone(),
+            uplink: uplink.clone(),
+            list: RefCell::default(),
+        }
+    }
+
     /// Returns the link to `address`.
-    pub fn get(&self, address: &str, zone: &ids::ZoneId) -> Rc<Link> {
+    pub fn get(&self, address: &str) -> Rc<Link> {
         let mut list = self.list.borrow_mut();
         let at = list.binary_search_by(|(known, _)| known.as_str().cmp(address));
         let at = at.unwrap_or_else(|at| {
@@ -92,7 +106,7 @@
                 at,
                 (
                     address.into(),
-                    Rc::new(Link::new(address, zone, IDLE_TIMEOUT)),
+                    Rc::new(Link::new(address, &self.zone, IDLE_TIMEOUT).over(&self.uplink)),
                 ),
             );
             at
@@ -107,6 +121,8 @@
     pub settings: settings::Cell,
     /// Availability zone of the instance, in the type that links take.
     pub zone: ids::ZoneId,
+    /// The instance's own network link.
+    pub uplink: Rc<Uplink>,
     /// Connections to the store for short calls.
     pub store: Link,
     /// Connections to the store for long polls.
@@ -127,6 +143,8 @@
     pub starting_term: Cell<bool>,
     /// Notified when the known owner changes.
     pub owner_changed: Notify,
+    /// Specifications of the jobs that this instance received from callers.
+    pub specs: relay::Specs,
     /// Metrics of the process.
     pub metrics: metrics::Metrics,
     /// Whether the process has received a stop signal.
@@ -184,19 +202,23 @@
         .zone
         .parse()
         .map_err(|e| Error::Settings(format!("/zone: {e}")))?;
-    let link = |address: std::net::SocketAddr| Link::new(&address.to_string(), &zone, IDLE_TIMEOUT);
+    let uplink = Rc::new(Uplink::new(settings.link_bytes()));
+    let link = |address: std::net::SocketAddr| {
+        Link::new(&address.to_string(), &zone, IDLE_TIMEOUT).over(&uplink)
+    };
     Ok(Shared {
         store: link(settings.store),
         store_polls: link(settings.store),
         policy: settings.policy.map(link),
-        workers: Links::default(),
-        peers: Links::default(),
+        workers: Links::new(&zone, &uplink),
+        peers: Links::new(&zone, &uplink),
         catalog: RefCell::new(None),
         ownership: RefCell::new(watch::Ownership::default()),
         owner: RefCell::new(None),
         starting_term: Cell::new(false),
         owner_changed: Notify::new(),
-        metrics: metrics::Metrics::new(),
+        specs: relay::Specs::default(),
+        metrics: metrics::Metrics::new(&uplink),
         stopping: Cell::new(false),
         closing: Notify::new(),
         closed: Cell::new(false),
@@ -204,6 +226,7 @@
         store_answered_at: Cell::new(0),
         incarnation: rand::random::<u64>() >> 12,
         clock: clock::Clock::start(),
+        uplink,
         settings,
         zone,
     })
--- a/src/cell/shell/owner.rs
+++ b/src/cell/shell/owner.rs
@@ -33,7 +33,10 @@
         }, //
     },
     platform::store,
-    remote::link::Link, //
+    remote::{
+        link::Link,
+        uplink, //
+    }, //
 };
 
 use super::{
@@ -45,6 +48,10 @@
         Member, //
     },
     registry,
+    roster::{
+        self,
+        Roster, //
+    },
     unix_ms, //
 };
 
@@ -60,6 +67,10 @@
 /// Time for which events are collected before waiting steps are scheduled.
 const SCHEDULE_DELAY: Duration = Duration::from_millis(4);
 
+/// Time that the owner's link may need for the starts of one placement pass. What waits longer is
+/// placed later, in the order that holds then.
+const PLACE_AHEAD: Duration = Duration::from_millis(100);
+
 /// Timeout for loading a whole topic when a term begins; a slow store takes a few hundred
 /// milliseconds.
 pub(super) const LOAD_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -72,7 +83,7 @@
 /// precedence.
 const MIN_TERM_MS: u64 = 2_000;
 
-/// CPU share from which another instance should take over, as a multiple of the owner's.
+/// Strength from which another instance should take over, as a multiple of the owner's.
 const TAKEOVER_RATIO: f64 = 1.5;
 
 /// State that is read from the store before a term begins.
@@ -111,7 +122,7 @@
     /// Notified when waiting steps may have become schedulable.
     schedule_wake: Notify,
     over: watch::Sender<bool>,
-    members: RefCell<Vec<Member>>,
+    roster: RefCell<Roster>,
     /// Local time since which a batch waits to be stored, in milliseconds; 0 if none waits.
     pub(super) waiting_since: Cell<u64>,
     pub(super) term: u64,
@@ -177,7 +188,7 @@
             commit: Notify::new(),
             schedule_wake: Notify::new(),
             over: watch::Sender::new(false),
-            members: RefCell::new(Vec::new()),
+            roster: RefCell::new(Roster::new(term)),
             waiting_since: Cell::new(0),
             term,
             began: now,
@@ -232,14 +243,16 @@
         self.batch_waits(STEP_DOWN_MS)
             || settled
                 && self
+                    .roster
+                    .borrow_mut()
                     .members(now)
                     .first()
                     .is_some_and(|m| self.is_much_stronger(m))
     }
 
-    /// Whether the CPU share of `other` exceeds [`TAKEOVER_RATIO`] times that of this instance.
+    /// Whether the strength of `other` exceeds [`TAKEOVER_RATIO`] times that of this instance.
     fn is_much_stronger(&self, other: &Member) -> bool {
-        f64::from(other.strength) > f64::from(self.shared.settings.cpu_millicores) * TAKEOVER_RATIO
+        f64::from(other.strength) > f64::from(self.shared.settings.strength()) * TAKEOVER_RATIO
     }
 
     /// Whether a batch has waited to be stored for longer than `span` milliseconds.
@@ -250,16 +263,7 @@
 
     /// Records a heartbeat of another instance.
     pub fn heard(&self, beat: &Heartbeat, now: u64) {
-        let mut members = self.members.borrow_mut();
-        let member = Member {
-            instance: beat.instance.clone(),
-            address: beat.address.clone(),
-            strength: beat.strength,
-        };
-        match members.binary_search_by(|m| m.instance.cmp(&beat.instance)) {
-            Ok(at) => members[at] = member,
-            Err(at) => members.insert(at, member),
-        }
+        self.roster.borrow_mut().record(beat, now);
         let mut engine = self.engine.borrow_mut();
         engine.proxies.record_heartbeat(&beat.instance, now);
         // A heartbeat of an earlier term may be older than a term of the instance that sent it.
@@ -268,23 +272,15 @@
         }
     }
 
-    /// Returns the instances that send heartbeats, in descending order of their CPU share.
+    /// Returns the part of the roster for `instance`, which has version `known`.
     #[must_use]
-    pub fn members(&self, now: u64) -> Vec<Member> {
-        let engine = self.engine.borrow();
-        let live: Vec<&CompactString> = engine.proxies.live(now).collect();
-        let members = self.members.borrow();
-        let live = members.iter().filter(|m| live.contains(&&m.instance));
-        let mut live: Vec<Member> = live.cloned().collect();
-        live.sort_by_key(|m| std::cmp::Reverse(m.strength));
-        live
+    pub fn excerpt(&self, instance: &str, known: u64, now: u64) -> roster::Excerpt {
+        self.roster.borrow_mut().excerpt(instance, known, now)
     }
 
     /// Returns the address of another instance.
     pub(super) fn address(&self, instance: &str) -> Option<CompactString> {
-        let members = self.members.borrow();
-        let member = members.iter().find(|m| m.instance == instance)?;
-        Some(member.address.clone())
+        self.roster.borrow().address(instance)
     }
 
     /// Executes the pending actions of the engine.
@@ -313,7 +309,7 @@
     }
 
     pub(super) fn link(&self, to: &Address) -> Rc<Link> {
-        self.shared.workers.get(&to.address, &self.shared.zone)
+        self.shared.workers.get(&to.address)
     }
 
     pub(super) fn now(&self) -> u64 {
@@ -387,9 +383,14 @@
 
 /// Logs the engine's status at regular intervals.
 async fn status_loop(owner: Rc<Owner>) {
+    let uplink = &owner.shared.uplink;
+    let mut before = uplink.volumes();
     loop {
         time::sleep(STATUS_INTERVAL).await;
         owner.engine.borrow().log_status(owner.now());
+        let volumes = uplink.volumes();
+        uplink::log_traffic(&before, &volumes);
+        before = volumes;
     }
 }
 
@@ -398,8 +399,15 @@
     loop {
         owner.schedule_wake.notified().await;
         time::sleep(SCHEDULE_DELAY).await;
+        let uplink = &owner.shared.uplink;
+        while uplink.backlog() > PLACE_AHEAD / 2 {
+            time::sleep(SCHEDULE_DELAY).await;
+        }
         let now = owner.now();
-        owner.engine.borrow_mut().schedule(now);
+        let mut engine = owner.engine.borrow_mut();
+        engine.start_budget = uplink.room(PLACE_AHEAD);
+        engine.schedule(now);
+        drop(engine);
         owner.run_actions();
     }
 }
--- a/src/cell/shell/peer.rs
+++ b/src/cell/shell/peer.rs
@@ -18,12 +18,16 @@
         model, //
     },
     platform::advice,
-    remote::link, //
+    remote::{
+        link,
+        uplink, //
+    }, //
 };
 
 use super::{
     Shared,
     handler,
+    relay,
     server::Answer,
     watch, //
 };
@@ -47,6 +51,9 @@
 /// Path of questions to the placement policy, which the owner distributes over the instances.
 pub const ADVISE: &str = "/advise";
 
+/// Path of start commands that another instance sends on to a worker.
+pub const RELAY: &str = "/relay";
+
 /// A heartbeat to the owner.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -56,8 +63,11 @@
     pub address: CompactString,
     /// Highest term of an owner that the instance knows.
     pub term: u64,
-    /// CPU share of the instance, in thousandths of a core.
+    /// Capacity of the instance to own the cell; see [`strength`](crate::cell::settings::Cell::strength).
     pub strength: u32,
+    /// Version of the roster that the instance has; 0 for none.
+    #[serde(default)]
+    pub roster: u64,
 }
 
 /// An instance that sends heartbeats.
@@ -67,7 +77,7 @@
     pub instance: CompactString,
     /// Address of the instance for other instances.
     pub address: CompactString,
-    /// CPU share of the instance, in thousandths of a core.
+    /// Capacity of the instance to own the cell; see [`strength`](crate::cell::settings::Cell::strength).
     pub strength: u32,
 }
 
@@ -81,8 +91,16 @@
     /// Whether another instance should take over, because this one is stopping, cannot store
     /// batches or is too weak.
     pub leaving: bool,
-    /// Instances that send heartbeats, in the order in which they should take over.
-    pub members: Vec<Member>,
+    /// Version of the roster; 0 if the responding instance has none.
+    #[serde(default)]
+    pub roster: u64,
+    /// Rank of the asking instance among the candidates for ownership.
+    #[serde(default)]
+    pub rank: Option<u64>,
+    /// Instances that send heartbeats, in the order in which they should take over; `None` if the
+    /// asking instance has this version of the roster.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub members: Option<Vec<Member>>,
 }
 
 /// When a witness last heard from the owner.
@@ -92,6 +110,9 @@
     pub term: u64,
     /// Time since the owner's last response, in milliseconds.
     pub age: u64,
+    /// Time within which the instance expects a response of the owner, in milliseconds.
+    #[serde(default)]
+    pub patience: u64,
 }
 
 /// A question to the placement policy.
@@ -117,6 +138,9 @@
         queue: Box<model::Queue>,
         /// Specification and steps of the job.
         work: Box<model::Submission>,
+        /// Instance that received the job from its caller.
+        #[serde(default)]
+        origin: CompactString,
         /// Caller's timeout in milliseconds.
         #[serde(rename = "patience")]
         timeout: u64,
@@ -166,6 +190,18 @@
     Interrupted,
 }
 
+/// Kind of the messages at `path`.
+pub(super) fn kind(path: &str) -> uplink::Kind {
+    match path {
+        PING => uplink::Kind::Heartbeat,
+        SEEN | OWNER => uplink::Kind::Election,
+        ASK => uplink::Kind::Forward,
+        ADVISE => uplink::Kind::Policy,
+        RELAY => uplink::Kind::Start,
+        _ => uplink::Kind::Other,
+    }
+}
+
 /// Serves a request of another instance.
 pub async fn serve(shared: &Rc<Shared>, path: &str, body: &[u8]) -> Answer {
     match path {
@@ -188,6 +224,10 @@
                 |request: Request| async move { Ok(answer_caller(shared, request).await) };
             reply(body, forwarded).await
         }
+        RELAY => {
+            let relayed = |order| async move { Ok(relay::serve(shared, order).await) };
+            reply(body, relayed).await
+        }
         ADVISE => {
             reply(body, |question: AdviceRequest| async move {
                 advise(shared, &question).await
@@ -226,11 +266,17 @@
     if beat.term > term {
         shared.ownership.borrow_mut().mark_stale();
     }
+    let excerpt = owner
+        .as_ref()
+        .map(|o| o.excerpt(&beat.instance, beat.roster, shared.now()));
+    let (roster, rank) = excerpt.as_ref().map_or((0, None), |e| (e.version, e.rank));
     HeartbeatReply {
         term,
         owner: owner.is_some() || shared.starting_term.get(),
         leaving: shared.stopping.get() || owner.as_ref().is_some_and(|o| o.should_step_down()),
-        members: owner.map_or_else(Vec::new, |o| o.members(shared.now())),
+        roster,
+        rank,
+        members: excerpt.and_then(|e| e.members),
     }
 }
 
@@ -270,8 +316,8 @@
     message: &A,
     limit: Duration,
 ) -> Result<B, link::Error> {
-    let link = shared.peers.get(address, &shared.zone);
-    link.post(path, message, limit).await
+    let link = shared.peers.get(address);
+    link.post_kind(kind(path), path, message, limit).await
 }
 
 /// Returns the owner as far as this instance knows.
--- /dev/null
+++ b/src/cell/shell/relay.rs
@@ -0,0 +1,192 @@
+//! Start commands that travel through the instance that received the job.
+//!
+//! Handles an owner whose link is full of start commands, most of whose bytes are the job's
+//! specification: the instance that received the job from its caller still has the specification and
+//! sends it to the worker over its own link. The owner decides and books as before. The command
+//! carries the owner's fencing token and expires by the worker's clock, so that a relay that was
+//! paused starts nothing that the owner has written off.
+
+use std::{
+    cell::RefCell,
+    collections::VecDeque,
+    rc::Rc,
+    time::Duration, //
+};
+
+use compact_str::CompactString;
+use log::debug;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use tokio::time::Instant;
+
+use crate::{
+    cell::{
+        engine::commands::Start,
+        model, //
+    },
+    platform::worker,
+    remote::{
+        link,
+        uplink, //
+    }, //
+};
+
+use super::{
+    Shared,
+    owner::Owner,
+    peer, //
+};
+
+/// Backlog of the owner's link from which start commands are relayed.
+const RELAY_BACKLOG: Duration = Duration::from_millis(30);
+
+/// Size of a relayed command, in bytes.
+pub(super) const RELAY_BYTES: usize = 250;
+
+/// Time that a relay may need for an exchange with the worker.
+const WORKER_TIMEOUT: Duration = Duration::from_millis(350);
+
+/// Timeout of an exchange with a relay: that of the worker, and the way to the relay.
+const TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Maximum size of all specifications that an instance keeps, in bytes; the oldest are dropped first.
+const MAX_SPEC_BYTES: usize = 4 << 20;
+
+/// Specifications of the jobs that this instance received from callers, oldest first.
+#[derive(Debug, Default)]
+pub struct Specs {
+    list: RefCell<VecDeque<(CompactString, Rc<str>)>>,
+}
+
+impl Specs {
+    /// Keeps the specification of a job, unless it is known already.
+    pub fn insert(&self, job: &str, spec: &str) {
+        if self.get(job).is_some() {
+            return;
+        }
+        let mut list = self.list.borrow_mut();
+        list.push_back((job.into(), spec.into()));
+        let mut size: usize = list.iter().map(|(_, spec)| spec.len()).sum();
+        while size > MAX_SPEC_BYTES
+            && let Some((_, oldest)) = list.pop_front()
+        {
+            size -= oldest.len();
+        }
+    }
+
+    /// Specification of a job.
+    #[must_use]
+    pub fn get(&self, job: &str) -> Option<Rc<str>> {
+        let list = self.list.borrow();
+        let mut newest = list.iter().rev();
+        let (_, spec) = newest.find(|(known, _)| known == job)?;
+        Some(spec.clone())
+    }
+}
+
+/// A start command to be sent on, without the job's specification.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayedStart {
+    /// Fencing token of the owner.
+    pub token: u64,
+    /// Id of the worker.
+    pub worker: CompactString,
+    /// Address of the worker, as `IP:port`.
+    pub address: CompactString,
+    /// Task to run.
+    pub task: model::TaskName,
+    /// Number of the run.
+    pub run: u32,
+    /// Expiry of the command on the worker's clock, in milliseconds.
+    pub expires: u64,
+    /// Checkpoint to resume from; empty for none.
+    #[serde(default, skip_serializing_if = "CompactString::is_empty")]
+    pub checkpoint: CompactString,
+    /// Permit of the placement policy; empty for none.
+    #[serde(default, skip_serializing_if = "CompactString::is_empty")]
+    pub permit: CompactString,
+}
+
+/// What became of a relayed command.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Relayed {
+    /// The worker replied.
+    Replied(model::Reply),
+    /// Nothing was sent to the worker.
+    Unsent,
+    /// The worker may have received the command.
+    Unknown,
+}
+
+/// Chooses the instance that relays the start commands of a job; `None` if the owner's own link has
+/// room, or if that instance does not send heartbeats.
+pub(super) fn choose(owner: &Owner, origin: Option<CompactString>) -> Option<CompactString> {
+    let origin = origin?;
+    if owner.shared.uplink.backlog() < RELAY_BACKLOG || origin == owner.shared.settings.instance {
+        return None;
+    }
+    let live = owner
+        .engine
+        .borrow()
+        .proxies
+        .live(owner.now())
+        .any(|instance| *instance == origin);
+    live.then(|| owner.address(&origin)).flatten()
+}
+
+/// Sends a start command through the instance at `address`.
+pub(super) async fn start(owner: &Owner, address: &str, order: &Start) -> Relayed {
+    let message = RelayedStart {
+        token: owner.term(),
+        worker: order.to.worker.clone(),
+        address: order.to.address.clone(),
+        task: order.task.clone(),
+        run: order.run,
+        expires: order.expires_at,
+        checkpoint: order.checkpoint.clone(),
+        permit: order.permit.clone(),
+    };
+    match peer::send(&owner.shared, address, peer::RELAY, &message, TIMEOUT).await {
+        Ok(relayed) => relayed,
+        Err(e) => {
+            debug!(relay = address, worker = order.to.worker.as_str(); "relayed start command not answered: {e}");
+            // An instance of an earlier version does not know the call.
+            let refused = matches!(e, link::Error::Status(404));
+            match e.may_have_applied() && !refused {
+                true => Relayed::Unknown,
+                false => Relayed::Unsent,
+            }
+        }
+    }
+}
+
+/// Sends a relayed command to its worker.
+pub(super) async fn serve(shared: &Rc<Shared>, order: RelayedStart) -> Relayed {
+    let Some(spec) = shared.specs.get(&order.task.job) else {
+        return Relayed::Unsent;
+    };
+    let began = Instant::now();
+    shared.uplink.turn(uplink::Kind::Start, spec.len()).await;
+    // The wait for the link may have taken long, and there may be another owner by now.
+    if began.elapsed() > WORKER_TIMEOUT || shared.ownership.borrow().term() > order.token {
+        return Relayed::Unsent;
+    }
+    let request = worker::StartRequest {
+        task: &order.task,
+        run: order.run,
+        spec: &spec,
+        expires: order.expires,
+        token: order.token,
+        checkpoint: &order.checkpoint,
+        permit: &order.permit,
+    };
+    let link = shared.workers.get(&order.address);
+    match worker::start(&link, &order.worker, &request, WORKER_TIMEOUT).await {
+        Ok(reply) => Relayed::Replied(reply),
+        Err(e) if e.may_have_applied() => Relayed::Unknown,
+        Err(_) => Relayed::Unsent,
+    }
+}
--- a/src/cell/shell/server.rs
+++ b/src/cell/shell/server.rs
@@ -248,5 +248,9 @@
     let Some(body) = read_body(payload, MAX_PEER_BODY).await else {
         return Answer::text(413, "the body is too large or was cut short\n");
     };
-    peer::serve(shared, request.path(), &body).await
+    let kind = peer::kind(request.path());
+    shared.uplink.count_received(kind, body.len());
+    let answer = peer::serve(shared, request.path(), &body).await;
+    shared.uplink.count_sent(kind, answer.body.len());
+    answer
 }
--- a/src/cell/shell/watch.rs
+++ b/src/cell/shell/watch.rs
@@ -21,7 +21,10 @@
         Witness,
     },
     platform::store,
-    remote::link, //
+    remote::{
+        link,
+        round_trips, //
+    }, //
 };
 
 use super::{
@@ -51,10 +54,14 @@
 /// Heartbeat interval while the owner is unhealthy.
 const UNANSWERED_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Timeout of a heartbeat: a few round trips between regions and a margin for a busy owner. Other
-/// instances check the owner before a missed heartbeat has any effect.
+/// Shortest timeout of a heartbeat: a few round trips between regions and a margin for a busy owner.
+/// Other instances check the owner before a missed heartbeat has any effect.
 pub(super) const TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Longest timeout of a heartbeat, which bounds the time to notice that an owner behind a busy path
+/// is gone.
+const MAX_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Timeout of a question to a witness: its own heartbeat to the owner, and the round trip to the
 /// witness.
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(400);
@@ -80,11 +87,11 @@
 /// milliseconds.
 const STORE_AGE_MS: u64 = 2_000;
 
-/// CPU share from which an instance can own a large cell, in thousandths of a core: twice the
+/// Strength from which an instance can own a large cell, in thousandths of a core: twice the
 /// measured need at 350 workers.
 const LARGE_CELL_MILLICORES: u32 = 450;
 
-/// CPU share from which an instance can own a small cell, in thousandths of a core.
+/// Strength from which an instance can own a small cell, in thousandths of a core.
 const SMALL_CELL_MILLICORES: u32 = 200;
 
 /// Maximum number of witnesses: enough to distinguish a network partition from a failure of the
@@ -92,7 +99,7 @@
 const MAX_WITNESSES: usize = 5;
 
 /// What an instance knows about the owner.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Ownership {
     /// Newest record of the owner.
     pub owner: Option<election::Owner>,
@@ -112,10 +119,36 @@
     unreachable: bool,
     /// Instances that send heartbeats, as the owner listed them last.
     pub(super) members: Vec<Member>,
+    /// Version of that list; 0 for none.
+    roster: u64,
+    /// Rank of this instance among the candidates, as the owner told it last.
+    rank: Option<u64>,
+    /// Round trips of heartbeats to the owner.
+    path: round_trips::RoundTrips,
     /// Result of the last question to witnesses, with its local time in milliseconds.
     witness: Option<(u64, Witness)>,
 }
 
+impl Default for Ownership {
+    fn default() -> Self {
+        Self {
+            owner: None,
+            end: 0,
+            heard: 0,
+            stale: false,
+            since: 0,
+            word: OwnerStatus::Well,
+            refused: false,
+            unreachable: false,
+            members: Vec::new(),
+            roster: 0,
+            rank: None,
+            path: round_trips::RoundTrips::new(TIMEOUT, MAX_TIMEOUT),
+            witness: None,
+        }
+    }
+}
+
 impl Ownership {
     /// Returns the owner's term; 0 if no owner is known.
     #[must_use]
@@ -144,6 +177,7 @@
         self.word = OwnerStatus::Well;
         self.refused = false;
         self.unreachable = false;
+        self.path = round_trips::RoundTrips::new(TIMEOUT, MAX_TIMEOUT);
         self.witness = None;
     }
 
@@ -156,6 +190,69 @@
     }
 }
 
+impl Ownership {
+    /// Applies the owner's response to a heartbeat; returns whether the owner is healthy.
+    fn apply_reply(&mut self, owner: &election::Owner, reply: HeartbeatReply, now: u64) -> bool {
+        let word = match (reply.owner, reply.leaving) {
+            (true, false) => OwnerStatus::Well,
+            (true, true) => OwnerStatus::StepsDown,
+            (false, _) => OwnerStatus::Denies,
+        };
+        if reply.term > owner.term || !reply.owner {
+            self.stale = true;
+        }
+        if reply.owner {
+            self.heard = now;
+            self.rank = reply.rank;
+            if let Some(members) = reply.members {
+                self.members = members;
+                self.roster = reply.roster;
+            }
+        }
+        if word == OwnerStatus::Well {
+            (self.word, self.refused, self.unreachable) = (word, false, false);
+            self.since = now;
+            self.witness = None;
+            return true;
+        }
+        self.note_unhealthy(owner, word, (false, false), now);
+        false
+    }
+
+    /// Records that the owner is not healthy: what its last response says, and whether it refused a
+    /// connection or none could be opened.
+    fn note_unhealthy(
+        &mut self,
+        owner: &election::Owner,
+        word: OwnerStatus,
+        (refused, unreachable): (bool, bool),
+        now: u64,
+    ) {
+        let before = (self.word, self.refused, self.unreachable);
+        (self.word, self.refused, self.unreachable) = (word, refused, unreachable);
+        if before == (word, refused, unreachable) {
+            return;
+        }
+        info!(owner = owner.instance.as_str(), word:? = self.word, refused = self.refused, dark = self.unreachable,
+            heard = now.saturating_sub(self.heard), timeout = self.path.timeout().as_millis() as u64; "owner is unhealthy");
+        self.since = match self.word {
+            OwnerStatus::Well if !self.refused => self.heard,
+            _ => now,
+        };
+        self.stale = true;
+    }
+
+    /// Records another sign of life of the owner of `term`, such as its answer to a caller.
+    pub(super) fn note_sign_of_life(&mut self, term: u64, now: u64) {
+        if self.term() != term || self.word != OwnerStatus::Well {
+            return;
+        }
+        (self.refused, self.unreachable) = (false, false);
+        (self.heard, self.since) = (now, now);
+        self.witness = None;
+    }
+}
+
 /// Monitors the owner until the process ends.
 pub async fn run(shared: Rc<Shared>) {
     shared.ownership.borrow_mut().stale = true;
@@ -249,6 +346,9 @@
 }
 
 /// Sends a heartbeat to the owner; returns whether the owner is healthy.
+///
+/// A response that is late still counts when it arrives: it shows that the owner lives and how slow
+/// the path is.
 pub(super) async fn heartbeat(shared: &Rc<Shared>) -> bool {
     let Some(owner) = peer::known_owner(shared) else {
         return false;
@@ -257,51 +357,52 @@
     if owner.instance == shared.settings.instance || shared.starting_term.get() {
         return false;
     }
+    let limit = shared.ownership.borrow().path.timeout();
+    let exchange = actix_rt::spawn(exchange_heartbeat(shared.clone(), owner.clone()));
+    if let Ok(healthy) = time::timeout(limit, exchange).await {
+        return healthy.unwrap_or(false);
+    }
+    let mut ownership = shared.ownership.borrow_mut();
+    if ownership.term() == owner.term {
+        let word = ownership.word;
+        ownership.note_unhealthy(&owner, word, (false, false), shared.now());
+    }
+    false
+}
+
+async fn exchange_heartbeat(shared: Rc<Shared>, owner: election::Owner) -> bool {
     let message = Heartbeat {
         instance: shared.settings.instance.clone(),
         address: compact_str::format_compact!("{}", shared.settings.peer),
         term: owner.term,
-        strength: shared.settings.cpu_millicores,
+        strength: shared.settings.strength(),
+        roster: shared.ownership.borrow().roster,
     };
+    let sent = shared.now();
     let answer: Result<HeartbeatReply, _> =
-        peer::send(shared, &owner.address, peer::PING, &message, TIMEOUT).await;
+        peer::send(&shared, &owner.address, peer::PING, &message, MAX_TIMEOUT).await;
     let now = shared.now();
     let mut ownership = shared.ownership.borrow_mut();
     if ownership.term() != owner.term {
         // The owner has changed meanwhile; this response is not about the new one.
         return false;
     }
-    let before = (ownership.word, ownership.refused, ownership.unreachable);
-    ownership.refused = matches!(answer, Err(link::Error::Refused));
-    ownership.unreachable = matches!(answer, Err(link::Error::Unreachable));
-    if let Ok(reply) = answer {
-        ownership.word = match (reply.owner, reply.leaving) {
-            (true, false) => OwnerStatus::Well,
-            (true, true) => OwnerStatus::StepsDown,
-            (false, _) => OwnerStatus::Denies,
-        };
-        if reply.term > owner.term || !reply.owner {
-            ownership.stale = true;
+    match answer {
+        Ok(reply) => {
+            ownership.path.observe(Duration::from_millis(now - sent));
+            ownership.apply_reply(&owner, reply, now)
         }
-        if reply.owner {
-            ownership.heard = now;
-            ownership.members = reply.members;
+        Err(e) => {
+            let refused = matches!(e, link::Error::Refused);
+            let unreachable = matches!(e, link::Error::Unreachable);
+            // An exchange that ends without a response was reported when it became late.
+            if refused || unreachable || now - sent < MAX_TIMEOUT.as_millis() as u64 {
+                let word = ownership.word;
+                ownership.note_unhealthy(&owner, word, (refused, unreachable), now);
+            }
+            false
         }
     }
-    let healthy = ownership.word == OwnerStatus::Well && ownership.heard == now;
-    if healthy {
-        ownership.since = now;
-        ownership.witness = None;
-    } else if before != (ownership.word, ownership.refused, ownership.unreachable) {
-        info!(owner = owner.instance.as_str(), word:? = ownership.word, refused = ownership.refused, dark = ownership.unreachable,
-            heard = now.saturating_sub(ownership.heard); "owner is unhealthy");
-        ownership.since = match ownership.word {
-            OwnerStatus::Well if !ownership.refused => ownership.heard,
-            _ => now,
-        };
-        ownership.stale = true;
-    }
-    healthy
 }
 
 fn view(shared: &Shared) -> View {
@@ -314,6 +415,7 @@
         .iter()
         .filter(|m| owner.is_none_or(|o| o.instance != m.instance));
     let rank = others.into_iter().position(|m| m.instance == me);
+    let rank = rank.map(|rank| rank as u64).or(ownership.rank);
     let valid_ms = |witness: Witness| match witness {
         Witness::Alive => ALIVE_VALID_MS,
         _ => SILENT_VALID_MS,
@@ -324,21 +426,22 @@
         has_owner: owner.is_some(),
         is_self: owner.is_some_and(|o| o.instance == me),
         since: ownership.since,
+        timeout: ownership.path.timeout().as_millis() as u64,
         status: ownership.word,
         refused: ownership.refused,
         unreachable: ownership.unreachable,
         store_reachable: shared.store_is_reachable(STORE_AGE_MS)
             && !ownership.stale
             && !shared.stopping.get(),
-        rank: rank.map_or_else(|| unlisted_rank(shared), |rank| rank as u64),
+        rank: rank.unwrap_or_else(|| unlisted_rank(shared)),
         witness: fresh.map_or(Witness::Unasked, |(_, witness)| witness),
     }
 }
 
-/// Returns the rank of an instance that no owner has listed: by CPU share, with a random choice
+/// Returns the rank of an instance that no owner has listed: by strength, with a random choice
 /// between equal ones.
 fn unlisted_rank(shared: &Shared) -> u64 {
-    let class = match shared.settings.cpu_millicores {
+    let class = match shared.settings.strength() {
         LARGE_CELL_MILLICORES.. => 0,
         SMALL_CELL_MILLICORES.. => 1,
         _ => 3,
@@ -366,7 +469,10 @@
         if reply.term > term {
             shared.ownership.borrow_mut().stale = true;
         }
-        if reply.term >= term && reply.age < VOUCH_AGE_MS {
+        let recent = reply
+            .patience
+            .clamp(VOUCH_AGE_MS, MAX_TIMEOUT.as_millis() as u64);
+        if reply.term >= term && reply.age < recent {
             witness = Witness::Alive;
             break;
         }
@@ -387,6 +493,7 @@
     }
     LastHeard {
         term: shared.ownership.borrow().term(),
+        patience: shared.ownership.borrow().path.timeout().as_millis() as u64,
         age: if mine { 0 } else { since_heard(shared) },
     }
 }
--- a/src/remote/link.rs
+++ b/src/remote/link.rs
@@ -6,6 +6,7 @@
 use std::{
     cell::RefCell,
     io::ErrorKind,
+    rc::Rc,
     time::Duration, //
 };
 
@@ -28,6 +29,11 @@
     wire, //
 };
 
+use super::uplink::{
+    Kind,
+    Uplink, //
+};
+
 /// Maximum size of a response's body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
@@ -99,6 +105,8 @@
 /// An HTTP request.
 #[derive(Debug)]
 pub struct Request<'a> {
+    /// Kind of the message.
+    pub kind: Kind,
     /// HTTP method.
     pub method: Method,
     /// Path and query of the URL.
@@ -136,6 +144,7 @@
     zone: ZoneId,
     idle_timeout: Duration,
     client: RefCell<awc::Client>,
+    uplink: Option<Rc<Uplink>>,
 }
 
 /// Creates an HTTP client with its own connection pool, which keeps idle connections for
@@ -163,21 +172,49 @@
             zone: zone.clone(),
             idle_timeout,
             client: RefCell::new(client(idle_timeout)),
+            uplink: None,
         }
     }
 
+    /// Counts the traffic of this link on `uplink`.
+    #[must_use]
+    pub fn over(mut self, uplink: &Rc<Uplink>) -> Self {
+        self.uplink = Some(uplink.clone());
+        self
+    }
+
     /// Sends `body` by POST and decodes the response.
     ///
     /// # Errors
     ///
     /// Returns why the exchange failed; [`Error`] tells whether the request may have taken effect.
     pub async fn post<A, B>(&self, path: &str, body: &A, limit: Duration) -> Result<B, Error>
+    where
+        A: Serialize,
+        B: DeserializeOwned,
+    {
+        self.post_kind(Kind::Other, path, body, limit).await
+    }
+
+    /// Sends `body` by POST as a message of `kind`, and decodes the response.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the exchange failed; [`Error`] tells whether the request may have taken effect.
+    pub async fn post_kind<A, B>(
+        &self,
+        kind: Kind,
+        path: &str,
+        body: &A,
+        limit: Duration,
+    ) -> Result<B, Error>
     where
         A: Serialize,
         B: DeserializeOwned,
     {
         let text = serde_json::to_vec(body).map_err(|e| Error::Malformed(e.to_string()))?;
         let request = Request {
+            kind,
             method: Method::POST,
             path,
             headers: &self.headers(),
@@ -202,6 +239,7 @@
     /// Returns why the exchange failed.
     pub async fn get_text(&self, path: &str, limit: Duration) -> Result<bytes::Bytes, Error> {
         let request = Request {
+            kind: Kind::Other,
             method: Method::GET,
             path,
             headers: &self.headers(),
@@ -223,10 +261,19 @@
     ///
     /// Returns why no complete response arrived within `limit`.
     pub async fn call(&self, request: Request<'_>, limit: Duration) -> Result<Response, Error> {
+        let (kind, len) = (request.kind, request.path.len() + request.body.len());
+        let began = tokio::time::Instant::now();
+        if let Some(uplink) = &self.uplink {
+            uplink.count_sent(kind, len);
+        }
         let Ok(result) = tokio::time::timeout(limit, self.exchange(request)).await else {
             self.discard_connections();
             return Err(Error::NoResponse);
         };
+        if let (Some(uplink), Ok(response)) = (&self.uplink, &result) {
+            uplink.count_received(kind, response.body.len());
+            uplink.observe_round_trip(kind, began.elapsed());
+        }
         result
     }
 
--- a/src/remote/mod.rs
+++ b/src/remote/mod.rs
@@ -3,4 +3,6 @@
 pub mod link;
 pub mod list;
 pub mod log;
+pub mod round_trips;
+pub mod uplink;
 pub mod worker;
--- a/tests/cell/election.rs
+++ b/tests/cell/election.rs
@@ -13,6 +13,7 @@
     has_owner: true,
     is_self: false,
     since: 100_000,
+    timeout: 250,
     status: OwnerStatus::Well,
     refused: false,
     unreachable: false,
