fix(cell): large reads from the store are bounded by their progress

Cause: with a configuration of 420 kB on a link of 2 Mbit/s, every read ended at its time-out halfway and began anew, which filled all links for good; after a loss of all instances none had a configuration. Change: a read may go on while bytes arrive, 20 s at most.

--- a/src/cell/shell/catalog.rs
+++ b/src/cell/shell/catalog.rs
@@ -32,6 +32,12 @@
 /// Timeout for reading the whole topic; a slow store takes a few hundred milliseconds.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Size of new records from which the next read asks for the newest alone, in bytes.
+const LARGE_BYTES: usize = 64 << 10;
+
+/// Time of a read, with its wait for a change, from which more changes are likely to have followed.
+const SLOW_TRANSFER: Duration = Duration::from_millis(1_700);
+
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -81,6 +87,7 @@
 }
 
 async fn tail(shared: &Shared, from: u64) -> Result<u64, store::Error> {
+    let began = time::Instant::now();
     let tail = store::read(
         &shared.store_polls,
         store::OPERATOR,
@@ -90,6 +97,17 @@
     )
     .await?;
     tail.records.iter().for_each(|record| apply(shared, record));
+    let size: usize = tail
+        .records
+        .iter()
+        .filter_map(|r| r.value.as_ref())
+        .map(bytes::Bytes::len)
+        .sum();
+    // While large configurations follow each other, only the newest is worth its transfer.
+    let superseded = size > LARGE_BYTES && began.elapsed() > SLOW_TRANSFER;
+    if superseded || tail.end > tail.next {
+        return snapshot(shared).await;
+    }
     Ok(tail.next)
 }
 
--- a/src/remote/link.rs
+++ b/src/remote/link.rs
@@ -18,11 +18,16 @@
     http::Method, //
 };
 use compact_str::CompactString;
+use futures_util::StreamExt;
 use quick_error::quick_error;
 use serde::{
     Serialize,
     de::DeserializeOwned, //
 };
+use tokio::time::{
+    self,
+    error::Elapsed, //
+};
 
 use crate::{
     ids::ZoneId,
@@ -41,6 +46,9 @@
 /// request that was never sent is distinguished from one whose response was lost.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Longest time for the body of a bulk response that keeps arriving.
+const MAX_TRANSFER: Duration = Duration::from_secs(20);
+
 quick_error! {
     /// Why an exchange failed.
     #[derive(Debug, Clone, PartialEq, Eq)]
@@ -138,6 +146,9 @@
     serde_json::from_slice(body).map_err(|e| Error::Malformed(e.to_string()))
 }
 
+/// Response whose body has not been read.
+type ClientBody = awc::ClientResponse;
+
 /// Connections to one address.
 pub struct Link {
     address: CompactString,
@@ -266,7 +277,15 @@
         if let Some(uplink) = &self.uplink {
             uplink.count_sent(kind, len);
         }
-        let Ok(result) = tokio::time::timeout(limit, self.exchange(request)).await else {
+        let result = if kind == Kind::Read {
+            let transfer = self.transfer(request, limit);
+            time::timeout(MAX_TRANSFER + limit, transfer)
+                .await
+                .and_then(|result| result)
+        } else {
+            time::timeout(limit, self.exchange(request)).await
+        };
+        let Ok(result) = result else {
             self.discard_connections();
             return Err(Error::NoResponse);
         };
@@ -278,6 +297,46 @@
     }
 
     async fn exchange(&self, request: Request<'_>) -> Result<Response, Error> {
+        let mut response = self.send(request).await?;
+        let status = response.status().as_u16();
+        let body = response.body().limit(MAX_RESPONSE_BYTES).await;
+        let body = body.map_err(|_| Error::NoResponse)?;
+        Ok(Response { status, body })
+    }
+
+    /// Sends a request whose response may be large. `limit` bounds the time without any progress
+    /// instead of the whole exchange, and the body is read at the pace of the link.
+    ///
+    /// Handles a large configuration on a slow link: a limit for the whole body would end each
+    /// attempt halfway and fill the link for nothing.
+    async fn transfer(
+        &self,
+        request: Request<'_>,
+        limit: Duration,
+    ) -> Result<Result<Response, Error>, Elapsed> {
+        let mut response = match time::timeout(limit, self.send(request)).await? {
+            Ok(response) => response,
+            Err(e) => return Ok(Err(e)),
+        };
+        let status = response.status().as_u16();
+        let mut body = bytes::BytesMut::new();
+        while let Some(chunk) = time::timeout(limit, response.next()).await? {
+            let Ok(chunk) = chunk else {
+                return Ok(Err(Error::NoResponse));
+            };
+            if body.len() + chunk.len() > MAX_RESPONSE_BYTES {
+                return Ok(Err(Error::NoResponse));
+            }
+            body.extend_from_slice(&chunk);
+            if let Some(uplink) = &self.uplink {
+                uplink.yield_after(chunk.len()).await;
+            }
+        }
+        let body = body.freeze();
+        Ok(Ok(Response { status, body }))
+    }
+
+    async fn send(&self, request: Request<'_>) -> Result<ClientBody, Error> {
         let uri = format!("http://{}{}", self.address, request.path);
         let client = self.client.borrow().clone();
         let mut builder = client.request(request.method, uri);
@@ -285,11 +344,7 @@
             builder = builder.insert_header(*header);
         }
         let sent = builder.send_body(request.body).await;
-        let mut response = sent.map_err(|e| classify(&e))?;
-        let status = response.status().as_u16();
-        let body = response.body().limit(MAX_RESPONSE_BYTES).await;
-        let body = body.map_err(|_| Error::NoResponse)?;
-        Ok(Response { status, body })
+        sent.map_err(|e| classify(&e))
     }
 
     /// Discards all open connections; the next exchange opens a new one.
--- a/src/remote/uplink.rs
+++ b/src/remote/uplink.rs
@@ -37,6 +37,12 @@
 /// Share of the link's bandwidth that bulk messages may fill together with all others.
 const PACED_SHARE: f64 = 0.9;
 
+/// Share of the link's bandwidth that a large response may take.
+const BULK_SHARE: f64 = 0.75;
+
+/// Shortest pause that is worth a timer.
+const MIN_PAUSE: Duration = Duration::from_millis(2);
+
 /// Time by which a bulk message may be sent before the link is free, so that the link never idles.
 const SEND_AHEAD: Duration = Duration::from_millis(15);
 
@@ -197,6 +203,18 @@
             .observe(began.elapsed().as_secs_f64());
     }
 
+    /// Pauses after `len` bytes of a large response were read, so that other messages are received
+    /// meanwhile: the sender waits once its window is full.
+    pub async fn yield_after(&self, len: usize) {
+        let Some(rate) = self.rate else {
+            return;
+        };
+        let pause = Duration::from_secs_f64(len as f64 / (rate * BULK_SHARE));
+        if pause > MIN_PAUSE {
+            time::sleep(pause).await;
+        }
+    }
+
     /// Time until the link has sent everything that is under way or waits for its turn.
     #[must_use]
     pub fn backlog(&self) -> Duration {
