fix(cell): a large configuration on a slow link reaches every instance in time

Cause: callers of a new queue got 404 seconds after its configuration was acknowledged: while large configurations follow each other, each instance on a link of 2 Mbit/s read all of them. Change: after a slow read only the newest is read; a request that no queue matches waits while a configuration is being received; the owner reads large responses at a part of its link. A claimant whose claim is granted no longer denies its ownership while it reads the stored jobs: at 300 instances that led to three owners within a second.

--- a/src/cell/shell/catalog.rs
+++ b/src/cell/shell/catalog.rs
@@ -32,11 +32,12 @@
 /// Timeout for reading the whole topic; a slow store takes a few hundred milliseconds.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Size of new records from which the next read asks for the newest alone, in bytes.
-const LARGE_BYTES: usize = 64 << 10;
+/// Time of a read, with its wait for a change, after which more changes are likely to have followed.
+const SLOW_READ: Duration = Duration::from_millis(1_700);
 
-/// Time of a read, with its wait for a change, from which more changes are likely to have followed.
-const SLOW_TRANSFER: Duration = Duration::from_millis(1_700);
+/// Size of a response from which a configuration is being received, in bytes; an empty poll is
+/// smaller.
+const MIN_CONFIGURATION: usize = 64;
 
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -46,11 +47,17 @@
     let mut from = None;
     let mut failing = false;
     loop {
+        let (before, began) = (version(&shared), time::Instant::now());
         let step = match from {
             None => snapshot(&shared).await,
             Some(from) => tail(&shared, from).await,
         };
         match step {
+            // While large configurations follow each other, only the newest is worth its transfer.
+            Ok(_) if began.elapsed() > SLOW_READ && version(&shared) > before => {
+                shared.note_store_answer();
+                from = None;
+            }
             Ok(next) => {
                 shared.note_store_answer();
                 if failing {
@@ -73,6 +80,12 @@
     }
 }
 
+/// Whether a configuration is being received that is not in force yet.
+#[must_use]
+pub fn is_behind(shared: &Shared) -> bool {
+    shared.store_polls.receiving() > MIN_CONFIGURATION
+}
+
 fn version(shared: &Shared) -> u64 {
     shared.catalog.borrow().as_ref().map_or(0, |c| c.version)
 }
@@ -87,7 +100,6 @@
 }
 
 async fn tail(shared: &Shared, from: u64) -> Result<u64, store::Error> {
-    let began = time::Instant::now();
     let tail = store::read(
         &shared.store_polls,
         store::OPERATOR,
@@ -97,15 +109,8 @@
     )
     .await?;
     tail.records.iter().for_each(|record| apply(shared, record));
-    let size: usize = tail
-        .records
-        .iter()
-        .filter_map(|r| r.value.as_ref())
-        .map(bytes::Bytes::len)
-        .sum();
-    // While large configurations follow each other, only the newest is worth its transfer.
-    let superseded = size > LARGE_BYTES && began.elapsed() > SLOW_TRANSFER;
-    if superseded || tail.end > tail.next {
+    if tail.end > tail.next {
+        // Only the newest configuration is worth its transfer.
         return snapshot(shared).await;
     }
     Ok(tail.next)
--- a/src/cell/shell/claim.rs
+++ b/src/cell/shell/claim.rs
@@ -69,7 +69,6 @@
     if !granted {
         return;
     }
-    shared.starting_term.set(true);
     let begun = match jobs {
         Ok(jobs) => owner::Owner::begin(shared, mine.term, before, jobs).await,
         Err(e) => Err(e),
@@ -81,6 +80,7 @@
                 owner.end("replaced: a later term was announced while this one began");
             }
             shared.owner.replace(Some(owner));
+            shared.uplink.favour_messages(true);
             shared.owner_changed.notify_waiters();
             announce(shared, &mine).await;
         }
@@ -116,6 +116,8 @@
     info!(term = mine.term, before = before.map_or("", |o| o.instance.as_str()), granted = answer.is_ok(),
         error = answer.as_ref().err().map(ToString::to_string).unwrap_or_default(); "ownership claimed");
     if answer.is_ok() {
+        // Heartbeats must not be denied while the stored jobs are still being read.
+        shared.starting_term.set(true);
         shared.note_store_answer();
         let now = shared.now();
         let mut ownership = shared.ownership.borrow_mut();
@@ -124,7 +126,10 @@
     }
     // The response may be lost, or another instance may have won: the record tells.
     shared.ownership.borrow_mut().stale = true;
-    watch::read_record(shared).await && shared.ownership.borrow().owner.as_ref() == Some(mine)
+    let granted =
+        watch::read_record(shared).await && shared.ownership.borrow().owner.as_ref() == Some(mine);
+    shared.starting_term.set(granted);
+    granted
 }
 
 /// Announces the new owner to the other instances; those that are not reached find the record in
--- a/src/cell/shell/frontend.rs
+++ b/src/cell/shell/frontend.rs
@@ -25,6 +25,7 @@
 
 use super::{
     Shared,
+    catalog,
     peer::{
         self,
         Outcome,
@@ -79,16 +80,21 @@
 /// Serves a caller's request.
 pub async fn serve(shared: &Rc<Shared>, incoming: CallerRequest) -> Answer {
     let began = Instant::now();
-    let Some(catalog) = shared.catalog.borrow().clone() else {
+    if shared.catalog.borrow().is_none() {
         return unavailable(503, "no configuration yet\n");
+    }
+    let timeout = incoming.timeout.unwrap_or(DEFAULT_TIMEOUT_MS);
+    let timeout = (timeout as f64 * TIMEOUT_SHARE) as u64;
+    let Some(catalog) = matching_catalog(shared, &incoming, Duration::from_millis(timeout)).await
+    else {
+        return unavailable(503, "a new configuration is being received\n");
     };
     let Some(queue) = catalog.queue(&incoming.host, &incoming.path) else {
         info!(host = incoming.host.as_str(), path = incoming.path.as_str(), version = catalog.version; "no queue matches the request");
         return Answer::text(404, "no such queue\n");
     };
     let id = incoming.path[queue.prefix.len()..].trim_end_matches('/');
-    let timeout = incoming.timeout.unwrap_or(DEFAULT_TIMEOUT_MS);
-    let timeout = (timeout as f64 * TIMEOUT_SHARE) as u64;
+    let timeout = timeout.saturating_sub(began.elapsed().as_millis() as u64);
     let request = match request(shared, &incoming, queue, id, timeout) {
         Ok(request) => request,
         Err(answer) => return answer,
@@ -106,6 +112,29 @@
     encode_outcome(outcome)
 }
 
+/// Returns the configuration in force once it has a queue for the request, or is known to be the
+/// newest; `None` if neither is so within `timeout`.
+///
+/// Handles a large configuration that takes seconds to arrive: a queue that it adds exists already.
+async fn matching_catalog(
+    shared: &Shared,
+    incoming: &CallerRequest,
+    timeout: Duration,
+) -> Option<Rc<model::Catalog>> {
+    let deadline = Instant::now() + timeout;
+    loop {
+        let catalog = shared.catalog.borrow().clone()?;
+        let found = catalog.queue(&incoming.host, &incoming.path).is_some();
+        if found || !catalog::is_behind(shared) {
+            return Some(catalog);
+        }
+        if Instant::now() >= deadline {
+            return None;
+        }
+        time::sleep(RETRY_PAUSE).await;
+    }
+}
+
 /// Decodes a caller's request into a request to the owner.
 fn request(
     shared: &Shared,
--- a/src/cell/shell/watch.rs
+++ b/src/cell/shell/watch.rs
@@ -307,6 +307,7 @@
         () = over => {
             warn!(term = owner.term(); "ownership of the cell lost");
             shared.owner.replace(None);
+            shared.uplink.favour_messages(false);
             shared.metrics.silent_workers.set(0);
             shared.ownership.borrow_mut().stale = true;
             shared.owner_changed.notify_waiters();
--- a/src/remote/link.rs
+++ b/src/remote/link.rs
@@ -4,7 +4,10 @@
 //! a lost connection state, that broke one of them may have broken all.
 
 use std::{
-    cell::RefCell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     io::ErrorKind,
     rc::Rc,
     time::Duration, //
@@ -26,6 +29,7 @@
 };
 use tokio::time::{
     self,
+    Instant,
     error::Elapsed, //
 };
 
@@ -149,6 +153,32 @@
 /// Response whose body has not been read.
 type ClientBody = awc::ClientResponse;
 
+/// An exchange in progress, until this is dropped.
+struct Active<'a>(&'a Link);
+
+impl<'a> Active<'a> {
+    fn begin(link: &'a Link) -> Self {
+        link.active.set(link.active.get() + 1);
+        Self(link)
+    }
+}
+
+impl Drop for Active<'_> {
+    fn drop(&mut self) {
+        self.0.active.set(self.0.active.get() - 1);
+        self.0.used_at.set(Some(Instant::now()));
+    }
+}
+
+/// Size of the response being received, in bytes; 0 once this is dropped.
+struct Receiving<'a>(&'a Cell<usize>);
+
+impl Drop for Receiving<'_> {
+    fn drop(&mut self) {
+        self.0.set(0);
+    }
+}
+
 /// Connections to one address.
 pub struct Link {
     address: CompactString,
@@ -156,6 +186,11 @@
     idle_timeout: Duration,
     client: RefCell<awc::Client>,
     uplink: Option<Rc<Uplink>>,
+    receiving: Cell<usize>,
+    /// Number of exchanges in progress.
+    active: Cell<usize>,
+    /// Time of the last exchange; `None` once all connections are closed.
+    used_at: Cell<Option<Instant>>,
 }
 
 /// Creates an HTTP client with its own connection pool, which keeps idle connections for
@@ -184,9 +219,18 @@
             idle_timeout,
             client: RefCell::new(client(idle_timeout)),
             uplink: None,
+            receiving: Cell::new(0),
+            active: Cell::new(0),
+            used_at: Cell::new(None),
         }
     }
 
+    /// Bytes received so far of a large response that is still arriving.
+    #[must_use]
+    pub fn receiving(&self) -> usize {
+        self.receiving.get()
+    }
+
     /// Counts the traffic of this link on `uplink`.
     #[must_use]
     pub fn over(mut self, uplink: &Rc<Uplink>) -> Self {
@@ -273,7 +317,8 @@
     /// Returns why no complete response arrived within `limit`.
     pub async fn call(&self, request: Request<'_>, limit: Duration) -> Result<Response, Error> {
         let (kind, len) = (request.kind, request.path.len() + request.body.len());
-        let began = tokio::time::Instant::now();
+        let began = Instant::now();
+        let _active = Active::begin(self);
         if let Some(uplink) = &self.uplink {
             uplink.count_sent(kind, len);
         }
@@ -320,6 +365,7 @@
         };
         let status = response.status().as_u16();
         let mut body = bytes::BytesMut::new();
+        let _receiving = Receiving(&self.receiving);
         while let Some(chunk) = time::timeout(limit, response.next()).await? {
             let Ok(chunk) = chunk else {
                 return Ok(Err(Error::NoResponse));
@@ -328,6 +374,7 @@
                 return Ok(Err(Error::NoResponse));
             }
             body.extend_from_slice(&chunk);
+            self.receiving.set(body.len());
             if let Some(uplink) = &self.uplink {
                 uplink.yield_after(chunk.len()).await;
             }
@@ -347,6 +394,22 @@
         sent.map_err(|e| classify(&e))
     }
 
+    /// Whether connections to the address may be open.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.active.get() > 0 || self.used_at.get().is_some()
+    }
+
+    /// Closes the connections if none was used for `span`. The connection pool itself checks the age
+    /// of a connection only when it is used again.
+    pub fn close_idle(&self, span: Duration) {
+        let idle = self.used_at.get().is_some_and(|at| at.elapsed() >= span);
+        if idle && self.active.get() == 0 {
+            self.used_at.set(None);
+            self.discard_connections();
+        }
+    }
+
     /// Discards all open connections; the next exchange opens a new one.
     fn discard_connections(&self) {
         self.client.replace(client(self.idle_timeout));
--- a/src/remote/uplink.rs
+++ b/src/remote/uplink.rs
@@ -37,8 +37,8 @@
 /// Share of the link's bandwidth that bulk messages may fill together with all others.
 const PACED_SHARE: f64 = 0.9;
 
-/// Share of the link's bandwidth that a large response may take.
-const BULK_SHARE: f64 = 0.75;
+/// Share of the link's bandwidth that a large response may take while other messages matter more.
+const BULK_SHARE: f64 = 0.4;
 
 /// Shortest pause that is worth a timer.
 const MIN_PAUSE: Duration = Duration::from_millis(2);
@@ -141,6 +141,8 @@
     /// Bytes of bulk messages that wait for their turn.
     queued: Cell<usize>,
     turns: Mutex<()>,
+    /// Share of the bandwidth that a large response may take; `None` for all of it.
+    bulk_share: Cell<Option<f64>>,
     waits: Family<KindLabels, Histogram>,
     volumes: [Cell<Volume>; KINDS.len()],
     bytes: Family<TrafficLabels, Counter>,
@@ -169,6 +171,7 @@
             clear_at: Cell::new(Instant::now()),
             queued: Cell::new(0),
             turns: Mutex::new(()),
+            bulk_share: Cell::new(None),
             waits: Family::new_with_constructor(histogram),
             volumes: Default::default(),
             bytes: Family::default(),
@@ -203,13 +206,18 @@
             .observe(began.elapsed().as_secs_f64());
     }
 
+    /// Sets whether other messages matter more than large responses, as on the owner.
+    pub fn favour_messages(&self, favour: bool) {
+        self.bulk_share.set(favour.then_some(BULK_SHARE));
+    }
+
     /// Pauses after `len` bytes of a large response were read, so that other messages are received
     /// meanwhile: the sender waits once its window is full.
     pub async fn yield_after(&self, len: usize) {
-        let Some(rate) = self.rate else {
+        let (Some(rate), Some(share)) = (self.rate, self.bulk_share.get()) else {
             return;
         };
-        let pause = Duration::from_secs_f64(len as f64 / (rate * BULK_SHARE));
+        let pause = Duration::from_secs_f64(len as f64 / (rate * share));
         if pause > MIN_PAUSE {
             time::sleep(pause).await;
         }
