fix(cell): an owner of thousands of workers keeps descriptors for heartbeats and callers

Change: idle connections are closed on a timer, sooner when they are many; workers that have not reported are polled 256 at a time; stored jobs name the instance that can relay their starts.

--- a/src/cell/engine/batch.rs
+++ b/src/cell/engine/batch.rs
@@ -53,6 +53,7 @@
                 let accepted = journal::Accepted {
                     queue: job.queue.clone(),
                     submission: job.submission.clone(),
+                    origin: job.origin.clone(),
                     accepted_at: job.accepted_at,
                     term: job.term,
                 };
--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -43,6 +43,9 @@
 /// Time for which a worker may hold a poll until a run ends: a fifth of the lease.
 const POLL_WAIT: Duration = Duration::from_millis(1_000);
 
+/// Maximum number of polls in flight to workers that have not reported in this term.
+const MAX_FIRST_POLLS: usize = 256;
+
 /// Delay after a failed poll, in milliseconds.
 pub(super) const POLL_RETRY_MS: u64 = 200;
 
@@ -485,11 +488,24 @@
     }
 
     /// Polls the workers whose poll is due.
+    ///
+    /// Handles a new owner of thousands of workers: workers that have not reported in this term are
+    /// polled some at a time, so that reports, connections and heartbeats do not all queue up.
     pub(super) fn poll_due_workers(&mut self, now: u64) {
-        for (key, worker) in &self.cluster.workers {
-            if worker.is_poll_due(self.durable_batch, now) {
-                self.actions.push(Action::Poll(key));
+        let workers = &self.cluster.workers;
+        let polled = workers.values().filter(|w| !w.fenced && w.polling).count();
+        let mut left = MAX_FIRST_POLLS.saturating_sub(polled);
+        for (key, worker) in workers {
+            if !worker.is_poll_due(self.durable_batch, now) {
+                continue;
+            }
+            if !worker.fenced {
+                if left == 0 {
+                    continue;
+                }
+                left -= 1;
             }
+            self.actions.push(Action::Poll(key));
         }
     }
 
--- a/src/cell/engine/recovery.rs
+++ b/src/cell/engine/recovery.rs
@@ -155,6 +155,7 @@
             accepted.accepted_at,
             accepted.term,
         );
+        job.origin = accepted.origin;
         job.stored = true;
         job.sent = true;
         job.inherited = true;
--- a/src/cell/journal.rs
+++ b/src/cell/journal.rs
@@ -49,6 +49,9 @@
     /// Job as submitted.
     #[serde(rename = "work")]
     pub submission: model::Submission,
+    /// Instance that received the job from its caller; empty if not known.
+    #[serde(default, skip_serializing_if = "CompactString::is_empty")]
+    pub origin: CompactString,
     /// Time of acceptance, in Unix milliseconds.
     #[serde(rename = "at")]
     pub accepted_at: u64,
--- a/src/cell/settings.rs
+++ b/src/cell/settings.rs
@@ -21,6 +21,8 @@
     pub cpu_millicores: u32,
     /// Bandwidth of the instance's network link, in kilobits per second; `None` if not limited.
     pub link_kbps: Option<u32>,
+    /// Number of connections that the process may have open.
+    pub max_connections: usize,
     /// Listening address for callers.
     pub front: SocketAddr,
     /// Listening address for readiness checks.
--- a/src/cell/shell/metrics.rs
+++ b/src/cell/shell/metrics.rs
@@ -85,6 +85,8 @@
     pub terms: Counter,
     /// Workers that do not answer, as this process knows them in its own term.
     pub silent_workers: Gauge,
+    /// Workers to which connections may be open.
+    pub open_workers: Gauge,
     losses: Family<LossLabels, Counter>,
     storing: Histogram,
 }
@@ -130,6 +132,7 @@
             appends: Counter::default(),
             terms: Counter::default(),
             silent_workers: Gauge::default(),
+            open_workers: Gauge::default(),
             losses: Family::default(),
             storing: histogram(),
         };
@@ -164,6 +167,11 @@
             "Workers that do not answer the owner",
             self.silent_workers.clone(),
         );
+        registry.register(
+            "open_workers",
+            "Workers to which connections may be open",
+            self.open_workers.clone(),
+        );
         registry.register(
             "losses",
             "Runs presumed over without an outcome from their worker",
--- a/src/cell/shell/mod.rs
+++ b/src/cell/shell/mod.rs
@@ -56,6 +56,13 @@
 /// usual idle timeout of servers.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(12);
 
+/// How long idle connections to workers are kept while workers use more than half of the
+/// connections that the process may open.
+const CROWDED_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Interval at which idle connections are closed.
+const CLOSE_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Share of the shutdown grace period during which callers are still served.
 const SERVE_SHARE: f64 = 0.75;
 
@@ -115,6 +122,35 @@
     }
 }
 
+impl Links {
+    /// Closes connections that are idle, and returns the number of addresses with open ones.
+    ///
+    /// Handles a new owner of thousands of workers, all of which it must ask once: connections that
+    /// stay open would leave no descriptors for heartbeats and callers.
+    fn close_idle(&self, budget: usize) -> usize {
+        let list = self.list.borrow();
+        let open = list.iter().filter(|(_, link)| link.is_open()).count();
+        let span = if open * 2 > budget {
+            CROWDED_IDLE_TIMEOUT
+        } else {
+            IDLE_TIMEOUT
+        };
+        list.iter().for_each(|(_, link)| link.close_idle(span));
+        open
+    }
+}
+
+/// Closes idle connections until the process ends.
+async fn close_idle(shared: Rc<Shared>) {
+    let budget = shared.settings.max_connections;
+    loop {
+        time::sleep(CLOSE_INTERVAL).await;
+        shared.peers.close_idle(budget);
+        let open = shared.workers.close_idle(budget);
+        shared.metrics.open_workers.set(open as i64);
+    }
+}
+
 /// State shared by all tasks of the process.
 pub struct Shared {
     /// Settings of the instance.
@@ -249,6 +285,7 @@
     }
     actix_rt::spawn(catalog::follow(shared.clone()));
     actix_rt::spawn(watch::run(shared.clone()));
+    actix_rt::spawn(close_idle(shared.clone()));
     actix_rt::spawn(reload(shared.clone()));
     program::shutdown_signal()
         .await
