test(cell): slow links, rosters, relays, large reads and idle connections

Cause: no test had a link that carries less than is asked for, nor more than some dozen instances. Change: the pace of bulk messages and the estimate of round trips on a paused clock; placement within a budget of bytes; rosters at 300 instances; real processes with links of 1 Mbit/s, also with a relay that is paused and killed; large responses that keep arriving or stop; idle connections; malformed relayed commands. The size of a segment of finished jobs is 100 again: tests/cell/archive.rs asks for a record for each hundred jobs.

--- a/src/cell/archive.rs
+++ b/src/cell/archive.rs
@@ -16,7 +16,7 @@
 
 /// Number of jobs in a full segment. Each batch writes the open segment again, so a larger segment
 /// costs more bytes; a smaller one costs more records at a change of owner.
-const SEGMENT_JOBS: usize = 32;
+const SEGMENT_JOBS: usize = 100;
 
 /// Segment as it is stored.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -18,7 +18,9 @@
     mod ownership;
     mod proxies;
     mod recovery;
+    mod roster;
     mod rules;
+    mod slow_link;
     mod spread;
     mod stored;
     mod superseded;
--- a/tests/cell/election.rs
+++ b/tests/cell/election.rs
@@ -75,6 +75,22 @@
             silent(1_000, Witness::Unasked),
             Decision::AskWitnesses,
         ),
+        (
+            "a response is late by the usual time, on a busy path",
+            View {
+                timeout: 900,
+                ..silent(800, Witness::Silent)
+            },
+            Decision::Wait,
+        ),
+        (
+            "a response is late on a busy path",
+            View {
+                timeout: 900,
+                ..silent(1_050, Witness::Silent)
+            },
+            Decision::Claim,
+        ),
         (
             "other instances reach the owner",
             silent(60_000, Witness::Alive),
--- a/tests/instances.rs
+++ b/tests/instances.rs
@@ -12,6 +12,7 @@
     mod make;
     mod malformed;
     mod processes;
+    mod slow_link;
     #[expect(dead_code, reason = "the soak uses the rest")]
     mod standin;
     mod startup;
--- a/tests/instances/processes.rs
+++ b/tests/instances/processes.rs
@@ -84,21 +84,25 @@
 }
 
 impl Instance {
-    /// Starts an instance that uses the store and the workers at `platform`.
-    pub(super) fn start(name: &str, platform: SocketAddr) -> Self {
-        let mut instance = Self::prepare(name, platform, free_port());
+    /// Writes the settings file of an instance that serves callers at `front`, without starting the
+    /// process.
+    pub(super) fn prepare(name: &str, platform: SocketAddr, front: SocketAddr) -> Self {
+        Self::prepare_with_link(name, platform, front, 0.0)
+    }
+
+    /// Starts an instance whose link has a bandwidth of `mbps` megabits per second.
+    pub(super) fn start_with_link(name: &str, platform: SocketAddr, mbps: f64) -> Self {
+        let mut instance = Self::prepare_with_link(name, platform, free_port(), mbps);
         instance.launch();
         instance
     }
 
-    /// Writes the settings file of an instance that serves callers at `front`, without starting the
-    /// process.
-    pub(super) fn prepare(name: &str, platform: SocketAddr, front: SocketAddr) -> Self {
+    fn prepare_with_link(name: &str, platform: SocketAddr, front: SocketAddr, mbps: f64) -> Self {
         let (ready, peer) = (free_port(), free_port());
         let boot = json!({
             "node_name": name, "role": "cell", "ip": "127.0.0.1", "zone": "a",
             "listen_addrs": {"front": front.to_string(), "ready": ready.to_string()},
-            "internal_ports": [peer.port()], "limits": {"cpu_share": 0.25, "cpu_cores": 1}, "advice": null,
+            "internal_ports": [peer.port()], "limits": {"cpu_share": 0.25, "cpu_cores": 1, "link_mbps": mbps}, "advice": null,
             "bounds": {"grace_s": 6, "hold_max_ms": 6000, "stop_timeout_ms": 200, "gang_timeout_ms": 3000, "status_s": 120},
             "platform": {"address": platform.to_string(), "call_bytes": 2_097_152},
         });
--- a/tests/instances/takeover.rs
+++ b/tests/instances/takeover.rs
@@ -39,6 +39,12 @@
 
 impl Cell {
     pub(super) fn start(instances: usize) -> Self {
+        Self::start_with_links(instances, 0.0)
+    }
+
+    /// Starts a cell in which each instance has a link of `mbps` megabits per second; 0 for no
+    /// limit.
+    pub(super) fn start_with_links(instances: usize, mbps: f64) -> Self {
         let (address, platform) = standin::start(4, 8_000);
         let config = json!({
             "version": 3,
@@ -51,7 +57,9 @@
             state.judge.attempts = 9;
             state.publish("keyed.op", "config", &config);
         }
-        let start = |n: usize| Instance::start(&format!("i{n}-{}", address.port()), address);
+        let start = |n: usize| {
+            Instance::start_with_link(&format!("i{n}-{}", address.port()), address, mbps)
+        };
         let cell = Self {
             platform,
             instances: (0..instances).map(start).collect(),
@@ -89,10 +97,31 @@
             .jobs
             .insert(id.clone(), known);
         let body = json!({"spec": "x", "steps": steps}).to_string();
+        self.send(n as usize, &id, &body);
+        self.jobs.push(id);
+    }
+
+    /// Submits a job of one step with `tasks` tasks, first at the instance `at`.
+    pub(super) fn submit_at(&mut self, at: usize, id: u32, body: &str, (tasks, cpu): (u32, u32)) {
+        let id = format!("{id:016x}");
+        let known = JobSpec {
+            steps: vec![(tasks, cpu, false, Vec::new())],
+            accepted: true,
+            cancelled: None,
+        };
+        let mut state = self.platform.lock().unwrap();
+        state.judge.jobs.insert(id.clone(), known);
+        drop(state);
+        self.send(at, &id, body);
+        self.jobs.push(id);
+    }
+
+    /// Submits a job, at the instance `first` and then at the others, until one accepts it.
+    fn send(&self, first: usize, id: &str, body: &str) {
         let began = Instant::now();
-        for attempt in n as usize.. {
+        for attempt in first.. {
             let front = self.instances[attempt % self.instances.len()].front;
-            match processes::exchange(front, "POST", &format!("/q/{id}"), &body) {
+            match processes::exchange(front, "POST", &format!("/q/{id}"), body) {
                 Some((200, _)) => break,
                 Some((503 | 504, _)) | None => thread::sleep(Duration::from_millis(200)),
                 other => panic!("{id}: {other:?}"),
@@ -102,7 +131,6 @@
                 "{id} was not accepted in time"
             );
         }
-        self.jobs.push(id);
     }
 
     pub(super) fn submit_for(&mut self, span: Duration) {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -72,6 +72,22 @@
     assert_eq!((cell.policy, cell.admin), (None, None));
 }
 
+#[test]
+fn limits_of_link_and_descriptors_are_read_and_checked() {
+    let limits = |limits| boot::decode("boot", &boot_text(|boot| boot["limits"] = limits));
+    let cell = limits(json!({"cpu_share": 0.5, "link_mbps": 200.0, "max_fds": 8_192})).unwrap();
+    assert_eq!(cell.link_bytes(), Some(25_000_000));
+    assert_eq!((cell.strength(), cell.max_connections), (500, 7_992));
+    let slow = limits(json!({"cpu_share": 0.5, "link_mbps": 2.0, "max_fds": 100})).unwrap();
+    assert_eq!((slow.strength(), slow.max_connections), (20, 0));
+    let bare = limits(json!({"cpu_share": 0.5, "link_mbps": 0.0})).unwrap();
+    assert_eq!((bare.link_bytes(), bare.strength()), (None, 500));
+    for mbps in [-1.0, 1e300] {
+        let findings = limits(json!({"cpu_share": 0.5, "link_mbps": mbps})).unwrap_err();
+        assert_eq!(findings.list[0].place, "/limits/link_mbps");
+    }
+}
+
 #[test]
 fn all_faults_of_settings_are_reported_with_their_locations() {
     let text = boot_text(|boot| {
--- a/tests/soak/cell.rs
+++ b/tests/soak/cell.rs
@@ -87,8 +87,9 @@
                 .collect();
             world.publish("keyed.op", "config", &inject::configuration(1));
         }
-        let instance =
-            |(n, store): (usize, &Proxy)| Instance::start(&format!("{name}-i{n}"), store.address);
+        let instance = |(n, store): (usize, &Proxy)| {
+            Instance::start_with_link(&format!("{name}-i{n}"), store.address, 0.0)
+        };
         let instances: Vec<Instance> = stores.iter().enumerate().map(instance).collect();
         let frontends = instances.iter().map(|i| Proxy::start(i.front)).collect();
         let started = Instant::now();
