fix(cell): finished jobs take less of a slow link of the owner

Cause: each batch writes the open segment of up to 100 finished jobs again; on a link of 2 Mbit/s the appends took 40 to 80 kB/s of 250. Change: an owner with a link below 20 Mbit/s fills segments of 25 jobs; all others keep 100.

--- a/src/cell/archive.rs
+++ b/src/cell/archive.rs
@@ -18,6 +18,9 @@
 /// costs more bytes; a smaller one costs more records at a change of owner.
 const SEGMENT_JOBS: usize = 100;
 
+/// Number of jobs in a full segment of an owner whose link is slow.
+const SHORT_SEGMENT_JOBS: usize = 25;
+
 /// Segment as it is stored.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -46,6 +49,8 @@
     segments_begun: u32,
     /// Number of leading segments whose current contents are stored.
     stored: usize,
+    /// Whether the owner's link is slow, so that segments are short.
+    short: bool,
 }
 
 impl Archive {
@@ -54,6 +59,11 @@
             .binary_search_by(|(name, _)| name.as_str().cmp(id))
     }
 
+    /// Makes later segments short, for an owner whose link is slow.
+    pub fn shorten_segments(&mut self) {
+        self.short = true;
+    }
+
     /// Final state of a job.
     #[must_use]
     pub fn state(&self, id: &str) -> Option<State> {
@@ -83,8 +93,12 @@
     /// Appends a job that ended at local time `ended_at`, in milliseconds, to the open segment of
     /// `term`.
     pub fn append(&mut self, id: &str, state: State, ended_at: u64, term: u64) {
+        let full = match self.short {
+            true => SHORT_SEGMENT_JOBS,
+            false => SEGMENT_JOBS,
+        };
         let begins = match self.segments.last() {
-            Some(last) => self.segments_begun == 0 || last.segment.jobs.len() >= SEGMENT_JOBS,
+            Some(last) => self.segments_begun == 0 || last.segment.jobs.len() >= full,
             None => true,
         };
         if begins {
--- a/src/cell/engine/batch.rs
+++ b/src/cell/engine/batch.rs
@@ -80,6 +80,11 @@
         Some((batch, entries))
     }
 
+    /// Writes fewer bytes in each batch and more records over time, for an owner whose link is slow.
+    pub fn shorten_segments(&mut self) {
+        self.archive.shorten_segments();
+    }
+
     /// Records that a batch and all batches before it are stored.
     pub fn batch_stored(&mut self, batch: u64, now: u64) {
         self.durable_batch = batch;
--- a/src/cell/shell/owner.rs
+++ b/src/cell/shell/owner.rs
@@ -71,6 +71,10 @@
 /// placed later, in the order that holds then.
 const PLACE_AHEAD: Duration = Duration::from_millis(100);
 
+/// Bandwidth below which the segments of finished jobs would take a notable part of the owner's link,
+/// in kilobits per second.
+const SLOW_LINK_KBPS: u32 = 20_000;
+
 /// Timeout for loading a whole topic when a term begins; a slow store takes a few hundred
 /// milliseconds.
 pub(super) const LOAD_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -166,6 +170,9 @@
             keep: cfg.retention.as_millis() as u64,
         };
         let mut engine = Engine::new(term, term, times);
+        if cfg.link_kbps.is_some_and(|kbps| kbps < SLOW_LINK_KBPS) {
+            engine.shorten_segments();
+        }
         let now = shared.now();
         engine.set_wall_clock(unix_ms(), now);
         engine.confirm_ownership(fenced_at);
--- a/tests/cell/archive.rs
+++ b/tests/cell/archive.rs
@@ -82,6 +82,24 @@
     assert_eq!(next.visible_state(&id(7)), Some(State::Completed));
 }
 
+#[test]
+fn batches_of_a_slow_owner_stay_small() {
+    let size = |short: bool| {
+        let mut engine = make::owner(&[("w1", 16_000)]);
+        if short {
+            engine.shorten_segments();
+        }
+        let mut stored = Stored::new();
+        run(&mut engine, &mut stored, 100);
+        let mut next = successor(&stored, START);
+        assert!((0..100).all(|n| next.visible_state(&id(n)) == Some(State::Completed)));
+        next.shorten_segments();
+        stored.values().map(Vec::len).max().unwrap()
+    };
+    // Every batch with a finished job writes the largest record again.
+    assert!(size(true) * 3 < size(false));
+}
+
 #[test]
 fn each_term_writes_its_own_segments() {
     let mut engine = make::owner(&[("w1", 16_000)]);
