--- a/tests/instances/standin.rs
+++ b/tests/instances/standin.rs
@@ -73,6 +73,8 @@
     pub(super) down: bool,
     /// Delay of each response, in milliseconds.
     pub(super) slow: u64,
+    /// Further delay of the pages of stored jobs, in milliseconds.
+    pub(super) slow_jobs: u64,
     /// Number of appends per thousand that get no response: half of them take effect at once, and a
     /// quarter late.
     pub(super) lossy: u64,
@@ -318,7 +320,15 @@
         return match path.as_str() {
             "/bamboolock/log-append" => append_lossy(&shared, fault, &query, &body).await,
             "/bamboolock/log-read" => read(&shared, &query).await,
-            _ => newest(&shared.lock().unwrap(), &query),
+            _ => {
+                if query
+                    .get("topic")
+                    .is_some_and(|topic| topic == "keyed.jobs")
+                {
+                    actix_web::rt::time::sleep(Duration::from_millis(fault.slow_jobs)).await;
+                }
+                newest(&shared.lock().unwrap(), &query)
+            }
         };
     }
     let worker = request
--- a/tests/instances/takeover.rs
+++ b/tests/instances/takeover.rs
@@ -217,6 +217,26 @@
     cell.finish();
 }
 
+#[test]
+fn a_claimant_that_still_reads_the_stored_jobs_is_not_replaced() {
+    let mut cell = Cell::start(4);
+    cell.submit_for(Duration::from_millis(1_000));
+    let owner = cell.owner();
+    cell.platform.lock().unwrap().fault.slow_jobs = 1_500;
+    cell.instances[owner].kill();
+    let begun = |cell: &Cell| {
+        let logs = cell.instances.iter().map(Instance::log);
+        logs.map(|log| log.matches("term begins").count())
+            .sum::<usize>()
+    };
+    wait_until("another term begins", || begun(&cell) > 1);
+    thread::sleep(Duration::from_millis(1_500));
+    cell.platform.lock().unwrap().fault.slow_jobs = 0;
+    cell.submit_for(Duration::from_millis(500));
+    assert_eq!(begun(&cell), 2, "one term after the first");
+    cell.finish();
+}
+
 #[test]
 fn jobs_survive_a_kill_of_all_instances() {
     let mut cell = Cell::start(2);
