fix(cell): instances of the build before understand every reply to a heartbeat

Cause: a reply without a roster left the list out, which the build before takes for malformed: during a rolling upgrade it would hear silence where an instance denies its ownership. Change: a reply that has no roster carries an empty list, which newer instances do not take over. Evidence: the new test is red without the change.

--- a/src/cell/shell/peer.rs
+++ b/src/cell/shell/peer.rs
@@ -276,7 +276,8 @@
         leaving: shared.stopping.get() || owner.as_ref().is_some_and(|o| o.should_step_down()),
         roster,
         rank,
-        members: excerpt.and_then(|e| e.members),
+        // Earlier builds expect a list in every reply.
+        members: excerpt.map_or_else(|| Some(Vec::new()), |e| e.members),
     }
 }
 
--- a/src/cell/shell/watch.rs
+++ b/src/cell/shell/watch.rs
@@ -204,7 +204,7 @@
         if reply.owner {
             self.heard = now;
             self.rank = reply.rank;
-            if let Some(members) = reply.members {
+            if let Some(members) = reply.members.filter(|members| !members.is_empty()) {
                 self.members = members;
                 self.roster = reply.roster;
             }
--- a/tests/instances/takeover.rs
+++ b/tests/instances/takeover.rs
@@ -217,6 +217,19 @@
     cell.finish();
 }
 
+#[test]
+fn heartbeats_of_an_earlier_build_are_answered_with_a_list() {
+    let cell = Cell::start(2);
+    let beat = json!({"instance": "old", "address": "127.0.0.1:1", "term": 0, "strength": 1});
+    for instance in &cell.instances {
+        let answer = processes::exchange(instance.peer, "POST", "/ping", &beat.to_string());
+        let (status, body) = answer.unwrap();
+        let reply: Value = serde_json::from_str(&body).unwrap();
+        assert_eq!(status, 200);
+        assert!(reply["members"].is_array(), "{body}");
+    }
+}
+
 #[test]
 fn a_claimant_that_still_reads_the_stored_jobs_is_not_replaced() {
     let mut cell = Cell::start(4);
