fix(cell): a relay sends no specification but that of the accepted job

Cause: an instance kept the first specification that came for a job's id, whether or not the job was accepted. Submitted again with another one after a rejection, the job's relayed tasks would have run with the rejected specification. Change: specifications are kept by job and hash, and the owner's order names the hash. Evidence: instances::slow_link::a_relay_sends_no_specification... was red before (the relay answered 'unknown' after it had sent the command).

--- a/src/cell/shell/relay.rs
+++ b/src/cell/shell/relay.rs
@@ -20,6 +20,7 @@
     Serialize, //
 };
 use tokio::time::Instant;
+use xxhash_rust::xxh3;
 
 use crate::{
     cell::{
@@ -54,38 +55,57 @@
 /// Maximum size of all specifications that an instance keeps, in bytes; the oldest are dropped first.
 const MAX_SPEC_BYTES: usize = 4 << 20;
 
-/// Specifications of the jobs that this instance received from callers, oldest first.
+/// A specification with the job that it was submitted for.
+#[derive(Debug)]
+struct Known {
+    job: CompactString,
+    hash: u64,
+    spec: Rc<str>,
+}
+
+/// Specifications that this instance received from callers, oldest first. The jobs may have been
+/// rejected, and submitted again with other specifications.
 #[derive(Debug, Default)]
 pub struct Specs {
-    list: RefCell<VecDeque<(CompactString, Rc<str>)>>,
+    list: RefCell<VecDeque<Known>>,
 }
 
 impl Specs {
-    /// Keeps the specification of a job, unless it is known already.
+    /// Keeps a specification that was submitted for a job.
     pub fn insert(&self, job: &str, spec: &str) {
-        if self.get(job).is_some() {
+        let hash = hash(spec);
+        if self.get(job, hash).is_some() {
             return;
         }
         let mut list = self.list.borrow_mut();
-        list.push_back((job.into(), spec.into()));
-        let mut size: usize = list.iter().map(|(_, spec)| spec.len()).sum();
+        list.push_back(Known {
+            job: job.into(),
+            hash,
+            spec: spec.into(),
+        });
+        let mut size: usize = list.iter().map(|known| known.spec.len()).sum();
         while size > MAX_SPEC_BYTES
-            && let Some((_, oldest)) = list.pop_front()
+            && let Some(oldest) = list.pop_front()
         {
-            size -= oldest.len();
+            size -= oldest.spec.len();
         }
     }
 
-    /// Specification of a job.
+    /// Returns the specification of a job with the given hash.
     #[must_use]
-    pub fn get(&self, job: &str) -> Option<Rc<str>> {
+    pub fn get(&self, job: &str, hash: u64) -> Option<Rc<str>> {
         let list = self.list.borrow();
         let mut newest = list.iter().rev();
-        let (_, spec) = newest.find(|(known, _)| known == job)?;
-        Some(spec.clone())
+        let known = newest.find(|known| known.hash == hash && known.job == job)?;
+        Some(known.spec.clone())
     }
 }
 
+/// Hash by which the owner and a relay tell specifications apart.
+fn hash(spec: &str) -> u64 {
+    xxh3::xxh3_64(spec.as_bytes())
+}
+
 /// A start command to be sent on, without the job's specification.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayedStart {
@@ -97,6 +117,8 @@
     pub address: CompactString,
     /// Task to run.
     pub task: model::TaskName,
+    /// Hash of the specification of the accepted job.
+    pub spec_hash: u64,
     /// Number of the run.
     pub run: u32,
     /// Expiry of the command on the worker's clock, in milliseconds.
@@ -144,6 +166,7 @@
         worker: order.to.worker.clone(),
         address: order.to.address.clone(),
         task: order.task.clone(),
+        spec_hash: hash(&order.spec),
         run: order.run,
         expires: order.expires_at,
         checkpoint: order.checkpoint.clone(),
@@ -165,7 +188,7 @@
 
 /// Sends a relayed command to its worker.
 pub(super) async fn serve(shared: &Rc<Shared>, order: RelayedStart) -> Relayed {
-    let Some(spec) = shared.specs.get(&order.task.job) else {
+    let Some(spec) = shared.specs.get(&order.task.job, order.spec_hash) else {
         return Relayed::Unsent;
     };
     let began = Instant::now();
--- a/tests/instances/slow_link.rs
+++ b/tests/instances/slow_link.rs
@@ -1,8 +1,12 @@
 //! A cell whose instances have slow links: more start commands than the owner's link carries.
 
-use std::time::Duration;
+use std::{
+    net::TcpListener,
+    time::Duration, //
+};
 
 use serde_json::json;
+use xxhash_rust::xxh3;
 
 use super::{
     processes,
@@ -96,9 +100,33 @@
         let answer = processes::exchange(peer, "POST", "/relay", body);
         assert_eq!(answer.map(|(status, _)| status), Some(400), "{body}");
     }
-    let unknown = json!({"token": 1, "worker": "w", "address": "x", "run": 1, "expires": 1,
+    let unknown = json!({"token": 1, "worker": "w", "address": "x", "run": 1, "expires": 1, "spec_hash": 1,
         "task": {"job": "none", "occurrence": 0, "step": 0, "index": 0}});
     let answer = processes::exchange(peer, "POST", "/relay", &unknown.to_string());
     assert_eq!(answer, Some((200, "\"unsent\"".to_owned())));
     assert!(cell.instances[0].is_ready());
 }
+
+#[test]
+fn a_relay_sends_no_specification_but_that_of_the_accepted_job() {
+    let cell = Cell::start(1);
+    let (front, peer) = (cell.instances[0].front, cell.instances[0].peer);
+    let id = "00000000000000f1";
+    // The job is rejected, so that its id may be used again with another specification.
+    let rejected = json!({"spec": "rejected", "steps": []}).to_string();
+    let answer = processes::exchange(front, "POST", &format!("/q/{id}"), &rejected);
+    assert_eq!(answer.map(|(status, _)| status), Some(400));
+    let worker = TcpListener::bind("127.0.0.1:0").unwrap();
+    worker.set_nonblocking(true).unwrap();
+    let relay = |spec: &str| {
+        let order = json!({"token": 9, "worker": "w", "address": worker.local_addr().unwrap().to_string(),
+            "run": 1, "expires": 1, "spec_hash": xxh3::xxh3_64(spec.as_bytes()),
+            "task": {"job": id, "occurrence": 0, "step": 0, "index": 0}});
+        processes::exchange(peer, "POST", "/relay", &order.to_string()).unwrap()
+    };
+    assert_eq!(relay("accepted"), (200, "\"unsent\"".to_owned()));
+    assert!(worker.accept().is_err(), "nothing is sent to the worker");
+    // The stand-in for the worker does not answer.
+    assert_eq!(relay("rejected"), (200, "\"unknown\"".to_owned()));
+    assert!(worker.accept().is_ok());
+}
