fix(cell): a start command that no relay sent is checked again before the owner sends it

Cause: when a relay answers that it sent nothing, up to 0.7 s or any pause of the process have passed, and the owner sent the command itself without another look: the job may be cancelled, the proof of ownership or the command itself over. A relay measured its own wait by a clock that stands still while the machine is suspended. The worker's clock and the fencing token bounded the effect. Change: the engine decides once more; the relay uses the clock that goes on. Evidence: cell::slow_link::a_command_that_no_relay_sent...; the interface is new, so it cannot be red on the code before. The suspended clock has no test.

--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -196,6 +196,20 @@
         })
     }
 
+    /// Whether a start command that was not sent yet may still be sent: the run is needed, the
+    /// ownership is proven and the command has not expired. Any time may have passed since
+    /// [`Engine::start_command`].
+    #[must_use]
+    pub fn may_still_start(&self, key: RunKey, now: u64) -> bool {
+        let Some(run) = self.cluster.runs.get(key) else {
+            return false;
+        };
+        let worker = self.cluster.workers.get(run.worker);
+        let clock = worker.and_then(|worker| worker.clock_at(now));
+        let expired = clock.is_none_or(|clock| clock >= run.start_expires);
+        run.task.is_some() && !run.stopping && !expired && self.may_command(now)
+    }
+
     /// Applies the reply to a start command.
     pub fn start_answered(
         &mut self,
--- a/src/cell/shell/dispatch.rs
+++ b/src/cell/shell/dispatch.rs
@@ -79,8 +79,9 @@
             Relayed::Unknown => Some(Err(SendError::Relay)),
             Relayed::Unsent => None,
         };
-        if answer.is_some() || owner.is_over() {
-            let now = owner.now();
+        let now = owner.now();
+        let may_start = !owner.is_over() && owner.engine.borrow().may_still_start(run, now);
+        if answer.is_some() || !may_start {
             let answer = answer.unwrap_or(Err(SendError::Relay));
             owner.engine.borrow_mut().start_answered(run, answer, now);
             owner.run_actions();
--- a/src/cell/shell/relay.rs
+++ b/src/cell/shell/relay.rs
@@ -19,7 +19,6 @@
     Deserialize,
     Serialize, //
 };
-use tokio::time::Instant;
 use xxhash_rust::xxh3;
 
 use crate::{
@@ -191,10 +190,12 @@
     let Some(spec) = shared.specs.get(&order.task.job, order.spec_hash) else {
         return Relayed::Unsent;
     };
-    let began = Instant::now();
+    // This clock goes on while the machine is suspended.
+    let arrived = shared.now();
     shared.uplink.turn(uplink::Kind::Start, spec.len()).await;
     // The wait for the link may have taken long, and there may be another owner by now.
-    if began.elapsed() > WORKER_TIMEOUT || shared.ownership.borrow().term() > order.token {
+    let waited = Duration::from_millis(shared.now().saturating_sub(arrived));
+    if waited > WORKER_TIMEOUT || shared.ownership.borrow().term() > order.token {
         return Relayed::Unsent;
     }
     let request = worker::StartRequest {
--- a/tests/cell/slow_link.rs
+++ b/tests/cell/slow_link.rs
@@ -141,3 +141,23 @@
     }
     assert_eq!(asked, 3_000, "all workers are asked within a second");
 }
+
+#[test]
+fn a_command_that_no_relay_sent_is_not_sent_after_what_allowed_it_has_ended() {
+    let id = "00000000000000d3";
+    let (mut engine, run) = make::placed(id);
+    engine.proven_at = START;
+    engine.start_command(run, START).unwrap();
+    assert!(engine.may_still_start(run, START + 100));
+    // Its validity by the worker's clock is over, as after a pause of this process.
+    assert!(!engine.may_still_start(run, START + 2_500));
+    engine.cancel(id, START + 100);
+    assert!(!engine.may_still_start(run, START + 100), "cancelled");
+    let (mut engine, run) = make::placed(id);
+    engine.start_command(run, START).unwrap();
+    engine.proven_at = 0;
+    assert!(
+        !engine.may_still_start(run, START + 100),
+        "no proof of ownership"
+    );
+}
