fix(cell): only the newest of many large configurations is read, which the earlier guard missed

Cause: the guard of 'a large configuration on a slow link' judged by the length of a poll with its wait, so a configuration that took 1.5 s did not count as slow, and ten that followed each other were all read: the newest was in force 9.7 s after it was acknowledged (the platform asks for 4 s). Change: the time of the body alone counts; then the end of the topic is asked for, and the newest alone is read if several follow. Without that question an unknown queue would wait for a read of nothing new. Evidence: instances::large_configuration, on a stand-in that sends configurations slowly: red before (9.7 s) and with the guard taken out (12.1 s); the wait for a queue being received is red without its guard (404).

--- a/src/cell/shell/catalog.rs
+++ b/src/cell/shell/catalog.rs
@@ -32,8 +32,8 @@
 /// Timeout for reading the whole topic; a slow store takes a few hundred milliseconds.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Time of a read, with its wait for a change, after which more changes are likely to have followed.
-const SLOW_READ: Duration = Duration::from_millis(1_700);
+/// Time to receive a configuration during which others are likely to have followed.
+const SLOW_TRANSFER: Duration = Duration::from_millis(500);
 
 /// Size of a response from which a configuration is being received, in bytes; an empty poll is
 /// smaller.
@@ -47,24 +47,21 @@
     let mut from = None;
     let mut failing = false;
     loop {
-        let (before, began) = (version(&shared), time::Instant::now());
+        let before = version(&shared);
         let step = match from {
             None => snapshot(&shared).await,
             Some(from) => tail(&shared, from).await,
         };
         match step {
-            // While large configurations follow each other, only the newest is worth its transfer.
-            Ok(_) if began.elapsed() > SLOW_READ && version(&shared) > before => {
-                shared.note_store_answer();
-                from = None;
-            }
             Ok(next) => {
                 shared.note_store_answer();
                 if failing {
                     info!("store reachable again");
                 }
                 failing = false;
-                from = Some(next);
+                let slow = shared.store_polls.transfer_time() > SLOW_TRANSFER;
+                let skips = slow && version(&shared) > before && is_outdated(&shared, next).await;
+                from = (!skips).then_some(next);
             }
             Err(e) => {
                 if !failing {
@@ -80,6 +77,19 @@
     }
 }
 
+/// Whether several records follow offset `next`, so that reading the newest alone is faster.
+///
+/// Handles large configurations that follow each other faster than they can be received.
+async fn is_outdated(shared: &Shared, next: u64) -> bool {
+    match store::end(&shared.store_polls, store::OPERATOR, POLL_TIMEOUT).await {
+        Ok(end) => end > next + 1,
+        Err(e) => {
+            warn!("end of the configuration's topic cannot be read: {e}");
+            false
+        }
+    }
+}
+
 /// Whether a configuration is being received that is not in force yet.
 #[must_use]
 pub fn is_behind(shared: &Shared) -> bool {
--- a/src/remote/link.rs
+++ b/src/remote/link.rs
@@ -170,12 +170,16 @@
     }
 }
 
-/// Size of the response being received, in bytes; 0 once this is dropped.
-struct Receiving<'a>(&'a Cell<usize>);
+/// Body of a large response that is being received, until this is dropped.
+struct Receiving<'a> {
+    link: &'a Link,
+    began: Instant,
+}
 
 impl Drop for Receiving<'_> {
     fn drop(&mut self) {
-        self.0.set(0);
+        self.link.receiving.set(0);
+        self.link.transfer_time.set(self.began.elapsed());
     }
 }
 
@@ -186,7 +190,10 @@
     idle_timeout: Duration,
     client: RefCell<awc::Client>,
     uplink: Option<Rc<Uplink>>,
+    /// Bytes received so far of a large response.
     receiving: Cell<usize>,
+    /// Time that the body of the last large response took.
+    transfer_time: Cell<Duration>,
     /// Number of exchanges in progress.
     active: Cell<usize>,
     /// Time of the last exchange; `None` once all connections are closed.
@@ -220,11 +227,18 @@
             client: RefCell::new(client(idle_timeout)),
             uplink: None,
             receiving: Cell::new(0),
+            transfer_time: Cell::new(Duration::ZERO),
             active: Cell::new(0),
             used_at: Cell::new(None),
         }
     }
 
+    /// Time that the body of the last large response took to arrive.
+    #[must_use]
+    pub fn transfer_time(&self) -> Duration {
+        self.transfer_time.get()
+    }
+
     /// Bytes received so far of a large response that is still arriving.
     #[must_use]
     pub fn receiving(&self) -> usize {
@@ -365,7 +379,10 @@
         };
         let status = response.status().as_u16();
         let mut body = bytes::BytesMut::new();
-        let _receiving = Receiving(&self.receiving);
+        let _receiving = Receiving {
+            link: self,
+            began: Instant::now(),
+        };
         while let Some(chunk) = time::timeout(limit, response.next()).await? {
             let Ok(chunk) = chunk else {
                 return Ok(Err(Error::NoResponse));
--- a/tests/instances.rs
+++ b/tests/instances.rs
@@ -7,6 +7,7 @@
     #[expect(dead_code, reason = "the soak uses the rest")]
     mod delivery;
     mod former_owner;
+    mod large_configuration;
     #[expect(dead_code, reason = "the tests of the cell use the rest")]
     #[path = "../cell/make.rs"]
     mod make;
--- a/tests/instances/standin.rs
+++ b/tests/instances/standin.rs
@@ -30,6 +30,7 @@
     Verdict, //
 };
 use base64::Engine as _;
+use futures_util::stream;
 use serde_json::{
     Value,
     json, //
@@ -55,6 +56,9 @@
 /// Maximum number of items in a page of the newest records.
 const PAGE_ITEMS: usize = 500;
 
+/// Interval between two parts of a response that is sent slowly.
+const CHUNK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Interval at which the state advances and polls are checked.
 const STEP: Duration = Duration::from_millis(5);
 
@@ -73,6 +77,8 @@
     pub(super) down: bool,
     /// Delay of each response, in milliseconds.
     pub(super) slow: u64,
+    /// Bytes per second at which each instance receives the configuration; 0 for no limit.
+    pub(super) config_rate: usize,
     /// Further delay of the pages of stored jobs, in milliseconds.
     pub(super) slow_jobs: u64,
     /// Number of appends per thousand that get no response: half of them take effect at once, and a
@@ -317,7 +323,7 @@
             return HttpResponse::ServiceUnavailable().finish();
         }
         actix_web::rt::time::sleep(Duration::from_millis(fault.slow)).await;
-        return match path.as_str() {
+        let response = match path.as_str() {
             "/bamboolock/log-append" => append_lossy(&shared, fault, &query, &body).await,
             "/bamboolock/log-read" => read(&shared, &query).await,
             _ => {
@@ -330,6 +336,14 @@
                 newest(&shared.lock().unwrap(), &query)
             }
         };
+        let configuration = query.get("topic").is_some_and(|topic| topic == "keyed.op");
+        // A poll may have waited since the fault was read.
+        let rate = shared.lock().unwrap().fault.config_rate;
+        return match rate {
+            0 => response,
+            rate if configuration => throttle(response, rate).await,
+            _ => response,
+        };
     }
     let worker = request
         .headers()
@@ -348,6 +362,21 @@
     deliver(&shared, command).await
 }
 
+/// Sends the body of a response at `rate` bytes per second.
+async fn throttle(response: HttpResponse, rate: usize) -> HttpResponse {
+    let body = actix_web::body::to_bytes(response.into_body()).await;
+    let chunks = stream::unfold(body.unwrap(), move |mut rest| async move {
+        if rest.is_empty() {
+            return None;
+        }
+        actix_web::rt::time::sleep(CHUNK_INTERVAL).await;
+        let len = rate * CHUNK_INTERVAL.as_millis() as usize / 1_000;
+        let chunk = rest.split_to(len.min(rest.len()));
+        Some((Ok::<_, std::convert::Infallible>(chunk), rest))
+    });
+    HttpResponse::Ok().streaming(Box::pin(chunks))
+}
+
 /// Command to a worker.
 struct Command {
     path: String,
