fix(cell): a task that crashes the workers that start it is given up

Cause: a run that was lost with its worker was counted nowhere. It was placed again at once, beside other work, and took down worker after worker with all that ran there, without end. Change: a crash of a worker (a later incarnation, or another worker at its address; not silence, an expired lease or a drain) counts against the tasks that were there. A task whose start the crash followed closely, or with two crashes, runs only on a worker without other jobs; where it runs, and what counts against it, is in the job's record before it starts. Two crashes that both followed a start closely, one of them alone, convict it, or three with one alone, or four; its job fails. Workers that fall silent together have a cause outside the tasks. A queue with three jobs whose starts crashed workers within 10 s is placed on workers of its own, a third of all at most, spread over them. Tests: rules::a_new_worker_incarnation_gets_no_tasks... let its worker restart 50 ms after four starts, which is evidence against these tasks now; the restart comes 800 ms later instead, what it checks is the same.

--- a/src/cell/cluster.rs
+++ b/src/cell/cluster.rs
@@ -12,7 +12,8 @@
         TaskKey,
         WorkerKey, //
     },
-    model, //
+    model,
+    suspicion, //
 };
 
 /// Upper bound on how slowly a worker's clock may run: 2 % from the platform's description, with a
@@ -80,6 +81,22 @@
     pub repeated: bool,
     /// Number of the worker's address to which the last command was sent.
     pub sent_to: u32,
+    /// Whether the run tries a task that is suspected of crashing workers, and shares its worker
+    /// with no other job.
+    pub trial: bool,
+    /// Batch that must be stored before the start command is sent; 0 for none.
+    pub after_batch: u64,
+}
+
+/// Task that was on a worker when the worker crashed or fell silent.
+#[derive(Debug, Clone, Copy)]
+pub struct Suspect {
+    /// Task of the run.
+    pub task: TaskKey,
+    /// What counts against the task.
+    pub crash: suspicion::Crash,
+    /// Time from the start of the run to the crash, in milliseconds.
+    pub age: u64,
 }
 
 /// Worker as known to the owner.
@@ -126,6 +143,8 @@
     pub poll_after: u64,
     /// Local time since which no command was answered, in milliseconds.
     pub silent_since: Option<u64>,
+    /// Runs that were presumed over while the worker was silent.
+    pub lapsed: Vec<Suspect>,
     /// Number of consecutive failed runs.
     pub failures: u32,
     /// Job of the newest failed run.
@@ -159,6 +178,7 @@
             polled_at: 0,
             poll_after: 0,
             silent_since: None,
+            lapsed: Vec::new(),
             failures: 0,
             last_failed_job: CompactString::default(),
             suspended_until: 0,
--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -35,7 +35,9 @@
 };
 
 pub mod batch;
+mod caution;
 pub mod commands;
+pub mod crashes;
 pub mod losses;
 pub mod placement;
 pub mod policy;
@@ -196,6 +198,14 @@
     pub proxies: proxies::Proxies,
     /// Runs that ended without an outcome, not yet counted.
     losses: Vec<losses::Loss>,
+    /// Evidence that tasks crash workers, not yet counted.
+    evidence: Vec<crashes::Evidence>,
+    /// Tasks whose workers may have crashed under earlier owners, with the ids of the workers.
+    exposed: Vec<(CompactString, TaskKey)>,
+    /// Recent silences and crashes of workers.
+    caution: caution::Caution,
+    /// Runs whose start command waits for a batch.
+    held_starts: Vec<RunKey>,
     /// Owners of the cell up to this one.
     succession: succession::Succession,
     /// Local time at which reconciliation ends at the latest, in milliseconds.
@@ -239,6 +249,10 @@
             queue_stats: Vec::new(),
             proxies: proxies::Proxies::default(),
             losses: Vec::new(),
+            evidence: Vec::new(),
+            exposed: Vec::new(),
+            caution: caution::Caution::default(),
+            held_starts: Vec::new(),
             succession: succession::Succession::default(),
             reconcile_by: 0,
             wall_offset: 0,
@@ -437,6 +451,8 @@
             in_flight: false,
             repeated: false,
             sent_to: 0,
+            trial: false,
+            after_batch: 0,
         });
         if let Some(state) = job.task_mut(task) {
             state.phase = Phase::Active(run);
--- a/src/cell/engine/batch.rs
+++ b/src/cell/engine/batch.rs
@@ -3,11 +3,15 @@
 use log::warn;
 
 use super::{
+    Action,
     Engine,
     Record, //
 };
 use crate::cell::{
-    job::WorkerKey,
+    job::{
+        RunKey,
+        WorkerKey, //
+    },
     journal,
     model::State, //
 };
@@ -92,6 +96,12 @@
         removable
             .into_iter()
             .for_each(|key| self.remove_if_empty(key));
+        let ready = |key: &mut RunKey| {
+            let run = self.cluster.runs.get(*key);
+            run.is_none_or(|run| run.after_batch <= batch)
+        };
+        let starts = self.held_starts.extract_if(.., ready);
+        self.actions.extend(starts.map(Action::Start));
         // Workers whose registration is now stored may take tasks.
         self.pass_needed = true;
         let changed = std::mem::take(&mut self.changed_jobs);
--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -153,8 +153,9 @@
     /// have passed since the run was placed.
     pub fn start_command(&mut self, key: RunKey, now: u64) -> Option<Start> {
         let may_command = self.may_command(now);
+        let durable = self.durable_batch;
         let run = self.cluster.runs.get_mut(key)?;
-        if run.stopping || run.in_flight {
+        if run.stopping || run.in_flight || run.after_batch > durable {
             return None;
         }
         if !may_command {
@@ -228,8 +229,8 @@
                 self.apply_start_reply(key, reply.verdict, now);
             }
             Err(SendError::Unsent) if self.cluster.runs[key].state == RunState::Sent => {
-                self.mark_silent(worker, now);
                 self.lose_run(key, Loss::Unsent, now);
+                self.mark_silent(worker, now);
             }
             Err(e) => {
                 let run = &mut self.cluster.runs[key];
@@ -267,6 +268,10 @@
         match verdict {
             Verdict::Fenced => self.deposed = true,
             Verdict::Reborn if run.sent_to == self.cluster.workers[worker].address_number => {
+                if !retried {
+                    // The former worker has not seen the command.
+                    run.start_expires = 0;
+                }
                 self.mark_superseded(worker, now);
             }
             Verdict::Old | Verdict::Late if retried => {
@@ -459,6 +464,9 @@
     /// Marks a worker as superseded: another worker answers at its address, so this one and all its
     /// runs have ended.
     fn mark_superseded(&mut self, key: WorkerKey, now: u64) {
+        if self.cluster.workers.get(key).is_some_and(|w| !w.superseded) {
+            self.note_crash(key, u64::MAX, now);
+        }
         let Some(worker) = self.cluster.workers.get_mut(key) else {
             return;
         };
@@ -498,6 +506,7 @@
             info!(worker = worker.registration.id.as_str(), runs = worker.runs.len(), lapses = worker.leases_end.saturating_sub(now);
                 "worker does not answer");
             worker.silent_since = Some(now);
+            self.note_silence(key, now);
         }
     }
 
@@ -526,12 +535,17 @@
     /// Ends the runs of silent workers whose leases have expired.
     pub(super) fn expire_leases(&mut self, now: u64) {
         let mut expired = Vec::new();
-        for worker in self.cluster.workers.values() {
+        let mut silent = Vec::new();
+        for (key, worker) in &self.cluster.workers {
             if worker.silent_since.is_some() && worker.leases_end < now && !worker.runs.is_empty() {
                 info!(worker = worker.registration.id.as_str(), runs = worker.runs.len(); "leases expired on silent worker; runs are lost");
                 expired.extend(worker.runs.iter().copied());
+                silent.push(key);
             }
         }
+        for worker in silent {
+            self.keep_suspects(worker, now);
+        }
         for run in expired {
             self.lose_run(run, Loss::LeaseExpired, now);
         }
--- /dev/null
+++ b/src/cell/engine/crashes.rs
@@ -0,0 +1,285 @@
+//! Crashes of workers: which tasks they speak against, and what follows for them.
+
+use log::{
+    info,
+    warn, //
+};
+
+use super::Engine;
+use crate::cell::{
+    cluster::{
+        RunState,
+        Suspect, //
+        Worker,
+    },
+    job::{
+        Phase,
+        RunKey,
+        StepKey,
+        TaskKey,
+        WorkerKey, //
+    },
+    model::{
+        Availability,
+        State, //
+    },
+    suspicion::{
+        self,
+        Crash,
+        EARLY_MS,
+        Exposure, //
+    },
+};
+
+/// Time after which a run that lasts shows that the earlier crashes had other causes, in
+/// milliseconds.
+const ACQUITTAL_MS: u64 = 10_000;
+
+/// What a crash of a worker means for a task that was on it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Evidence {
+    /// The task ran alone: the next crash of this kind convicts it.
+    Alone,
+    /// The crash followed the start of the task closely, beside other jobs.
+    Early,
+    /// The task was one of many.
+    Shared,
+    /// The task is convicted, and its job fails.
+    Convicted,
+}
+
+impl Evidence {
+    /// Name of the evidence in metrics.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Evidence::Alone => "alone",
+            Evidence::Early => "early",
+            Evidence::Shared => "shared",
+            Evidence::Convicted => "convicted",
+        }
+    }
+}
+
+impl Engine {
+    /// Tasks that were on a worker when it crashed at local time `at`, in milliseconds: those of runs
+    /// that it had confirmed, and of start commands that may have arrived. Runs confirmed from
+    /// `before` on belong to a later incarnation.
+    fn suspects_on(&self, worker: &Worker, at: u64, before: u64) -> Vec<Suspect> {
+        let runs = worker.runs.iter().map(|key| &self.cluster.runs[*key]);
+        let runs = runs.filter(|run| run.ordered_at <= at);
+        let present = runs.filter(|run| match run.state {
+            RunState::Confirmed(confirmed) => confirmed < before,
+            RunState::Sent | RunState::Unanswered => run.start_expires > 0,
+        });
+        let present: Vec<_> = present.collect();
+        let alone = present
+            .windows(2)
+            .all(|pair| pair[0].name.job == pair[1].name.job);
+        let suspects = present.iter().filter_map(|run| {
+            let started = match run.state {
+                RunState::Confirmed(confirmed) => confirmed,
+                _ => run.ordered_at,
+            };
+            let age = at.saturating_sub(started);
+            let crash = Crash {
+                run: run.number,
+                early: age <= EARLY_MS,
+                alone,
+            };
+            run.task.map(|task| Suspect { task, crash, age })
+        });
+        suspects.collect()
+    }
+
+    /// Notes that a worker fell silent. If it has crashed, a later owner learns from the store which
+    /// tasks it had just started.
+    pub(super) fn note_silence(&mut self, key: WorkerKey, now: u64) {
+        let worker = &self.cluster.workers[key];
+        let suspects = self.suspects_on(worker, now, u64::MAX);
+        let (id, incarnation) = (worker.registration.id.clone(), worker.incarnation);
+        for suspect in suspects.iter().filter(|suspect| suspect.crash.early) {
+            let job = &mut self.jobs[suspect.task.step.job];
+            let Some(task) = job.task_mut(suspect.task) else {
+                continue;
+            };
+            task.exposure = Some(Exposure {
+                worker: id.clone(),
+                incarnation,
+                crash: suspect.crash,
+            });
+            self.mark_dirty(suspect.task.step.job);
+        }
+        self.caution.note_silence(&self.jobs, key, &suspects, now);
+    }
+
+    /// Keeps the tasks of runs that are presumed over on a silent worker: should it turn out that the
+    /// worker has crashed, that counts against them.
+    pub(super) fn keep_suspects(&mut self, key: WorkerKey, now: u64) {
+        let worker = &self.cluster.workers[key];
+        let at = worker.silent_since.unwrap_or(now);
+        let suspects = self.suspects_on(worker, at, u64::MAX);
+        self.cluster.workers[key].lapsed.extend(suspects);
+    }
+
+    /// Notes that a worker has crashed, as a later incarnation or another worker at its address shows
+    /// in reply to a command of local time `sent`, in milliseconds.
+    pub(super) fn note_crash(&mut self, key: WorkerKey, sent: u64, now: u64) {
+        let Some(worker) = self.cluster.workers.get_mut(key) else {
+            return;
+        };
+        let lapsed = std::mem::take(&mut worker.lapsed);
+        let worker = &self.cluster.workers[key];
+        let id = worker.registration.id.clone();
+        if worker.registration.availability == Availability::Draining {
+            return;
+        }
+        let at = worker.silent_since.unwrap_or(now);
+        let mut suspects = self.suspects_on(worker, at, sent);
+        let company = suspects.len();
+        suspects.extend(lapsed);
+        self.caution.note_crash(&self.jobs, key, &suspects, at);
+        let joint = self.caution.is_joint(key);
+        info!(worker = id.as_str(), suspects = company, joint, ago = now.saturating_sub(at); "worker crashed");
+        for mut suspect in suspects {
+            if joint {
+                suspect.crash.early = false;
+                suspect.crash.alone = false;
+            }
+            self.count_crash(&suspect, &id, company, now);
+        }
+        self.count_exposures(&id, u64::MAX, now);
+    }
+
+    /// Settles what earlier owners stored about a worker that reports incarnation `incarnation`, or
+    /// has crashed.
+    pub(super) fn count_exposures(&mut self, id: &str, incarnation: u64, now: u64) {
+        let of_worker = self.exposed.extract_if(.., |(worker, _)| worker == id);
+        let tasks: Vec<TaskKey> = of_worker.map(|(_, task)| task).collect();
+        for task in tasks {
+            let state = self
+                .jobs
+                .get_mut(task.step.job)
+                .and_then(|job| job.task_mut(task));
+            let Some(exposure) = state.and_then(|state| state.exposure.take()) else {
+                continue;
+            };
+            if exposure.worker == id && exposure.incarnation < incarnation {
+                let suspect = Suspect {
+                    task,
+                    crash: exposure.crash,
+                    age: 0,
+                };
+                self.count_crash(&suspect, id, 1, now);
+            }
+        }
+    }
+
+    /// Collects the tasks whose workers may have crashed under earlier owners.
+    pub(super) fn load_exposures(&mut self) {
+        for (key, job) in &self.jobs {
+            for (o, occurrence) in job.occurrences.iter().enumerate() {
+                for (s, step) in occurrence.steps.iter().enumerate() {
+                    let tasks = step.tasks.iter().enumerate();
+                    self.exposed.extend(tasks.filter_map(|(index, task)| {
+                        let task_key = TaskKey::new(key, o, s, index);
+                        let worker = task.exposure.as_ref()?.worker.clone();
+                        Some((worker, task_key))
+                    }));
+                }
+            }
+        }
+    }
+
+    /// Counts a crash against a task; its job fails if the task is convicted.
+    fn count_crash(&mut self, suspect: &Suspect, worker: &str, company: usize, now: u64) {
+        let key = suspect.task;
+        let Some(job) = self.jobs.get_mut(key.step.job) else {
+            return;
+        };
+        let lasting = job
+            .definition(key.step)
+            .is_some_and(|step| step.long_running);
+        if job.state.is_final() {
+            return;
+        }
+        let id = job.id.clone();
+        let Some(step) = job.step_mut(key.step) else {
+            return;
+        };
+        step.suspected = true;
+        let Some(task) = step.tasks.get_mut(key.index as usize) else {
+            return;
+        };
+        if task.phase == Phase::Done {
+            return;
+        }
+        if lasting && suspect.age > ACQUITTAL_MS {
+            task.crashes.clear();
+        }
+        let crash = suspect.crash;
+        let Err(at) = task.crashes.binary_search_by_key(&crash.run, |c| c.run) else {
+            return;
+        };
+        task.crashes.insert(at, crash);
+        task.last_run = task.last_run.max(crash.run);
+        task.exposure = None;
+        let (convicted, crashes) = (
+            suspicion::is_convicted(&task.crashes),
+            task.crashes.len() as u64,
+        );
+        info!(job = id.as_str(), step = key.step.step, task = key.index, run = crash.run, worker, age = suspect.age,
+            early = crash.early, alone = crash.alone, company, crashes; "worker crashed under a task");
+        self.evidence.push(match (convicted, crash) {
+            (true, _) => Evidence::Convicted,
+            (_, Crash { alone: true, .. }) => Evidence::Alone,
+            (_, Crash { early: true, .. }) => Evidence::Early,
+            _ => Evidence::Shared,
+        });
+        self.mark_dirty(key.step.job);
+        if convicted {
+            warn!(job = id.as_str(), step = key.step.step, task = key.index, crashes; "task crashes the workers that start it; job fails");
+            self.finish_job(key.step.job, State::Failed, now);
+        }
+    }
+
+    /// Notes in the job's record where a run is tried that may crash its worker.
+    pub(super) fn expose(&mut self, key: RunKey) {
+        let run = &self.cluster.runs[key];
+        let Some(task) = run.task else {
+            return;
+        };
+        let worker = &self.cluster.workers[run.worker];
+        let exposure = Exposure {
+            worker: worker.registration.id.clone(),
+            incarnation: worker.incarnation,
+            crash: Crash {
+                run: run.number,
+                early: false,
+                alone: true,
+            },
+        };
+        if let Some(state) = self.jobs[task.step.job].task_mut(task) {
+            state.exposure = Some(exposure);
+        }
+        self.mark_dirty(task.step.job);
+    }
+
+    /// Takes the evidence since the last call, for metrics.
+    pub fn take_evidence(&mut self) -> Vec<Evidence> {
+        std::mem::take(&mut self.evidence)
+    }
+
+    /// Number of tasks that wait to be tried alone.
+    #[must_use]
+    pub fn waiting_trials(&self) -> usize {
+        self.trials_in(&self.backlog)
+    }
+
+    /// Number of tasks of `steps` that wait to be tried alone.
+    pub(super) fn trials_in(&self, steps: &[StepKey]) -> usize {
+        let steps = steps.iter();
+        let steps = steps.filter_map(|key| self.jobs.get(key.job)?.step(*key));
+        steps.map(|step| step.trials()).sum()
+    }
+}
--- a/src/cell/engine/placement.rs
+++ b/src/cell/engine/placement.rs
@@ -6,6 +6,11 @@
 use super::{
     Action,
     Engine,
+    caution::{
+        Allowance,
+        Care,
+        Purpose, //
+    },
     commands, //
 };
 use crate::{
@@ -16,6 +21,8 @@
             Phase,
             RunKey,
             StepKey,
+            StepState,
+            Task,
             TaskKey,
             WorkerKey, //
         },
@@ -49,6 +56,10 @@
     free: Resources,
     /// Resources that other steps have reserved.
     reserved: Resources,
+    /// Number of runs on the worker.
+    runs: usize,
+    /// What the worker is used for.
+    purpose: Purpose,
 }
 
 impl Slot {
@@ -111,6 +122,8 @@
     /// Bytes of start commands that may still be emitted; the last step may exceed it.
     budget: usize,
     gang_slots: usize,
+    /// Workers that may still be set apart.
+    allowance: Allowance,
     pub(super) now: u64,
 }
 
@@ -126,6 +139,24 @@
     needs_permit: bool,
     /// Whether the job can still meet its objective.
     on_time: bool,
+    /// Restriction on the workers that the step may use.
+    care: Care,
+    /// Whether tasks that have not run yet wait until other tasks of the job have been tried.
+    hold_new: bool,
+}
+
+impl PendingStep {
+    /// Whether a task of the step is to be placed.
+    fn includes(&self, task: &Task) -> bool {
+        task.phase == Phase::Waiting
+            && task.awaits_trial() == (self.care == Care::Alone)
+            && !(self.hold_new && self.care != Care::Alone && task.last_run == 0)
+    }
+
+    /// Number of tasks of the step that are to be placed.
+    fn count(&self, step: &StepState) -> u32 {
+        step.tasks.iter().filter(|t| self.includes(t)).count() as u32
+    }
 }
 
 impl Engine {
@@ -155,7 +186,8 @@
             }
         }
         ranked.sort_by_key(|(rank, _)| *rank);
-        let mut pass = self.pass(now);
+        let waiting: Vec<StepKey> = ranked.iter().map(|(_, key)| *key).collect();
+        let mut pass = self.pass(&waiting, now);
         for (rank, key) in ranked {
             let placed = self.place_step(&mut pass, key, rank.0 == ON_TIME);
             self.apply_reservations(&mut pass, key);
@@ -167,7 +199,7 @@
         }
     }
 
-    fn pass(&self, now: u64) -> Pass {
+    fn pass(&mut self, waiting: &[StepKey], now: u64) -> Pass {
         let schedulable = self
             .cluster
             .workers
@@ -178,13 +210,26 @@
             incarnation: state.incarnation,
             free: state.free(),
             reserved: Resources::default(),
+            runs: state.runs.len(),
+            purpose: Purpose::Open,
         });
         let mut slots: Vec<Slot> = slots.collect();
         slots.sort_by_key(|slot| slot.worker);
+        let workers: Vec<WorkerKey> = slots.iter().map(|slot| slot.worker).collect();
+        let mut allowance = Allowance::default();
+        if let Some(apart) = self.set_apart(&workers, waiting, now) {
+            allowance = apart.allowance;
+            for (worker, purpose) in apart.purposes {
+                if let Ok(at) = workers.binary_search(&worker) {
+                    slots[at].purpose = purpose;
+                }
+            }
+        }
         Pass {
             slots,
             budget: self.start_budget,
             gang_slots: 0,
+            allowance,
             now,
         }
     }
@@ -201,7 +246,10 @@
         if step.tasks.iter().any(|t| t.proof_from > self.proven_at) {
             return false;
         }
-        let pending = PendingStep {
+        let trials = step.trials();
+        let queue = job.queue.name.clone();
+        let careful = self.caution.is_careful(&queue);
+        let mut pending = PendingStep {
             key,
             demand: super::demand(definition),
             waiting: step.waiting() as u32,
@@ -212,14 +260,88 @@
             },
             needs_permit: job.queue.policy_cost.is_some(),
             on_time,
+            care: match careful {
+                true => Care::Apart,
+                false => Care::None,
+            },
+            hold_new: false,
         };
         if definition.gang {
             if step.active() > 0 || step.broken {
                 return false;
             }
-            return self.place_gang(pass, &pending);
+            return self.place_gang_with_care(pass, pending, trials > 0, &queue);
+        }
+        if !job.is_suspected() {
+            return self.place_tasks(pass, &pending);
+        }
+        let on_trial = self.is_on_trial(job);
+        pending.hold_new = on_trial || job.awaits_trial();
+        pending.waiting = pending.count(step);
+        if pending.waiting > 0 {
+            self.place_tasks(pass, &pending);
+        }
+        if trials > 0 && !on_trial && pass.allowance.admits(&queue) {
+            // One task of a job at a time: if it is convicted, the others need not be tried.
+            pending.care = Care::Alone;
+            pending.waiting = 1;
+            if self.place_tasks(pass, &pending) {
+                pass.allowance.take(&queue);
+            }
+        }
+        let job = self.jobs.get(key.job);
+        job.and_then(|job| job.step(key))
+            .is_none_or(|step| step.waiting() == 0)
+    }
+
+    /// Whether a task of the job is being tried.
+    fn is_on_trial(&self, job: &Job) -> bool {
+        let steps = job.occurrences.iter().flat_map(|o| &o.steps);
+        let mut tasks = steps.filter(|s| s.suspected).flat_map(|s| &s.tasks);
+        tasks.any(|task| match task.phase {
+            Phase::Active(run) => self.cluster.runs.get(run).is_some_and(|run| run.trial),
+            _ => false,
+        })
+    }
+
+    /// Places a gang, on workers without other jobs if it is suspected of crashing workers, unless it
+    /// needs more of them than may be set apart.
+    fn place_gang_with_care(
+        &mut self,
+        pass: &mut Pass,
+        mut pending: PendingStep,
+        suspected: bool,
+        queue: &CompactString,
+    ) -> bool {
+        let widest = pass.slots.iter().map(|slot| {
+            let capacity = &self.cluster.workers[slot.worker].registration.capacity;
+            fit_count(capacity, &pending.demand, pending.max_per_worker)
+        });
+        let width = widest.max().unwrap_or(0).max(1);
+        let workers = pending.waiting.div_ceil(width) as usize;
+        if suspected && workers <= pass.slots.len() / GANG_RESERVE_DIVISOR {
+            if !pass.allowance.admits(queue) {
+                return false;
+            }
+            pending.care = Care::Alone;
+        } else if workers > pass.allowance.most_apart / 2 {
+            pending.care = Care::None;
+        }
+        let placed = self.place_gang(pass, &pending);
+        if placed && pending.care == Care::Alone {
+            pass.allowance.take(queue);
+        }
+        placed
+    }
+
+    /// Whether a worker may take the step, given what the worker is used for.
+    fn is_apart_enough(slot: &Slot, pending: &PendingStep, allowance: &Allowance) -> bool {
+        let empty = slot.runs == 0 && matches!(slot.purpose, Purpose::Open | Purpose::Vacant);
+        match pending.care {
+            Care::None => slot.purpose == Purpose::Open,
+            Care::Alone => empty,
+            Care::Apart => slot.purpose == Purpose::Apart || empty && allowance.apart > 0,
         }
-        self.place_tasks(pass, &pending)
     }
 
     /// Whether a worker may run tasks of the step, regardless of capacity and permits.
@@ -257,7 +379,10 @@
         let mut offers = Vec::new();
         for (i, slot) in pass.slots.iter().enumerate() {
             let available = slot.available();
-            if !pending.demand.fits(&available) || !self.is_eligible(slot, job, definition) {
+            if !pending.demand.fits(&available)
+                || !self.is_eligible(slot, job, definition)
+                || !Self::is_apart_enough(slot, pending, &pass.allowance)
+            {
                 continue;
             }
             let mut most = pending.waiting;
@@ -296,7 +421,8 @@
             .tasks
             .iter()
             .enumerate()
-            .filter(|(_, t)| t.phase == Phase::Waiting);
+            .filter(|(_, t)| pending.includes(t))
+            .take(pending.waiting as usize);
         let tasks: Vec<(u32, Vec<WorkerKey>)> =
             idle.map(|(i, t)| (i as u32, t.failed_on.clone())).collect();
         if let Some(step) = self.jobs[pending.key.job].step_mut(pending.key) {
@@ -343,16 +469,23 @@
         let mut best: Option<((bool, bool, u32), usize)> = None;
         for (at, (i, count)) in usable.iter().enumerate() {
             let slot = &pass.slots[*i];
-            if *count == 0 || !pending.demand.fits(&slot.available()) {
+            if *count == 0
+                || !pending.demand.fits(&slot.available())
+                || !Self::is_apart_enough(slot, pending, &pass.allowance)
+            {
                 continue;
             }
             let worker = &self.cluster.workers[slot.worker];
             let failed = avoid.contains(&slot.worker);
             let away = !rack.is_empty() && worker.registration.rack() != rack;
-            let left = slot
-                .free
-                .millicores
-                .saturating_sub(pending.demand.millicores);
+            let left = match pending.care {
+                // A crash takes down few tasks where they are spread.
+                Care::Apart => slot.runs as u32,
+                _ => slot
+                    .free
+                    .millicores
+                    .saturating_sub(pending.demand.millicores),
+            };
             let cost = (failed, away, left);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, at));
@@ -531,6 +664,15 @@
         let worker = slot.worker;
         let permit = self.permit(pending.key, slot, pass.now).unwrap_or_default();
         slot.free = slot.free.minus(&pending.demand).unwrap_or_default();
+        if pending.care == Care::Apart && slot.purpose != Purpose::Apart {
+            pass.allowance.apart = pass.allowance.apart.saturating_sub(1);
+        }
+        slot.runs += 1;
+        slot.purpose = match pending.care {
+            Care::None => Purpose::Open,
+            Care::Alone => Purpose::Trial,
+            Care::Apart => Purpose::Apart,
+        };
         let job = &self.jobs[task.step.job];
         let run = job
             .step(task.step)
@@ -541,7 +683,21 @@
             room = slot.free.millicores; "task placed");
         pass.budget = pass.budget.saturating_sub(commands::start_size(job));
         let key = self.add_run(task, worker, number, permit, pass.now);
-        self.actions.push(Action::Start(key));
+        self.start_or_hold(key, pending.care == Care::Alone);
+    }
+
+    /// Emits the start command of a run. A trial waits until the store has what is known against its
+    /// task, and where it runs: a later owner must know it.
+    fn start_or_hold(&mut self, key: RunKey, trial: bool) {
+        if !trial {
+            self.actions.push(Action::Start(key));
+            return;
+        }
+        self.expose(key);
+        let run = &mut self.cluster.runs[key];
+        run.trial = true;
+        run.after_batch = self.open_batch;
+        self.held_starts.push(key);
     }
 
     /// Permit for a step on a worker, if one is held and valid.
--- a/src/cell/engine/recovery.rs
+++ b/src/cell/engine/recovery.rs
@@ -117,6 +117,7 @@
             }
             self.advance(key, now);
         }
+        self.load_exposures();
         self.succession.load(owners);
         self.cluster.reconciled = false;
         self.reconcile_by =
--- a/src/cell/engine/registry.rs
+++ b/src/cell/engine/registry.rs
@@ -126,6 +126,7 @@
         sent: u64,
         now: u64,
     ) {
+        self.note_crash(key, sent, now);
         let worker = &mut self.cluster.workers[key];
         info!(worker = worker.registration.id.as_str(), born = incarnation, before = worker.incarnation, runs = worker.runs.len(); "worker incarnation changed; its confirmed runs are lost");
         worker.incarnation = incarnation;
--- a/src/cell/engine/reports.rs
+++ b/src/cell/engine/reports.rs
@@ -67,6 +67,14 @@
             self.change_incarnation(key, report.incarnation, sent, now);
         }
         self.record_clock(key, Some(report.clock), now);
+        if same {
+            self.cluster.workers[key].lapsed.clear();
+            self.caution.note_report(key);
+        }
+        if report.incarnation > 0 && !self.exposed.is_empty() {
+            let id = self.cluster.workers[key].registration.id.clone();
+            self.count_exposures(&id, report.incarnation, now);
+        }
         // The poll may have been meant for a former incarnation, which had seen the token, or have been
         // answered by one.
         let registered = self.cluster.workers[key].registration.incarnation;
@@ -262,6 +270,8 @@
             in_flight: false,
             repeated: false,
             sent_to: 0,
+            trial: false,
+            after_batch: 0,
         });
         let Some(task) = task else {
             self.actions.push(Action::Stop(key));
--- a/src/cell/engine/status.rs
+++ b/src/cell/engine/status.rs
@@ -29,7 +29,8 @@
             (count + 1, room + all, used + all - free)
         });
         let claimed = self.reserved_cpu(now);
-        info!(waiting:? = waiting, claimed:? = claimed, workers = self.cluster.workers.len(), open = count, silent = self.silent_workers(),
+        let careful = self.caution.careful();
+        info!(waiting:? = waiting, trials = self.waiting_trials(), careful:? = careful, claimed:? = claimed, workers = self.cluster.workers.len(), open = count, silent = self.silent_workers(),
             proof = now.saturating_sub(self.proven_at), runs = self.cluster.runs.len(),
             room, used, queries = self.proxies.in_flight(), advisers = self.proxies.live(now).count(), batch = self.open_batch,
             durable = self.durable_batch; "cell status");
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -7,7 +7,8 @@
 
 use super::{
     cluster,
-    model, //
+    model,
+    suspicion, //
 };
 
 new_key_type! {
@@ -39,6 +40,21 @@
     pub index: u32,
 }
 
+impl TaskKey {
+    /// Key of a task from the positions of its occurrence, step and itself.
+    #[must_use]
+    pub fn new(job: JobKey, occurrence: usize, step: usize, index: usize) -> Self {
+        Self {
+            step: StepKey {
+                job,
+                occurrence: occurrence as u32,
+                step: step as u32,
+            },
+            index: index as u32,
+        }
+    }
+}
+
 /// Phase of a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Phase {
@@ -68,6 +84,18 @@
     /// Local time from which ownership must be proven before the task starts again, in
     /// milliseconds: another owner may know the outcome of the last run.
     pub proof_from: u64,
+    /// Crashes of workers under runs of the task, sorted by run.
+    pub crashes: Vec<suspicion::Crash>,
+    /// Run whose worker may have crashed under it.
+    pub exposure: Option<suspicion::Exposure>,
+}
+
+impl Task {
+    /// Whether the task waits and may only start on a worker without other jobs.
+    #[must_use]
+    pub fn awaits_trial(&self) -> bool {
+        self.phase == Phase::Waiting && suspicion::needs_trial(&self.crashes)
+    }
 }
 
 /// Permit of the placement policy, as held by the engine.
@@ -142,6 +170,8 @@
     pub policy: PolicyState,
     /// Whether the gang's current run has ended and its remaining members are being stopped.
     pub broken: bool,
+    /// Whether a worker has crashed under a task of the step.
+    pub suspected: bool,
 }
 
 impl StepState {
@@ -160,6 +190,15 @@
         self.tasks.iter().filter(idle).count()
     }
 
+    /// Number of tasks that wait to run alone, because workers have crashed under them.
+    #[must_use]
+    pub fn trials(&self) -> usize {
+        match self.suspected {
+            true => self.tasks.iter().filter(|t| t.awaits_trial()).count(),
+            false => 0,
+        }
+    }
+
     /// Number of tasks with a run that may be active.
     #[must_use]
     pub fn active(&self) -> usize {
@@ -277,6 +316,20 @@
         }
     }
 
+    /// Whether a worker has crashed under a task of the job.
+    #[must_use]
+    pub fn is_suspected(&self) -> bool {
+        let mut steps = self.occurrences.iter().flat_map(|o| &o.steps);
+        steps.any(|step| step.suspected)
+    }
+
+    /// Whether a task of the job waits to run alone.
+    #[must_use]
+    pub fn awaits_trial(&self) -> bool {
+        let mut steps = self.occurrences.iter().flat_map(|o| &o.steps);
+        steps.any(|step| step.trials() > 0)
+    }
+
     /// Total number of occurrences of the job.
     #[must_use]
     pub fn occurrence_count(&self) -> u32 {
--- a/src/cell/journal.rs
+++ b/src/cell/journal.rs
@@ -12,7 +12,8 @@
 
 use super::{
     job,
-    model, //
+    model,
+    suspicion, //
 };
 
 /// Prefix of the keys of accepted jobs.
@@ -78,6 +79,12 @@
         skip_serializing_if = "CompactString::is_empty"
     )]
     pub checkpoint: CompactString,
+    /// Crashes of workers under runs of the task.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<suspicion::Crash>,
+    /// Run whose worker may have crashed under it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub exposure: Option<suspicion::Exposure>,
 }
 
 /// Occurrence, step, and ranges of indices of succeeded tasks; both bounds are included.
@@ -181,7 +188,12 @@
             if !ranges.is_empty() {
                 progress.done.push((o as u32, s as u32, ranges));
             }
-            let noted = |t: &job::Task| !t.failed_runs.is_empty() || !t.checkpoint.is_empty();
+            let noted = |t: &job::Task| {
+                !t.failed_runs.is_empty()
+                    || !t.checkpoint.is_empty()
+                    || !t.crashes.is_empty()
+                    || t.exposure.is_some()
+            };
             let unfinished = step.tasks.iter().enumerate();
             let unfinished = unfinished.filter(|(_, t)| t.phase != job::Phase::Done && noted(t));
             progress.tasks.extend(unfinished.map(|(i, t)| TaskProgress {
@@ -189,6 +201,8 @@
                 failed_runs: t.failed_runs.clone(),
                 last_run: t.last_run,
                 checkpoint: t.checkpoint.clone(),
+                crashes: t.crashes.clone(),
+                exposure: t.exposure.clone(),
             }));
         }
     }
@@ -227,8 +241,13 @@
     for note in &progress.tasks {
         let (o, s, i) = note.position;
         let occurrence = job.occurrences.get_mut(o as usize);
-        let step = occurrence.and_then(|o| o.steps.get_mut(s as usize));
-        if let Some(task) = step.and_then(|s| s.tasks.get_mut(i as usize)) {
+        let Some(step) = occurrence.and_then(|o| o.steps.get_mut(s as usize)) else {
+            continue;
+        };
+        step.suspected |= !note.crashes.is_empty();
+        if let Some(task) = step.tasks.get_mut(i as usize) {
+            task.crashes = note.crashes.clone();
+            task.exposure = note.exposure.clone();
             task.failed_runs = note.failed_runs.clone();
             task.last_run = note.last_run;
             task.checkpoint = note.checkpoint.clone();
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -13,3 +13,4 @@
 pub mod model;
 pub mod settings;
 pub mod shell;
+pub mod suspicion;
--- a/src/cell/shell/metrics.rs
+++ b/src/cell/shell/metrics.rs
@@ -24,7 +24,10 @@
 };
 
 use crate::{
-    cell::engine::losses::Loss,
+    cell::engine::{
+        crashes::Evidence,
+        losses::Loss, //
+    },
     malformed::{
         self,
         List, //
@@ -68,6 +71,13 @@
     pub reason: &'static str,
 }
 
+/// Labels of the crashes of workers, counted for each task that was there.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CrashLabels {
+    /// What the crash means for the task.
+    pub evidence: &'static str,
+}
+
 /// All metrics of the process.
 pub struct Metrics {
     registry: RefCell<Registry>,
@@ -88,6 +98,11 @@
     /// Workers to which connections may be open.
     pub open_workers: Gauge,
     losses: Family<LossLabels, Counter>,
+    crashes: Family<CrashLabels, Counter>,
+    /// Tasks that wait to run alone because workers have crashed under them.
+    pub waiting_trials: Gauge,
+    /// Queues that are placed with caution because their starts crash workers.
+    pub careful_queues: Gauge,
     storing: Histogram,
 }
 
@@ -134,6 +149,9 @@
             silent_workers: Gauge::default(),
             open_workers: Gauge::default(),
             losses: Family::default(),
+            crashes: Family::default(),
+            waiting_trials: Gauge::default(),
+            careful_queues: Gauge::default(),
             storing: histogram(),
         };
         metrics.register();
@@ -177,6 +195,21 @@
             "Runs presumed over without an outcome from their worker",
             self.losses.clone(),
         );
+        registry.register(
+            "crashes",
+            "Tasks that were on a worker when it crashed, by evidence",
+            self.crashes.clone(),
+        );
+        registry.register(
+            "waiting_trials",
+            "Tasks that wait to run alone because workers have crashed under them",
+            self.waiting_trials.clone(),
+        );
+        registry.register(
+            "careful_queues",
+            "Queues that are placed with caution because their starts crash workers",
+            self.careful_queues.clone(),
+        );
         registry.register(
             "storing_seconds",
             "Time to commit a batch",
@@ -214,6 +247,14 @@
         self.losses.get_or_create(&label).inc();
     }
 
+    /// Counts a crash of a worker against a task.
+    pub fn count_crash(&self, evidence: Evidence) {
+        let label = CrashLabels {
+            evidence: evidence.label(),
+        };
+        self.crashes.get_or_create(&label).inc();
+    }
+
     /// Records the time that a batch took to commit.
     pub fn observe_commit(&self, took: Duration) {
         self.storing.observe(took.as_secs_f64());
--- a/src/cell/shell/owner.rs
+++ b/src/cell/shell/owner.rs
@@ -382,6 +382,11 @@
             for loss in engine.take_losses() {
                 metrics.count_loss(loss);
             }
+            for evidence in engine.take_evidence() {
+                metrics.count_crash(evidence);
+            }
+            metrics.waiting_trials.set(engine.waiting_trials() as i64);
+            metrics.careful_queues.set(engine.careful_queues() as i64);
             metrics.silent_workers.set(engine.silent_workers() as i64);
         }
         owner.run_actions();
--- a/tests/cell/rules.rs
+++ b/tests/cell/rules.rs
@@ -320,11 +320,11 @@
     make::accept(&mut engine, &runs, START);
     let key = engine.cluster.find_worker("w1").unwrap();
     // The report of the new incarnation arrives before its registration, which has less capacity.
-    make::answer(&mut engine, key, make::report(2, 10), START + 50);
-    assert_eq!(make::starts(&mut engine, START + 60), []);
+    make::answer(&mut engine, key, make::report(2, 10), START + 850);
+    assert_eq!(make::starts(&mut engine, START + 860), []);
     engine.register(make::worker("w1", 2, 8_000));
-    make::store(&mut engine, START + 65);
-    assert_eq!(make::starts(&mut engine, START + 70).len(), 2);
+    make::store(&mut engine, START + 865);
+    assert_eq!(make::starts(&mut engine, START + 870).len(), 2);
 }
 
 #[test]
