--- a/src/cell/engine/crashes.rs
+++ b/src/cell/engine/crashes.rs
@@ -204,6 +204,7 @@
             return;
         }
         let id = job.id.clone();
+        job.suspected = true;
         let Some(step) = job.step_mut(key.step) else {
             return;
         };
--- a/src/cell/engine/placement.rs
+++ b/src/cell/engine/placement.rs
@@ -272,7 +272,7 @@
             }
             return self.place_gang_with_care(pass, pending, trials > 0, &queue);
         }
-        if !job.is_suspected() {
+        if !job.suspected {
             return self.place_tasks(pass, &pending);
         }
         let on_trial = self.is_on_trial(job);
--- a/src/cell/engine/submissions.rs
+++ b/src/cell/engine/submissions.rs
@@ -178,6 +178,7 @@
         ended_at: 0,
         deadline: 0,
         inherited: false,
+        suspected: false,
         origin: CompactString::default(),
     };
     let span = job.critical_path() as f64 * job.queue.stretch;
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -277,6 +277,8 @@
     pub deadline: u64,
     /// Whether unknown runs of an earlier owner may exist.
     pub inherited: bool,
+    /// Whether a worker has crashed under a task of the job.
+    pub suspected: bool,
 }
 
 impl Job {
@@ -316,13 +318,6 @@
         }
     }
 
-    /// Whether a worker has crashed under a task of the job.
-    #[must_use]
-    pub fn is_suspected(&self) -> bool {
-        let mut steps = self.occurrences.iter().flat_map(|o| &o.steps);
-        steps.any(|step| step.suspected)
-    }
-
     /// Whether a task of the job waits to run alone.
     #[must_use]
     pub fn awaits_trial(&self) -> bool {
--- a/src/cell/journal.rs
+++ b/src/cell/journal.rs
@@ -244,7 +244,9 @@
         let Some(step) = occurrence.and_then(|o| o.steps.get_mut(s as usize)) else {
             continue;
         };
-        step.suspected |= !note.crashes.is_empty();
+        let crashed = !note.crashes.is_empty();
+        step.suspected |= crashed;
+        job.suspected |= crashed;
         if let Some(task) = step.tasks.get_mut(i as usize) {
             task.crashes = note.crashes.clone();
             task.exposure = note.exposure.clone();
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -5,6 +5,7 @@
 
 mod cell {
     mod archive;
+    mod caution;
     mod election;
     mod faults;
     mod fuzz;
