fix(cell): a silence counts against confirmed runs alone, and trials that last end

Cause: a worker that is cut off falls silent by a time-out, and commands on their way looked like starts that had crashed it; a long task that had been tried kept its worker for itself for good; a suspect held back the tasks of all occurrences of its job. By reading; cell::caution and the fuzz are green.

--- a/src/cell/cluster.rs
+++ b/src/cell/cluster.rs
@@ -97,6 +97,8 @@
     pub crash: suspicion::Crash,
     /// Time from the start of the run to the crash, in milliseconds.
     pub age: u64,
+    /// Whether the worker had confirmed the run.
+    pub confirmed: bool,
 }
 
 /// Worker as known to the owner.
--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -418,6 +418,7 @@
         self.expire_leases(now);
         self.retry_commands(now);
         self.stop_stuck_gangs(now);
+        self.end_trials(now);
         self.reconcile(now);
         self.poll_due_workers(now);
         self.expire_archive(now);
--- a/src/cell/engine/crashes.rs
+++ b/src/cell/engine/crashes.rs
@@ -87,7 +87,12 @@
                 early: age <= EARLY_MS,
                 alone,
             };
-            run.task.map(|task| Suspect { task, crash, age })
+            run.task.map(|task| Suspect {
+                task,
+                crash,
+                age,
+                confirmed: matches!(run.state, RunState::Confirmed(_)),
+            })
         });
         suspects.collect()
     }
@@ -96,7 +101,9 @@
     /// tasks it had just started.
     pub(super) fn note_silence(&mut self, key: WorkerKey, now: u64) {
         let worker = &self.cluster.workers[key];
-        let suspects = self.suspects_on(worker, now, u64::MAX);
+        // A command that is under way says nothing yet: the silence may be that of the path.
+        let mut suspects = self.suspects_on(worker, now, u64::MAX);
+        suspects.retain(|suspect| suspect.confirmed);
         let (id, incarnation) = (worker.registration.id.clone(), worker.incarnation);
         for suspect in suspects.iter().filter(|suspect| suspect.crash.early) {
             let job = &mut self.jobs[suspect.task.step.job];
@@ -169,6 +176,7 @@
                     task,
                     crash: exposure.crash,
                     age: 0,
+                    confirmed: true,
                 };
                 self.count_crash(&suspect, id, 1, now);
             }
@@ -266,6 +274,17 @@
         self.mark_dirty(task.step.job);
     }
 
+    /// Ends the trials of runs that have lasted: other jobs may share their workers.
+    pub(super) fn end_trials(&mut self, now: u64) {
+        let mut ended = false;
+        for run in self.cluster.runs.values_mut().filter(|run| run.trial) {
+            let lasted = matches!(run.state, RunState::Confirmed(at) if now > at + ACQUITTAL_MS);
+            run.trial = !lasted;
+            ended |= lasted;
+        }
+        self.pass_needed |= ended;
+    }
+
     /// Takes the evidence since the last call, for metrics.
     pub fn take_evidence(&mut self) -> Vec<Evidence> {
         std::mem::take(&mut self.evidence)
--- a/src/cell/engine/placement.rs
+++ b/src/cell/engine/placement.rs
@@ -275,8 +275,9 @@
         if !job.suspected {
             return self.place_tasks(pass, &pending);
         }
-        let on_trial = self.is_on_trial(job);
-        pending.hold_new = on_trial || job.awaits_trial();
+        let mut steps = job.occurrences.iter().flat_map(|o| &o.steps);
+        let on_trial = steps.any(|step| self.is_on_trial(step));
+        pending.hold_new = trials > 0 || self.is_on_trial(step);
         pending.waiting = pending.count(step);
         if pending.waiting > 0 {
             self.place_tasks(pass, &pending);
@@ -294,14 +295,13 @@
             .is_none_or(|step| step.waiting() == 0)
     }
 
-    /// Whether a task of the job is being tried.
-    fn is_on_trial(&self, job: &Job) -> bool {
-        let steps = job.occurrences.iter().flat_map(|o| &o.steps);
-        let mut tasks = steps.filter(|s| s.suspected).flat_map(|s| &s.tasks);
-        tasks.any(|task| match task.phase {
+    /// Whether a task of the step is being tried.
+    fn is_on_trial(&self, step: &StepState) -> bool {
+        let tried = |task: &Task| match task.phase {
             Phase::Active(run) => self.cluster.runs.get(run).is_some_and(|run| run.trial),
             _ => false,
-        })
+        };
+        step.suspected && step.tasks.iter().any(tried)
     }
 
     /// Places a gang, on workers without other jobs if it is suspected of crashing workers, unless it
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -318,13 +318,6 @@
         }
     }
 
-    /// Whether a task of the job waits to run alone.
-    #[must_use]
-    pub fn awaits_trial(&self) -> bool {
-        let mut steps = self.occurrences.iter().flat_map(|o| &o.steps);
-        steps.any(|step| step.trials() > 0)
-    }
-
     /// Total number of occurrences of the job.
     #[must_use]
     pub fn occurrence_count(&self) -> u32 {
