--- a/src/cell/engine/caution.rs
+++ b/src/cell/engine/caution.rs
@@ -27,11 +27,11 @@
 const CAREFUL_JOBS: usize = 3;
 
 /// Time within which workers that fall silent have a common cause, in milliseconds: the notices of
-/// one rack arrive together.
-const JOINT_MS: u64 = 30;
+/// one rack arrive nearly together.
+const JOINT_MS: u64 = 100;
 
-/// Number of other workers that fall silent at the same time from which the cause lies outside the
-/// tasks.
+/// Number of other workers that fall silent at the same time, without a start just before, from which
+/// the cause lies outside the tasks.
 const JOINT_WORKERS: usize = 2;
 
 /// Divisor of the number of workers that limits those on which suspected tasks are tried.
@@ -50,9 +50,9 @@
     worker: WorkerKey,
     /// Local time, in milliseconds.
     at: u64,
-    /// Jobs of which the worker had just started a task.
-    jobs: Vec<JobKey>,
-    /// Job and queue of the task that it had started last.
+    /// Whether the worker had just started a task.
+    started: bool,
+    /// Job and queue of the task that it had started last, if that was just before.
     blamed: Option<(JobKey, CompactString)>,
     /// Whether the worker is known to have crashed.
     crashed: bool,
@@ -78,7 +78,7 @@
         at: u64,
     ) {
         let early = suspects.iter().filter(|suspect| suspect.crash.early);
-        let last = early.clone().min_by_key(|suspect| suspect.age);
+        let last = early.min_by_key(|suspect| suspect.age);
         let blamed = last.and_then(|suspect| {
             let key = suspect.task.step.job;
             Some((key, jobs.get(key)?.queue.name.clone()))
@@ -86,7 +86,7 @@
         let silence = Silence {
             worker,
             at,
-            jobs: early.map(|suspect| suspect.task.step.job).collect(),
+            started: last.is_some(),
             blamed,
             crashed: false,
         };
@@ -124,8 +124,8 @@
         }
     }
 
-    /// Whether other workers fell silent at the same time that share no job with this one, so that the
-    /// cause lies outside the tasks.
+    /// Whether other workers fell silent at the same time that had started nothing just before, so that
+    /// the cause lies outside the tasks.
     pub(super) fn is_joint(&self, worker: WorkerKey) -> bool {
         let at = self.silences.binary_search_by_key(&worker, |s| s.worker);
         at.is_ok_and(|at| self.is_joint_at(at))
@@ -134,9 +134,7 @@
     fn is_joint_at(&self, index: usize) -> bool {
         let this = &self.silences[index];
         let others = self.silences.iter().enumerate().filter(|(i, other)| {
-            *i != index
-                && other.at.abs_diff(this.at) <= JOINT_MS
-                && !other.jobs.iter().any(|job| this.jobs.contains(job))
+            *i != index && !other.started && other.at.abs_diff(this.at) <= JOINT_MS
         });
         others.take(JOINT_WORKERS).count() == JOINT_WORKERS
     }
@@ -253,6 +251,7 @@
         &mut self,
         slots: &[WorkerKey],
         waiting: &[StepKey],
+        timely: usize,
         now: u64,
     ) -> Option<Apartness> {
         self.caution.refresh(now);
@@ -317,16 +316,17 @@
         };
         allowance.most_apart = (total / CAREFUL_DIVISOR).max(1);
         allowance.apart = allowance.most_apart.saturating_sub(apart);
-        let wanted = trials.min(allowance.trials)
-            + match self.caution.careful.is_empty() {
-                true => 0,
-                false => allowance.apart,
-            };
-        self.vacate(
-            slots,
-            &mut purposes,
-            wanted.min((total / VACANT_DIVISOR).max(1)),
-        );
+        let most = (total / VACANT_DIVISOR).max(1);
+        let steps = waiting[..timely].iter();
+        let steps = steps.filter(|key| self.trials_in(&[**key]) > 0);
+        for key in steps.take(allowance.trials.min(most)) {
+            self.vacate(slots, &mut purposes, Some(*key));
+        }
+        if !self.caution.careful.is_empty() {
+            for _ in 0..allowance.apart.min(most) {
+                self.vacate(slots, &mut purposes, None);
+            }
+        }
         purposes.sort_by_key(|(key, _)| *key);
         Some(Apartness {
             purposes,
@@ -334,17 +334,22 @@
         })
     }
 
-    /// Keeps the workers with the least work free of new tasks of other queues.
-    fn vacate(&self, slots: &[WorkerKey], purposes: &mut Vec<(WorkerKey, Purpose)>, wanted: usize) {
+    /// Keeps the worker with the least work free of new tasks of other queues, among those that may
+    /// run `step`.
+    fn vacate(
+        &self,
+        slots: &[WorkerKey],
+        purposes: &mut Vec<(WorkerKey, Purpose)>,
+        step: Option<StepKey>,
+    ) {
         let open = |key: &&WorkerKey| purposes.iter().all(|(other, _)| other != *key);
-        let mut least: Vec<(u32, WorkerKey)> = slots
+        let useful = |key: &&WorkerKey| step.is_none_or(|step| self.may_run(step, **key));
+        let least = slots
             .iter()
             .filter(open)
-            .map(|key| (self.cluster.workers[*key].used.millicores, *key))
-            .collect();
-        least.sort();
-        let vacant = least.into_iter().take(wanted);
-        purposes.extend(vacant.map(|(_, key)| (key, Purpose::Vacant)));
+            .filter(useful)
+            .min_by_key(|key| (self.cluster.workers[**key].used.millicores, **key));
+        purposes.extend(least.map(|key| (*key, Purpose::Vacant)));
     }
 
     /// Number of queues with tasks that wait to run alone.
--- a/src/cell/engine/crashes.rs
+++ b/src/cell/engine/crashes.rs
@@ -86,6 +86,7 @@
                 run: run.number,
                 early: age <= EARLY_MS,
                 alone,
+                joint: false,
             };
             run.task.map(|task| Suspect {
                 task,
@@ -150,8 +151,12 @@
         info!(worker = id.as_str(), suspects = company, joint, ago = now.saturating_sub(at); "worker crashed");
         for mut suspect in suspects {
             if joint {
-                suspect.crash.early = false;
-                suspect.crash.alone = false;
+                suspect.crash = Crash {
+                    early: false,
+                    alone: false,
+                    joint,
+                    ..suspect.crash
+                };
             }
             self.count_crash(&suspect, &id, company, now);
         }
@@ -266,6 +271,7 @@
                 run: run.number,
                 early: false,
                 alone: true,
+                joint: false,
             },
         };
         if let Some(state) = self.jobs[task.step.job].task_mut(task) {
--- a/src/cell/engine/placement.rs
+++ b/src/cell/engine/placement.rs
@@ -187,7 +187,8 @@
         }
         ranked.sort_by_key(|(rank, _)| *rank);
         let waiting: Vec<StepKey> = ranked.iter().map(|(_, key)| *key).collect();
-        let mut pass = self.pass(&waiting, now);
+        let timely = ranked.partition_point(|(rank, _)| rank.0 < WORTHLESS);
+        let mut pass = self.pass(&waiting, timely, now);
         for (rank, key) in ranked {
             let placed = self.place_step(&mut pass, key, rank.0 == ON_TIME);
             self.apply_reservations(&mut pass, key);
@@ -199,7 +200,7 @@
         }
     }
 
-    fn pass(&mut self, waiting: &[StepKey], now: u64) -> Pass {
+    fn pass(&mut self, waiting: &[StepKey], timely: usize, now: u64) -> Pass {
         let schedulable = self
             .cluster
             .workers
@@ -217,7 +218,7 @@
         slots.sort_by_key(|slot| slot.worker);
         let workers: Vec<WorkerKey> = slots.iter().map(|slot| slot.worker).collect();
         let mut allowance = Allowance::default();
-        if let Some(apart) = self.set_apart(&workers, waiting, now) {
+        if let Some(apart) = self.set_apart(&workers, waiting, timely, now) {
             allowance = apart.allowance;
             for (worker, purpose) in apart.purposes {
                 if let Ok(at) = workers.binary_search(&worker) {
@@ -344,9 +345,23 @@
         }
     }
 
+    /// Whether an empty worker may run a task of the step, as far as known without asking the policy.
+    pub(super) fn may_run(&self, key: StepKey, worker: WorkerKey) -> bool {
+        let job = self.jobs.get(key.job);
+        let Some((job, definition, step)) =
+            job.and_then(|job| Some((job, job.definition(key)?, job.step(key)?)))
+        else {
+            return false;
+        };
+        let capacity = &self.cluster.workers[worker].registration.capacity;
+        super::demand(definition).fits(capacity)
+            && self.is_eligible(worker, job, definition)
+            && step.policy.denied.binary_search(&worker).is_err()
+    }
+
     /// Whether a worker may run tasks of the step, regardless of capacity and permits.
-    fn is_eligible(&self, slot: &Slot, job: &Job, definition: &model::Step) -> bool {
-        let entry = &self.cluster.workers[slot.worker].registration;
+    fn is_eligible(&self, worker: WorkerKey, job: &Job, definition: &model::Step) -> bool {
+        let entry = &self.cluster.workers[worker].registration;
         let labelled = definition.label.is_empty() || entry.labels.contains(&definition.label);
         entry.service == job.queue.service && labelled
     }
@@ -380,7 +395,7 @@
         for (i, slot) in pass.slots.iter().enumerate() {
             let available = slot.available();
             if !pending.demand.fits(&available)
-                || !self.is_eligible(slot, job, definition)
+                || !self.is_eligible(slot.worker, job, definition)
                 || !Self::is_apart_enough(slot, pending, &pass.allowance)
             {
                 continue;
--- a/src/cell/suspicion.rs
+++ b/src/cell/suspicion.rs
@@ -38,6 +38,9 @@
     /// Whether the worker ran no task of another job.
     #[serde(default, skip_serializing_if = "is_false")]
     pub alone: bool,
+    /// Whether other workers went down with this one, so that the cause lies outside the tasks.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub joint: bool,
 }
 
 /// Run whose worker may have crashed under it, stored so that a later owner can tell.
@@ -70,5 +73,6 @@
 /// causes them, and takes down nothing else.
 #[must_use]
 pub fn needs_trial(crashes: &[Crash]) -> bool {
-    crashes.len() >= 2 || crashes.iter().any(|crash| crash.early)
+    let single = crashes.iter().filter(|crash| !crash.joint);
+    single.count() >= 2 || crashes.iter().any(|crash| crash.early)
 }
--- a/tests/cell/caution.rs
+++ b/tests/cell/caution.rs
@@ -218,17 +218,20 @@
         submit(&mut engine, n, "q", START);
     }
     place(&mut engine, 0, START);
-    let rack: Vec<String> = (100..104).map(|n| format!("w{n}")).collect();
+    submit(&mut engine, 65, "q", START + 460);
+    submit(&mut engine, 66, "q", START + 460);
+    place(&mut engine, 0, START + 460);
+    let rack: Vec<String> = (100..105).map(|n| format!("w{n}")).collect();
     for worker in &rack {
-        silence(&mut engine, worker, START + 50);
+        silence(&mut engine, worker, START + 500);
     }
     for worker in &rack {
-        replace(&mut engine, worker, START + 3_050);
+        replace(&mut engine, worker, START + 3_500);
     }
-    make::store(&mut engine, START + 3_060);
+    make::store(&mut engine, START + 3_510);
     assert_eq!(engine.waiting_trials(), 0);
     assert_eq!(engine.careful_queues(), 0);
-    assert_eq!(make::starts(&mut engine, START + 3_100).len(), 64);
+    assert_eq!(make::starts(&mut engine, START + 3_550).len(), 66);
 }
 
 #[test]
