test(cell): tasks that crash their workers, in the fuzz of owners and workers

Ruled out: a field in the callers' JobSpec, which the soak and the tests of instances build too; a map beside it changes none of them.

Change: a share of one queue's jobs has a task, a whole step or a member of a gang that crashes its worker 10 ms after its start, in one of five 300 to 900 ms after it. A crashed worker comes back under its id as a later incarnation, or as another worker at its address: the former id is answered with Reborn while its registration lapses. Workers and racks crash without cause too. The oracle counts each crash for all that ran there: a deadly task is not started a third time after its third crash, its job ends as failed, and no other job does so unless its attempts are used up; the last is checked in all families.

The limits do not bind innocent tasks.

--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -5,6 +5,7 @@
 
 mod cell {
     mod archive;
+    mod crashes;
     mod election;
     mod faults;
     mod fuzz;
--- a/tests/cell/faults.rs
+++ b/tests/cell/faults.rs
@@ -59,6 +59,17 @@
     /// Whether the instances act as in the shell: they send heartbeats to the owner, and the owner
     /// proves by appends that it still owns the cell.
     pub(super) instances: bool,
+    /// Jobs of one queue, half of all jobs, of which a task crashes each worker that starts it.
+    pub(super) deadly: u32,
+    /// Crashes of a worker, and of all workers of a rack, each per second.
+    pub(super) crashes: u32,
+    pub(super) racks: u32,
+    /// Crashed workers that come back as another worker at their address, of all that crash.
+    pub(super) replaced: u32,
+    /// Kills of the owner, per second.
+    pub(super) kills: u32,
+    /// Number of workers in four racks, each at an address of its own; 0 for six in one rack.
+    pub(super) workers: usize,
 }
 
 impl FaultRates {
@@ -80,6 +91,12 @@
         lags: 0,
         page: 0,
         instances: false,
+        deadly: 0,
+        crashes: 0,
+        racks: 0,
+        replaced: 0,
+        kills: 0,
+        workers: 0,
     };
 }
 
@@ -120,7 +137,7 @@
         if self.chance(faults) {
             let at = self.rng.random_range(0..self.machines.len());
             if self.machines[at].up {
-                self.machines[at].up = false;
+                self.machines[at].crash(at, &mut self.judge, self.now);
                 self.judge
                     .trace(|| format!("{} worker {at} down", self.now));
                 self.downs[at] = self.now + self.rng.random_range(1_200..5_000);
@@ -134,6 +151,7 @@
         }
         self.further_faults();
         self.list_faults();
+        self.crash_faults();
     }
 
     fn further_faults(&mut self) {
--- a/tests/cell/fuzz.rs
+++ b/tests/cell/fuzz.rs
@@ -28,6 +28,8 @@
     assert!(broken.is_empty(), "seed {seed}: {broken:?}");
     let unfinished = world.unfinished();
     assert!(unfinished.is_empty(), "seed {seed}: {unfinished:?}");
+    let misjudged = world.misjudged();
+    assert!(misjudged.is_empty(), "seed {seed}: {misjudged:?}");
     assert!(
         world.judge.completions > 50,
         "seed {seed}: only {} tasks succeeded",
@@ -58,6 +60,7 @@
         return world.judge.violations.clone();
     }
     let mut wrong = world.unfinished();
+    wrong.extend(world.misjudged());
     let unused = world.unused();
     if !unused.is_empty() {
         wrong.push(format!("without tasks, but reachable: {unused:?}"));
@@ -276,6 +279,7 @@
     lags: 200,
     page: 0,
     instances: true,
+    ..FaultRates::NONE
 };
 
 #[test]
@@ -309,3 +313,81 @@
     };
     play_all(22_000, 8, rates);
 }
+
+/// Tasks that crash their workers, beside work that does not.
+const DEADLY: FaultRates = FaultRates {
+    deadly: 250,
+    replaced: 700,
+    workers: 24,
+    instances: true,
+    ..FaultRates::NONE
+};
+
+#[test]
+fn tasks_that_crash_their_workers_are_given_up() {
+    play_all(23_000, 8, DEADLY);
+}
+
+#[test]
+fn tasks_that_crash_their_workers_are_given_up_across_owners() {
+    let rates = FaultRates {
+        kills: 150,
+        handovers: 100,
+        ..DEADLY
+    };
+    play_all(24_000, 8, rates);
+}
+
+#[test]
+fn tasks_that_crash_their_workers_are_given_up_with_lost_and_late_commands() {
+    let rates = FaultRates {
+        loss: 40,
+        delayed: 60,
+        late: 20,
+        ..DEADLY
+    };
+    play_all(25_000, 8, rates);
+}
+
+#[test]
+fn tasks_that_crash_their_workers_are_given_up_among_workers_that_crash_anyway() {
+    let rates = FaultRates {
+        crashes: 150,
+        racks: 50,
+        paths: 100,
+        ..DEADLY
+    };
+    play_all(26_000, 8, rates);
+}
+
+/// Workers and racks that crash several times, and no task that crashes any.
+#[test]
+fn no_job_fails_where_workers_crash_without_cause() {
+    let rates = FaultRates {
+        crashes: 300,
+        racks: 100,
+        replaced: 700,
+        long: 150,
+        workers: 16,
+        instances: true,
+        ..FaultRates::NONE
+    };
+    play_all(27_000, 12, rates);
+}
+
+#[test]
+fn no_job_fails_where_workers_crash_and_owners_change() {
+    let rates = FaultRates {
+        loss: 20,
+        crashes: 200,
+        racks: 80,
+        replaced: 500,
+        kills: 150,
+        handovers: 50,
+        long: 150,
+        workers: 16,
+        instances: true,
+        ..FaultRates::NONE
+    };
+    play_all(28_000, 12, rates);
+}
--- a/tests/cell/listing.rs
+++ b/tests/cell/listing.rs
@@ -45,6 +45,27 @@
 }
 
 impl Listing {
+    /// Registration of a worker at an address.
+    pub(super) fn new(port: u16) -> Self {
+        Self {
+            port,
+            ..Self::default()
+        }
+    }
+
+    /// Incarnation that was registered last.
+    pub(super) fn incarnation(&self) -> u64 {
+        let mut last = self.changes.iter().rev();
+        let last = last.find_map(|(_, entry)| *entry);
+        last.map_or(0, |entry| entry.incarnation)
+    }
+
+    /// Begins the registration of another worker at the address.
+    pub(super) fn begin(&mut self) {
+        self.changes = vec![(0, None)];
+        self.last_up = 0;
+    }
+
     fn at(&self, now: u64) -> Option<Entry> {
         let change = self.changes.iter().rev().find(|(since, _)| *since <= now);
         change.and_then(|(_, entry)| *entry)
@@ -128,7 +149,8 @@
             true => self.dice.random_range(0..LONGEST_LAG),
             false => 0,
         };
-        for (machine, listing) in self.machines.iter().zip(&self.listings) {
+        self.read_former(engine);
+        for (at, (machine, listing)) in self.machines.iter().zip(&self.listings).enumerate() {
             let Some(entry) = listing.at(self.now.saturating_sub(lag)) else {
                 engine.unregister(&machine.id);
                 continue;
@@ -140,12 +162,21 @@
             engine.register(model::Registration {
                 address: address(entry.port),
                 availability,
+                labels: vec!["kind".into(), rack(self.rates.workers, at)],
                 ..make::worker(&machine.id, entry.incarnation, machine.capacity)
             });
         }
     }
 }
 
+/// Rack of a worker.
+pub(super) fn rack(workers: usize, at: usize) -> compact_str::CompactString {
+    match workers {
+        0 => "rack".into(),
+        _ => compact_str::format_compact!("rack{}", at % 4),
+    }
+}
+
 /// Address of a worker.
 pub(super) fn address(port: u16) -> compact_str::CompactString {
     compact_str::format_compact!("127.0.0.1:{}", port + 1)
--- a/tests/cell/network.rs
+++ b/tests/cell/network.rs
@@ -124,11 +124,9 @@
             }
             Action::Query(_) => return,
         };
-        let at = self
-            .machines
-            .iter()
-            .position(|m| m.id == to.worker)
-            .unwrap();
+        let Some(at) = self.machines.iter().position(|m| m.id == to.worker) else {
+            return self.send_to_former(owner, &to.worker, call);
+        };
         let now = self.now;
         if let Some(pause) = self.owners[owner].pause {
             return self.hold_up(owner, at, call, pause.until - now);
@@ -213,6 +211,11 @@
         if self.dice.random_range(0..2) == 0 {
             return self.unreachable(owner, call);
         }
+        self.refused_by_another(owner, call);
+    }
+
+    /// Answers a command in the place of the worker that it was meant for.
+    pub(super) fn refused_by_another(&mut self, owner: usize, call: Call) {
         let reply = Reply {
             verdict: Verdict::Reborn,
             clock: None,
@@ -251,7 +254,7 @@
         );
     }
 
-    fn unanswered(&mut self, owner: usize, call: Call) {
+    pub(super) fn unanswered(&mut self, owner: usize, call: Call) {
         let answer = match call {
             Call::Poll(..) => Answer::Poll(None),
             _ => Answer::Reply(Err(SendError::Unknown)),
--- a/tests/cell/workers.rs
+++ b/tests/cell/workers.rs
@@ -55,8 +55,30 @@
     pub(super) informed: bool,
     /// Time at which each job was first shown as completed, in milliseconds.
     pub(super) shown: BTreeMap<String, u64>,
+    /// Tasks that crash their workers, by job.
+    pub(super) deadly: BTreeMap<String, Deadly>,
+    /// Workers that have crashed under each task, and the task's starts after the third.
+    crashes: BTreeMap<TaskName, (u32, u32)>,
+    /// Workers that a task has crashed since the last look.
+    pub(super) crashed: Vec<usize>,
 }
 
+/// Tasks of a job that crash the worker that starts them.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Deadly {
+    /// Step of the tasks.
+    pub(super) step: u32,
+    /// Index of the only such task; `None` if all tasks of the step are.
+    pub(super) index: Option<u32>,
+    /// Time from the start to the crash, in milliseconds.
+    pub(super) delay: u64,
+}
+
+/// Workers that crash under a task before its starts are limited, and the starts after them that
+/// break the limit: the platform's bounds.
+const CRASHES: u32 = 3;
+const STARTS: u32 = 3;
+
 /// Time after which a leaving worker gets no new tasks, in milliseconds: the platform's bound.
 const LEAVE: u64 = 2_500;
 
@@ -122,6 +144,61 @@
         let record = self.tasks.entry(task.clone()).or_default();
         record.starts.push((record.done.len(), record.failed.len()));
         self.check(task, now);
+        self.check_crashes(task, now);
+    }
+
+    /// Checks the starts of a task that crashes its workers.
+    fn check_crashes(&mut self, task: &TaskName, now: u64) {
+        let deadly = self.fuse(task).is_some();
+        let Some((count, starts)) = self.crashes.get_mut(task) else {
+            return;
+        };
+        if !deadly || *count < CRASHES {
+            return;
+        }
+        *starts += 1;
+        if *starts >= STARTS {
+            self.violate(now, "started three times after three crashes", task);
+        }
+    }
+
+    /// Time after which a task crashes the worker that starts it, in milliseconds.
+    fn fuse(&self, task: &TaskName) -> Option<u64> {
+        let deadly = self.deadly.get(task.job.as_str())?;
+        let one = deadly.index.is_none_or(|index| index == task.index);
+        (deadly.step == task.step && one).then_some(deadly.delay)
+    }
+
+    /// Records that a worker has crashed under all that ran there.
+    fn crash(&mut self, machine: &SimWorker, at: usize, now: u64) {
+        for run in &machine.running {
+            self.crashes.entry(run.task.clone()).or_default().0 += 1;
+        }
+        self.trace(|| {
+            let tasks = machine.running.iter().map(|r| {
+                let (task, own) = (&r.task, r.fuse.map_or("", |_| " deadly"));
+                format!("{} {}.{}{own}", task.job, task.step, task.index)
+            });
+            let tasks: Vec<String> = tasks.collect();
+            format!("{now} worker {at} {} crashes under {tasks:?}", machine.id)
+        });
+    }
+
+    /// Whether a job may be shown as failed: one of its tasks crashes workers, or a task or gang has
+    /// used up its attempts.
+    pub(super) fn may_fail(&self, id: &str) -> bool {
+        let failed = |step: usize, gang: bool| {
+            let of_step = |task: &TaskName| task.job == id && task.step as usize == step;
+            let records = self.tasks.iter().filter(|(task, _)| of_step(task));
+            let failed = records.map(|(_, record)| record.failed.len());
+            match gang {
+                true => failed.sum::<usize>(),
+                false => failed.max().unwrap_or(0),
+            }
+        };
+        let mut steps = self.jobs[id].steps.iter().enumerate();
+        self.deadly.contains_key(id)
+            || steps.any(|(at, (_, _, gang, _))| failed(at, *gang) >= self.attempts as usize)
     }
 
     /// Checks the starts of a task against the acknowledged ends before them.
@@ -255,6 +332,8 @@
     ends_at: Option<u64>,
     outcome: Outcome,
     since: u64,
+    /// Time at which the run crashes the worker on the worker's clock, in milliseconds.
+    fuse: Option<u64>,
 }
 
 /// Simulated worker.
@@ -308,6 +387,12 @@
         *self = Self::new(self.id.clone(), self.capacity, self.rate, now);
     }
 
+    /// Crashes the worker, with all that runs there.
+    pub(super) fn crash(&mut self, at: usize, judge: &mut Oracle, now: u64) {
+        judge.crash(self, at, now);
+        self.up = false;
+    }
+
     /// Whether a run is active on the worker.
     pub(super) fn is_busy(&self) -> bool {
         !self.running.is_empty()
@@ -415,6 +500,7 @@
         return reply(Verdict::Late);
     }
     judge.started(machines, at, task, now);
+    let fuse = judge.fuse(task).map(|delay| clock + delay);
     let plan = judge
         .jobs
         .get(task.job.as_str())
@@ -424,9 +510,10 @@
         task: task.clone(),
         run,
         demand,
-        ends_at: (!gang).then_some(clock + fate.duration),
+        ends_at: (!gang && fuse.is_none()).then_some(clock + fate.duration),
         outcome: fate.outcome,
         since: clock,
+        fuse,
     });
     if gang {
         begin_gang(machines, task, run, count, fate, now);
@@ -474,7 +561,10 @@
         .filter(|m| m.up)
         .map(|m| m.running.iter().filter(|r| mine(r)).count())
         .sum();
-    if there < count as usize {
+    let deadly = |r: &Run| mine(r) && r.fuse.is_some();
+    let mut up = machines.iter().filter(|m| m.up);
+    // A gang with a member that crashes its worker never gets to its end.
+    if there < count as usize || up.any(|m| m.running.iter().any(deadly)) {
         return;
     }
     for machine in machines.iter_mut().filter(|m| m.up) {
@@ -571,7 +661,7 @@
         let mut index = 0;
         while index < machine.running.len() {
             let run = &machine.running[index];
-            let alone = run.ends_at.is_none() && clock > run.since + 3_000;
+            let alone = run.ends_at.is_none() && run.fuse.is_none() && clock > run.since + 3_000;
             let outcome = match run.ends_at {
                 _ if machine.lease < clock => Outcome::Lapsed,
                 Some(until) if until <= clock => run.outcome,
@@ -591,6 +681,11 @@
                 broken.push((task, number, outcome));
             }
         }
+        let burnt = |r: &Run| r.fuse.is_some_and(|fuse| fuse <= clock);
+        if machine.running.iter().any(burnt) {
+            machine.crash(at, judge, now);
+            judge.crashed.push(at);
+        }
     }
     for (task, number, outcome) in broken {
         let rest = if outcome == Outcome::Done {
--- a/tests/cell/world.rs
+++ b/tests/cell/world.rs
@@ -13,6 +13,7 @@
 };
 
 use super::{
+    crashes::Former,
     faults::FaultRates,
     listing::Listing,
     make::{
@@ -68,10 +69,12 @@
     pub(super) fenced: bool,
     pub(super) log: Vec<(String, Option<Vec<u8>>)>,
     pub(super) successor: Option<u64>,
-    submitted: Vec<String>,
+    pub(super) submitted: Vec<String>,
     /// Cancellations that are not acknowledged yet: owner, batch, job.
     pub(super) cancels: Vec<(usize, u64, String)>,
     pub(super) calm: bool,
+    /// Workers that another one has replaced at their address.
+    pub(super) former: Vec<Former>,
 }
 
 /// Name of an instance.
@@ -90,7 +93,10 @@
                 START - 100 * n,
             )
         };
-        let machines: Vec<SimWorker> = (0..6).map(machine).collect();
+        let count = if rates.workers == 0 { 6 } else { rates.workers };
+        let machines: Vec<SimWorker> = (0..count as u64).map(machine).collect();
+        // Workers of the larger families have addresses of their own.
+        let apart = if rates.workers == 0 { 0 } else { 100 };
         let mut judge = Oracle::default();
         judge.attempts = 3;
         judge.traced = std::env::var_os("BAMBOOLOCK_TRACE").is_some();
@@ -99,7 +105,7 @@
             cuts: vec![0; machines.len()],
             downs: vec![0; machines.len()],
             spells: vec![(0, Verdict::Unwell); machines.len()],
-            listings: vec![Listing::default(); machines.len()],
+            listings: (0..count as u16).map(|n| Listing::new(n * apart)).collect(),
             paths: vec![vec![0; machines.len()]; INSTANCES],
             downs_of_instances: vec![0; INSTANCES],
             doom: None,
@@ -118,6 +124,7 @@
             submitted: Vec::new(),
             cancels: Vec::new(),
             calm: false,
+            former: Vec::new(),
         }
     }
 
@@ -140,6 +147,7 @@
             self.list();
             self.submit();
             workers::advance(&mut self.machines, &mut self.judge, self.now);
+            self.crashes();
             while let Some(entry) = self.events.first_entry() {
                 if entry.key().0 > self.now {
                     break;
@@ -169,6 +177,7 @@
         for at in 0..self.machines.len() {
             if !self.machines[at].up && self.downs[at] <= self.now {
                 self.machines[at].restart(self.now);
+                self.replace(at);
                 self.judge.trace(|| format!("{} worker {at} up", self.now));
                 self.move_worker(at);
             }
@@ -207,6 +216,7 @@
         self.judge.jobs.insert(id.clone(), known);
         let mut queue = make::queue("q", self.rng.random_range(0..3));
         queue.attempts = self.judge.attempts;
+        self.make_deadly(&id, &mut queue);
         let now = self.owners[owner].local(self.now);
         self.owners[owner]
             .engine
