test(cell): which jobs an owner gives up for crashes, and after how many starts

Ruled out: calls of the engine in a fixed order, as in the other tables: a suspect may wait, run alone or start later, and a table must hold for each of these. A small cell drives owner, store and workers instead (driver.rs).

Change: tables through the API that exists, with workers that come back under their id or as another worker: a task alone, at once and after 700 ms; one task of a step; a member of a gang; a long-running task; duplicates; an occurrence; a start whose answer was lost; owners that change after each crash, and one that did not live to see a crash; tasks beside a deadly one. No evidence: a rack that crashes twice, a worker that drains and exits, leases that lapse on a silent worker. A job that is cancelled meanwhile; records read by the build before, and from it.

Not seen red: the cancelled job and the records from the build before.

--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -6,6 +6,8 @@
 mod cell {
     mod archive;
     mod crashes;
+    mod deadly;
+    mod driver;
     mod election;
     mod faults;
     mod fuzz;
--- a/tests/cell/workers.rs
+++ b/tests/cell/workers.rs
@@ -184,6 +184,16 @@
         });
     }
 
+    /// Number of workers that have crashed under a task.
+    pub(super) fn crashes_under(&self, task: &TaskName) -> u32 {
+        self.crashes.get(task).map_or(0, |(count, _)| *count)
+    }
+
+    /// Number of starts of a task.
+    pub(super) fn starts_of(&self, task: &TaskName) -> usize {
+        self.tasks.get(task).map_or(0, |record| record.starts.len())
+    }
+
     /// Whether a job may be shown as failed: one of its tasks crashes workers, or a task or gang has
     /// used up its attempts.
     pub(super) fn may_fail(&self, id: &str) -> bool {
@@ -393,6 +403,11 @@
         self.up = false;
     }
 
+    /// Whether a task runs on the worker.
+    pub(super) fn runs(&self, task: &TaskName) -> bool {
+        self.running.iter().any(|run| run.task == *task)
+    }
+
     /// Whether a run is active on the worker.
     pub(super) fn is_busy(&self) -> bool {
         !self.running.is_empty()
