--- a/tests/cell/driver.rs
+++ b/tests/cell/driver.rs
@@ -102,6 +102,9 @@
         };
         cell.judge.attempts = 3;
         cell.judge.traced = std::env::var_os("BAMBOOLOCK_TRACE").is_some();
+        if cell.judge.traced {
+            bamboolock::program::log_to_stderr();
+        }
         cell.list();
         cell.run(200);
         cell
--- a/tests/cell/fuzz.rs
+++ b/tests/cell/fuzz.rs
@@ -330,12 +330,22 @@
 
 #[test]
 fn tasks_that_crash_their_workers_are_given_up_across_owners() {
+    let rates = FaultRates {
+        kills: 50,
+        handovers: 30,
+        ..DEADLY
+    };
+    play_all(24_000, 8, rates);
+}
+
+#[test]
+fn tasks_that_crash_their_workers_are_given_up_where_no_owner_lasts() {
     let rates = FaultRates {
         kills: 150,
         handovers: 100,
         ..DEADLY
     };
-    play_all(24_000, 8, rates);
+    play_all(29_000, 8, rates);
 }
 
 #[test]
--- a/tests/instances/standin.rs
+++ b/tests/instances/standin.rs
@@ -120,8 +120,26 @@
     /// Duration of every run that starts, in milliseconds; drawn if absent.
     pub(super) duration: Option<u64>,
     draws: u64,
+    /// Crashes by tasks whose workers are not back, or still registered.
+    crashes: Vec<Crash>,
 }
 
+/// Worker that a task has crashed; another one comes back at its address.
+struct Crash {
+    id: String,
+    at: usize,
+    /// Time at which the other worker is there, in milliseconds; `None` once it is.
+    back: Option<u64>,
+    /// Time until which the crashed worker stays registered, in milliseconds.
+    listed: u64,
+}
+
+/// Time for which the registration of a crashed worker stays, in milliseconds: three heartbeats.
+const LAPSE_MS: u64 = 900;
+
+/// Time until another worker is back at the address of a crashed one, in milliseconds.
+const BACK_MS: std::ops::Range<u64> = 2_000..4_000;
+
 pub(super) type Shared = Arc<Mutex<State>>;
 
 impl State {
@@ -131,7 +149,9 @@
 
     fn is_unreachable(&self, worker: &str, token: u64) -> bool {
         let cut = self.partition.as_ref();
+        let mut crashes = self.crashes.iter();
         self.machines.iter().any(|m| m.id == worker && !m.up)
+            || crashes.any(|c| c.id == worker && !self.machines[c.at].up)
             || cut.is_some_and(|(id, last)| id == worker && token > *last)
     }
 
@@ -191,8 +211,11 @@
         if self.fault.behind {
             return;
         }
+        let now = self.now();
+        let stays = |m: &SimWorker| self.crashes.iter().any(|c| c.id == m.id && c.listed > now);
         let both = self.machines.iter().zip(&self.addresses);
         let entries: Vec<(bool, (String, Value))> = both
+            .filter(|(m, _)| m.up || !stays(m))
             .map(|(m, at)| (m.up && !m.unregistered, registration(m, *at)))
             .collect();
         for (listed, (id, registration)) in entries {
@@ -203,6 +226,51 @@
         }
     }
 
+    /// Crashes a worker for a cause of its own; it stays down.
+    pub(super) fn crash(&mut self, at: usize) {
+        let now = self.now();
+        if self.machines[at].up {
+            self.machines[at].crash(at, &mut self.judge, now);
+        }
+    }
+
+    /// Notes the workers that tasks have crashed, and lets others come back at their addresses.
+    fn replace_crashed(&mut self) {
+        let now = self.now();
+        for at in std::mem::take(&mut self.judge.crashed) {
+            self.draws += 1;
+            let span = BACK_MS.end - BACK_MS.start;
+            self.crashes.push(Crash {
+                id: self.machines[at].id.clone(),
+                at,
+                back: Some(now + BACK_MS.start + self.draws * 397 % span),
+                listed: now + LAPSE_MS,
+            });
+        }
+        let mut crashes = std::mem::take(&mut self.crashes);
+        for crash in &mut crashes {
+            if crash.back.is_some_and(|back| back <= now) {
+                crash.back = None;
+                self.replace(crash.at, now);
+            }
+        }
+        // A former id stays known: commands for it are still under way.
+        self.crashes = crashes;
+    }
+
+    /// Lets another worker take the place of one that is down.
+    fn replace(&mut self, at: usize, now: u64) {
+        let machine = &mut self.machines[at];
+        if machine.up {
+            // A fault has restarted it meanwhile.
+            return;
+        }
+        let former = std::mem::replace(&mut machine.id, format!("w{at}-{now}"));
+        machine.restart(now);
+        self.append_record("keyed.servers", &former, &[]);
+        self.register();
+    }
+
     /// Draws the duration and outcome of a run: a few hundred milliseconds, and one in twelve
     /// fails.
     fn next_fate(&mut self) -> Behaviour {
@@ -260,6 +328,7 @@
         partition: None,
         duration: None,
         draws: 0,
+        crashes: Vec::new(),
     };
     let shared: Shared = Arc::new(Mutex::new(state));
     let data = web::Data::new(shared.clone());
@@ -289,6 +358,7 @@
                 machines, judge, ..
             } = &mut *state;
             workers::advance(machines, judge, now);
+            state.replace_crashed();
             if registered.elapsed() >= HEARTBEAT && !state.fault.down {
                 registered = Instant::now();
                 state.register();
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -41,7 +41,10 @@
     disruptions::Disruptions,
     run::FINISH_TIMEOUT,
     standin,
-    workers::JobSpec, //
+    workers::{
+        Deadly,
+        JobSpec, //
+    },
 };
 
 /// Timeout of a caller for one exchange.
@@ -99,6 +102,8 @@
     pub(super) results: Mutex<Results>,
     pub(super) stop: AtomicBool,
     pub(super) next: AtomicU64,
+    /// Jobs of which a task crashes its workers, in thousandths.
+    pub(super) deadly: u32,
 }
 
 /// Failure of an exchange without an answer.
@@ -300,9 +305,27 @@
             known.push((count, cpu, gang, after));
         }
         self.register(id, known);
+        if self.deadly > 0 && rng.random_range(0..1_000) < self.deadly {
+            self.make_deadly(rng, id);
+        }
         json!({"spec": "x", "steps": steps}).to_string()
     }
 
+    /// Lets a task of a job, or all tasks of a step, crash the workers that start them.
+    fn make_deadly(&self, rng: &mut SmallRng, id: &str) {
+        let judge = &mut self.platform.lock().unwrap().judge;
+        let steps = &judge.jobs[id].steps;
+        let step = rng.random_range(0..steps.len());
+        let (count, _, gang, _) = steps[step];
+        let one = gang || rng.random();
+        let deadly = Deadly {
+            step: step as u32,
+            index: one.then(|| rng.random_range(0..count)),
+            delay: if rng.random_range(0..5) == 0 { 400 } else { 10 },
+        };
+        judge.deadly.insert(id.to_owned(), deadly);
+    }
+
     /// Registers the steps of a job with the judge.
     fn register(&self, id: &str, steps: Vec<(u32, u32, bool, Vec<u32>)>) {
         let known = JobSpec {
@@ -371,7 +394,7 @@
                     world.judge.shown.entry(id.to_owned()).or_insert(now);
                     world.judge.is_done(id)
                 }
-                "failed" => world.judge.is_failed(id),
+                "failed" => world.judge.is_failed(id) || world.judge.deadly.contains_key(id),
                 "cancelled" => cancelled,
                 _ => true,
             }
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -154,6 +154,30 @@
     scheduled
 }
 
+/// Draws kills of instances and crashes of workers that start before `until`, in milliseconds.
+pub(super) fn crashes(
+    rng: &mut SmallRng,
+    instances: usize,
+    workers: usize,
+    until: u64,
+) -> Vec<Scheduled> {
+    let mut scheduled = Vec::new();
+    let mut at = 2_000;
+    while at < until {
+        let fault = match rng.random_range(0..5) {
+            0 => Fault::Kill(rng.random_range(0..instances)),
+            _ => Fault::Crash(rng.random_range(0..workers)),
+        };
+        scheduled.push(Scheduled {
+            at,
+            duration: rng.random_range(2_000..4_000),
+            fault,
+        });
+        at += rng.random_range(500..3_500);
+    }
+    scheduled
+}
+
 /// Draws faults that let former owners, their successors and workers know different things, and
 /// that start before `until`, in milliseconds.
 pub(super) fn split_faults(
--- a/tests/soak/inject.rs
+++ b/tests/soak/inject.rs
@@ -142,7 +142,7 @@
             Fault::Crash(w) => {
                 self.claim_worker(w)?;
                 self.disruptions.begin(Location::Elsewhere);
-                self.platform.lock().unwrap().machines[w].up = false;
+                self.platform.lock().unwrap().crash(w);
                 return Some(duration.max(1_200));
             }
             Fault::Unlist(w) => {
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -67,6 +67,8 @@
     pub(super) fault_ms: u64,
     pub(super) last_ms: u64,
     pub(super) maintenance_ms: u64,
+    /// Jobs of which a task crashes its workers, in thousandths.
+    pub(super) deadly: u32,
 }
 
 /// Checks on the instances in turn which configuration is in force.
@@ -147,6 +149,7 @@
         results: Mutex::new(Results::default()),
         stop: AtomicBool::new(false),
         next: AtomicU64::new(rng.random_range(1..u64::MAX / 2)),
+        deadly: size.deadly,
     });
     let threads = spawn_callers(&callers, seed, size.callers);
     let random_faults = (size.faults)(&mut rng, size.instances, size.workers, size.fault_ms);
@@ -188,8 +191,9 @@
     let judge = std::mem::take(&mut cell.platform.lock().unwrap().judge);
     violations.extend(judge.violations);
     let checked = results.checked + probe.answers;
+    let deadly = judge.deadly.len();
     println!(
-        "seed {seed}: {} faults, {} jobs accepted, {} refused, {} unknown, {} starts, {} done, {checked} answers checked, last job after {took:?}",
+        "seed {seed}: {} faults, {deadly} deadly jobs, {} jobs accepted, {} refused, {} unknown, {} starts, {} done, {checked} answers checked, last job after {took:?}",
         cell.fault_count,
         results.accepted,
         results.refused,
--- a/tests/soak/seeds.rs
+++ b/tests/soak/seeds.rs
@@ -19,6 +19,7 @@
     fault_ms: 10_000,
     last_ms: 0,
     maintenance_ms: 8_000,
+    deadly: 0,
 };
 
 /// Default size of `scripts/soak`.
@@ -32,6 +33,7 @@
     fault_ms: 20_000,
     last_ms: 0,
     maintenance_ms: 8_000,
+    deadly: 0,
 };
 
 /// Many processes, for manual runs.
@@ -45,6 +47,7 @@
     fault_ms: 30_000,
     last_ms: 0,
     maintenance_ms: 10_000,
+    deadly: 0,
 };
 
 /// Paused owners, cut paths to workers and late commands, with runs that last longer than a change
@@ -59,6 +62,21 @@
     fault_ms: 16_000,
     last_ms: 14_000,
     maintenance_ms: 0,
+    deadly: 0,
+};
+
+/// Tasks that crash their workers, workers that crash anyway, and killed instances.
+const DEADLY: Size = Size {
+    instances: 3,
+    workers: 10,
+    callers: 3,
+    capacity: 8_000,
+    run_ms: (600, 0),
+    faults: faults::crashes,
+    fault_ms: 16_000,
+    last_ms: 0,
+    maintenance_ms: 0,
+    deadly: 60,
 };
 
 /// Seeds that have failed before, with the cause.
@@ -94,8 +112,11 @@
         Ok("usual") => USUAL,
         Ok("large") => LARGE,
         Ok("split") => SPLIT,
+        Ok("deadly") => DEADLY,
         Ok("short") | Err(_) => SHORT,
-        Ok(other) => panic!("BAMBOOLOCK_SOAK_SIZE={other:?} is not short, usual, large or split"),
+        Ok(other) => {
+            panic!("BAMBOOLOCK_SOAK_SIZE={other:?} is not short, usual, large, split or deadly")
+        }
     }
 }
 
@@ -117,3 +138,8 @@
         .iter()
         .for_each(|seed| run::run_seed(*seed, SPLIT));
 }
+
+#[test]
+fn tasks_that_crash_their_workers_break_no_promise() {
+    run::run_seed(1, DEADLY);
+}
