--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -6,6 +6,9 @@
 mod cell {
     mod archive;
     mod caution;
+    mod crashes;
+    mod deadly;
+    mod driver;
     mod election;
     mod faults;
     mod fuzz;
