fix(cell): evidence of crashes by time, and a count that outlives owners and time-outs

Cause: the fuzz of tasks that crash their workers (deadly-tests) showed that a crash without a notice is dated by a time-out, so that no crash counted as early; that silences without crashes made crashes joint; that the first crash was forgotten when its owner was killed before the worker was back; that a worker that drained and came back under its id counted as crashed; and that innocent tasks of 20 s among 121 crashes in 40 s were given up. Change: crashes carry the time since the start; similar times within 2 s convict after three, late ones after five with two alone; runs of the last 2 s on a worker that falls silent are stored; the silence that counts is the first since the last report; a rack is told by its label; incarnations that drained are remembered. In the fuzz, another worker at an address refuses commands for the former one also when they were on their way.

--- a/src/cell/cluster.rs
+++ b/src/cell/cluster.rs
@@ -95,8 +95,6 @@
     pub task: TaskKey,
     /// What counts against the task.
     pub crash: suspicion::Crash,
-    /// Time from the start of the run to the crash, in milliseconds.
-    pub age: u64,
     /// Whether the worker had confirmed the run.
     pub confirmed: bool,
 }
@@ -145,6 +143,10 @@
     pub poll_after: u64,
     /// Local time since which no command was answered, in milliseconds.
     pub silent_since: Option<u64>,
+    /// Local time at which the first silence since the last report began, in milliseconds; 0 for none.
+    pub fell_silent: u64,
+    /// Newest incarnation that was known to drain; 0 for none.
+    pub drained: u64,
     /// Runs that were presumed over while the worker was silent.
     pub lapsed: Vec<Suspect>,
     /// Number of consecutive failed runs.
@@ -180,6 +182,8 @@
             polled_at: 0,
             poll_after: 0,
             silent_since: None,
+            fell_silent: 0,
+            drained: 0,
             lapsed: Vec::new(),
             failures: 0,
             last_failed_job: CompactString::default(),
@@ -187,6 +191,23 @@
         }
     }
 
+    /// Local time at which the worker crashed, as far as known at `now`, in milliseconds: when it first
+    /// fell silent since its last report.
+    #[must_use]
+    pub fn crashed_at(&self, now: u64) -> u64 {
+        match self.fell_silent > self.last_report {
+            true => self.fell_silent,
+            false => now,
+        }
+    }
+
+    /// Notes that an incarnation of the worker drains: its end is no crash.
+    pub fn note_draining(&mut self) {
+        if self.registration.availability == model::Availability::Draining {
+            self.drained = self.drained.max(self.registration.incarnation);
+        }
+    }
+
     /// Estimated time on the worker's clock, in milliseconds.
     #[must_use]
     pub fn clock_at(&self, now: u64) -> Option<u64> {
--- a/src/cell/engine/caution.rs
+++ b/src/cell/engine/caution.rs
@@ -30,9 +30,12 @@
 /// one rack arrive nearly together.
 const JOINT_MS: u64 = 100;
 
-/// Number of other workers that fall silent at the same time, without a start just before, from which
-/// the cause lies outside the tasks.
-const JOINT_WORKERS: usize = 2;
+/// Number of other workers of its rack that fall silent with a worker, without a start just before,
+/// from which the cause lies outside the tasks.
+const JOINT_OF_RACK: usize = 2;
+
+/// The same for workers of any rack.
+const JOINT_WORKERS: usize = 4;
 
 /// Divisor of the number of workers that limits those on which suspected tasks are tried.
 const TRIAL_DIVISOR: usize = 8;
@@ -50,6 +53,8 @@
     worker: WorkerKey,
     /// Local time, in milliseconds.
     at: u64,
+    /// Rack of the worker.
+    rack: CompactString,
     /// Whether the worker had just started a task.
     started: bool,
     /// Job and queue of the task that it had started last, if that was just before.
@@ -73,12 +78,12 @@
     pub(super) fn note_silence(
         &mut self,
         jobs: &SlotMap<JobKey, Job>,
-        worker: WorkerKey,
+        (worker, rack): (WorkerKey, &str),
         suspects: &[Suspect],
         at: u64,
     ) {
-        let early = suspects.iter().filter(|suspect| suspect.crash.early);
-        let last = early.min_by_key(|suspect| suspect.age);
+        let early = suspects.iter().filter(|suspect| suspect.crash.is_early());
+        let last = early.min_by_key(|suspect| suspect.crash.age);
         let blamed = last.and_then(|suspect| {
             let key = suspect.task.step.job;
             Some((key, jobs.get(key)?.queue.name.clone()))
@@ -86,6 +91,7 @@
         let silence = Silence {
             worker,
             at,
+            rack: rack.into(),
             started: last.is_some(),
             blamed,
             crashed: false,
@@ -101,13 +107,13 @@
     pub(super) fn note_crash(
         &mut self,
         jobs: &SlotMap<JobKey, Job>,
-        worker: WorkerKey,
+        (worker, rack): (WorkerKey, &str),
         suspects: &[Suspect],
         at: u64,
     ) {
         let find = |s: &Silence| s.worker;
         if self.silences.binary_search_by_key(&worker, find).is_err() {
-            self.note_silence(jobs, worker, suspects, at);
+            self.note_silence(jobs, (worker, rack), suspects, at);
         }
         if let Ok(found) = self.silences.binary_search_by_key(&worker, find) {
             self.silences[found].crashed = true;
@@ -136,7 +142,12 @@
         let others = self.silences.iter().enumerate().filter(|(i, other)| {
             *i != index && !other.started && other.at.abs_diff(this.at) <= JOINT_MS
         });
-        others.take(JOINT_WORKERS).count() == JOINT_WORKERS
+        let (mut all, mut near) = (0, 0);
+        for (_, other) in others {
+            all += 1;
+            near += usize::from(other.rack == this.rack);
+        }
+        near >= JOINT_OF_RACK || all >= JOINT_WORKERS
     }
 
     /// Determines the queues whose starts crash workers.
--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -506,6 +506,10 @@
             info!(worker = worker.registration.id.as_str(), runs = worker.runs.len(), lapses = worker.leases_end.saturating_sub(now);
                 "worker does not answer");
             worker.silent_since = Some(now);
+            if worker.fell_silent <= worker.last_report {
+                // A later silence may be that of the next incarnation.
+                worker.fell_silent = now;
+            }
             self.note_silence(key, now);
         }
     }
--- a/src/cell/engine/crashes.rs
+++ b/src/cell/engine/crashes.rs
@@ -19,14 +19,10 @@
         TaskKey,
         WorkerKey, //
     },
-    model::{
-        Availability,
-        State, //
-    },
+    model::State,
     suspicion::{
         self,
         Crash,
-        EARLY_MS,
         Exposure, //
     },
 };
@@ -62,51 +58,51 @@
 }
 
 impl Engine {
-    /// Tasks that were on a worker when it crashed at local time `at`, in milliseconds: those of runs
+    /// Tasks that were on a worker that has crashed by local time `now`, in milliseconds: those of runs
     /// that it had confirmed, and of start commands that may have arrived. Runs confirmed from
     /// `before` on belong to a later incarnation.
-    fn suspects_on(&self, worker: &Worker, at: u64, before: u64) -> Vec<Suspect> {
-        let runs = worker.runs.iter().map(|key| &self.cluster.runs[*key]);
-        let runs = runs.filter(|run| run.ordered_at <= at);
-        let present = runs.filter(|run| match run.state {
-            RunState::Confirmed(confirmed) => confirmed < before,
-            RunState::Sent | RunState::Unanswered => run.start_expires > 0,
-        });
-        let present: Vec<_> = present.collect();
-        let alone = present
-            .windows(2)
-            .all(|pair| pair[0].name.job == pair[1].name.job);
-        let suspects = present.iter().filter_map(|run| {
-            let started = match run.state {
-                RunState::Confirmed(confirmed) => confirmed,
-                _ => run.ordered_at,
-            };
-            let age = at.saturating_sub(started);
-            let crash = Crash {
-                run: run.number,
-                early: age <= EARLY_MS,
-                alone,
-                joint: false,
+    fn suspects_on(&self, worker: &Worker, before: u64, now: u64) -> Vec<Suspect> {
+        let at = worker.crashed_at(now);
+        let mut alone = true;
+        let mut job = None;
+        let mut suspects = Vec::new();
+        for run in worker.runs.iter().map(|key| &self.cluster.runs[*key]) {
+            let (started, confirmed) = match run.state {
+                RunState::Confirmed(at) => (at, true),
+                RunState::Sent | RunState::Unanswered => (run.ordered_at, false),
             };
-            run.task.map(|task| Suspect {
+            let sent = confirmed || run.start_expires > 0;
+            if !sent || confirmed && started >= before || run.ordered_at > at {
+                continue;
+            }
+            alone &= *job.get_or_insert(&run.name.job) == &run.name.job;
+            suspects.extend(run.task.map(|task| Suspect {
                 task,
-                crash,
-                age,
-                confirmed: matches!(run.state, RunState::Confirmed(_)),
-            })
-        });
-        suspects.collect()
+                crash: Crash {
+                    run: run.number,
+                    // A run that was confirmed during a silence shows that the worker crashed later.
+                    age: Some(at.checked_sub(started).unwrap_or(now - started)),
+                    alone: true,
+                    joint: false,
+                },
+                confirmed,
+            }));
+        }
+        for suspect in &mut suspects {
+            suspect.crash.alone = alone;
+        }
+        suspects
     }
 
     /// Notes that a worker fell silent. If it has crashed, a later owner learns from the store which
-    /// tasks it had just started.
+    /// tasks it had started not long before.
     pub(super) fn note_silence(&mut self, key: WorkerKey, now: u64) {
         let worker = &self.cluster.workers[key];
         // A command that is under way says nothing yet: the silence may be that of the path.
-        let mut suspects = self.suspects_on(worker, now, u64::MAX);
+        let mut suspects = self.suspects_on(worker, u64::MAX, now);
         suspects.retain(|suspect| suspect.confirmed);
         let (id, incarnation) = (worker.registration.id.clone(), worker.incarnation);
-        for suspect in suspects.iter().filter(|suspect| suspect.crash.early) {
+        for suspect in suspects.iter().filter(|suspect| suspect.crash.is_soon()) {
             let job = &mut self.jobs[suspect.task.step.job];
             let Some(task) = job.task_mut(suspect.task) else {
                 continue;
@@ -118,15 +114,16 @@
             });
             self.mark_dirty(suspect.task.step.job);
         }
-        self.caution.note_silence(&self.jobs, key, &suspects, now);
+        let rack = self.cluster.workers[key].registration.rack();
+        self.caution
+            .note_silence(&self.jobs, (key, rack), &suspects, now);
     }
 
     /// Keeps the tasks of runs that are presumed over on a silent worker: should it turn out that the
     /// worker has crashed, that counts against them.
     pub(super) fn keep_suspects(&mut self, key: WorkerKey, now: u64) {
         let worker = &self.cluster.workers[key];
-        let at = worker.silent_since.unwrap_or(now);
-        let suspects = self.suspects_on(worker, at, u64::MAX);
+        let suspects = self.suspects_on(worker, u64::MAX, now);
         self.cluster.workers[key].lapsed.extend(suspects);
     }
 
@@ -139,25 +136,20 @@
         let lapsed = std::mem::take(&mut worker.lapsed);
         let worker = &self.cluster.workers[key];
         let id = worker.registration.id.clone();
-        if worker.registration.availability == Availability::Draining {
+        if worker.drained > 0 && worker.drained >= worker.incarnation {
             return;
         }
-        let at = worker.silent_since.unwrap_or(now);
-        let mut suspects = self.suspects_on(worker, at, sent);
+        let at = worker.crashed_at(now);
+        let mut suspects = self.suspects_on(worker, sent, now);
         let company = suspects.len();
         suspects.extend(lapsed);
-        self.caution.note_crash(&self.jobs, key, &suspects, at);
+        let rack = worker.registration.rack();
+        self.caution
+            .note_crash(&self.jobs, (key, rack), &suspects, at);
         let joint = self.caution.is_joint(key);
         info!(worker = id.as_str(), suspects = company, joint, ago = now.saturating_sub(at); "worker crashed");
         for mut suspect in suspects {
-            if joint {
-                suspect.crash = Crash {
-                    early: false,
-                    alone: false,
-                    joint,
-                    ..suspect.crash
-                };
-            }
+            suspect.crash.joint = joint;
             self.count_crash(&suspect, &id, company, now);
         }
         self.count_exposures(&id, u64::MAX, now);
@@ -180,7 +172,6 @@
                 let suspect = Suspect {
                     task,
                     crash: exposure.crash,
-                    age: 0,
                     confirmed: true,
                 };
                 self.count_crash(&suspect, id, 1, now);
@@ -228,7 +219,7 @@
         if task.phase == Phase::Done {
             return;
         }
-        if lasting && suspect.age > ACQUITTAL_MS {
+        if lasting && suspect.crash.age.is_some_and(|age| age > ACQUITTAL_MS) {
             task.crashes.clear();
         }
         let crash = suspect.crash;
@@ -242,12 +233,13 @@
             suspicion::is_convicted(&task.crashes),
             task.crashes.len() as u64,
         );
-        info!(job = id.as_str(), step = key.step.step, task = key.index, run = crash.run, worker, age = suspect.age,
-            early = crash.early, alone = crash.alone, company, crashes; "worker crashed under a task");
+        info!(job = id.as_str(), step = key.step.step, task = key.index, run = crash.run, worker, age:? = crash.age,
+            early = crash.is_early(), alone = crash.alone, joint = crash.joint, company, crashes; "worker crashed under a task");
         self.evidence.push(match (convicted, crash) {
             (true, _) => Evidence::Convicted,
-            (_, Crash { alone: true, .. }) => Evidence::Alone,
-            (_, Crash { early: true, .. }) => Evidence::Early,
+            (_, crash) if crash.joint => Evidence::Shared,
+            (_, crash) if crash.alone => Evidence::Alone,
+            (_, crash) if crash.is_early() => Evidence::Early,
             _ => Evidence::Shared,
         });
         self.mark_dirty(key.step.job);
@@ -269,7 +261,7 @@
             incarnation: worker.incarnation,
             crash: Crash {
                 run: run.number,
-                early: false,
+                age: None,
                 alone: true,
                 joint: false,
             },
--- a/src/cell/engine/registry.rs
+++ b/src/cell/engine/registry.rs
@@ -23,6 +23,7 @@
         let Some(key) = self.cluster.find_worker(&registration.id) else {
             info!(worker = registration.id.as_str(), service = registration.service.as_str(), born = registration.incarnation; "worker registered");
             let key = self.cluster.add_worker(registration);
+            self.cluster.workers[key].note_draining();
             self.store_registration(key);
             self.pass_needed = true;
             return;
@@ -47,6 +48,7 @@
         worker.registered = true;
         worker.superseded = false;
         worker.registration = registration;
+        worker.note_draining();
         self.pass_needed = true;
         self.store_registration(key);
     }
--- a/src/cell/suspicion.rs
+++ b/src/cell/suspicion.rs
@@ -14,14 +14,30 @@
 /// milliseconds: the way of the command and of the notice that the connection is gone, and some work.
 pub const EARLY_MS: u64 = 100;
 
-/// Crashes that convict a task that ran alone in one of them, if all followed its starts closely.
+/// Time after the start of a run within which few workers crash for causes of their own, in
+/// milliseconds: a crash that gives no notice is seen by a time-out.
+pub const SOON_MS: u64 = 2_000;
+
+/// Crashes that convict a task that ran alone in one of them, if all were early.
 const EARLY_CRASHES: usize = 2;
 
-/// Crashes that convict a task that ran alone in one of them.
-const ALONE_CRASHES: usize = 3;
+/// Crashes that convict a task that ran alone in one of them, if all came soon and after a similar
+/// time.
+const SOON_CRASHES: usize = 3;
+
+/// Greatest difference between similar times, in milliseconds: a crash is noticed at once or by a
+/// time-out.
+const SPREAD_MS: u64 = 500;
+
+/// Crashes that convict a task that ran alone in one of them, if all came soon, and whatever crashed
+/// beside its workers.
+const ANY_CRASHES: usize = 5;
 
-/// Crashes that convict a task whatever ran beside it.
-const MAX_CRASHES: usize = 4;
+/// Crashes that convict a task that ran alone in [`LATE_ALONE`] of them.
+const LATE_CRASHES: usize = 5;
+
+/// See [`LATE_CRASHES`].
+const LATE_ALONE: usize = 2;
 
 fn is_false(value: &bool) -> bool {
     !*value
@@ -32,9 +48,9 @@
 pub struct Crash {
     /// Number of the run.
     pub run: u32,
-    /// Whether the worker crashed within [`EARLY_MS`] of the start.
-    #[serde(default, skip_serializing_if = "is_false")]
-    pub early: bool,
+    /// Time from the start of the run to the crash, in milliseconds, if known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub age: Option<u64>,
     /// Whether the worker ran no task of another job.
     #[serde(default, skip_serializing_if = "is_false")]
     pub alone: bool,
@@ -56,23 +72,52 @@
     pub crash: Crash,
 }
 
+impl Crash {
+    /// Whether the crash points to the run: it followed the start closely, and other workers did not
+    /// crash with this one.
+    #[must_use]
+    pub fn is_early(&self) -> bool {
+        self.age.is_some_and(|age| age <= EARLY_MS) && !self.joint
+    }
+
+    /// Whether the crash came so soon after the start that another cause is unlikely.
+    #[must_use]
+    pub fn is_soon(&self) -> bool {
+        self.age.is_none_or(|age| age <= SOON_MS)
+    }
+}
+
+/// Crashes that may have been caused by the task.
+fn single(crashes: &[Crash]) -> impl Iterator<Item = &Crash> {
+    crashes.iter().filter(|crash| !crash.joint)
+}
+
+/// Difference between the longest and the shortest time from a start to the crash, in milliseconds.
+fn spread(crashes: &[Crash]) -> u64 {
+    let ages = || single(crashes).filter_map(|crash| crash.age);
+    ages().max().unwrap_or(0) - ages().min().unwrap_or(0)
+}
+
 /// Whether the crashes under a task show that the task causes them.
 #[must_use]
 pub fn is_convicted(crashes: &[Crash]) -> bool {
-    let alone = crashes.iter().any(|crash| crash.alone);
-    let early = crashes.iter().all(|crash| crash.early);
-    let needed = match (alone, early) {
-        (true, true) => EARLY_CRASHES,
-        (true, false) => ALONE_CRASHES,
-        (false, _) => MAX_CRASHES,
-    };
-    crashes.len() >= needed
+    let count = single(crashes).count();
+    let alone = single(crashes).filter(|crash| crash.alone).count();
+    let early = single(crashes).all(Crash::is_early);
+    let soon = crashes.iter().all(Crash::is_soon);
+    let similar = single(crashes).all(Crash::is_soon) && spread(crashes) <= SPREAD_MS;
+    alone >= 1 && (early && count >= EARLY_CRASHES || similar && count >= SOON_CRASHES)
+        || soon && crashes.len() >= ANY_CRASHES && crashes.iter().any(|crash| crash.alone)
+        || alone >= LATE_ALONE && count >= LATE_CRASHES
 }
 
 /// Whether a task must run on a worker without other jobs: the next crash then shows whether the task
 /// causes them, and takes down nothing else.
 #[must_use]
 pub fn needs_trial(crashes: &[Crash]) -> bool {
-    let single = crashes.iter().filter(|crash| !crash.joint);
-    single.count() >= 2 || crashes.iter().any(|crash| crash.early)
+    let count = single(crashes).count();
+    let soon = crashes.iter().all(Crash::is_soon);
+    single(crashes).any(Crash::is_early)
+        || soon && count >= SOON_CRASHES - 1
+        || crashes.len() >= LATE_CRASHES - LATE_ALONE
 }
--- a/tests/cell/network.rs
+++ b/tests/cell/network.rs
@@ -159,12 +159,15 @@
         if !answered {
             self.unanswered(owner, call.clone());
         }
+        // Another worker at the address refuses what was meant for the former one.
+        let replaced = self.rates.replaced > 0;
+        let incarnation = replaced.then_some(self.machines[at].incarnation);
         self.post(
             delay,
             Event::Arrive {
                 owner,
                 at,
-                incarnation: None,
+                incarnation,
                 call,
                 answered,
             },
