--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -5,6 +5,7 @@
 
 mod cell {
     mod archive;
+    mod caution;
     mod crashes;
     mod deadly;
     mod driver;
