test(cell): workers that crash without cause in the fuzz stay down for a while

Cause: a plain crash noted its downtime after the step in which downed workers restart, so that the worker was back at once and got commands that were under way to its former life.

Ruled out: a fault of the engine; the start was placed on the former worker and carried out by the next one, which no platform does.

Change: the downtime of 3 to 4 s is set with the crash.

--- a/tests/cell/crashes.rs
+++ b/tests/cell/crashes.rs
@@ -85,7 +85,7 @@
     fn crash_plainly(&mut self, at: usize) {
         if self.machines[at].up {
             self.machines[at].crash(at, &mut self.judge, self.now);
-            self.judge.crashed.push(at);
+            self.downs[at] = self.now + self.dice.random_range(3_000..4_000);
         }
     }
 
