--- a/src/cell/cluster.rs
+++ b/src/cell/cluster.rs
@@ -12,7 +12,8 @@
         TaskKey,
         WorkerKey, //
     },
-    model, //
+    model,
+    suspicion, //
 };
 
 /// Upper bound on how slowly a worker's clock may run: 2 % from the platform's description, with a
@@ -80,6 +81,22 @@
     pub repeated: bool,
     /// Number of the worker's address to which the last command was sent.
     pub sent_to: u32,
+    /// Whether the run tries a task that is suspected of crashing workers, and shares its worker
+    /// with no other job.
+    pub trial: bool,
+    /// Batch that must be stored before the start command is sent; 0 for none.
+    pub after_batch: u64,
+}
+
+/// Task that was on a worker when the worker crashed or fell silent.
+#[derive(Debug, Clone, Copy)]
+pub struct Suspect {
+    /// Task of the run.
+    pub task: TaskKey,
+    /// What counts against the task.
+    pub crash: suspicion::Crash,
+    /// Whether the worker had confirmed the run.
+    pub confirmed: bool,
 }
 
 /// Worker as known to the owner.
@@ -126,6 +143,12 @@
     pub poll_after: u64,
     /// Local time since which no command was answered, in milliseconds.
     pub silent_since: Option<u64>,
+    /// Local time at which the first silence since the last report began, in milliseconds; 0 for none.
+    pub fell_silent: u64,
+    /// Newest incarnation that was known to drain; 0 for none.
+    pub drained: u64,
+    /// Runs that were presumed over while the worker was silent.
+    pub lapsed: Vec<Suspect>,
     /// Number of consecutive failed runs.
     pub failures: u32,
     /// Job of the newest failed run.
@@ -159,12 +182,32 @@
             polled_at: 0,
             poll_after: 0,
             silent_since: None,
+            fell_silent: 0,
+            drained: 0,
+            lapsed: Vec::new(),
             failures: 0,
             last_failed_job: CompactString::default(),
             suspended_until: 0,
         }
     }
 
+    /// Local time at which the worker crashed, as far as known at `now`, in milliseconds: when it first
+    /// fell silent since its last report.
+    #[must_use]
+    pub fn crashed_at(&self, now: u64) -> u64 {
+        match self.fell_silent > self.last_report {
+            true => self.fell_silent,
+            false => now,
+        }
+    }
+
+    /// Notes that an incarnation of the worker drains: its end is no crash.
+    pub fn note_draining(&mut self) {
+        if self.registration.availability == model::Availability::Draining {
+            self.drained = self.drained.max(self.registration.incarnation);
+        }
+    }
+
     /// Estimated time on the worker's clock, in milliseconds.
     #[must_use]
     pub fn clock_at(&self, now: u64) -> Option<u64> {
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -5,6 +5,10 @@
 
 mod cell {
     mod archive;
+    mod caution;
+    mod crashes;
+    mod deadly;
+    mod driver;
     mod election;
     mod faults;
     mod fuzz;
