fix(requests): a request that crashes its backend servers takes down two at most

Cause: a request that crashes the server that runs it went on to the next one by retry, up to `retry.attempts` (3 by default, at most 10), and by hedge. The retry budget did not help: it bounds the rate of a profile, not what one request does. Beside each crash fail the other requests there.

Ruled out: counting time-outs and server errors as well (both come from slow or faulty servers, not from a request), a setting (nobody would want a third crash), counting distinct workers only (a restarted worker is a new one all the same). With an incarnation check as further evidence the answer would have to wait for the worker's next report.

Change: a request counts its connections that broke after bytes may have been sent. After one it is not hedged, after two it is not sent again, also when the retry waits already. The caller gets `outcome_unknown` (or the error of a backend server that had answered).

Left: attempts that time out before their connection breaks give their evidence late, so up to `retry.attempts` servers may have the request by then.

--- a/src/kernel/requests/admit.rs
+++ b/src/kernel/requests/admit.rs
@@ -228,6 +228,7 @@
             sends: 0,
             pending: Vec::new(),
             unknown: false,
+            broken: 0,
             backend_ran: false,
             avoid_worker: None,
         });
--- a/src/kernel/requests/finish.rs
+++ b/src/kernel/requests/finish.rs
@@ -12,7 +12,8 @@
             request::{
                 self,
                 Attempt,
-                Phase, //
+                Phase,
+                Request, //
             },
             types::{
                 Action,
@@ -124,6 +125,10 @@
     /// Decides how to proceed with a request after a failed attempt.
     fn handle_failure(&mut self, now: Millis, failed: &Attempt) -> Action {
         let key = failed.request;
+        if self.requests.get(key).is_some_and(Request::is_suspect) {
+            // A retry that waits is not sent any more.
+            self.mark_active(key);
+        }
         let Some(request) = self.requests.get_mut(key) else {
             return Action::Ignore;
         };
@@ -169,7 +174,8 @@
         let request = &self.requests[failed.request];
         let state = &mut self.profiles[request.profile_key];
         let retry = &request.profile.retry;
-        if !request.is_retry_safe() || request.sends >= retry.attempts {
+        let allowed = request.is_retry_safe() && !request.is_suspect();
+        if !allowed || request.sends >= retry.attempts {
             return None;
         }
         let doublings = u32::from(request.sends.saturating_sub(1)).min(MAX_BACKOFF_DOUBLINGS);
@@ -231,8 +237,14 @@
         }
     }
 
-    /// Marks the outcome of an attempt as unknown for good. Its slot on a worker stays reserved.
+    /// Marks the outcome of an attempt whose connection broke as unknown for good. Its slot on a
+    /// worker stays reserved.
     fn abandon(&mut self, key: AttemptKey, attempt: &Attempt, pool: &mut dyn WorkerPool) {
+        if let Some(request) = self.requests.get_mut(attempt.request)
+            && request.pending.contains(&key)
+        {
+            request.broken = request.broken.saturating_add(1);
+        }
         self.mark_unknown(key, attempt);
         if attempt.worker.is_none() {
             self.close_attempt(key, pool);
--- a/src/kernel/requests/hedge.rs
+++ b/src/kernel/requests/hedge.rs
@@ -37,7 +37,7 @@
     ) -> Option<Dispatch> {
         let attempt = *self.attempts.get(slow)?;
         let request = self.requests.get(attempt.request)?;
-        let alone = request.pending == [slow] && !attempt.overdue;
+        let alone = request.pending == [slow] && !attempt.overdue && request.broken == 0;
         if !alone || !request.profile.idempotent || request.remaining(now) == 0 {
             return None;
         }
--- a/src/kernel/requests/request.rs
+++ b/src/kernel/requests/request.rs
@@ -31,6 +31,10 @@
     }, //
 };
 
+/// Number of broken connections after which a request is not sent again: it may be what crashes the
+/// backend servers.
+pub(super) const MAX_BROKEN: u8 = 2;
+
 /// Phase of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Phase {
@@ -71,6 +75,8 @@
     pub pending: Vec<AttemptKey>,
     /// Whether an attempt of unknown outcome may have run.
     pub unknown: bool,
+    /// Number of attempts whose connection broke after bytes may have been sent.
+    pub broken: u8,
     /// Whether a backend server reported that the request ran.
     pub backend_ran: bool,
     /// Worker of the last failed attempt, which the next attempt avoids.
@@ -100,6 +106,11 @@
         self.profile.idempotent || self.ran() == Ran::No
     }
 
+    /// Returns whether the request may be what crashes the backend servers.
+    pub(super) fn is_suspect(&self) -> bool {
+        self.broken >= MAX_BROKEN
+    }
+
     /// Time left until the deadline, in milliseconds.
     pub(super) fn remaining(&self, now: Millis) -> u64 {
         self.deadline.since(now)
--- a/src/profile.rs
+++ b/src/profile.rs
@@ -90,7 +90,8 @@
     /// Retry budget as a share of first attempts, 0 to 1.
     #[schemars(range(min = 0.0, max = 1.0))]
     pub budget: f64,
-    /// Maximum number of attempts of one request, the first included, 1 to 10.
+    /// Maximum number of attempts of one request, the first included, 1 to 10. Two broken
+    /// connections end them sooner.
     #[schemars(range(min = 1, max = 10))]
     pub attempts: u8,
     /// First backoff, in milliseconds. It doubles with each retry, with jitter.
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -6,6 +6,8 @@
 mod admission;
 #[path = "requests/capacity.rs"]
 mod capacity;
+#[path = "requests/crashes.rs"]
+mod crashes;
 #[path = "requests/ejection.rs"]
 mod ejection;
 #[path = "requests/estimates.rs"]
--- a/tests/requests/fuzz.rs
+++ b/tests/requests/fuzz.rs
@@ -52,6 +52,8 @@
     not_run: bool,
     /// Whether the connection broke, after which no report is expected.
     connection_lost: bool,
+    /// Whether the connection broke while the attempt held its slot.
+    broke: bool,
     /// Whether the attempt still holds its slot.
     holds_slot: bool,
     /// Whether the attempt was sent to a worker, not to a peer.
@@ -149,6 +151,9 @@
         let idempotent = known.idempotent;
         let mut before = self.attempts.iter().filter(|s| s.request == request);
         let safe = before.all(|s| s.not_run);
+        let broken = self.attempts.iter();
+        let broken = broken.filter(|s| s.request == request && s.broke);
+        assert!(broken.count() < 2, "sent after it broke two connections");
         assert!(
             idempotent || safe,
             "a non-idempotent request was sent twice"
@@ -158,6 +163,7 @@
             attempt,
             not_run: false,
             connection_lost: false,
+            broke: false,
             holds_slot: true,
             local,
         });
@@ -174,6 +180,7 @@
             sent.not_run = outcome == Outcome::NotRun;
         }
         sent.connection_lost |= outcome == Outcome::ConnectionLost;
+        sent.broke |= sent.holds_slot && outcome == Outcome::ConnectionLost;
         let (request, attempt, holds_slot) = (sent.request, sent.attempt, sent.holds_slot);
         sent.holds_slot &= !reported && (sent.local || outcome == Outcome::TimedOut);
         let now = self.rig.now;
--- a/tests/requests/ops.rs
+++ b/tests/requests/ops.rs
@@ -27,7 +27,7 @@
         1 => (0..60_u64).prop_map(|took| Outcome::BackendError { took }),
         2 => Just(Outcome::NotRun),
         2 => Just(Outcome::TimedOut),
-        1 => Just(Outcome::ConnectionLost),
+        3 => Just(Outcome::ConnectionLost),
     ]
 }
 
