fix(requests): an unknown outcome at a peer is not taken for a run and sent on

Cause: a peer that gave up on a forwarded request answers 504 with `ran: unknown`. The instance that had forwarded it took that for an answer of a backend server: "ran: yes" (which nobody knew), and free retries at its own workers, without the retry budget. So a request that crashes servers, given up by the peer after two, went on to `retry.attempts` more.

Ruled out: counting what the peer sent (its answer does not say, and an older peer could not), one more try here (that is the third server), treating every server error of a peer so ("ran: yes" and "not run" are known outcomes and stay as they are).

Change: a peer's server error whose outcome is unknown is an outcome of its own. The request is not sent again and its caller gets `outcome_unknown`.

Not shown with two real instances.

--- a/src/entry/scheduler/serving.rs
+++ b/src/entry/scheduler/serving.rs
@@ -23,6 +23,7 @@
     entry::exchange::{
         Outcome,
         Receiver,
+        Response,
         Route, //
     },
     ids::{
@@ -138,13 +139,17 @@
     Aborted,
     /// The exchange failed before the response was complete.
     ConnectionLost,
+    /// The peer gave up on the request and does not know the outcome.
+    Unknown,
 }
 
 impl AttemptOutcome {
-    /// Returns the outcome of an attempt from that of its exchange.
+    /// Returns the outcome of an attempt from that of its exchange with a worker or, without one,
+    /// with a peer.
     #[must_use]
-    pub fn of(outcome: &Outcome) -> Self {
+    pub fn of(outcome: &Outcome, worker: Option<WorkerKey>) -> Self {
         match outcome {
+            Outcome::Complete(r) if worker.is_none() && gave_up(r) => AttemptOutcome::Unknown,
             Outcome::Complete(r) if r.status.is_server_error() => AttemptOutcome::BackendError,
             Outcome::Complete(_) => AttemptOutcome::Answered,
             Outcome::NotRun => AttemptOutcome::NotRun,
@@ -162,10 +167,16 @@
             AttemptOutcome::NotRun | AttemptOutcome::Fenced => KernelOutcome::NotRun,
             AttemptOutcome::TimedOut | AttemptOutcome::Aborted => KernelOutcome::TimedOut,
             AttemptOutcome::ConnectionLost => KernelOutcome::ConnectionLost,
+            AttemptOutcome::Unknown => KernelOutcome::Unknown,
         }
     }
 }
 
+/// Whether a peer's response says that it gave up and does not know whether the request ran.
+fn gave_up(response: &Response) -> bool {
+    response.status.is_server_error() && response.ran == Ran::Unknown
+}
+
 /// A request without a final action.
 #[derive(Debug)]
 pub(super) struct Request {
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -199,7 +199,7 @@
                 exchange.await
             }
         };
-        ended.outcome = scheduler::AttemptOutcome::of(&outcome);
+        ended.outcome = scheduler::AttemptOutcome::of(&outcome, route.worker);
         ended.took = started.elapsed();
         // The receiver is closed if the caller disconnected; the scheduler needs the outcome
         // anyway.
--- a/src/kernel/requests/finish.rs
+++ b/src/kernel/requests/finish.rs
@@ -71,7 +71,11 @@
             }
             Outcome::ConnectionLost => {
                 self.attempts[attempt].overdue = true;
-                self.abandon(attempt, &found, pool);
+                self.abandon(attempt, &found, 1, pool);
+                self.handle_failure(now, &found)
+            }
+            Outcome::Unknown => {
+                self.abandon(attempt, &found, request::MAX_BROKEN, pool);
                 self.handle_failure(now, &found)
             }
         }
@@ -237,13 +241,19 @@
         }
     }
 
-    /// Marks the outcome of an attempt whose connection broke as unknown for good. Its slot on a
-    /// worker stays reserved.
-    fn abandon(&mut self, key: AttemptKey, attempt: &Attempt, pool: &mut dyn WorkerPool) {
+    /// Marks the outcome of an attempt as unknown for good, after `broken` connections broke. Its
+    /// slot on a worker stays reserved.
+    fn abandon(
+        &mut self,
+        key: AttemptKey,
+        attempt: &Attempt,
+        broken: u8,
+        pool: &mut dyn WorkerPool,
+    ) {
         if let Some(request) = self.requests.get_mut(attempt.request)
             && request.pending.contains(&key)
         {
-            request.broken = request.broken.saturating_add(1);
+            request.broken = request.broken.saturating_add(broken);
         }
         self.mark_unknown(key, attempt);
         if attempt.worker.is_none() {
--- a/src/kernel/requests/types.rs
+++ b/src/kernel/requests/types.rs
@@ -118,6 +118,8 @@
     TimedOut,
     /// The connection broke after bytes may have been sent.
     ConnectionLost,
+    /// The peer that the request was forwarded to gave up on it and does not know the outcome.
+    Unknown,
 }
 
 /// Action to take for a request.
--- a/tests/requests/crashes.rs
+++ b/tests/requests/crashes.rs
@@ -1,13 +1,23 @@
 //! Tests of a request that crashes each backend server that runs it: it goes on to few of them, and
 //! its answer says that the outcome is unknown.
 
+use actix_web::http::StatusCode;
 use assert_matches::assert_matches;
 use bamboolock::{
-    kernel::requests::{
-        Action,
-        AttemptKind,
-        Dispatch,
-        Outcome, //
+    context::Distance,
+    entry::{
+        exchange,
+        scheduler::AttemptOutcome, //
+    },
+    kernel::{
+        WorkerKey,
+        requests::{
+            Action,
+            AttemptKind,
+            Dispatch,
+            ForwardTarget,
+            Outcome, //
+        }, //
     },
     wire::caller::{
         Code,
@@ -146,3 +156,72 @@
     assert!(rig.dispatch().is_empty());
     assert!(rig.kernel.is_idle());
 }
+
+#[test]
+fn a_request_that_a_peer_gave_up_as_unknown_goes_to_no_further_server() {
+    let profile = profile(serde_json::json!({
+        "idempotent": true,
+        "retry": {"budget": 1.0, "attempts": 10, "backoff": 2},
+    }));
+    let mut rig = Rig::new(1, 1);
+    rig.warm("p", &profile, 100, 40);
+    rig.send("p", &profile, 60_000);
+    rig.submit("p", &profile, 60_000).unwrap();
+    let peer = ForwardTarget {
+        free: 1,
+        distance: Distance::Zone,
+        rtt: 0,
+    };
+    let passed = rig.kernel.forward(rig.now, &[peer]);
+    assert_eq!(passed.len(), 1);
+    let attempt = passed[0].attempt;
+    let action = rig
+        .kernel
+        .finish_attempt(rig.now, attempt, Outcome::Unknown, &mut rig.pool);
+    let expected = (Code::OutcomeUnknown, Ran::Unknown);
+    assert_matches!(action, Action::Refuse(r) if (r.code, r.ran) == expected);
+}
+
+#[test]
+fn an_unknown_outcome_at_a_peer_is_not_taken_for_a_run() {
+    let rows = [
+        (
+            "peer, unknown",
+            true,
+            504,
+            Ran::Unknown,
+            AttemptOutcome::Unknown,
+        ),
+        (
+            "peer, ran",
+            true,
+            502,
+            Ran::Yes,
+            AttemptOutcome::BackendError,
+        ),
+        (
+            "peer, answered",
+            true,
+            200,
+            Ran::Yes,
+            AttemptOutcome::Answered,
+        ),
+        (
+            "worker that does not say",
+            false,
+            500,
+            Ran::Unknown,
+            AttemptOutcome::BackendError,
+        ),
+    ];
+    for (name, peer, status, ran, expected) in rows {
+        let outcome = exchange::Outcome::Complete(exchange::Response {
+            status: StatusCode::from_u16(status).unwrap(),
+            content_type: "".into(),
+            body: Default::default(),
+            ran,
+        });
+        let worker = (!peer).then(WorkerKey::default);
+        assert_eq!(AttemptOutcome::of(&outcome, worker), expected, "{name}");
+    }
+}
