fix(runs): a task that crashes its workers is given up after a few

Cause: an attempt that was lost with its worker was finished as `lost`, like one of a worker that drained or that the platform ended, and started again at once beside other work. The only limit was four times the profile's `attempts`, for all causes together: 20 workers by default, 12 in the tests. A service had none, and no backoff either.

Change: a worker's new incarnation is a crash if neither list nor report had said that it leaves and the platform had not ended it. The log's record of a task counts them; the count decides nothing for its readers. The instance that proposes the outcome records the first two crashes of a task as lost, each further one as a failed attempt with the reason that the worker crashed. So a run or a gang ends as `failed` after `attempts` + 2 crashes at most. After a crash a task waits for the backoff, and goes to a worker on which nothing runs if one is among the candidates. The worker's health is not charged with a crash.

Left: a claim that was made between a crash and the news of it counts as hit; drains and ended workers still count toward the older limit of four times `attempts`; a wide job of deadly tasks is not held back meanwhile; other work may still be put beside a suspect.

--- a/src/entry/scheduler/jobs.rs
+++ b/src/entry/scheduler/jobs.rs
@@ -480,8 +480,11 @@
     ) {
         let now = self.now();
         let ledger = self.ledger.clone();
-        let commands =
-            ledger.read(|state| self.runs.listed(now, listing, &state.jobs, &self.members));
+        let commands = ledger.read(|state| {
+            let (members, workers) = (&self.members, &self.workers);
+            self.runs
+                .listed(now, listing, &state.jobs, members, workers)
+        });
         self.execute(commands, ctx);
     }
 
--- a/src/kernel/runs/effects.rs
+++ b/src/kernel/runs/effects.rs
@@ -256,7 +256,7 @@
         }
         if let Some(job) = jobs.get(&id.run) {
             self.quota.subtract(&job.spec.profile, &job.spec.demand, 1);
-            if finish.end == record::Outcome::Failed {
+            if finish.end == record::Outcome::Failed || finish.crashed() {
                 let until = now.plus(self.backoff(job, id));
                 self.backoffs.add(&id.run, id.index, until);
             }
@@ -266,7 +266,7 @@
             return Vec::new();
         };
         workers.release_allocation(key, id);
-        let failed = finish.end == record::Outcome::Failed;
+        let failed = finish.end == record::Outcome::Failed && !finish.crashed();
         if failed || finish.end == record::Outcome::Done {
             self.health.record_outcome(workers, key, &id.run, failed);
         }
--- a/src/kernel/runs/lost.rs
+++ b/src/kernel/runs/lost.rs
@@ -13,7 +13,8 @@
         runs::{
             Command,
             Runs, //
-        }, //
+        },
+        workers::Workers, //
     },
     ledger::{
         jobs::{
@@ -28,6 +29,10 @@
     }, //
 };
 
+/// Number of crashes of its workers that a task is not blamed for: workers also crash for causes of
+/// their own.
+const FREE_CRASHES: u32 = 2;
+
 impl Runs {
     /// Handles the list of the platform: attempts that were claimed on an earlier incarnation of a
     /// worker, or on a worker that is gone, are lost.
@@ -37,6 +42,7 @@
         listing: &list::Listing,
         jobs: &Jobs,
         members: &Members,
+        workers: &Workers,
     ) -> Vec<Command> {
         let mut finishes = Vec::new();
         for instance in &listing.instances {
@@ -53,7 +59,8 @@
             if !ended || !members.responsible(now, id.as_str()) {
                 continue;
             }
-            finishes.extend(self.lost_attempts(now, &id, (instance.incarnation, gone), jobs));
+            let ended = (instance.incarnation, gone);
+            finishes.extend(self.lost_attempts(now, &id, ended, jobs, workers));
         }
         super::reports::append_outcomes(finishes)
     }
@@ -64,7 +71,9 @@
         worker: &WorkerId,
         (boot, gone): (WorkerIncarnation, bool),
         jobs: &Jobs,
+        workers: &Workers,
     ) -> Vec<record::FinishedAttempt> {
+        let entry = workers.key(worker).and_then(|key| workers.get(key));
         let has_ended = |place: &job::Assignment| place.boot < boot || (gone && place.boot == boot);
         let mut finishes = Vec::new();
         for (run, index) in jobs.claimed_on(worker) {
@@ -72,7 +81,8 @@
                 continue;
             };
             if has_ended(place) && self.proposals.propose(now, &id) {
-                finishes.push(finish(id));
+                let crashed = entry.is_some_and(|e| e.crashed(place.boot));
+                finishes.push(finish(id, crashed, jobs));
             }
         }
         finishes
@@ -97,12 +107,22 @@
     Some((id, place))
 }
 
-/// Returns the outcome of an attempt whose worker incarnation has ended.
-pub(super) fn finish(id: TaskId) -> record::FinishedAttempt {
+/// Returns the outcome of an attempt whose worker incarnation has ended. Beyond [`FREE_CRASHES`], a
+/// crash counts as a failed attempt of the task, so that its job fails when the attempts are used up.
+pub(super) fn finish(id: TaskId, crashed: bool, jobs: &Jobs) -> record::FinishedAttempt {
+    let task = jobs
+        .get(&id.run)
+        .and_then(|j| j.tasks.get(id.index as usize));
+    let crashes = task.map_or(0, |t| t.crashes);
+    let (end, reason) = match crashed {
+        true if crashes >= FREE_CRASHES => (record::Outcome::Failed, record::CRASHED),
+        true => (record::Outcome::Lost, record::CRASHED),
+        false => (record::Outcome::Lost, "the worker restarted or was ended"),
+    };
     record::FinishedAttempt {
         id,
-        end: record::Outcome::Lost,
+        end,
         checkpoint: 0,
-        reason: CompactString::const_new("the worker restarted or was ended"),
+        reason: CompactString::const_new(reason),
     }
 }
--- a/src/kernel/runs/pack.rs
+++ b/src/kernel/runs/pack.rs
@@ -112,6 +112,15 @@
     offers
 }
 
+/// Keeps only workers on which nothing runs, if there are any: a task whose worker crashed may crash
+/// the next one, too.
+pub(super) fn prefer_empty(offers: &mut Vec<Offer>) {
+    let empty = |o: &Offer| o.free == o.capacity;
+    if offers.iter().any(empty) {
+        offers.retain(empty);
+    }
+}
+
 /// Number of tasks of one job in each rack, sorted by rack.
 #[derive(Debug, Default)]
 pub(super) struct RackCounts {
--- a/src/kernel/runs/plan.rs
+++ b/src/kernel/runs/plan.rs
@@ -298,11 +298,15 @@
             let (health, reservation) = (&self.health, &self.reservation);
             let excluded =
                 |worker| health.is_ejected(round.now, worker) || reservation.blocks(run, worker);
-            let offers = pack::candidates(round.now, round.workers, job, &racks, random, excluded);
-            let Some(worker) = policy.choose(&offers, job, &racks, round.workers, random) else {
+            let Some(task) = job.tasks.get(*index as usize) else {
                 break;
             };
-            let Some(task) = job.tasks.get(*index as usize) else {
+            let mut offers =
+                pack::candidates(round.now, round.workers, job, &racks, random, excluded);
+            if task.crashes > 0 {
+                pack::prefer_empty(&mut offers);
+            }
+            let Some(worker) = policy.choose(&offers, job, &racks, round.workers, random) else {
                 break;
             };
             let id = TaskId {
--- a/src/kernel/runs/reports.rs
+++ b/src/kernel/runs/reports.rs
@@ -79,7 +79,7 @@
                 None if self.abandoned(&id, place, report, entry) => {
                     Some(outcomes::unstarted(id, "this instance did not start it"))
                 }
-                None => absence_outcome(id, place, report),
+                None => absence_outcome(id, place, report, entry, jobs),
             };
             finishes.extend(finish.filter(|f| self.proposals.propose(now, &f.id)));
         }
@@ -158,9 +158,11 @@
     id: TaskId,
     place: &job::Assignment,
     report: &Report,
+    worker: &Worker,
+    jobs: &Jobs,
 ) -> Option<record::FinishedAttempt> {
     if place.boot < report.incarnation {
-        return Some(lost::finish(id));
+        return Some(lost::finish(id, worker.crashed(place.boot), jobs));
     }
     if place.boot == report.incarnation && place.token < report.token {
         return Some(outcomes::unstarted(
--- a/src/kernel/workers/listing.rs
+++ b/src/kernel/workers/listing.rs
@@ -77,6 +77,9 @@
         }
         let ended = instance.state == list::State::Gone || instance.incarnation > entry.incarnation;
         entry.listed_state = instance.state;
+        if instance.state != list::State::Live {
+            entry.left = entry.left.max(Some(instance.incarnation));
+        }
         entry.incarnation = instance.incarnation;
         entry.address = instance.address.clone();
         if ended {
--- a/src/kernel/workers/worker.rs
+++ b/src/kernel/workers/worker.rs
@@ -149,6 +149,8 @@
     pub capacity: Resources,
     /// Whether the worker has reported that it is about to leave.
     pub leaving: bool,
+    /// Latest incarnation that announced its end, or that the platform ended.
+    pub left: Option<WorkerIncarnation>,
     /// Free resources of the worker.
     pub free: Resources,
     /// Moving average of the share of failed tasks, from 0 to 1.
@@ -187,6 +189,7 @@
             last_token: Token(0),
             capacity: Resources::default(),
             leaving: false,
+            left: (instance.state != list::State::Live).then_some(instance.incarnation),
             free: Resources::default(),
             errors: 0.0,
             handovers: 0,
@@ -209,6 +212,13 @@
         stays && matches!(self.lease, LeaseState::Held(_))
     }
 
+    /// Returns whether an incarnation that has ended crashed: it gave no notice, and the platform
+    /// did not end it.
+    #[must_use]
+    pub fn crashed(&self, ended: WorkerIncarnation) -> bool {
+        self.left < Some(ended)
+    }
+
     /// Returns the held lease if it has not expired at `now`.
     #[must_use]
     pub fn valid(&self, now: Millis) -> Option<&HeldLease> {
@@ -271,6 +281,9 @@
         self.incarnation = self.incarnation.max(report.incarnation);
         self.capacity = report.capacity;
         self.leaving = report.leaving;
+        if report.leaving {
+            self.left = self.left.max(Some(report.incarnation));
+        }
         for task in &report.tasks {
             if task.state.active() {
                 self.allocate(task.id.clone(), task.demand, true);
--- a/src/ledger/jobs/job.rs
+++ b/src/ledger/jobs/job.rs
@@ -64,6 +64,10 @@
     pub failures: u32,
     /// Number of attempts that were lost or stopped without a request to stop.
     pub losses: u32,
+    /// Number of attempts whose worker crashed. It decides nothing here, so that builds that do not
+    /// count it agree on every state.
+    #[serde(default)]
+    pub crashes: u32,
 }
 
 /// One job.
@@ -113,6 +117,7 @@
             checkpoint: 0,
             failures: 0,
             losses: 0,
+            crashes: 0,
         };
         let tasks = vec![task; spec.tasks as usize];
         let mut job = Self {
@@ -252,6 +257,7 @@
         let task = &mut self.tasks[finish.id.index as usize];
         task.checkpoint = task.checkpoint.max(finish.checkpoint);
         task.stage = Stage::Over;
+        task.crashes += u32::from(finish.crashed());
         self.claimed -= 1;
         let stopped = match self.spec.terms.kind {
             _ if !self.active() => self.end_while_stopping(finish),
@@ -308,6 +314,7 @@
             record::Outcome::Failed => task.failures += 1,
             record::Outcome::Done => {
                 task.failures = 0;
+                task.crashes = 0;
                 task.checkpoint = 0;
             }
             _ => {}
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -37,6 +37,9 @@
 /// finding.
 pub const FORMAT: u32 = 1;
 
+/// The reason of an attempt that ended with a crash of its worker: a new incarnation without notice.
+pub const CRASHED: &str = "the worker crashed while the task was assigned to it";
+
 /// The content of one log entry.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -251,6 +254,14 @@
     pub reason: CompactString,
 }
 
+impl FinishedAttempt {
+    /// Returns whether the attempt ended with a crash of its worker.
+    #[must_use]
+    pub fn crashed(&self) -> bool {
+        matches!(self.end, Outcome::Lost | Outcome::Failed) && self.reason == CRASHED
+    }
+}
+
 /// Proof that attempts have ended.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/profile.rs
+++ b/src/profile.rs
@@ -226,7 +226,8 @@
     /// How the tasks of a job are distributed over racks.
     #[serde(default = "default_racks")]
     pub racks: Racks,
-    /// Maximum number of attempts of a task before its job fails, 1 to 100.
+    /// Maximum number of attempts of a task before its job fails, 1 to 100. A crash of the worker
+    /// counts from the task's third on.
     #[serde(default = "default_attempts")]
     #[schemars(range(min = 1, max = 100))]
     pub attempts: u32,
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -4,6 +4,7 @@
 #![expect(clippy::unwrap_used, reason = "a test fails by a panic")]
 
 mod kernel {
+    mod crashes;
     mod fake;
     mod fuzz;
     mod harness;
--- a/tests/kernel/instance.rs
+++ b/tests/kernel/instance.rs
@@ -139,7 +139,9 @@
     pub(super) fn list(&mut self, now: Millis, listing: &list::Listing) {
         self.members.apply_listing(now, listing);
         self.workers.listed(now, listing);
-        let commands = self.runs.listed(now, listing, &self.jobs, &self.members);
+        let commands = self
+            .runs
+            .listed(now, listing, &self.jobs, &self.members, &self.workers);
         self.commands.extend(commands);
     }
 
--- a/tests/kernel/values.rs
+++ b/tests/kernel/values.rs
@@ -21,7 +21,10 @@
     resources::Resources,
     wire::{
         list,
-        worker::TaskId, //
+        worker::{
+            self,
+            TaskId, //
+        }, //
     }, //
 };
 
@@ -49,6 +52,17 @@
     }
 }
 
+/// A task that a worker reports as running.
+pub(super) fn running(id: TaskId) -> worker::Task {
+    worker::Task {
+        id,
+        state: worker::State::Running,
+        demand: demand(1, 500),
+        checkpoint: 0,
+        reason: "".into(),
+    }
+}
+
 pub(super) fn me(at: usize, zone: &str, incarnation: u64) -> members::Identity {
     members::Identity {
         id: instance(at),
--- a/tests/process/jobs.rs
+++ b/tests/process/jobs.rs
@@ -141,3 +141,34 @@
     let answer = client().post(url).send_json(&job).await.unwrap();
     assert_eq!(answer.status(), 503);
 }
+
+#[actix_web::test]
+async fn a_task_that_crashes_each_worker_that_runs_it_is_given_up() {
+    // Two crashes are free; the profile allows five failed attempts.
+    const MOST: u32 = 7;
+    let mut cell = Cell::start(cell::ONE_ZONE).await;
+    let job = json!({"profile": "run", "tasks": 1, "payload": {"run_ms": 600_000}});
+    let id = cell.submit(0, &job).await;
+    let mut crashes = 0;
+    while crashes < MOST {
+        cell.wait_until("the task runs", async || {
+            cell.standin.verdict().counters.starts > u64::from(crashes)
+        })
+        .await;
+        // Each worker goes down, since the test cannot tell which one runs the task.
+        let target = Select::default();
+        cell.send_command(&Command::Restart { target }).await;
+        crashes += 1;
+        if crashes == 3 {
+            cell.kill(0);
+        }
+    }
+    let mut last = None;
+    cell.wait_until("the job has failed", async || {
+        last = cell.job_status(&id).await;
+        last.as_ref().is_some_and(|s| s.state == JobState::Failed)
+    })
+    .await;
+    assert_eq!(last.unwrap().reason, record::CRASHED);
+    assert_eq!(cell.verdict().counters.starts, u64::from(MOST));
+}
