feat(entry): crashes under tasks and broken connections are counted by profile

Cause: neither a metric nor a log line told that tasks or requests of one profile crash workers; the exchanges without an answer are counted for all profiles together.

Ruled out: labels for tasks or workers (unbounded), counting crashes at the instance that proposes the outcome (a proposal may be repeated or lose).

A process test shows that a request which crashes its backend servers runs twice and is answered as unknown.

The counters' own asserts in the process tests were not seen red by themselves. A caller that has gone is not counted.

--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -60,6 +60,10 @@
     pub waits: Histogram,
     /// Number of exchanges that ended without a complete response.
     pub unknown: Counter,
+    /// Number of connections to backend servers that broke in mid-exchange, by profile.
+    broken: Family<ProfileLabels, Counter>,
+    /// Number of tasks' attempts that ended with a crash of their worker, by profile.
+    crashes: Family<ProfileLabels, Counter>,
     /// Number of attempts beyond the first: retries and hedged requests.
     pub repeats: Counter,
     /// Number of requests forwarded to another instance.
@@ -107,6 +111,8 @@
             latency: Family::new_with_constructor(latency_histogram),
             waits: latency_histogram(),
             unknown: Counter::default(),
+            broken: Family::default(),
+            crashes: Family::default(),
             repeats: Counter::default(),
             forwards: Counter::default(),
             leases: Gauge::default(),
@@ -157,6 +163,16 @@
             "Exchanges without a complete response",
             self.unknown.clone(),
         );
+        registry.register(
+            "broken",
+            "Connections to backend servers that broke in mid-exchange, by profile",
+            self.broken.clone(),
+        );
+        registry.register(
+            "crashes",
+            "Attempts of tasks that ended with a crash of their worker, by profile",
+            self.crashes.clone(),
+        );
         registry.register(
             "repeats",
             "Retries and hedged requests",
@@ -199,6 +215,18 @@
         self.refusals.get_or_create(&RefusalLabels { code }).inc();
     }
 
+    /// Counts a connection to a backend server that broke in mid-exchange.
+    pub fn count_broken(&self, profile: &str) {
+        let profile = profile.to_owned();
+        self.broken.get_or_create(&ProfileLabels { profile }).inc();
+    }
+
+    /// Counts an attempt of a task that ended with a crash of its worker.
+    pub fn count_crash(&self, profile: &str) {
+        let profile = profile.to_owned();
+        self.crashes.get_or_create(&ProfileLabels { profile }).inc();
+    }
+
     /// Counts a response that took `seconds` from arrival.
     pub fn record_response(&self, profile: &str, seconds: f64) {
         let labels = ProfileLabels {
--- a/src/entry/scheduler/jobs.rs
+++ b/src/entry/scheduler/jobs.rs
@@ -19,7 +19,8 @@
         Millis,
         ProfileName,
         RunId,
-        Token, //
+        Token,
+        WorkerId, //
     },
     kernel::{
         WorkerKey,
@@ -516,10 +517,36 @@
         ledger.read(|state| self.runs.rebuild(now, &state.jobs, &Profiles(state)));
     }
 
-    /// Counts the claims that won in the log.
+    /// Counts the claims that won in the log, and the crashes of workers under tasks.
     fn count_effect(&mut self, effect: &Effect) {
-        if let Effect::Claim { won: true, .. } = effect {
-            self.metrics.claims.inc();
+        match effect {
+            Effect::Claim { won: true, .. } => {
+                self.metrics.claims.inc();
+            }
+            Effect::Ended { finish, worker } if finish.crashed() => {
+                self.count_crash(finish, worker);
+            }
+            _ => {}
         }
     }
+
+    fn count_crash(&self, finish: &record::FinishedAttempt, worker: &WorkerId) {
+        let id = &finish.id;
+        let ledger = self.ledger.clone();
+        ledger.read(|state| {
+            let Some(job) = state.jobs.get(&id.run) else {
+                return;
+            };
+            self.metrics.count_crash(job.spec.profile.as_str());
+            log::warn!(
+                run = id.run.as_str(),
+                task = id.index,
+                attempt = id.attempt,
+                worker = worker.as_str(),
+                profile = job.spec.profile.as_str(),
+                blamed = finish.end == record::Outcome::Failed;
+                "worker crashed under a task"
+            );
+        });
+    }
 }
--- a/src/entry/scheduler/serving.rs
+++ b/src/entry/scheduler/serving.rs
@@ -269,6 +269,7 @@
         {
             request.sends = request.sends.saturating_sub(1);
         }
+        self.count_broken(&ended);
         self.apply_action(now, ended.key, action);
         if matches!(
             ended.outcome,
@@ -302,6 +303,14 @@
 }
 
 impl Scheduler {
+    /// Counts a connection to a worker that broke while its caller waited.
+    fn count_broken(&self, ended: &AttemptEnded) {
+        let broke = ended.outcome == AttemptOutcome::ConnectionLost && ended.worker.is_some();
+        if broke && let Some(request) = self.open_requests.get(ended.key) {
+            self.metrics.count_broken(request.name.as_str());
+        }
+    }
+
     /// Checks the timers of requests.
     pub(super) fn check_timers(&mut self, _: &mut Context<Self>) {
         let now = self.now();
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -47,6 +47,8 @@
     let entry = entry::metrics::Metrics::new();
     entry.count_refusal(Code::Internal);
     entry.record_response("ramp-check", 0.1);
+    entry.count_broken("ramp-check");
+    entry.count_crash("plans");
     let admin = admin::metrics::Metrics::new();
     let labels = admin::metrics::CallLabels {
         route: "GET /v1/profiles".to_owned(),
--- a/tests/process/cell.rs
+++ b/tests/process/cell.rs
@@ -282,6 +282,13 @@
         }
     }
 
+    /// Returns the metrics page of an instance.
+    pub(crate) async fn metrics(&self, index: usize) -> String {
+        let url = format!("http://{}/metrics", self.instances[index].address);
+        let body = client().get(url).send().await.unwrap().body().await;
+        String::from_utf8(body.unwrap().to_vec()).unwrap()
+    }
+
     /// Submits a job through an instance and returns its id.
     pub(crate) async fn submit(&self, index: usize, job: &Value) -> String {
         let url = format!("http://{}/v1/jobs", self.instances[index].address);
--- a/tests/process/jobs.rs
+++ b/tests/process/jobs.rs
@@ -170,5 +170,8 @@
     })
     .await;
     assert_eq!(last.unwrap().reason, record::CRASHED);
+    let counted = cell.metrics(1).await;
+    let expected = format!("bamboolock_entry_crashes_total{{profile=\"run\"}} {MOST}");
+    assert!(counted.lines().any(|l| l == expected), "{counted}");
     assert_eq!(cell.verdict().counters.starts, u64::from(MOST));
 }
--- a/tests/process/requests.rs
+++ b/tests/process/requests.rs
@@ -193,3 +193,45 @@
     sleep(Duration::from_secs(2)).await;
     assert_eq!(cell.verdict().counters.nonidempotent, 1);
 }
+
+#[actix_web::test]
+async fn a_request_that_crashes_its_backend_servers_is_unknown_after_two() {
+    /// Requests that fill the retry budget.
+    const FIRST: u64 = 12;
+    let cell = Cell::start(cell::ONE_ZONE).await;
+    let address = cell.instances[0].address;
+    let before = cell.next_offsets().await;
+    let body = json!({"kind": "request", "team": "gates", "idempotent": true,
+        "objective": {"deadline": 12_000, "wait": 1_000},
+        "retry": {"attempts": 10, "budget": 1.0, "backoff": 50}});
+    cell.publish("first-deadly", "deadly", 0, &body).await;
+    cell.wait_until("the profile is in force", async || {
+        let offsets = cell.next_offsets().await;
+        offsets.iter().zip(&before).all(|(new, old)| new > old)
+    })
+    .await;
+    for _ in 0..FIRST {
+        let body = json!({"service_ms": 1_000, "mark": "first"});
+        let answer = load::send_once(address, "deadly", None, &body).await;
+        answer.unwrap();
+    }
+    let sent = actix_rt::spawn(async move {
+        let body = json!({"service_ms": 1_000, "mark": "deadly"});
+        load::send_once(address, "deadly", None, &body).await
+    });
+    for count in 1..=2 {
+        cell.wait_until("the request executes", async || {
+            cell.standin.verdict().counters.requests == FIRST + count
+        })
+        .await;
+        let target = Select::default();
+        cell.send_command(&Command::Restart { target }).await;
+    }
+    let (not_run, reason) = sent.await.unwrap().unwrap_err();
+    assert!(!not_run, "it did run: {reason}");
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(cell.verdict().counters.requests, FIRST + 2);
+    let counted = cell.metrics(0).await;
+    let expected = "bamboolock_entry_broken_total{profile=\"deadly\"} 2";
+    assert!(counted.lines().any(|l| l == expected), "{counted}");
+}
