fix(ledger): a record of a job with billions of tasks ends no reader

Cause: a reader of the log made room for as many tasks as an accepted job's record names. One record of another writer with 4,294,967,295 tasks ended each process that read it (275 GB asked for), and again at each start, since the log keeps it. `caller::MAX_TASKS` was used nowhere.

Ruled out: tasks made when they are first needed (far more change); a limit on memory (the record is wrong as such). Readers of two releases don't disagree: the schema refuses such a job of a caller, so no build has written one.

Change: an accepted job of more than `MAX_TASKS` tasks is skipped with a finding, like any record that can't be meant.

--- a/src/ledger/state.rs
+++ b/src/ledger/state.rs
@@ -35,6 +35,7 @@
         }, //
     },
     wire::{
+        caller,
         log,
         peer, //
     }, //
@@ -212,6 +213,12 @@
             Record::Key(key) => vec![self.keys.acquire(&key, at)],
             Record::Answer(answer) => self.keys.answer(&answer, at).into_iter().collect(),
             Record::Snapshot(part) => self.track_snapshot(by, &part, offset),
+            Record::Accepted(job) if job.tasks > caller::MAX_TASKS => {
+                let problem = format!("a job of {} tasks", job.tasks);
+                vec![Effect::Skipped(offset_finding(
+                    offset, "/records", &problem,
+                ))]
+            }
             Record::Accepted(_) | Record::Claim(_) | Record::Ended(_) | Record::Cancel { .. } => {
                 let effects = self.jobs.apply(at, by, &record);
                 self.count_jobs(&effects);
--- a/tests/ledger/replay.rs
+++ b/tests/ledger/replay.rs
@@ -9,7 +9,10 @@
         record,
         state::State, //
     },
-    wire::caller::Ran, //
+    wire::caller::{
+        self,
+        Ran, //
+    }, //
 };
 use serde_json::{
     Value,
@@ -116,6 +119,23 @@
     }
 }
 
+#[test]
+fn an_accepted_job_of_more_tasks_than_any_caller_may_ask_for_ends_no_reader() {
+    let accepted = |tasks: u32| {
+        json!({"type": "accepted", "run": "wide", "profile": "plans", "version": 1, "zone": "a",
+            "tasks": tasks, "demand": {"slots": 1}, "estimate": 0, "deadline": 60_000,
+            "key": null, "payload": null})
+    };
+    let mut state = published();
+    for (tasks, known) in [(u32::MAX, false), (caller::MAX_TASKS, true)] {
+        let effects = apply(&mut state, vec![accepted(tasks)]);
+        let skipped = effects.iter().any(|e| matches!(e, Effect::Skipped(_)));
+        assert_eq!(skipped, !known, "{tasks}: {effects:?}");
+        let run: bamboolock::ids::RunId = id("wide");
+        assert_eq!(state.jobs.get(&run).is_some(), known, "{tasks}");
+    }
+}
+
 #[test]
 fn an_invalid_record_does_not_affect_the_rest_of_its_batch() {
     let mut state = State::new();
