--- a/src/entry/scheduler/serving.rs
+++ b/src/entry/scheduler/serving.rs
@@ -23,6 +23,7 @@
     entry::exchange::{
         Outcome,
         Receiver,
+        Response,
         Route, //
     },
     ids::{
@@ -138,13 +139,17 @@
     Aborted,
     /// The exchange failed before the response was complete.
     ConnectionLost,
+    /// The peer gave up on the request and does not know the outcome.
+    Unknown,
 }
 
 impl AttemptOutcome {
-    /// Returns the outcome of an attempt from that of its exchange.
+    /// Returns the outcome of an attempt from that of its exchange with a worker or, without one,
+    /// with a peer.
     #[must_use]
-    pub fn of(outcome: &Outcome) -> Self {
+    pub fn of(outcome: &Outcome, worker: Option<WorkerKey>) -> Self {
         match outcome {
+            Outcome::Complete(r) if worker.is_none() && gave_up(r) => AttemptOutcome::Unknown,
             Outcome::Complete(r) if r.status.is_server_error() => AttemptOutcome::BackendError,
             Outcome::Complete(_) => AttemptOutcome::Answered,
             Outcome::NotRun => AttemptOutcome::NotRun,
@@ -162,10 +167,16 @@
             AttemptOutcome::NotRun | AttemptOutcome::Fenced => KernelOutcome::NotRun,
             AttemptOutcome::TimedOut | AttemptOutcome::Aborted => KernelOutcome::TimedOut,
             AttemptOutcome::ConnectionLost => KernelOutcome::ConnectionLost,
+            AttemptOutcome::Unknown => KernelOutcome::Unknown,
         }
     }
 }
 
+/// Whether a peer's response says that it gave up and does not know whether the request ran.
+fn gave_up(response: &Response) -> bool {
+    response.status.is_server_error() && response.ran == Ran::Unknown
+}
+
 /// A request without a final action.
 #[derive(Debug)]
 pub(super) struct Request {
@@ -258,6 +269,7 @@
         {
             request.sends = request.sends.saturating_sub(1);
         }
+        self.count_broken(&ended);
         self.apply_action(now, ended.key, action);
         if matches!(
             ended.outcome,
@@ -291,6 +303,14 @@
 }
 
 impl Scheduler {
+    /// Counts a connection to a worker that broke while its caller waited.
+    fn count_broken(&self, ended: &AttemptEnded) {
+        let broke = ended.outcome == AttemptOutcome::ConnectionLost && ended.worker.is_some();
+        if broke && let Some(request) = self.open_requests.get(ended.key) {
+            self.metrics.count_broken(request.name.as_str());
+        }
+    }
+
     /// Checks the timers of requests.
     pub(super) fn check_timers(&mut self, _: &mut Context<Self>) {
         let now = self.now();
--- a/src/profile.rs
+++ b/src/profile.rs
@@ -90,7 +90,8 @@
     /// Retry budget as a share of first attempts, 0 to 1.
     #[schemars(range(min = 0.0, max = 1.0))]
     pub budget: f64,
-    /// Maximum number of attempts of one request, the first included, 1 to 10.
+    /// Maximum number of attempts of one request, the first included, 1 to 10. Two broken
+    /// connections end them sooner.
     #[schemars(range(min = 1, max = 10))]
     pub attempts: u8,
     /// First backoff, in milliseconds. It doubles with each retry, with jitter.
@@ -225,7 +226,8 @@
     /// How the tasks of a job are distributed over racks.
     #[serde(default = "default_racks")]
     pub racks: Racks,
-    /// Maximum number of attempts of a task before its job fails, 1 to 100.
+    /// Maximum number of attempts of a task before its job fails, 1 to 100. A crash of the worker
+    /// counts from the task's third on.
     #[serde(default = "default_attempts")]
     #[schemars(range(min = 1, max = 100))]
     pub attempts: u32,
