fix(policy): a probe that no instance could send does not count as sent

Cause: a gang for which too little capacity is expected probes the policy, with a delay of 0.8 to 3.2 s between probes. The delay began before an instance was assigned: with all instances busy, no query left, and the gang missed the moments at which one became free.

Ruled out for these gangs: a step outside the backlog, a gang that stays broken, a run that is booked but nowhere, a count of queries in flight that stays up. Lines on each refusal to query, in a trial build, showed probes counted from 4 to 6 without a query sent.

Change: the delay begins when a query was sent.

Gangs ahead still keep the policy to themselves. Red before: gangs::a_probe_that_no_instance_could_send_is_not_put_off.

--- a/src/cell/engine/policy.rs
+++ b/src/cell/engine/policy.rs
@@ -221,9 +221,6 @@
             if !unknown || policy.in_flight > 0 || policy.probe_after > pass.now {
                 return false;
             }
-            policy.probe_after =
-                pass.now + (PROBE_INTERVAL_MS << policy.probes.min(MAX_PROBE_DOUBLINGS));
-            policy.probes += 1;
             eligible.truncate(MIN_GANG_CHUNK.max(pending.waiting as usize * 2));
         }
         let used = if enough {
@@ -233,12 +230,26 @@
         };
         let most = (MAX_GANG_QUERIES - policy.in_flight) as usize;
         let chunk = eligible.len().div_ceil(most).max(MIN_GANG_CHUNK);
+        let mut sent = false;
         for part in eligible.chunks(chunk) {
-            self.send_query(pending.key, part, used, pass.now);
+            sent |= self.send_query(pending.key, part, used, pass.now);
+        }
+        if !enough && sent {
+            self.count_probe(pending.key, pass.now);
         }
         enough
     }
 
+    /// Delays the next probe of a step after one was sent at local time `now`, in milliseconds.
+    fn count_probe(&mut self, key: StepKey, now: u64) {
+        let Some(step) = self.jobs[key.job].step_mut(key) else {
+            return;
+        };
+        let policy = &mut step.policy;
+        policy.probe_after = now + (PROBE_INTERVAL_MS << policy.probes.min(MAX_PROBE_DOUBLINGS));
+        policy.probes += 1;
+    }
+
     fn allowed_share(&self, key: StepKey) -> f64 {
         let queue = &self.jobs[key.job].queue.name;
         let at = self.queue_stats.binary_search_by(|l| l.queue.cmp(queue));
@@ -247,20 +258,20 @@
     }
 
     /// Sends a query about the candidates `named`, of whose capacity the fraction `used` is likely
-    /// to be taken.
-    fn send_query(&mut self, key: StepKey, named: &[Candidate], used: f64, now: u64) {
+    /// to be taken; returns whether an instance was free to send it.
+    fn send_query(&mut self, key: StepKey, named: &[Candidate], used: f64, now: u64) -> bool {
         if named.is_empty() {
-            return;
+            return false;
         }
         let id = |c: &Candidate| self.cluster.workers[c.worker].registration.id.clone();
         let workers: Vec<CompactString> = named.iter().map(id).collect();
         let job = &mut self.jobs[key.job];
         let Some(policy_cost) = job.queue.policy_cost else {
-            return;
+            return false;
         };
         let cost_ms = policy_cost.base + policy_cost.per_worker * workers.len() as f64;
         let Some(proxy) = self.proxies.assign(cost_ms, now) else {
-            return;
+            return false;
         };
         let occurrence = job.occurrences.get(key.occurrence as usize);
         let number = occurrence.map_or(0, |o| o.number);
@@ -285,6 +296,7 @@
             validity_ms: policy_cost.validity.as_millis() as u64,
             workers,
         }));
+        true
     }
 
     /// Applies the policy's answer; `None` if the query failed.
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -8,6 +8,7 @@
     mod election;
     mod faults;
     mod fuzz;
+    mod gangs;
     mod journal;
     mod listing;
     mod load;
