--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -12,6 +12,7 @@
     mod election;
     mod faults;
     mod fuzz;
+    mod gangs;
     mod journal;
     mod listing;
     mod load;
