test(cell): workers of the simulation shrink and grow while they run

Ruled out: a changed capacity only at a restart, which rules.rs has; lists without a delay, since workers write at a beat. Change: `FaultRates::capacities` lets workers shrink, also to 0 and below what runs, for up to 15 s. Their registrations show it at the next beat. The oracle counts the largest capacity of the last contact_ms and one beat. `guarded` lets workers refuse what does not fit. In these families an owner that is cut off from the store does not read the list either. Conclusion: nothing starts before it fits, nothing is stopped, growth is used at once, jobs that fit nowhere wait.

--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -5,6 +5,7 @@
 
 mod cell {
     mod archive;
+    mod capacity;
     mod election;
     mod faults;
     mod fuzz;
--- a/tests/cell/faults.rs
+++ b/tests/cell/faults.rs
@@ -59,6 +59,10 @@
     /// Whether the instances act as in the shell: they send heartbeats to the owner, and the owner
     /// proves by appends that it still owns the cell.
     pub(super) instances: bool,
+    /// Workers whose capacity shrinks and grows again, per second.
+    pub(super) capacities: u32,
+    /// Whether workers refuse what exceeds their capacity.
+    pub(super) guarded: bool,
 }
 
 impl FaultRates {
@@ -80,6 +84,8 @@
         lags: 0,
         page: 0,
         instances: false,
+        capacities: 0,
+        guarded: false,
     };
 }
 
--- a/tests/cell/fuzz.rs
+++ b/tests/cell/fuzz.rs
@@ -276,6 +276,7 @@
     lags: 200,
     page: 0,
     instances: true,
+    ..FaultRates::NONE
 };
 
 #[test]
@@ -309,3 +310,49 @@
     };
     play_all(22_000, 8, rates);
 }
+
+#[test]
+fn guarantees_hold_where_capacity_shrinks_and_grows() {
+    let rates = FaultRates {
+        loss: 40,
+        late: 40,
+        long: 150,
+        capacities: 700,
+        instances: true,
+        ..FaultRates::NONE
+    };
+    play_all(23_000, 16, rates);
+}
+
+#[test]
+fn guarantees_hold_where_workers_that_guard_their_capacity_shrink() {
+    let rates = FaultRates {
+        loss: 20,
+        long: 150,
+        capacities: 700,
+        guarded: true,
+        instances: true,
+        ..FaultRates::NONE
+    };
+    play_all(24_000, 8, rates);
+}
+
+#[test]
+fn guarantees_hold_where_capacity_shrinks_while_owners_change() {
+    let rates = FaultRates {
+        loss: 20,
+        late: 20,
+        faults: 100,
+        paths: 250,
+        long: 250,
+        pauses: 150,
+        suspended: 300,
+        late_answers: 500,
+        series: 400,
+        handovers: 100,
+        capacities: 700,
+        instances: true,
+        ..FaultRates::NONE
+    };
+    play_all(25_000, 16, rates);
+}
--- a/tests/cell/listing.rs
+++ b/tests/cell/listing.rs
@@ -12,7 +12,11 @@
 
 use super::{
     make,
-    world::World, //
+    workers::BEAT,
+    world::{
+        CAPACITY,
+        World, //
+    }, //
 };
 
 /// Time for which the registration of a worker that is gone stays listed, in milliseconds.
@@ -27,6 +31,7 @@
     incarnation: u64,
     port: u16,
     draining: bool,
+    capacity: u32,
 }
 
 /// Registration of one worker over time.
@@ -42,6 +47,10 @@
     unlisted: u64,
     /// Time at which the worker was last up, in milliseconds.
     last_up: u64,
+    /// Time at which a capacity that has shrunk changes again, in milliseconds.
+    resized: Option<u64>,
+    /// Incarnation and capacity that the worker has registered.
+    registered: (u64, u32),
 }
 
 impl Listing {
@@ -73,6 +82,24 @@
                 .trace(|| format!("{} worker {at} is not listed until {until}", self.now));
             self.listings[at].unlisted = until;
         }
+        if self.roll(self.rates.capacities) {
+            self.shrink();
+        }
+    }
+
+    /// Lets the capacity of a worker shrink for a while, also below what runs there.
+    fn shrink(&mut self) {
+        let at = self.dice.random_range(0..self.machines.len());
+        let capacity = self.dice.random_range(0..CAPACITY / 1_000) * 1_000;
+        let until = self.now + self.dice.random_range(500..15_000);
+        self.judge.trace(|| {
+            format!(
+                "{} capacity of worker {at} is {capacity} until {until}",
+                self.now
+            )
+        });
+        self.machines[at].resize(capacity, self.now);
+        self.listings[at].resized = Some(until);
     }
 
     /// Records the registrations as they are now.
@@ -93,11 +120,20 @@
             if machine.up {
                 listing.last_up = now;
             }
+            if listing.resized.is_some_and(|until| until <= now) {
+                listing.resized = None;
+                machine.resize(CAPACITY, now);
+            }
+            let beat = (now + at as u64 * BEAT / 6).is_multiple_of(BEAT);
+            if beat || listing.registered.0 != machine.incarnation {
+                listing.registered = (machine.incarnation, machine.capacity);
+            }
             let listed = !lapses || listing.last_up + LAPSE > now && listing.unlisted <= now;
             let entry = listed.then_some(Entry {
                 incarnation: machine.incarnation,
                 port: listing.port,
                 draining: listing.exit.is_some(),
+                capacity: listing.registered.1,
             });
             // What is listed at the start has been so for long.
             let since = if listing.changes.is_empty() { 0 } else { now };
--- a/tests/cell/network.rs
+++ b/tests/cell/network.rs
@@ -310,6 +310,10 @@
         }
         let token = self.owners[owner].engine.token;
         let long = matches!(call, Call::Start(..)) && self.roll(self.rates.long);
+        let full = match &call {
+            Call::Start(_, task, ..) => self.rates.guarded && !self.fits(at, task),
+            _ => false,
+        };
         let judge = &mut self.judge;
         let answer = match &call {
             Call::Start(_, task, run, expires) => {
@@ -325,7 +329,10 @@
                 let fate = Behaviour { duration, outcome };
                 let call = (task, *run, *expires, token);
                 let (until, verdict) = self.spells[at];
-                let refusal = (until > now).then_some(verdict);
+                let refusal = match full {
+                    true => Some(Verdict::Full),
+                    false => (until > now).then_some(verdict),
+                };
                 let refused = refusal.and_then(|verdict| {
                     workers::refuse(&mut self.machines[at], call, verdict, now)
                 });
@@ -374,6 +381,13 @@
         }
     }
 
+    /// Whether a worker has the capacity for one more run of a task.
+    fn fits(&self, at: usize, task: &TaskName) -> bool {
+        let job = self.judge.jobs.get(task.job.as_str());
+        let demand = job.map_or(0, |job| job.steps[task.step as usize].1);
+        self.machines[at].used() + demand <= self.machines[at].capacity
+    }
+
     fn give(&mut self, owner: usize, call: Call, answer: Answer) {
         let now = self.owners[owner].local(self.now);
         let state = &mut self.owners[owner];
--- a/tests/cell/owners.rs
+++ b/tests/cell/owners.rs
@@ -148,7 +148,9 @@
             }
             state.engine.tick(local);
         }
-        if now.is_multiple_of(500) {
+        // An owner that is cut off from the store cannot read the list either.
+        let cut = self.rates.capacities > 0 && state.cut > now;
+        if now.is_multiple_of(500) && !cut {
             self.read_registrations(owner);
         }
         let state = &mut self.owners[owner];
--- a/tests/cell/workers.rs
+++ b/tests/cell/workers.rs
@@ -57,6 +57,13 @@
     pub(super) shown: BTreeMap<String, u64>,
 }
 
+/// Time for which a worker's former capacity still counts after it has shrunk, in milliseconds: the
+/// platform's bound and one heartbeat.
+const FORMER_CAPACITY: u64 = 4_000 + BEAT;
+
+/// Interval at which workers write their registrations, in milliseconds.
+pub(super) const BEAT: u64 = 1_500;
+
 /// Time after which a leaving worker gets no new tasks, in milliseconds: the platform's bound.
 const LEAVE: u64 = 2_500;
 
@@ -96,8 +103,7 @@
             return self.violate(now, "unknown job", task);
         };
         let (_, demand, _, after) = &job.steps[task.step as usize];
-        let used: u32 = machine.running.iter().map(|r| r.demand).sum();
-        if used + demand > machine.capacity {
+        if machine.used() + demand > machine.counted_capacity(now) {
             self.violate(now, "capacity exceeded", task);
         }
         if !job.accepted {
@@ -271,6 +277,8 @@
     /// Rate of the worker's clock, in thousandths.
     pub(super) rate: u64,
     started: u64,
+    /// Capacities, each with the time since which it holds, in milliseconds.
+    capacities: Vec<(u64, u32)>,
     token: u64,
     lease: u64,
     /// Ended runs below this number precede the last expiry of the lease and are never
@@ -293,6 +301,7 @@
             leaving: None,
             rate,
             started: now,
+            capacities: vec![(now, capacity)],
             token: 0,
             lease: 0,
             discarded_below: 0,
@@ -308,6 +317,26 @@
         *self = Self::new(self.id.clone(), self.capacity, self.rate, now);
     }
 
+    /// Changes the capacity; what runs goes on.
+    pub(super) fn resize(&mut self, capacity: u32, now: u64) {
+        self.capacity = capacity;
+        self.capacities.push((now, capacity));
+    }
+
+    /// Largest capacity that counts for a start.
+    fn counted_capacity(&self, now: u64) -> u32 {
+        let until = |at: usize| self.capacities.get(at + 1).map_or(now, |(since, _)| *since);
+        let counted = |at: &usize| until(*at) + FORMER_CAPACITY >= now;
+        let indices = (0..self.capacities.len()).filter(counted);
+        let counted = indices.map(|at| self.capacities[at].1);
+        counted.max().unwrap_or(self.capacity)
+    }
+
+    /// CPU that the runs take, in millicores.
+    pub(super) fn used(&self) -> u32 {
+        self.running.iter().map(|r| r.demand).sum()
+    }
+
     /// Whether a run is active on the worker.
     pub(super) fn is_busy(&self) -> bool {
         !self.running.is_empty()
@@ -321,7 +350,7 @@
     pub(super) fn describe(&self, now: u64) -> String {
         let clock = self.clock(now);
         let lease = self.lease as i64 - clock as i64;
-        let used: u32 = self.running.iter().map(|r| r.demand).sum();
+        let used = self.used();
         let running = self.running.iter().map(|r| {
             let (task, since) = (&r.task, clock - r.since);
             format!(
--- a/tests/cell/world.rs
+++ b/tests/cell/world.rs
@@ -35,6 +35,9 @@
 /// Time until a successor takes over, in milliseconds.
 pub(super) const TAKE_OVER: u64 = 700;
 
+/// Usual capacity of a worker, in millicores.
+pub(super) const CAPACITY: u32 = 8_000;
+
 /// Number of instances.
 pub(super) const INSTANCES: usize = 4;
 
@@ -85,7 +88,7 @@
         let machine = |n: u64| {
             SimWorker::new(
                 format!("w{n}"),
-                8_000,
+                CAPACITY,
                 rng.random_range(985..=1_000),
                 START - 100 * n,
             )
