fix(cell): a start that no longer fits into its worker is neither sent nor repeated

Cause: by reading, `start_command` asked whether the run is needed and the ownership proven, not whether the worker still has the capacity. A start waits for the owner's link for any time; a worker that shrank meanwhile got it all the same. Ruled out: to look only at the demand of this run: with several unsent runs none would give way. To stop an unanswered run: it was sent before the change was seen and expires before the smaller capacity counts. To write the run off: it may have arrived, and still takes its capacity. Change: `Worker::is_overbooked`: the runs take more than the capacity. A start to such a worker is not sent: one that was never sent is lost as unsent and placed again, one that may have arrived keeps its capacity until the worker's report or its expiry tells.

--- a/src/cell/cluster.rs
+++ b/src/cell/cluster.rs
@@ -190,6 +190,12 @@
         Resources::from_parts(std::array::from_fn(|i| parts[i].saturating_sub(used[i])))
     }
 
+    /// Whether the runs take more than the capacity, which may have shrunk since they were placed.
+    #[must_use]
+    pub fn is_overbooked(&self) -> bool {
+        !self.used.fits(&self.registration.capacity)
+    }
+
     /// Whether the worker can be removed: no registration, no runs, no poll in flight.
     #[must_use]
     pub fn is_removable(&self) -> bool {
--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -14,7 +14,10 @@
     losses::Loss, //
 };
 use crate::cell::{
-    cluster::RunState,
+    cluster::{
+        RunState,
+        Worker, //
+    },
     job::{
         Job,
         RunKey,
@@ -149,15 +152,16 @@
         job.map_or(0, start_size)
     }
 
-    /// The command that starts a run, if it is still needed and the ownership is proven. Any time may
-    /// have passed since the run was placed.
+    /// The command that starts a run, if it is still needed, the ownership is proven and the worker
+    /// still has the capacity. Any time may have passed since the run was placed.
     pub fn start_command(&mut self, key: RunKey, now: u64) -> Option<Start> {
         let may_command = self.may_command(now);
         let run = self.cluster.runs.get_mut(key)?;
         if run.stopping || run.in_flight {
             return None;
         }
-        if !may_command {
+        let worker = self.cluster.workers.get(run.worker);
+        if !may_command || worker.is_some_and(Worker::is_overbooked) {
             if run.start_expires == 0 {
                 self.lose_run(key, Loss::Unsent, now);
             }
@@ -197,14 +201,15 @@
     }
 
     /// Whether a start command that was not sent yet may still be sent: the run is needed, the
-    /// ownership is proven and the command has not expired. Any time may have passed since
-    /// [`Engine::start_command`].
+    /// ownership is proven, the worker has the capacity and the command has not expired. Any time may
+    /// have passed since [`Engine::start_command`].
     #[must_use]
     pub fn may_still_start(&self, key: RunKey, now: u64) -> bool {
         let Some(run) = self.cluster.runs.get(key) else {
             return false;
         };
         let worker = self.cluster.workers.get(run.worker);
+        let worker = worker.filter(|worker| !worker.is_overbooked());
         let clock = worker.and_then(|worker| worker.clock_at(now));
         let expired = clock.is_none_or(|clock| clock >= run.start_expires);
         run.task.is_some() && !run.stopping && !expired && self.may_command(now)
@@ -551,7 +556,8 @@
             if run.state != RunState::Unanswered || !may_command {
                 continue;
             }
-            let clock = self.cluster.workers[run.worker].clock_at(now);
+            let worker = &self.cluster.workers[run.worker];
+            let clock = worker.clock_at(now).filter(|_| !worker.is_overbooked());
             if clock.is_some_and(|clock| clock < run.start_expires) {
                 self.actions.push(Action::Start(key));
             }
--- a/tests/cell/capacity.rs
+++ b/tests/cell/capacity.rs
@@ -2,12 +2,17 @@
 
 use bamboolock::{
     cell::{
-        engine::Engine,
+        engine::{
+            Engine,
+            commands::SendError, //
+        },
         job::RunKey,
         model::{
             self,
             Outcome,
-            State, //
+            Reply,
+            State,
+            Verdict, //
         }, //
     },
     resources::Resources, //
@@ -109,6 +114,78 @@
     assert_eq!(make::starts(&mut engine, START + 60_000).len(), 1);
 }
 
+#[test]
+fn a_start_that_was_not_sent_is_not_sent_once_it_no_longer_fits() {
+    let mut engine = make::owner(&[("w1", 16_000)]);
+    submit(&mut engine, JOB, make::step(3, 4_000));
+    let runs = make::starts(&mut engine, START);
+    resize(&mut engine, "w1", 8_000);
+    let sent = |run: &&RunKey| engine.start_command(**run, START + 10).is_some();
+    assert_eq!(runs.iter().filter(sent).count(), 2, "two of three fit");
+    engine.register(make::worker("w2", 1, 16_000));
+    let w2 = engine.cluster.find_worker("w2").unwrap();
+    make::answer(&mut engine, w2, make::report(1, 500), START + 20);
+    make::store(&mut engine, START + 20);
+    let again = make::starts(&mut engine, START + 30);
+    assert_eq!(again.len(), 1);
+    assert_eq!(make::place(&engine, again[0]), "w2", "it starts elsewhere");
+}
+
+#[test]
+fn an_unanswered_start_is_not_repeated_once_it_no_longer_fits() {
+    let (mut engine, run) = make::placed(JOB);
+    engine.start_command(run, START).unwrap();
+    engine.start_answered(run, Err(SendError::Unknown), START + 350);
+    resize(&mut engine, "w1", 500);
+    assert_eq!(engine.start_command(run, START + 400), None);
+    assert!(
+        engine.cluster.runs.contains_key(run),
+        "it may have arrived, and counts"
+    );
+    resize(&mut engine, "w1", 16_000);
+    assert!(engine.start_command(run, START + 500).is_some());
+}
+
+#[test]
+fn a_start_that_no_relay_sent_is_not_sent_once_it_no_longer_fits() {
+    let (mut engine, run) = make::placed(JOB);
+    engine.start_command(run, START).unwrap();
+    assert!(engine.may_still_start(run, START + 300));
+    resize(&mut engine, "w1", 500);
+    assert!(!engine.may_still_start(run, START + 300));
+}
+
+#[test]
+fn a_gang_that_was_not_sent_before_its_worker_shrank_starts_later_as_a_whole() {
+    let mut engine = make::owner(&[("w1", 16_000)]);
+    let mut step = make::step(3, 4_000);
+    step.gang = true;
+    submit(&mut engine, JOB, step);
+    let runs = make::starts(&mut engine, START);
+    assert_eq!(runs.len(), 3);
+    make::accept(&mut engine, &runs[..1], START);
+    resize(&mut engine, "w1", 8_000);
+    assert_eq!(engine.start_command(runs[1], START + 10), None);
+    engine.tick(START + 500);
+    let accepted = Reply {
+        verdict: Verdict::Accepted,
+        clock: None,
+    };
+    for run in [runs[0], runs[2]] {
+        assert_eq!(engine.start_command(run, START + 500), None);
+        assert!(engine.stop_command(run, START + 500).is_some());
+        engine.stop_answered(run, Ok(accepted), START + 510);
+    }
+    let worker = engine.cluster.find_worker("w1").unwrap();
+    let mut report = make::report(1, 1_100);
+    report.ended = vec![make::end(1, make::task(JOB, 0, 0), 1, Outcome::Stopped)];
+    make::answer(&mut engine, worker, report, START + 600);
+    make::store(&mut engine, START + 600);
+    assert_eq!(make::starts(&mut engine, START + 620), []);
+    resize(&mut engine, "w1", 16_000);
+    assert_eq!(make::starts(&mut engine, START + 630).len(), 3);
+}
+
 /// Creates an owner of a worker on which a run is found that nobody knows, while the worker has the
 /// capacity `before`, in millicores.
 fn with_unknown_run(before: u32) -> Engine {
