fix(cell): a worker over its capacity gets no task at all

Cause: `free` cuts each amount off at 0, so a step that takes no CPU, or no GPU, was placed on a worker whose runs took more CPU than it had left: the start brought the sum over a capacity that it exceeded already. Ruled out: to compare only the amounts that the step takes: an opportunistic task has no idle CPU to use there, and LIMIT does not say that a start which adds nothing to one amount is exempt. Change: `is_schedulable` is false while the runs take more than the capacity. Conclusion: seen red before: a_worker_over_its_capacity_takes_no_task_that_needs_no_cpu.

--- a/src/cell/cluster.rs
+++ b/src/cell/cluster.rs
@@ -212,6 +212,8 @@
             && self.silent_since.is_none()
             && self.clock_reading.is_some()
             && self.suspended_until <= now
+            // A task that takes no CPU would still work, and take memory, there.
+            && !self.is_overbooked()
             // A new incarnation may have another capacity and counts only once it has registered.
             && self.registration.incarnation == self.incarnation
             && self.registration.availability == model::Availability::Ready
--- a/tests/cell/capacity.rs
+++ b/tests/cell/capacity.rs
@@ -89,6 +89,16 @@
     assert!(poll.lease_end.is_some(), "its runs keep their leases");
 }
 
+#[test]
+fn a_worker_over_its_capacity_takes_no_task_that_needs_no_cpu() {
+    let (mut engine, _) = running(3);
+    resize(&mut engine, "w1", 8_000);
+    let mut step = make::step(1, 1_000);
+    step.opportunistic = true;
+    submit(&mut engine, OTHER, step);
+    assert_eq!(make::starts(&mut engine, START + 10), []);
+}
+
 #[test]
 fn capacity_that_has_grown_back_is_used_at_once() {
     let (mut engine, _) = running(1);
