fix(cell): an unknown run takes all of its worker also once the capacity has grown

Cause: a run that nobody knows, such as the late start of a former owner, was booked with the worker's capacity of that moment. Found while the capacity had shrunk, at worst to 0, it took nothing of what came back, and new tasks were placed over it. Ruled out: to book it again at each change of capacity: the amount that is freed must be the one that was taken. Change: it takes an amount that no worker has, `model::MAX_RESOURCES`; the worker gets no task until it has ended. Conclusion: seen red before: an_unknown_run_takes_the_whole_capacity_also_once_it_has_grown ("found at 0").

--- a/src/cell/engine/reports.rs
+++ b/src/cell/engine/reports.rs
@@ -239,7 +239,6 @@
             !job.state.is_final() && state.is_some_and(|t| t.phase == Phase::Waiting)
         });
         let id = self.cluster.workers[worker].registration.id.clone();
-        let capacity = self.cluster.workers[worker].registration.capacity;
         let demand = self.find_task(&live.task).map(|task| {
             let job = &self.jobs[task.step.job];
             super::demand(&job.submission.steps[task.step.step as usize])
@@ -251,8 +250,8 @@
             name: live.task.clone(),
             number: live.run,
             worker,
-            // An unknown run may use the whole capacity of the worker.
-            demand: demand.unwrap_or(capacity),
+            // An unknown run may use the whole capacity of the worker, also once it has grown.
+            demand: demand.unwrap_or(model::MAX_RESOURCES),
             state: RunState::Confirmed(now),
             start_expires: 0,
             ordered_at: now,
--- a/src/cell/model.rs
+++ b/src/cell/model.rs
@@ -190,6 +190,15 @@
 /// Maximum amount of a resource of one worker, so that sums over all workers fit into 32 bits.
 const MAX_AMOUNT: u32 = 1 << 22;
 
+/// Resources that no worker exceeds.
+pub const MAX_RESOURCES: Resources = Resources {
+    millicores: MAX_AMOUNT,
+    memory: MAX_AMOUNT,
+    accelerators: MAX_AMOUNT,
+    slots: 0,
+    connections: 0,
+};
+
 /// Latest time that counts as one, in milliseconds: the year 2100. A worker's incarnation or clock
 /// beyond it would never be exceeded.
 pub const MAX_TIME_MS: u64 = 4_102_444_800_000;
--- a/tests/cell/capacity.rs
+++ b/tests/cell/capacity.rs
@@ -209,6 +209,20 @@
     engine
 }
 
+#[test]
+fn an_unknown_run_takes_the_whole_capacity_also_once_it_has_grown() {
+    for before in [0, 4_000, 16_000] {
+        let mut engine = with_unknown_run(before);
+        resize(&mut engine, "w1", 16_000);
+        submit(&mut engine, JOB, make::step(1, 4_000));
+        assert_eq!(
+            make::starts(&mut engine, START + 20),
+            [],
+            "found at {before}"
+        );
+    }
+}
+
 #[test]
 fn capacity_is_free_again_once_an_unknown_run_has_ended() {
     let mut engine = with_unknown_run(4_000);
