fix(cell): a worker that was full is not tried again at once

Cause: a worker that guards its capacity refuses a start for which it has shrunk too far (409 `room`). The task was placed again a few milliseconds later, on the same worker, which still had the least free capacity by its registration. That went on until the registration showed the change, a heartbeat and a read of the list later; each refusal has a price. Ruled out: the 3 s of an unwell worker: a slot that was taken for a moment would stay empty for long. Change: the worker gets no new task for 500 ms after such a refusal. Conclusion: seen red before: a_worker_that_was_full_is_not_tried_again_at_once ("w1" for "w2").

--- a/src/cell/cluster.rs
+++ b/src/cell/cluster.rs
@@ -37,6 +37,10 @@
 /// fault divided by a few probes.
 const SUSPENSION_MS: u64 = 3_000;
 
+/// Time for which a worker that had too little capacity for a start gets no new tasks, in
+/// milliseconds: an interval of the lists that show a changed capacity.
+const FULL_MS: u64 = 500;
+
 /// State of a run as known to the owner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunState {
@@ -265,6 +269,11 @@
     pub fn suspend(&mut self, now: u64) {
         self.suspended_until = now + SUSPENSION_MS;
     }
+
+    /// Suspends the worker for `FULL_MS` milliseconds, since it has less free capacity than is known.
+    pub fn suspend_full(&mut self, now: u64) {
+        self.suspended_until = self.suspended_until.max(now + FULL_MS);
+    }
 }
 
 /// Interval of polls while ended runs wait to be stored, in milliseconds: a tenth of the lease.
--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -294,6 +294,10 @@
                 }
                 self.end_refused(key, verdict, retried, now);
             }
+            Verdict::Full => {
+                self.cluster.workers[worker].suspend_full(now);
+                self.end_refused(key, verdict, retried, now);
+            }
             Verdict::Unwell => {
                 self.cluster.workers[worker].suspend(now);
                 self.end_refused(key, verdict, retried, now);
--- a/tests/cell/capacity.rs
+++ b/tests/cell/capacity.rs
@@ -257,3 +257,16 @@
     resize(&mut next, "w1", 4_000);
     assert_eq!(make::starts(&mut next, START + 30).len(), 1);
 }
+
+#[test]
+fn a_worker_that_was_full_is_not_tried_again_at_once() {
+    let (mut engine, run) = make::placed(JOB);
+    engine.start_command(run, START).unwrap();
+    let full = Reply {
+        verdict: Verdict::Full,
+        clock: Some(600),
+    };
+    engine.start_answered(run, Ok(full), START + 10);
+    let again = make::starts(&mut engine, START + 20);
+    assert_eq!(make::place(&engine, again[0]), "w2");
+}
