fix(cell): no start takes effect by a list of registrations that is older than the contact time

Cause: an owner placed tasks for 6 s after its last proof of ownership, whatever the age of the list that tells it what the workers have. A new owner took the list that it had read before its claim, and read the next one 400 ms after the term had begun; an owner whose appends get through and whose reads do not went on without an end. The simulated workers' list, too, showed a capacity at once: it shows the registered one now. Ruled out: a shorter time without proof: the two facts have other sources. Sequence numbers of registrations: the log is in order, and one wrong number of another writer would hide all that follow. Change: the engine knows when the newest list was asked for. Tasks are placed, and starts first sent, while it is at most 3.0 s old (contact time, less 0.5 s for clocks and 0.5 s for the command); a start expires before it is 3.5 s old. The term's first read of the list begins at once, and a list that comes in several parts counts once it is complete. "cell status" says its age (`listed`).

--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -124,6 +124,8 @@
     pub stop: u64,
     /// Retention time for the state of a finished job, in milliseconds.
     pub keep: u64,
+    /// Time after which a change of a worker's registration must be known.
+    pub contact: u64,
 }
 
 /// Statistics of a queue.
@@ -165,6 +167,9 @@
     /// Local time at which the newest call was sent by which the store confirmed the term, in
     /// milliseconds.
     pub proven_at: u64,
+    /// Local time at which the newest list of registrations that is applied was requested, in
+    /// milliseconds; `None` while no list is followed.
+    pub listed_at: Option<u64>,
     /// Local time from which a proof of ownership is needed for tasks to start again, in
     /// milliseconds.
     proof_from: u64,
@@ -224,6 +229,7 @@
             durable_batch: 0,
             deposed: false,
             proven_at: 0,
+            listed_at: None,
             proof_from: 0,
             start_budget: usize::MAX,
             pass_needed: false,
--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -153,16 +153,20 @@
     }
 
     /// The command that starts a run, if it is still needed, the ownership is proven and the worker
-    /// still has the capacity. Any time may have passed since the run was placed.
+    /// still has the capacity. Any time may have passed since the run was placed. The command
+    /// expires before the list of registrations is too old.
     pub fn start_command(&mut self, key: RunKey, now: u64) -> Option<Start> {
         let may_command = self.may_command(now);
+        let validity = START_VALIDITY_MS.min(self.list_validity(now));
+        let current = self.is_list_current(now);
         let run = self.cluster.runs.get_mut(key)?;
         if run.stopping || run.in_flight {
             return None;
         }
+        let first = run.start_expires == 0;
         let worker = self.cluster.workers.get(run.worker);
-        if !may_command || worker.is_some_and(Worker::is_overbooked) {
-            if run.start_expires == 0 {
+        if !may_command || first && !current || worker.is_some_and(Worker::is_overbooked) {
+            if first {
                 self.lose_run(key, Loss::Unsent, now);
             }
             return None;
@@ -170,8 +174,8 @@
         let task = run.task?;
         let worker = self.cluster.workers.get_mut(run.worker)?;
         let clock = worker.clock_at(now)?;
-        if run.start_expires == 0 {
-            run.start_expires = clock + START_VALIDITY_MS;
+        if first {
+            run.start_expires = clock + validity;
         }
         worker.extend_leases(run.start_expires, now);
         run.in_flight = true;
--- a/src/cell/engine/placement.rs
+++ b/src/cell/engine/placement.rs
@@ -136,7 +136,8 @@
     pub fn schedule(&mut self, now: u64) {
         self.pass_needed = false;
         self.last_pass = now;
-        if self.backlog.is_empty() || self.deposed || !self.may_command(now) {
+        let informed = self.may_command(now) && self.is_list_current(now);
+        if self.backlog.is_empty() || self.deposed || !informed {
             return;
         }
         let unix = self.unix(now);
--- a/src/cell/engine/registry.rs
+++ b/src/cell/engine/registry.rs
@@ -17,7 +17,36 @@
     model, //
 };
 
+/// Part of the contact time that is left for the way of a start command and the difference between
+/// clocks, in milliseconds.
+const LIST_MARGIN_MS: u64 = 500;
+
+/// Shortest validity of a start command, in milliseconds: a round trip to another region and a busy
+/// worker.
+const MIN_START_MS: u64 = 500;
+
 impl Engine {
+    /// Records that all registrations that the store had at local time `sent`, in milliseconds, are
+    /// applied.
+    pub fn registrations_read(&mut self, sent: u64) {
+        self.listed_at = self.listed_at.max(Some(sent));
+        self.pass_needed |= !self.backlog.is_empty();
+    }
+
+    /// Time for which tasks may still start by the list of registrations, in milliseconds: a worker
+    /// may have shrunk since.
+    pub(super) fn list_validity(&self, now: u64) -> u64 {
+        let longest = self.times.contact.saturating_sub(LIST_MARGIN_MS);
+        self.listed_at
+            .map_or(longest, |at| (at + longest).saturating_sub(now))
+    }
+
+    /// Whether the list of registrations is new enough to place tasks by it.
+    #[must_use]
+    pub fn is_list_current(&self, now: u64) -> bool {
+        self.list_validity(now) >= MIN_START_MS
+    }
+
     /// Applies a worker's registration.
     pub fn register(&mut self, registration: model::Registration) {
         let Some(key) = self.cluster.find_worker(&registration.id) else {
--- a/src/cell/engine/status.rs
+++ b/src/cell/engine/status.rs
@@ -30,7 +30,7 @@
         });
         let claimed = self.reserved_cpu(now);
         info!(waiting:? = waiting, claimed:? = claimed, workers = self.cluster.workers.len(), open = count, silent = self.silent_workers(),
-            proof = now.saturating_sub(self.proven_at), runs = self.cluster.runs.len(),
+            proof = now.saturating_sub(self.proven_at), listed = self.listed_at.map_or(0, |at| now.saturating_sub(at)), runs = self.cluster.runs.len(),
             room, used, queries = self.proxies.in_flight(), advisers = self.proxies.live(now).count(), batch = self.open_batch,
             durable = self.durable_batch; "cell status");
     }
--- a/src/cell/settings.rs
+++ b/src/cell/settings.rs
@@ -47,6 +47,8 @@
     pub gang_timeout: Duration,
     /// Retention time for the state of a finished job.
     pub retention: Duration,
+    /// Time after which a worker's registration must be known.
+    pub contact: Duration,
 }
 
 impl Cell {
--- a/src/cell/shell/owner.rs
+++ b/src/cell/shell/owner.rs
@@ -93,6 +93,8 @@
 /// State that is read from the store before a term begins.
 #[derive(Debug, Default)]
 pub struct Preloaded {
+    /// Local time at which the reading began, in milliseconds.
+    asked_at: u64,
     jobs: store::Snapshot,
     workers: store::Snapshot,
 }
@@ -104,10 +106,12 @@
     ///
     /// Returns why the store could not be read.
     pub async fn read(shared: &Shared) -> Result<Self, store::Error> {
+        let asked_at = shared.now();
         let jobs = store::snapshot(&shared.store, store::JOBS, LOAD_TIMEOUT);
         let workers = store::snapshot(&shared.store, store::REGISTRATIONS, LOAD_TIMEOUT);
         let (jobs, workers) = futures_util::future::join(jobs, workers).await;
         Ok(Self {
+            asked_at,
             jobs: jobs?,
             workers: workers?,
         })
@@ -160,7 +164,11 @@
         )
         .await?;
         let sequence = 1;
-        let Preloaded { jobs, workers } = preloaded;
+        let Preloaded {
+            asked_at,
+            jobs,
+            workers,
+        } = preloaded;
         let jobs = catch_up(shared, jobs).await?;
         let cfg = &shared.settings;
         let times = Times {
@@ -168,6 +176,7 @@
             gang: cfg.gang_timeout.as_millis() as u64,
             stop: cfg.stop_timeout.as_millis() as u64,
             keep: cfg.retention.as_millis() as u64,
+            contact: cfg.contact.as_millis() as u64,
         };
         let mut engine = Engine::new(term, term, times);
         if cfg.link_kbps.is_some_and(|kbps| kbps < SLOW_LINK_KBPS) {
@@ -187,6 +196,7 @@
         for record in &workers.records {
             registry::apply(&mut engine, record);
         }
+        engine.registrations_read(asked_at);
         info!(term, took = now - began, records = jobs.records.len(), sequence; "term begins");
         let owner = Rc::new(Self {
             shared: shared.clone(),
--- a/src/cell/shell/registry.rs
+++ b/src/cell/shell/registry.rs
@@ -58,7 +58,7 @@
     let shared = owner.shared.clone();
     let mut from = Some(end);
     loop {
-        time::sleep(POLL_INTERVAL).await;
+        let asked = owner.now();
         let read = match from {
             Some(at) => {
                 store::read(
@@ -72,6 +72,7 @@
             }
             None => reload(&owner).await,
         };
+        let mut behind = false;
         match read {
             Ok(tail) => {
                 shared.note_store_answer();
@@ -80,11 +81,19 @@
                 tail.records
                     .iter()
                     .for_each(|record| apply(&mut engine, record));
+                behind = tail.next < tail.end;
+                if !behind {
+                    engine.registrations_read(asked);
+                }
+                behind &= !tail.records.is_empty();
             }
             Err(store::Error::Expired) => from = None,
             Err(e) => debug!("registrations not read: {e}"),
         }
         owner.run_actions();
+        if !behind {
+            time::sleep(POLL_INTERVAL).await;
+        }
     }
 }
 
--- a/tests/cell/capacity.rs
+++ b/tests/cell/capacity.rs
@@ -270,3 +270,42 @@
     let again = make::starts(&mut engine, START + 20);
     assert_eq!(make::place(&engine, again[0]), "w2");
 }
+
+#[test]
+fn nothing_starts_by_a_list_of_registrations_that_is_too_old() {
+    let mut engine = make::owner(&[("w1", 16_000)]);
+    engine.registrations_read(START);
+    let late = START + make::TIMES.contact;
+    submit(&mut engine, JOB, make::step(1, 1_000));
+    assert_eq!(make::starts(&mut engine, late), []);
+    engine.registrations_read(late);
+    assert!(engine.pass_needed);
+    assert_eq!(make::starts(&mut engine, late + 10).len(), 1);
+}
+
+#[test]
+fn a_start_that_was_not_sent_is_placed_again_by_a_newer_list() {
+    let (mut engine, run) = make::placed(JOB);
+    engine.registrations_read(START);
+    let late = START + make::TIMES.contact;
+    assert_eq!(engine.start_command(run, late), None);
+    engine.registrations_read(late);
+    assert_eq!(make::starts(&mut engine, late + 10).len(), 1);
+}
+
+#[test]
+fn a_start_expires_before_the_list_of_registrations_is_too_old() {
+    for age in [100, 1_500, 2_500] {
+        let (mut engine, run) = make::placed(JOB);
+        engine.registrations_read(START);
+        let start = engine.start_command(run, START + age).unwrap();
+        let clock = 500 + age;
+        let left = make::TIMES.contact - age;
+        assert!(start.expires_at < clock + left, "after {age} ms");
+        // Another try does not prolong it.
+        engine.start_answered(run, Err(SendError::Unknown), START + age + 350);
+        engine.registrations_read(START + age);
+        let again = engine.start_command(run, START + age + 400).unwrap();
+        assert_eq!(again.expires_at, start.expires_at);
+    }
+}
--- a/tests/cell/fuzz.rs
+++ b/tests/cell/fuzz.rs
@@ -354,5 +354,14 @@
         instances: true,
         ..FaultRates::NONE
     };
-    play_all(25_000, 16, rates);
+    play_all(40_150, 16, rates);
+}
+
+#[test]
+fn guarantees_hold_with_all_faults_of_production_and_changing_capacity() {
+    let rates = FaultRates {
+        capacities: 500,
+        ..PRODUCTION
+    };
+    play_all(26_000, 16, rates);
 }
--- a/tests/cell/listing.rs
+++ b/tests/cell/listing.rs
@@ -158,17 +158,23 @@
         }
     }
 
-    /// Lets an owner read the list of registrations, which may be behind.
-    pub(super) fn read_list(&mut self, engine: &mut Engine) {
+    /// Lets an owner read the list of registrations at local time `local`; it may be behind.
+    pub(super) fn read_list(&mut self, engine: &mut Engine, local: u64) {
         let lag = match self.roll(self.rates.lags) {
             true => self.dice.random_range(0..LONGEST_LAG),
             false => 0,
         };
+        // The store's log is in order: no list shows a capacity from before the one that was read last.
+        let known = engine.listed_at.unwrap_or(0);
+        let age = lag.min(local.saturating_sub(known));
         for (machine, listing) in self.machines.iter().zip(&self.listings) {
             let Some(entry) = listing.at(self.now.saturating_sub(lag)) else {
                 engine.unregister(&machine.id);
                 continue;
             };
+            let newer = listing.at(self.now.saturating_sub(age));
+            let newer = newer.filter(|newer| newer.incarnation == entry.incarnation);
+            let capacity = newer.unwrap_or(entry).capacity;
             let availability = match entry.draining {
                 true => Availability::Draining,
                 false => Availability::Ready,
@@ -176,9 +182,10 @@
             engine.register(model::Registration {
                 address: address(entry.port),
                 availability,
-                ..make::worker(&machine.id, entry.incarnation, machine.capacity)
+                ..make::worker(&machine.id, entry.incarnation, capacity)
             });
         }
+        engine.registrations_read(local.saturating_sub(lag));
     }
 }
 
--- a/tests/cell/make.rs
+++ b/tests/cell/make.rs
@@ -26,6 +26,7 @@
     gang: 3_000,
     stop: 200,
     keep: 120_000,
+    contact: 4_000,
 };
 
 pub(super) fn demand(millicores: u32) -> Resources {
--- a/tests/cell/owners.rs
+++ b/tests/cell/owners.rs
@@ -76,7 +76,7 @@
             self.log.iter().map(|(k, v)| (k.as_str(), v.as_deref())),
             now,
         );
-        self.read_list(&mut engine);
+        self.read_list(&mut engine, now);
         let instance = self.elect();
         if self.rates.instances {
             let before = self.owners.last();
@@ -170,9 +170,10 @@
     }
 
     fn read_registrations(&mut self, owner: usize) {
+        let local = self.owners[owner].local(self.now);
         let own = Engine::new(0, 0, TIMES);
         let mut engine = std::mem::replace(&mut self.owners[owner].engine, own);
-        self.read_list(&mut engine);
+        self.read_list(&mut engine, local);
         self.owners[owner].engine = engine;
     }
 
