feat(cell): a line in the log when a worker's capacity changes

Cause: a worker that had shrunk got no tasks, and no line of the log said why. Ruled out: a line each second for each worker over its capacity: "cell status" comes once a second already.

--- a/src/cell/engine/registry.rs
+++ b/src/cell/engine/registry.rs
@@ -7,14 +7,17 @@
     Engine,
     losses::Loss, //
 };
-use crate::cell::{
-    cluster::RunState,
-    job::{
-        RunKey,
-        WorkerKey, //
+use crate::{
+    cell::{
+        cluster::RunState,
+        job::{
+            RunKey,
+            WorkerKey, //
+        },
+        journal,
+        model, //
     },
-    journal,
-    model, //
+    resources::Resources, //
 };
 
 /// Part of the contact time that is left for the way of a start command and the difference between
@@ -25,6 +28,15 @@
 /// worker.
 const MIN_START_MS: u64 = 500;
 
+/// CPU in millicores, memory in MiB and accelerators, for the log.
+fn amounts(resources: &Resources) -> (u32, u32, u32) {
+    (
+        resources.millicores,
+        resources.memory,
+        resources.accelerators,
+    )
+}
+
 impl Engine {
     /// Records that all registrations that the store had at local time `sent`, in milliseconds, are
     /// applied.
@@ -70,6 +82,15 @@
         if worker.registration.availability != registration.availability {
             info!(worker = registration.id.as_str(), standing:? = registration.availability; "worker availability changed");
         }
+        if worker.registration.capacity != registration.capacity {
+            let [before, after, used] = [
+                &worker.registration.capacity,
+                &registration.capacity,
+                &worker.used,
+            ]
+            .map(amounts);
+            info!(worker = registration.id.as_str(), before:?, after:?, used:?, runs = worker.runs.len(); "worker capacity changed");
+        }
         if worker.registration.address != registration.address {
             worker.address_number += 1;
         }
