fix(cell): a start is not repeated while its worker is silent

Cause: an unanswered start was repeated every 30 ms until it expired, also while its worker was silent since it had crashed. A worker may start again under its id: the repeated start then reached the new life, whose clock begins anew, so that the command had not expired there, and whose capacity may be another one. Ruled out: the incarnation in the command: the platform's header names the id alone. To stop the run: its first command may be under way to the former life. Change: an unanswered start is repeated once its worker has answered. Conclusion: seen red before: an_unanswered_start_is_not_repeated_to_a_worker_that_may_have_restarted and guarantees_hold_with_all_faults_of_production_and_changing_capacity. A first start can still meet a new life of an idle worker, which is not polled, until its registration is read.

--- a/tests/cell/capacity.rs
+++ b/tests/cell/capacity.rs
@@ -3,6 +3,7 @@
 use bamboolock::{
     cell::{
         engine::{
+            Action,
             Engine,
             commands::SendError, //
         },
@@ -309,3 +310,18 @@
         assert_eq!(again.expires_at, start.expires_at);
     }
 }
+
+#[test]
+fn an_unanswered_start_is_not_repeated_to_a_worker_that_may_have_restarted() {
+    let (mut engine, run) = make::placed(JOB);
+    engine.start_command(run, START).unwrap();
+    engine.start_answered(run, Err(SendError::Unknown), START + 350);
+    engine.tick(START + 400);
+    let actions = std::mem::take(&mut engine.actions);
+    assert!(!actions.contains(&Action::Start(run)), "it is silent");
+    let worker = engine.cluster.find_worker("w1").unwrap();
+    make::answer(&mut engine, worker, make::report(1, 950), START + 450);
+    engine.tick(START + 500);
+    let actions = std::mem::take(&mut engine.actions);
+    assert!(actions.contains(&Action::Start(run)), "it is the same life");
+}
--- a/tests/cell/fuzz.rs
+++ b/tests/cell/fuzz.rs
@@ -363,5 +363,5 @@
         capacities: 500,
         ..PRODUCTION
     };
-    play_all(26_000, 16, rates);
+    play_all(40_140, 16, rates);
 }
