--- a/tests/cell/fuzz.rs
+++ b/tests/cell/fuzz.rs
@@ -364,4 +364,5 @@
         ..PRODUCTION
     };
     play_all(40_140, 16, rates);
+    play_all(50_176, 1, rates);
 }
