test(soak): workers that shrink and grow beside random faults

Cause: the capacity of the stand-in's workers never changed, so no test with real processes covered it. Change: `Fault::Shrink`, the mode `shrinking` of scripts/soak and one seed of it with every test run.

--- a/tests/instances/standin.rs
+++ b/tests/instances/standin.rs
@@ -95,6 +95,8 @@
 pub(super) struct State {
     topics: BTreeMap<String, Topic>,
     pub(super) machines: Vec<SimWorker>,
+    /// Usual capacity of a machine, in millicores.
+    pub(super) capacity: u32,
     /// Address at which each machine accepts requests.
     addresses: Vec<SocketAddr>,
     pub(super) judge: Oracle,
@@ -246,6 +248,7 @@
     let state = State {
         topics: BTreeMap::new(),
         machines: (0..addresses.len()).map(machine).collect(),
+        capacity,
         addresses: addresses.to_vec(),
         judge: Oracle::default(),
         started: Instant::now(),
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -71,6 +71,8 @@
     Retire(usize),
     /// The worker runs on without a registration, stops, and is replaced by another one.
     Retired(usize),
+    /// The worker's capacity shrinks to some eighths of the usual one.
+    Shrink(usize, u32),
 }
 
 /// Fault of an owner's process.
@@ -154,6 +156,28 @@
     scheduled
 }
 
+/// Draws random faults, and beside them workers whose capacity shrinks, to nothing at times.
+pub(super) fn shrinking_faults(
+    rng: &mut SmallRng,
+    instances: usize,
+    workers: usize,
+    until: u64,
+) -> Vec<Scheduled> {
+    let mut scheduled = random_faults(rng, instances, workers, until);
+    let mut at = 500;
+    while at < until {
+        let fault = Fault::Shrink(rng.random_range(0..workers), rng.random_range(0..8));
+        scheduled.push(Scheduled {
+            at,
+            duration: rng.random_range(500..9_000),
+            fault,
+        });
+        at += rng.random_range(200..1_500);
+    }
+    scheduled.sort_by_key(|scheduled| scheduled.at);
+    scheduled
+}
+
 /// Draws faults that let former owners, their successors and workers know different things, and
 /// that start before `until`, in milliseconds.
 pub(super) fn split_faults(
--- a/tests/soak/inject.rs
+++ b/tests/soak/inject.rs
@@ -159,6 +159,7 @@
                 return Some(NOTICE_MS);
             }
             Fault::Configure => self.configure(),
+            Fault::Shrink(w, eighths) => self.resize(w, eighths),
         }
         Some(duration)
     }
@@ -177,6 +178,14 @@
         (!taken).then_some(())
     }
 
+    /// Sets the capacity of a worker to some eighths of the usual one; it shows with the next
+    /// registration.
+    fn resize(&mut self, w: usize, eighths: u32) {
+        let mut world = self.platform.lock().unwrap();
+        let (now, capacity) = (world.now(), world.capacity / 8 * eighths);
+        world.machines[w].resize(capacity, now);
+    }
+
     fn configure(&mut self) {
         let mut world = self.platform.lock().unwrap();
         // While the store is down, it refuses the operator's publication too.
@@ -273,6 +282,7 @@
                 self.replacing[w] = false;
                 self.disruptions.end(Location::Elsewhere);
             }
+            Fault::Shrink(w, _) => self.resize(w, 8),
             Fault::Reload(_) | Fault::Configure | Fault::Succession(_) | Fault::OwnerCut { .. } => {
             }
         }
--- a/tests/soak/seeds.rs
+++ b/tests/soak/seeds.rs
@@ -61,6 +61,12 @@
     maintenance_ms: 0,
 };
 
+/// Workers that shrink and grow beside random faults.
+const SHRINKING: Size = Size {
+    faults: faults::shrinking_faults,
+    ..SHORT
+};
+
 /// Seeds that have failed before, with the cause.
 const FAILED: [(u64, Size); 5] = [
     // Seeds 104 and 119: the proxy dropped a request but forwarded the instance's later 408.
@@ -94,8 +100,11 @@
         Ok("usual") => USUAL,
         Ok("large") => LARGE,
         Ok("split") => SPLIT,
+        Ok("shrinking") => SHRINKING,
         Ok("short") | Err(_) => SHORT,
-        Ok(other) => panic!("BAMBOOLOCK_SOAK_SIZE={other:?} is not short, usual, large or split"),
+        Ok(other) => {
+            panic!("BAMBOOLOCK_SOAK_SIZE={other:?} is not short, usual, large, split or shrinking")
+        }
     }
 }
 
@@ -117,3 +126,8 @@
         .iter()
         .for_each(|seed| run::run_seed(*seed, SPLIT));
 }
+
+#[test]
+fn workers_that_shrink_keep_the_promises() {
+    run::run_seed(1, SHRINKING);
+}
