--- a/src/cell/cluster.rs
+++ b/src/cell/cluster.rs
@@ -38,6 +38,10 @@
 /// fault divided by a few probes.
 const SUSPENSION_MS: u64 = 3_000;
 
+/// Time for which a worker that had too little capacity for a start gets no new tasks, in
+/// milliseconds: an interval of the lists that show a changed capacity.
+const FULL_MS: u64 = 500;
+
 /// State of a run as known to the owner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunState {
@@ -233,6 +237,12 @@
         Resources::from_parts(std::array::from_fn(|i| parts[i].saturating_sub(used[i])))
     }
 
+    /// Whether the runs take more than the capacity, which may have shrunk since they were placed.
+    #[must_use]
+    pub fn is_overbooked(&self) -> bool {
+        !self.used.fits(&self.registration.capacity)
+    }
+
     /// Whether the worker can be removed: no registration, no runs, no poll in flight.
     #[must_use]
     pub fn is_removable(&self) -> bool {
@@ -249,6 +259,8 @@
             && self.silent_since.is_none()
             && self.clock_reading.is_some()
             && self.suspended_until <= now
+            // A task that takes no CPU would still work, and take memory, there.
+            && !self.is_overbooked()
             // A new incarnation may have another capacity and counts only once it has registered.
             && self.registration.incarnation == self.incarnation
             && self.registration.availability == model::Availability::Ready
@@ -300,6 +312,11 @@
     pub fn suspend(&mut self, now: u64) {
         self.suspended_until = now + SUSPENSION_MS;
     }
+
+    /// Suspends the worker for `FULL_MS` milliseconds, since it has less free capacity than is known.
+    pub fn suspend_full(&mut self, now: u64) {
+        self.suspended_until = self.suspended_until.max(now + FULL_MS);
+    }
 }
 
 /// Interval of polls while ended runs wait to be stored, in milliseconds: a tenth of the lease.
--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -14,7 +14,10 @@
     losses::Loss, //
 };
 use crate::cell::{
-    cluster::RunState,
+    cluster::{
+        RunState,
+        Worker, //
+    },
     job::{
         Job,
         RunKey,
@@ -149,17 +152,22 @@
         job.map_or(0, start_size)
     }
 
-    /// The command that starts a run, if it is still needed and the ownership is proven. Any time may
-    /// have passed since the run was placed.
+    /// The command that starts a run, if it is still needed, the ownership is proven and the worker
+    /// still has the capacity. Any time may have passed since the run was placed. The command
+    /// expires before the list of registrations is too old.
     pub fn start_command(&mut self, key: RunKey, now: u64) -> Option<Start> {
         let may_command = self.may_command(now);
         let durable = self.durable_batch;
+        let validity = START_VALIDITY_MS.min(self.list_validity(now));
+        let current = self.is_list_current(now);
         let run = self.cluster.runs.get_mut(key)?;
         if run.stopping || run.in_flight || run.after_batch > durable {
             return None;
         }
-        if !may_command {
-            if run.start_expires == 0 {
+        let first = run.start_expires == 0;
+        let worker = self.cluster.workers.get(run.worker);
+        if !may_command || first && !current || worker.is_some_and(Worker::is_overbooked) {
+            if first {
                 self.lose_run(key, Loss::Unsent, now);
             }
             return None;
@@ -167,8 +175,8 @@
         let task = run.task?;
         let worker = self.cluster.workers.get_mut(run.worker)?;
         let clock = worker.clock_at(now)?;
-        if run.start_expires == 0 {
-            run.start_expires = clock + START_VALIDITY_MS;
+        if first {
+            run.start_expires = clock + validity;
         }
         worker.extend_leases(run.start_expires, now);
         run.in_flight = true;
@@ -198,14 +206,15 @@
     }
 
     /// Whether a start command that was not sent yet may still be sent: the run is needed, the
-    /// ownership is proven and the command has not expired. Any time may have passed since
-    /// [`Engine::start_command`].
+    /// ownership is proven, the worker has the capacity and the command has not expired. Any time may
+    /// have passed since [`Engine::start_command`].
     #[must_use]
     pub fn may_still_start(&self, key: RunKey, now: u64) -> bool {
         let Some(run) = self.cluster.runs.get(key) else {
             return false;
         };
         let worker = self.cluster.workers.get(run.worker);
+        let worker = worker.filter(|worker| !worker.is_overbooked());
         let clock = worker.and_then(|worker| worker.clock_at(now));
         let expired = clock.is_none_or(|clock| clock >= run.start_expires);
         run.task.is_some() && !run.stopping && !expired && self.may_command(now)
@@ -294,6 +303,10 @@
                 }
                 self.end_refused(key, verdict, retried, now);
             }
+            Verdict::Full => {
+                self.cluster.workers[worker].suspend_full(now);
+                self.end_refused(key, verdict, retried, now);
+            }
             Verdict::Unwell => {
                 self.cluster.workers[worker].suspend(now);
                 self.end_refused(key, verdict, retried, now);
@@ -569,7 +582,12 @@
             if run.state != RunState::Unanswered || !may_command {
                 continue;
             }
-            let clock = self.cluster.workers[run.worker].clock_at(now);
+            let worker = &self.cluster.workers[run.worker];
+            // A new life of the worker may answer under its id, with another capacity and clock; only
+            // a report tells.
+            let reported = worker.last_report + RETRY_DELAY_MS >= run.retry_after;
+            let known = reported && worker.silent_since.is_none() && !worker.is_overbooked();
+            let clock = worker.clock_at(now).filter(|_| known);
             if clock.is_some_and(|clock| clock < run.start_expires) {
                 self.actions.push(Action::Start(key));
             }
--- a/src/cell/engine/crashes.rs
+++ b/src/cell/engine/crashes.rs
@@ -75,7 +75,7 @@
             if !sent || confirmed && started >= before || run.ordered_at > at {
                 continue;
             }
-            alone &= *job.get_or_insert(&run.name.job) == &run.name.job;
+            alone &= **job.get_or_insert(&run.name.job) == run.name.job;
             suspects.extend(run.task.map(|task| Suspect {
                 task,
                 crash: Crash {
--- a/src/cell/engine/registry.rs
+++ b/src/cell/engine/registry.rs
@@ -7,17 +7,58 @@
     Engine,
     losses::Loss, //
 };
-use crate::cell::{
-    cluster::RunState,
-    job::{
-        RunKey,
-        WorkerKey, //
+use crate::{
+    cell::{
+        cluster::RunState,
+        job::{
+            RunKey,
+            WorkerKey, //
+        },
+        journal,
+        model, //
     },
-    journal,
-    model, //
+    resources::Resources, //
 };
 
+/// Part of the contact time that is left for the way of a start command and the difference between
+/// clocks, in milliseconds.
+const LIST_MARGIN_MS: u64 = 500;
+
+/// Shortest validity of a start command, in milliseconds: a round trip to another region and a busy
+/// worker.
+const MIN_START_MS: u64 = 500;
+
+/// CPU in millicores, memory in MiB and accelerators, for the log.
+fn amounts(resources: &Resources) -> (u32, u32, u32) {
+    (
+        resources.millicores,
+        resources.memory,
+        resources.accelerators,
+    )
+}
+
 impl Engine {
+    /// Records that all registrations that the store had at local time `sent`, in milliseconds, are
+    /// applied.
+    pub fn registrations_read(&mut self, sent: u64) {
+        self.listed_at = self.listed_at.max(Some(sent));
+        self.pass_needed |= !self.backlog.is_empty();
+    }
+
+    /// Time for which tasks may still start by the list of registrations, in milliseconds: a worker
+    /// may have shrunk since.
+    pub(super) fn list_validity(&self, now: u64) -> u64 {
+        let longest = self.times.contact.saturating_sub(LIST_MARGIN_MS);
+        self.listed_at
+            .map_or(longest, |at| (at + longest).saturating_sub(now))
+    }
+
+    /// Whether the list of registrations is new enough to place tasks by it.
+    #[must_use]
+    pub fn is_list_current(&self, now: u64) -> bool {
+        self.list_validity(now) >= MIN_START_MS
+    }
+
     /// Applies a worker's registration.
     pub fn register(&mut self, registration: model::Registration) {
         let Some(key) = self.cluster.find_worker(&registration.id) else {
@@ -42,6 +83,15 @@
         if worker.registration.availability != registration.availability {
             info!(worker = registration.id.as_str(), standing:? = registration.availability; "worker availability changed");
         }
+        if worker.registration.capacity != registration.capacity {
+            let [before, after, used] = [
+                &worker.registration.capacity,
+                &registration.capacity,
+                &worker.used,
+            ]
+            .map(amounts);
+            info!(worker = registration.id.as_str(), before:?, after:?, used:?, runs = worker.runs.len(); "worker capacity changed");
+        }
         if worker.registration.address != registration.address {
             worker.address_number += 1;
         }
--- a/tests/cell/faults.rs
+++ b/tests/cell/faults.rs
@@ -70,6 +70,10 @@
     pub(super) kills: u32,
     /// Number of workers in four racks, each at an address of its own; 0 for six in one rack.
     pub(super) workers: usize,
+    /// Workers whose capacity shrinks and grows again, per second.
+    pub(super) capacities: u32,
+    /// Whether workers refuse what exceeds their capacity.
+    pub(super) guarded: bool,
 }
 
 impl FaultRates {
@@ -97,6 +101,8 @@
         replaced: 0,
         kills: 0,
         workers: 0,
+        capacities: 0,
+        guarded: false,
     };
 }
 
--- a/tests/cell/fuzz.rs
+++ b/tests/cell/fuzz.rs
@@ -401,3 +401,59 @@
     };
     play_all(28_000, 12, rates);
 }
+
+#[test]
+fn guarantees_hold_where_capacity_shrinks_and_grows() {
+    let rates = FaultRates {
+        loss: 40,
+        late: 40,
+        long: 150,
+        capacities: 700,
+        instances: true,
+        ..FaultRates::NONE
+    };
+    play_all(23_000, 16, rates);
+}
+
+#[test]
+fn guarantees_hold_where_workers_that_guard_their_capacity_shrink() {
+    let rates = FaultRates {
+        loss: 20,
+        long: 150,
+        capacities: 700,
+        guarded: true,
+        instances: true,
+        ..FaultRates::NONE
+    };
+    play_all(24_000, 8, rates);
+}
+
+#[test]
+fn guarantees_hold_where_capacity_shrinks_while_owners_change() {
+    let rates = FaultRates {
+        loss: 20,
+        late: 20,
+        faults: 100,
+        paths: 250,
+        long: 250,
+        pauses: 150,
+        suspended: 300,
+        late_answers: 500,
+        series: 400,
+        handovers: 100,
+        capacities: 700,
+        instances: true,
+        ..FaultRates::NONE
+    };
+    play_all(40_150, 16, rates);
+}
+
+#[test]
+fn guarantees_hold_with_all_faults_of_production_and_changing_capacity() {
+    let rates = FaultRates {
+        capacities: 500,
+        ..PRODUCTION
+    };
+    play_all(40_140, 16, rates);
+    play_all(50_176, 1, rates);
+}
