test(cell): an end of an occurrence that has not begun by the owner's clock has no effect, red

A former owner whose clock was ahead starts a task of a timed job; its successor, by whose clock the occurrence has not begun, finds no task of that name, acknowledges the end without effect and stops what runs.

--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -4,6 +4,7 @@
 #![expect(clippy::unwrap_used, reason = "a test fails by a panic")]
 
 mod cell {
+    mod acknowledged;
     mod archive;
     mod election;
     mod faults;
--- /dev/null
+++ b/tests/cell/acknowledged.rs
@@ -0,0 +1,161 @@
+//! Ends of runs that their owner cannot place at first: an acknowledged end must have had its effect.
+
+use bamboolock::cell::{
+    engine::Engine,
+    job::WorkerKey,
+    model::{
+        self,
+        LiveRun,
+        Outcome,
+        State,
+        TaskName, //
+    }, //
+};
+
+use super::make::{
+    self,
+    START, //
+};
+
+const JOB: &str = "00000000000000e1";
+
+/// Time between two occurrences, in milliseconds.
+const INTERVAL: u64 = 2_000;
+
+/// A job of `count` occurrences of one step of two tasks, the first of which is due at once.
+fn timed(count: u32) -> model::Submission {
+    model::Submission {
+        occurrences: count,
+        first_due: START,
+        interval: INTERVAL,
+        ..make::work(vec![make::step(2, 1_000)])
+    }
+}
+
+fn task(occurrence: u32, index: u32) -> TaskName {
+    TaskName {
+        occurrence,
+        ..make::task(JOB, 0, index)
+    }
+}
+
+fn live(occurrence: u32, index: u32) -> LiveRun {
+    LiveRun {
+        task: task(occurrence, index),
+        ..make::live(JOB, 0, 0, 1)
+    }
+}
+
+/// Creates a second owner by whose clock only the first occurrence of a stored job is due, with a
+/// worker that lists what a former owner had started there.
+fn successor(count: u32, report: model::Report) -> (Engine, WorkerKey) {
+    let mut former = make::owner(&[]);
+    former.register(make::worker("w1", 1, 16_000));
+    let work = timed(count);
+    former
+        .submit(JOB, make::queue("q", 0), work, START)
+        .unwrap();
+    let stored = make::store(&mut former, START);
+    let records = stored.iter();
+    let records = records.map(|(key, value)| (key.as_str(), value.as_deref()));
+    let mut engine = make::successor(records, START + 500);
+    let worker = engine.cluster.find_worker("w1").unwrap();
+    engine.register(make::worker("w1", 1, 16_000));
+    make::answer(&mut engine, worker, report, START + 500);
+    engine.tick(START + 500);
+    make::store(&mut engine, START + 510);
+    (engine, worker)
+}
+
+/// Names of the tasks that are started at `now`, in milliseconds.
+fn started(engine: &mut Engine, now: u64) -> Vec<(u32, u32)> {
+    engine.set_wall_clock(now, now);
+    engine.tick(now);
+    let runs = make::starts(engine, now);
+    let names = runs.iter().map(|run| &engine.cluster.runs[*run].name);
+    let mut names: Vec<_> = names.map(|name| (name.occurrence, name.index)).collect();
+    names.sort_unstable();
+    names
+}
+
+#[test]
+fn a_task_that_was_done_before_its_time_does_not_start_again() {
+    let mut report = make::report(1, 1_000);
+    report.ended = vec![make::end(1, task(1, 0), 1, Outcome::Done)];
+    let (mut engine, worker) = successor(2, report);
+    let poll = engine.poll_command(worker, START + 520).unwrap();
+    assert_eq!(poll.acked, 1);
+    assert_eq!(started(&mut engine, START + 600), [(0, 0), (0, 1)]);
+    assert_eq!(
+        started(&mut engine, START + INTERVAL + 100),
+        [(1, 1)],
+        "the success of the other task is acknowledged"
+    );
+}
+
+#[test]
+fn a_failure_before_its_time_counts_as_an_attempt() {
+    let mut report = make::report(1, 1_000);
+    report.ended = vec![
+        make::end(1, task(1, 0), 1, Outcome::Failed),
+        make::end(2, task(1, 0), 2, Outcome::Failed),
+    ];
+    let (engine, _) = successor(2, report);
+    assert_eq!(engine.visible_state(JOB), Some(State::Failed));
+}
+
+#[test]
+fn a_run_that_began_before_its_time_is_kept() {
+    let mut report = make::report(1, 1_000);
+    report.running = vec![live(1, 0)];
+    let (mut engine, worker) = successor(2, report);
+    let run = engine.cluster.find_run(worker, &task(1, 0), 1).unwrap();
+    assert!(!engine.cluster.runs[run].stopping);
+    assert_eq!(started(&mut engine, START + 600), [(0, 0), (0, 1)]);
+    assert_eq!(started(&mut engine, START + INTERVAL + 100), [(1, 1)]);
+}
+
+#[test]
+fn a_reported_occurrence_starts_no_task_before_its_time() {
+    let mut report = make::report(1, 1_000);
+    report.running = vec![live(2, 1)];
+    report.ended = vec![make::end(1, task(3, 0), 1, Outcome::Stopped)];
+    let (mut engine, worker) = successor(4, report);
+    assert_eq!(started(&mut engine, START + 600), [(0, 0), (0, 1)]);
+    // The run is lost; its task waits for its time like the others.
+    let poll = engine.poll_command(worker, START + 700).unwrap();
+    let report = make::report(1, 1_200);
+    engine.apply_report(worker, poll.sent_at, poll.acked, &report, START + 710);
+    for (occurrence, due) in (1..4).zip((START + INTERVAL..).step_by(INTERVAL as usize)) {
+        assert_eq!(started(&mut engine, due - 100), []);
+        let both = [(occurrence, 0), (occurrence, 1)];
+        assert_eq!(started(&mut engine, due + 100), both);
+    }
+}
+
+#[test]
+fn a_successor_starts_no_stored_occurrence_before_its_time() {
+    let mut report = make::report(1, 1_000);
+    report.ended = vec![make::end(1, task(2, 0), 1, Outcome::Done)];
+    let mut former = make::owner(&[]);
+    former.register(make::worker("w1", 1, 16_000));
+    let queue = make::queue("q", 0);
+    former.submit(JOB, queue, timed(3), START).unwrap();
+    let mut stored = make::store(&mut former, START);
+    for _ in 0..2 {
+        let records = stored.iter();
+        let records = records.map(|(key, value)| (key.as_str(), value.as_deref()));
+        let mut engine = make::successor(records, START + 500);
+        let worker = engine.cluster.find_worker("w1").unwrap();
+        engine.register(make::worker("w1", 1, 16_000));
+        make::answer(&mut engine, worker, report.clone(), START + 500);
+        report.ended.clear();
+        engine.tick(START + 500);
+        stored.extend(make::store(&mut engine, START + 510));
+        assert_eq!(started(&mut engine, START + 600), [(0, 0), (0, 1)]);
+        let second = started(&mut engine, START + INTERVAL + 100);
+        assert_eq!(second, [(1, 0), (1, 1)]);
+        let third = started(&mut engine, START + 2 * INTERVAL + 100);
+        assert_eq!(third, [(2, 1)]);
+    }
+}
