fix(cell): a task that ran before its time by this owner's clock does not start again

Cause: clocks of the instances differ, and `begun` is not stored when an occurrence begins. Ruled out: storing `begun` with each occurrence (a write for each, and the start does not wait for it); acknowledging such an end later (it would hold up all later ends of the worker). Change: an occurrence that a worker reports has begun, whatever the clock says, with those before it, up to twice as many at once as an owner begins by itself. Whether it is due by this owner's clock is kept beside it: no task of it is placed before, also for stored occurrences, which a successor started at once.

--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -335,10 +335,14 @@
 
     /// Adds a step to the backlog.
     fn enqueue(&mut self, step: StepKey) {
-        let Some(state) = self
-            .jobs
-            .get_mut(step.job)
-            .and_then(|job| job.step_mut(step))
+        let Some(job) = self.jobs.get_mut(step.job) else {
+            return;
+        };
+        // The other steps follow when their time comes.
+        let occurrence = job.occurrences.get_mut(step.occurrence as usize);
+        let Some(state) = occurrence
+            .filter(|occurrence| occurrence.due)
+            .and_then(|occurrence| occurrence.steps.get_mut(step.step as usize))
         else {
             return;
         };
@@ -367,8 +371,14 @@
                 .push(Occurrence::new(number, &job.submission.steps));
             free -= 1;
         }
+        let due = job.occurrences.iter();
+        let due = due.take_while(|o| o.due || job.due_at(o.number) <= unix);
+        let due = due.count();
+        for occurrence in &mut job.occurrences[..due] {
+            occurrence.due = true;
+        }
         let mut steps = Vec::new();
-        for (o, occurrence) in job.occurrences.iter().enumerate() {
+        for (o, occurrence) in job.occurrences[..due].iter().enumerate() {
             for (s, (state, definition)) in occurrence
                 .steps
                 .iter()
@@ -384,9 +394,7 @@
                 }
             }
         }
-        if (job.occurrences.len() as u32) < job.occurrence_count()
-            && !self.timed_jobs.contains(&key)
-        {
+        if (due as u32) < job.occurrence_count() && !self.timed_jobs.contains(&key) {
             self.timed_jobs.push(key);
         }
         for step in steps {
@@ -394,6 +402,32 @@
         }
     }
 
+    /// Begins the occurrences of a job up to that of a run which a worker reports: an earlier owner
+    /// has started the run, whatever this owner's clock says.
+    fn begin_reported(&mut self, name: &model::TaskName) {
+        let Some(key) = self.find_job(&name.job) else {
+            return;
+        };
+        let job = &mut self.jobs[key];
+        let begun = job.occurrences.len() as u32;
+        if job.state.is_final() || !job.stored || name.occurrence < begun || !job.has_task(name) {
+            return;
+        }
+        let live = job.occurrences.iter().filter(|o| !o.is_done()).count();
+        let more = (name.occurrence - begun) as usize + 1;
+        // As many again may be done, and their ends not reported yet.
+        if live.saturating_add(more) > 2 * MAX_OCCURRENCES {
+            return;
+        }
+        for number in begun..=name.occurrence {
+            let occurrence = Occurrence::new(number, &job.submission.steps);
+            job.occurrences.push(occurrence);
+        }
+        if !self.timed_jobs.contains(&key) {
+            self.timed_jobs.push(key);
+        }
+    }
+
     /// Handles what depends on time: due occurrences, retries, expired leases, old jobs.
     pub fn tick(&mut self, now: u64) {
         for key in std::mem::take(&mut self.timed_jobs) {
--- a/src/cell/engine/reports.rs
+++ b/src/cell/engine/reports.rs
@@ -132,6 +132,7 @@
     /// Applies the end of a run that is not tracked: a run of an earlier owner, or one that was
     /// given up.
     fn apply_untracked_end(&mut self, worker: WorkerKey, end: &model::EndedRun, now: u64) {
+        self.begin_reported(&end.task);
         let Some(task) = self.find_task(&end.task) else {
             return;
         };
@@ -231,6 +232,7 @@
     /// Tracks a reported run that is not known yet: a run of an earlier owner is adopted, any other
     /// run is stopped.
     fn adopt_run(&mut self, worker: WorkerKey, live: &model::LiveRun, now: u64) {
+        self.begin_reported(&live.task);
         let task = self.find_task(&live.task).filter(|task| {
             let job = &self.jobs[task.step.job];
             let state = job
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -175,6 +175,9 @@
     pub number: u32,
     /// Steps of the occurrence.
     pub steps: Vec<StepState>,
+    /// Whether its due time has come by this owner's clock. An earlier owner whose clock was ahead may
+    /// have begun it before.
+    pub due: bool,
 }
 
 impl Occurrence {
@@ -184,6 +187,7 @@
         Self {
             number,
             steps: steps.iter().map(StepState::new).collect(),
+            due: false,
         }
     }
 
@@ -277,6 +281,13 @@
         }
     }
 
+    /// Whether the job has a task of this name, in an occurrence that has begun or a later one.
+    #[must_use]
+    pub fn has_task(&self, name: &model::TaskName) -> bool {
+        let step = self.submission.steps.get(name.step as usize);
+        name.occurrence < self.occurrence_count() && step.is_some_and(|s| name.index < s.count)
+    }
+
     /// Total number of occurrences of the job.
     #[must_use]
     pub fn occurrence_count(&self) -> u32 {
