fix(platform): an ended run that cannot be read is not acknowledged with a later one

Cause: a malformed row of the ended runs is skipped, and the number of a later row acknowledges it: the worker forgets an end that no owner has read. Found by reading; no worker was seen to write such a row. Ruled out: a report without such a row counts as complete only (one bad row would keep the runs that never arrived there for good); refusing the report as a whole (it also hides what ended well). Change: a report says from which number on an end could not be read. Ends above it are applied once each, but not acknowledged until it can be read, or until the page is full: the ends after a full page would never be seen. Left: a run whose end cannot be read counts as unlisted and starts again; if the row became readable later, its success would be noted then.

--- a/src/cell/cluster.rs
+++ b/src/cell/cluster.rs
@@ -114,6 +114,10 @@
     pub used: Resources,
     /// Highest number of an ended run that was applied.
     pub last_outcome: u64,
+    /// Lowest number of an ended run that was reported and not applied, if there is one.
+    pub unapplied: Option<u64>,
+    /// Numbers of the ended runs above it that were applied, sorted.
+    pub applied_above: Vec<u64>,
     /// Batch that stores the changes that follow from the ended runs.
     pub outcome_batch: u64,
     /// Highest number of an ended run that was acknowledged to the worker.
@@ -153,6 +157,8 @@
             runs: Vec::new(),
             used: Resources::default(),
             last_outcome: 0,
+            unapplied: None,
+            applied_above: Vec::new(),
             outcome_batch: 0,
             acknowledged: 0,
             polling: false,
@@ -220,7 +226,7 @@
         if !self.fenced {
             return true;
         }
-        let pending = self.last_outcome > self.acknowledged;
+        let pending = self.applied() > self.acknowledged;
         if pending && self.outcome_batch > durable {
             // The ended runs are not stored yet; until then, polls only renew the leases.
             return self
@@ -231,6 +237,13 @@
         pending || !self.runs.is_empty() || self.silent_since.is_some()
     }
 
+    /// Highest number of an ended run up to which all were applied.
+    #[must_use]
+    pub fn applied(&self) -> u64 {
+        let before = self.unapplied.map(|number| number.saturating_sub(1));
+        before.map_or(self.last_outcome, |last| last.min(self.last_outcome))
+    }
+
     /// Records a failed run; returns whether the worker is suspended for it.
     pub fn record_failure(&mut self, job: &str, now: u64) -> bool {
         if self.last_failed_job == job {
--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -394,7 +394,7 @@
         let same = worker.last_report + MIN_RESTART_MS > now && worker.silent_since.is_none();
         let acked = match (same, stored) {
             (false, _) => 0,
-            (true, true) => worker.last_outcome,
+            (true, true) => worker.applied(),
             (true, false) => worker.acknowledged,
         };
         // A silent worker is polled without renewal: each renewed lease would postpone the time at
--- a/src/cell/engine/registry.rs
+++ b/src/cell/engine/registry.rs
@@ -135,6 +135,8 @@
         worker.leases_end = 0;
         worker.outcome_batch = 0;
         (worker.last_outcome, worker.acknowledged) = (0, 0);
+        worker.unapplied = None;
+        worker.applied_above.clear();
         worker.poll_after = 0;
         worker.silent_since = None;
         worker.suspended_until = 0;
--- a/src/cell/engine/reports.rs
+++ b/src/cell/engine/reports.rs
@@ -89,9 +89,12 @@
         if same {
             worker.acknowledged = worker.acknowledged.max(seen);
         }
-        let known = worker.last_outcome;
-        let mut new_ends: Vec<&model::EndedRun> =
-            report.ended.iter().filter(|e| e.number > known).collect();
+        let known = worker.applied();
+        let above = &worker.applied_above;
+        let is_new = |end: &&model::EndedRun| {
+            end.number > known && above.binary_search(&end.number).is_err()
+        };
+        let mut new_ends: Vec<&model::EndedRun> = report.ended.iter().filter(is_new).collect();
         new_ends.sort_by_key(|end| end.number);
         let any_new = !new_ends.is_empty();
         for end in new_ends {
@@ -107,16 +110,32 @@
             let worker = &mut self.cluster.workers[key];
             worker.outcome_batch = worker.outcome_batch.max(last);
         }
+        self.note_unapplied(key, report);
         self.compare_runs(key, sent, report, now);
         let worker = &self.cluster.workers[key];
-        if worker.last_outcome == worker.acknowledged {
+        if worker.applied() <= worker.acknowledged {
             self.remove_if_empty(key);
         }
     }
 
+    /// Notes from which number on ends were not all applied. A full page is acknowledged in any case: the
+    /// ends after it would never be seen.
+    fn note_unapplied(&mut self, key: WorkerKey, report: &model::Report) {
+        let worker = &mut self.cluster.workers[key];
+        worker.unapplied = report.unread.filter(|_| !report.partial);
+        worker.applied_above.clear();
+        if worker.unapplied.is_none() {
+            return;
+        }
+        let numbers = report.ended.iter().map(|end| end.number);
+        worker.applied_above.extend(numbers);
+        worker.applied_above.sort_unstable();
+    }
+
     /// Applies one ended run from a report.
     fn apply_end(&mut self, worker: WorkerKey, end: &model::EndedRun, now: u64) {
-        self.cluster.workers[worker].last_outcome = end.number;
+        let last = &mut self.cluster.workers[worker].last_outcome;
+        *last = end.number.max(*last);
         let run = self.cluster.find_run(worker, &end.task, end.run);
         match run.map(|key| (key, self.cluster.runs[key].task)) {
             Some((key, Some(_))) => self.end_run(key, end.outcome, &end.checkpoint, now),
--- a/src/cell/model.rs
+++ b/src/cell/model.rs
@@ -334,6 +334,8 @@
     pub ended: Vec<EndedRun>,
     /// Whether more ended runs may follow once these are acknowledged.
     pub partial: bool,
+    /// Lowest number of an ended run that could not be read, if there is one.
+    pub unread: Option<u64>,
 }
 
 /// Verdict of a worker on a command.
--- a/tests/cell/acknowledged.rs
+++ b/tests/cell/acknowledged.rs
@@ -159,3 +159,47 @@
         assert_eq!(third, [(2, 1)]);
     }
 }
+
+#[test]
+fn an_end_that_could_not_be_read_is_not_acknowledged_with_a_later_one() {
+    let (mut engine, run) = make::placed(JOB);
+    make::accept(&mut engine, &[run], START);
+    let worker = engine.cluster.find_worker("w1").unwrap();
+    let mut report = make::report(1, 900);
+    let other = make::task("00000000000000e2", 0, 0);
+    report.ended = vec![make::end(2, other.clone(), 1, Outcome::Done)];
+    report.unread = Some(1);
+    make::answer(&mut engine, worker, report.clone(), START + 400);
+    make::store(&mut engine, START + 410);
+    let poll = engine.poll_command(worker, START + 700);
+    assert_eq!(poll.map_or(0, |poll| poll.acked), 0);
+    engine.poll_failed(worker, START + 800);
+    // The next report can be read.
+    report
+        .ended
+        .insert(0, make::end(1, task(0, 0), 1, Outcome::Done));
+    report.unread = None;
+    make::answer(&mut engine, worker, report, START + 1_100);
+    assert!(make::starts(&mut engine, START + 1_110).is_empty());
+    make::store(&mut engine, START + 1_120);
+    let poll = engine.poll_command(worker, START + 1_200).unwrap();
+    assert_eq!(poll.acked, 2);
+    assert_eq!(engine.visible_state(JOB), Some(State::Completed));
+}
+
+#[test]
+fn a_full_page_is_acknowledged_although_an_end_on_it_could_not_be_read() {
+    let mut engine = make::owner(&[("w1", 16_000)]);
+    let worker = engine.cluster.find_worker("w1").unwrap();
+    let other = |n: u64| {
+        let task = make::task("00000000000000e2", 0, n as u32);
+        make::end(n, task, 1, Outcome::Done)
+    };
+    let mut report = make::report(1, 900);
+    report.ended = (2..=500).map(other).collect();
+    report.unread = Some(1);
+    report.partial = true;
+    engine.apply_report(worker, START + 100, 0, &report, START + 110);
+    let poll = engine.poll_command(worker, START + 200).unwrap();
+    assert_eq!(poll.acked, 500, "the ends after them would never be seen");
+}
--- a/tests/cell/workers.rs
+++ b/tests/cell/workers.rs
@@ -554,6 +554,7 @@
         running: machine.running.iter().map(live).collect(),
         ended: machine.ended.clone(),
         partial: false,
+        unread: None,
     })
 }
 
--- a/tests/platform/reports.rs
+++ b/tests/platform/reports.rs
@@ -128,6 +128,21 @@
     }
 }
 
+#[actix::test]
+async fn a_malformed_end_is_not_acknowledged_with_a_later_one() {
+    let good = |n: u32| format!(r#"[{n},"{TASK}",1,"done",""]"#);
+    let bad = ["7", r#"[58,"no task",1,"done",""]"#, r#"[[],[]]"#];
+    for row in bad {
+        let first = report(&body("", &format!("{row},{}", good(59)))).await;
+        assert_eq!(first.unwrap().unread, Some(1), "{row}");
+        let between = format!("{},{row},{row},{}", good(57), good(60));
+        let report = report(&body("", &between)).await.unwrap();
+        assert_eq!(report.unread, Some(58), "{row}");
+    }
+    let report = report(&body("", &good(59))).await.unwrap();
+    assert_eq!(report.unread, None);
+}
+
 #[actix::test]
 async fn a_run_that_ended_in_an_unknown_way_has_not_succeeded() {
     let nested = server::nested();
