fix(cell): ends of a job whose record cannot be read are left to a later owner

Cause: a record that cannot be read is skipped. An owner that skipped an accepted job acknowledged the ends of its tasks without effect, and took a job handed in again for a new one; one that skipped its progress started all its tasks again and replaced the progress. Ruled out: dropping the job with unread progress (a caller would be told that it does not exist). Change: the ids of such jobs are kept for the term. Their ends are not acknowledged, short of a full page; nothing of them is started or stored; handing such a job in again finds it known. Conclusion: cell::acknowledged::the_end_of_a_job_whose_record_cannot_be_read_… was red with the list left empty. Left: such a job stands still until an owner can read it or its caller cancels it, and one whose acceptance cannot be read is still shown as unknown.

--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -184,6 +184,8 @@
     changed_jobs: Vec<(u64, JobKey)>,
     /// Finished jobs.
     archive: archive::Archive,
+    /// Ids of the jobs of which a stored record could not be read, sorted.
+    unread_jobs: Vec<CompactString>,
     /// Number of stored worker records that could not be read.
     unread_workers: usize,
     /// Workers whose registration is to be stored.
@@ -233,6 +235,7 @@
             new_jobs: Vec::new(),
             changed_jobs: Vec::new(),
             archive: archive::Archive::default(),
+            unread_jobs: Vec::new(),
             unread_workers: 0,
             unstored_workers: Vec::new(),
             timed_jobs: Vec::new(),
--- a/src/cell/engine/placement.rs
+++ b/src/cell/engine/placement.rs
@@ -195,7 +195,7 @@
         let (Some(definition), Some(step)) = (job.definition(key), job.step(key)) else {
             return true;
         };
-        if !job::may_start(job, &self.cluster) && !definition.copies {
+        if job.unread || !job::may_start(job, &self.cluster) && !definition.copies {
             return false;
         }
         if step.tasks.iter().any(|t| t.proof_from > self.proven_at) {
--- a/src/cell/engine/recovery.rs
+++ b/src/cell/engine/recovery.rs
@@ -88,6 +88,9 @@
                 skipped += 1;
                 // Tasks may run on a worker that its record does not name.
                 self.unread_workers += usize::from(kind == journal::Kind::Worker);
+                if matches!(kind, journal::Kind::Accepted | journal::Kind::Progress) {
+                    self.unread_jobs.push(id.into());
+                }
                 malformed::note(malformed::List::Records, key, &e);
             }
         }
@@ -96,6 +99,12 @@
                 journal::restore(&mut self.jobs[key], progress);
             }
         }
+        self.unread_jobs.sort_unstable();
+        for id in &self.unread_jobs {
+            if let Some(key) = self.find_job(id) {
+                self.jobs[key].unread = true;
+            }
+        }
         self.archive.load(segments, now);
         let past = &self.archive;
         // An interrupted batch can leave records that a segment has already replaced.
@@ -146,6 +155,14 @@
         Ok(owner)
     }
 
+    /// Whether a stored record of an open job could not be read: what its tasks have done is not known.
+    pub(super) fn is_unread(&self, id: &str) -> bool {
+        let found = self
+            .unread_jobs
+            .binary_search_by(|name| name.as_str().cmp(id));
+        found.is_ok() && self.archive.state(id).is_none()
+    }
+
     fn load_job(&mut self, id: &str, accepted: journal::Accepted) -> Result<(), String> {
         submissions::validate(&accepted.submission)?;
         let mut job = submissions::new_job(
--- a/src/cell/engine/reports.rs
+++ b/src/cell/engine/reports.rs
@@ -121,8 +121,11 @@
     /// Notes from which number on ends were not all applied. A full page is acknowledged in any case: the
     /// ends after it would never be seen.
     fn note_unapplied(&mut self, key: WorkerKey, report: &model::Report) {
+        let unread = |end: &&model::EndedRun| self.is_unread(&end.task.job);
+        let of_unread = report.ended.iter().filter(unread);
+        let lowest = of_unread.map(|end| end.number).chain(report.unread).min();
         let worker = &mut self.cluster.workers[key];
-        worker.unapplied = report.unread.filter(|_| !report.partial);
+        worker.unapplied = lowest.filter(|_| !report.partial);
         worker.applied_above.clear();
         if worker.unapplied.is_none() {
             return;
@@ -156,7 +159,8 @@
             return;
         };
         let job = &mut self.jobs[task.step.job];
-        if job.state.is_final() {
+        // Whatever is stored now would replace the progress that could not be read.
+        if job.state.is_final() || job.unread {
             return;
         }
         let Some(state) = job.task_mut(task) else {
@@ -257,7 +261,7 @@
             let state = job
                 .step(task.step)
                 .and_then(|s| s.tasks.get(task.index as usize));
-            !job.state.is_final() && state.is_some_and(|t| t.phase == Phase::Waiting)
+            !job.state.is_final() && !job.unread && state.is_some_and(|t| t.phase == Phase::Waiting)
         });
         let id = self.cluster.workers[worker].registration.id.clone();
         let capacity = self.cluster.workers[worker].registration.capacity;
--- a/src/cell/engine/submissions.rs
+++ b/src/cell/engine/submissions.rs
@@ -43,6 +43,9 @@
                 false => Submitted::InBatch(job.batch),
             });
         }
+        if self.is_unread(id) {
+            return Ok(Submitted::Known);
+        }
         validate(&work)?;
         let accepted = self.unix(now);
         let key = self.insert_job(new_job(id, queue, work, accepted, self.term));
@@ -178,6 +181,7 @@
         ended_at: 0,
         deadline: 0,
         inherited: false,
+        unread: false,
         origin: CompactString::default(),
     };
     let span = job.critical_path() as f64 * job.queue.stretch;
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -242,6 +242,8 @@
     pub deadline: u64,
     /// Whether unknown runs of an earlier owner may exist.
     pub inherited: bool,
+    /// Whether the stored progress could not be read, so that any task may be done.
+    pub unread: bool,
 }
 
 impl Job {
@@ -344,5 +346,5 @@
 /// Whether `job` may start runs now, given the workers that may hold unknown runs.
 #[must_use]
 pub fn may_start(job: &Job, cluster: &cluster::Cluster) -> bool {
-    !job.state.is_final() && job.stored && (!job.inherited || cluster.reconciled)
+    !job.state.is_final() && job.stored && !job.unread && (!job.inherited || cluster.reconciled)
 }
--- a/tests/cell/acknowledged.rs
+++ b/tests/cell/acknowledged.rs
@@ -1,8 +1,15 @@
 //! Ends of runs that their owner cannot place at first: an acknowledged end must have had its effect.
 
 use bamboolock::cell::{
-    engine::Engine,
+    engine::{
+        Engine,
+        Submitted, //
+    },
     job::WorkerKey,
+    journal::{
+        self,
+        Kind, //
+    },
     model::{
         self,
         LiveRun,
@@ -203,3 +210,38 @@
     let poll = engine.poll_command(worker, START + 200).unwrap();
     assert_eq!(poll.acked, 500, "the ends after them would never be seen");
 }
+
+#[test]
+fn the_end_of_a_job_whose_record_cannot_be_read_is_left_to_a_later_owner() {
+    for kind in [Kind::Accepted, Kind::Progress] {
+        let mut former = make::owner(&[]);
+        former.register(make::worker("w1", 1, 16_000));
+        let work = make::work(vec![make::step(2, 1_000)]);
+        former
+            .submit(JOB, make::queue("q", 0), work.clone(), START)
+            .unwrap();
+        let mut stored = make::store(&mut former, START);
+        stored.push((journal::key(kind, JOB).to_string(), Some(b"{".to_vec())));
+        let records = stored.iter();
+        let records = records.map(|(key, value)| (key.as_str(), value.as_deref()));
+        let mut engine = make::successor(records, START);
+        let worker = engine.cluster.find_worker("w1").unwrap();
+        engine.register(make::worker("w1", 1, 16_000));
+        let mut report = make::report(1, 900);
+        let other = make::task("00000000000000e2", 0, 0);
+        report.ended = vec![
+            make::end(1, other, 1, Outcome::Done),
+            make::end(2, task(0, 0), 1, Outcome::Done),
+        ];
+        report.running = vec![live(0, 1)];
+        make::answer(&mut engine, worker, report, START + 100);
+        engine.tick(START + 110);
+        assert_eq!(make::starts(&mut engine, START + 120), [], "{kind:?}");
+        let records = make::store(&mut engine, START + 130);
+        assert!(!records.iter().any(|(key, _)| key.ends_with(JOB)));
+        let poll = engine.poll_command(worker, START + 140).unwrap();
+        assert_eq!(poll.acked, 1, "{kind:?}");
+        let again = engine.submit(JOB, make::queue("q", 0), work, START + 150);
+        assert_eq!(again, Ok(Submitted::Known), "{kind:?}");
+    }
+}
