fix(cell): a late acknowledgement does not drop ends of the worker's next incarnation

A poll without an answer may be carried out seconds later, by then by the next incarnation under the same id, which has the same name, accepts the same token and numbers its ends from 1. It drops ends that nobody has read: the runs count as unlisted, or a successor never hears of them, and their tasks start again. Ruled out: an older token or the worker's name in the poll (both are the same for either incarnation); waiting before each acknowledgement (any may be late). Change: what was acknowledged is not repeated, so that few polls can do harm. After an acknowledgement without an answer, the next incarnation gets no tasks for 13 s, also if the worker was forgotten meanwhile. The fuzz lets late polls and stops reach the next incarnation. Starts that are late are a fault of their own.

--- a/src/cell/cluster.rs
+++ b/src/cell/cluster.rs
@@ -124,6 +124,13 @@
     pub acknowledged: u64,
     /// Whether a poll is in flight.
     pub polling: bool,
+    /// Highest number of an ended run that the newest poll acknowledges; 0 for none.
+    pub polled_acked: u64,
+    /// Local time until which an acknowledgement without an answer may be carried out, in milliseconds.
+    pub acked_until: u64,
+    /// Local time until which this incarnation gets no new tasks, in milliseconds: an acknowledgement
+    /// meant for a former one would make it drop ended runs that nobody has read.
+    pub quarantined_until: u64,
     /// Number of the address to which the last poll was sent.
     pub polled_at: u32,
     /// Local time before which the worker is not polled, in milliseconds.
@@ -162,6 +169,9 @@
             outcome_batch: 0,
             acknowledged: 0,
             polling: false,
+            polled_acked: 0,
+            acked_until: 0,
+            quarantined_until: 0,
             polled_at: 0,
             poll_after: 0,
             silent_since: None,
@@ -212,6 +222,7 @@
             && self.silent_since.is_none()
             && self.clock_reading.is_some()
             && self.suspended_until <= now
+            && self.quarantined_until <= now
             // A new incarnation may have another capacity and counts only once it has registered.
             && self.registration.incarnation == self.incarnation
             && self.registration.availability == model::Availability::Ready
@@ -286,6 +297,9 @@
     pub runs: SlotMap<RunKey, Run>,
     /// Whether all runs of earlier owners are known.
     pub reconciled: bool,
+    /// Workers that were removed while an acknowledgement might still be carried out: id, incarnation and
+    /// local time until which it may be, in milliseconds; sorted.
+    pub late_acks: Vec<(CompactString, u64, u64)>,
 }
 
 impl Cluster {
@@ -301,7 +315,11 @@
     /// Adds a worker.
     pub fn add_worker(&mut self, registration: model::Registration) -> WorkerKey {
         let id = registration.id.clone();
-        let key = self.workers.insert(Worker::new(registration));
+        let mut worker = Worker::new(registration);
+        let late = self.late_acks.iter();
+        let mut late = late.filter(|(name, life, _)| *name == id && *life != worker.incarnation);
+        worker.quarantined_until = late.next_back().map_or(0, |(_, _, until)| *until);
+        let key = self.workers.insert(worker);
         match self.index.binary_search_by(|(name, _)| name.cmp(&id)) {
             Ok(at) => self.index[at].1 = key,
             Err(at) => self.index.insert(at, (id, key)),
@@ -320,6 +338,15 @@
         if let Some(worker) = self.workers.remove(key) {
             self.index
                 .retain(|(name, _)| *name != worker.registration.id);
+            if worker.acked_until > 0 {
+                let late = (
+                    worker.registration.id,
+                    worker.incarnation,
+                    worker.acked_until,
+                );
+                let at = self.late_acks.partition_point(|other| *other < late);
+                self.late_acks.insert(at, late);
+            }
         }
     }
 
--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -444,6 +444,7 @@
         self.reconcile(now);
         self.poll_due_workers(now);
         self.expire_archive(now);
+        self.cluster.late_acks.retain(|(_, _, until)| *until > now);
         self.pass_needed |= !self.backlog.is_empty() && now >= self.last_pass + LOOK_AGAIN;
     }
 
--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -37,6 +37,10 @@
 /// with some queueing.
 const RETRY_DELAY_MS: u64 = 30;
 
+/// Time for which a command without an answer may still be carried out, in milliseconds: the platform
+/// speaks of seconds.
+const LATE_COMMAND_MS: u64 = 13_000;
+
 /// Delay before a refused stop command is retried, in milliseconds.
 const STOP_RETRY_MS: u64 = 250;
 
@@ -394,8 +398,9 @@
         let same = worker.last_report + MIN_RESTART_MS > now && worker.silent_since.is_none();
         let acked = match (same, stored) {
             (false, _) => 0,
-            (true, true) => worker.applied(),
-            (true, false) => worker.acknowledged,
+            // What was acknowledged is not repeated: such a poll could reach the next incarnation.
+            (true, true) if worker.applied() > worker.acknowledged => worker.applied(),
+            (true, _) => 0,
         };
         // A silent worker is polled without renewal: each renewed lease would postpone the time at
         // which its runs have certainly expired.
@@ -406,6 +411,7 @@
             worker.extend_leases(lease_end, now);
         }
         worker.polling = true;
+        worker.polled_acked = acked;
         worker.polled_at = worker.address_number;
         let idle = worker.fenced && lease_end.is_some() && stored && worker.silent_since.is_none();
         Some(Poll {
@@ -423,6 +429,9 @@
             return;
         };
         worker.polling = false;
+        if worker.polled_acked > 0 {
+            worker.acked_until = now + LATE_COMMAND_MS;
+        }
         let since = worker.silent_since.unwrap_or(now);
         let long = now.saturating_sub(since) > self.times.lease;
         worker.poll_after = now
--- a/src/cell/engine/registry.rs
+++ b/src/cell/engine/registry.rs
@@ -136,6 +136,7 @@
         worker.outcome_batch = 0;
         (worker.last_outcome, worker.acknowledged) = (0, 0);
         worker.unapplied = None;
+        worker.quarantined_until = worker.quarantined_until.max(worker.acked_until);
         worker.applied_above.clear();
         worker.poll_after = 0;
         worker.silent_since = None;
--- a/tests/cell/acknowledged.rs
+++ b/tests/cell/acknowledged.rs
@@ -245,3 +245,63 @@
         assert_eq!(again, Ok(Submitted::Known), "{kind:?}");
     }
 }
+
+/// Creates an owner of a worker that has ended a run, with a poll under way that acknowledges it, and a
+/// job that waits.
+fn acknowledging() -> (Engine, WorkerKey) {
+    let mut engine = make::owner(&[("w1", 16_000)]);
+    let worker = engine.cluster.find_worker("w1").unwrap();
+    let other = make::task("00000000000000e2", 0, 0);
+    let mut report = make::report(1, 900);
+    report.ended = vec![make::end(5, other, 1, Outcome::Done)];
+    engine.apply_report(worker, START + 100, 0, &report, START + 110);
+    let poll = engine.poll_command(worker, START + 200).unwrap();
+    assert_eq!(poll.acked, 5);
+    let work = make::work(vec![make::step(1, 1_000)]);
+    make::submit(&mut engine, JOB, make::queue("q", 0), work, START + 300);
+    (engine, worker)
+}
+
+/// Registers the next incarnation of the worker, which reports.
+fn reborn(engine: &mut Engine, now: u64) {
+    engine.register(make::worker("w1", 2, 16_000));
+    let worker = engine.cluster.find_worker("w1").unwrap();
+    make::answer(engine, worker, make::report(2, 50), now);
+    make::store(engine, now);
+    engine.tick(now);
+}
+
+#[test]
+fn a_late_acknowledgement_finds_no_ends_of_the_next_incarnation() {
+    let (mut engine, worker) = acknowledging();
+    engine.poll_failed(worker, START + 600);
+    reborn(&mut engine, START + 2_000);
+    assert_eq!(make::starts(&mut engine, START + 2_100), []);
+    engine.tick(START + 12_000);
+    assert_eq!(make::starts(&mut engine, START + 12_000), []);
+    assert_eq!(make::starts(&mut engine, START + 13_700).len(), 1);
+}
+
+#[test]
+fn a_late_acknowledgement_is_remembered_although_its_worker_was_forgotten() {
+    let (mut engine, worker) = acknowledging();
+    engine.poll_failed(worker, START + 600);
+    engine.unregister("w1");
+    assert_eq!(engine.cluster.find_worker("w1"), None);
+    reborn(&mut engine, START + 2_000);
+    assert_eq!(make::starts(&mut engine, START + 2_100), []);
+    assert_eq!(make::starts(&mut engine, START + 13_700).len(), 1);
+}
+
+#[test]
+fn a_next_incarnation_gets_tasks_at_once_if_every_acknowledgement_was_answered() {
+    let (mut engine, worker) = acknowledging();
+    let report = make::report(1, 1_000);
+    engine.apply_report(worker, START + 200, 5, &report, START + 310);
+    engine.cluster.workers[worker].fenced = false;
+    let poll = engine.poll_command(worker, START + 400).unwrap();
+    assert_eq!(poll.acked, 0, "what was acknowledged is not repeated");
+    engine.poll_failed(worker, START + 750);
+    reborn(&mut engine, START + 2_000);
+    assert_eq!(make::starts(&mut engine, START + 2_100).len(), 1);
+}
--- a/tests/cell/faults.rs
+++ b/tests/cell/faults.rs
@@ -59,6 +59,10 @@
     /// Whether the instances act as in the shell: they send heartbeats to the owner, and the owner
     /// proves by appends that it still owns the cell.
     pub(super) instances: bool,
+    /// Polls and stops that the next incarnation under the same id carries out, of all late ones.
+    pub(super) astray: u32,
+    /// The same for starts.
+    pub(super) astray_starts: u32,
 }
 
 impl FaultRates {
@@ -80,6 +84,8 @@
         lags: 0,
         page: 0,
         instances: false,
+        astray: 0,
+        astray_starts: 0,
     };
 }
 
--- a/tests/cell/fuzz.rs
+++ b/tests/cell/fuzz.rs
@@ -276,6 +276,8 @@
     lags: 200,
     page: 0,
     instances: true,
+    astray: 0,
+    astray_starts: 0,
 };
 
 #[test]
@@ -309,3 +311,24 @@
     };
     play_all(22_000, 8, rates);
 }
+
+/// Workers that start again under their ids while commands to them are late.
+const REBORN: FaultRates = FaultRates {
+    loss: 40,
+    delayed: 150,
+    faults: 250,
+    late: 60,
+    long: 150,
+    pauses: 40,
+    instances: true,
+    ..FaultRates::NONE
+};
+
+#[test]
+fn guarantees_hold_where_late_polls_reach_the_next_incarnation() {
+    let rates = FaultRates {
+        astray: 1_000,
+        ..REBORN
+    };
+    play_all(50_020, 16, rates);
+}
--- a/tests/cell/network.rs
+++ b/tests/cell/network.rs
@@ -173,9 +173,18 @@
         );
     }
 
-    /// Lets a command arrive late, and at no other incarnation of the worker; there is no answer.
+    /// Incarnation of a worker that may carry out a late command; `None` for any.
+    fn addressed(&mut self, at: usize, call: &Call) -> Option<u64> {
+        let astray = match call {
+            Call::Start(..) => self.rates.astray_starts,
+            _ => self.rates.astray,
+        };
+        (!self.roll(astray)).then_some(self.machines[at].incarnation)
+    }
+
+    /// Lets a command arrive late; there is no answer.
     fn delay(&mut self, owner: usize, at: usize, call: Call, delay: u64) {
-        let incarnation = Some(self.machines[at].incarnation);
+        let incarnation = self.addressed(at, &call);
         self.post(
             delay,
             Event::Arrive {
@@ -192,7 +201,7 @@
     fn hold_up(&mut self, owner: usize, at: usize, call: Call, rest: u64) {
         let delay = rest + self.dice.random_range(1..30);
         let answered = self.dice.random_range(0..2) == 0;
-        let incarnation = Some(self.machines[at].incarnation);
+        let incarnation = self.addressed(at, &call);
         if !answered {
             self.unanswered(owner, call.clone());
         }
