test(cell): a late start may run a finished task again at the worker's next incarnation, red

Cause: the first copy of a start has no answer, the second is carried out, the run is done and that is acknowledged. The worker starts again under its id: the first copy names it, carries a valid token, and its expiry is a time on the clock of the former incarnation, far ahead on the new one. The task starts again after its success was taken note of: TWICE. Conclusion: nothing in the command tells the two incarnations apart; whether the platform lets such a call through is a question for its users.

--- a/tests/cell/fuzz.rs
+++ b/tests/cell/fuzz.rs
@@ -332,3 +332,13 @@
     };
     play_all(50_020, 16, rates);
 }
+
+#[test]
+fn guarantees_hold_where_late_starts_reach_the_next_incarnation() {
+    let rates = FaultRates {
+        astray: 1_000,
+        astray_starts: 1_000,
+        ..REBORN
+    };
+    play_all(24_000, 16, rates);
+}
