--- a/src/cell/cluster.rs
+++ b/src/cell/cluster.rs
@@ -135,12 +135,23 @@
     pub used: Resources,
     /// Highest number of an ended run that was applied.
     pub last_outcome: u64,
+    /// Lowest number of an ended run that was reported and not applied, if there is one.
+    pub unapplied: Option<u64>,
+    /// Numbers of the ended runs above it that were applied, sorted.
+    pub applied_above: Vec<u64>,
     /// Batch that stores the changes that follow from the ended runs.
     pub outcome_batch: u64,
     /// Highest number of an ended run that was acknowledged to the worker.
     pub acknowledged: u64,
     /// Whether a poll is in flight.
     pub polling: bool,
+    /// Highest number of an ended run that the newest poll acknowledges; 0 for none.
+    pub polled_acked: u64,
+    /// Local time until which an acknowledgement without an answer may be carried out, in milliseconds.
+    pub acked_until: u64,
+    /// Local time until which this incarnation gets no new tasks, in milliseconds: an acknowledgement
+    /// meant for a former one would make it drop ended runs that nobody has read.
+    pub quarantined_until: u64,
     /// Number of the address to which the last poll was sent.
     pub polled_at: u32,
     /// Local time before which the worker is not polled, in milliseconds.
@@ -180,9 +191,14 @@
             runs: Vec::new(),
             used: Resources::default(),
             last_outcome: 0,
+            unapplied: None,
+            applied_above: Vec::new(),
             outcome_batch: 0,
             acknowledged: 0,
             polling: false,
+            polled_acked: 0,
+            acked_until: 0,
+            quarantined_until: 0,
             polled_at: 0,
             poll_after: 0,
             silent_since: None,
@@ -261,6 +277,7 @@
             && self.suspended_until <= now
             // A task that takes no CPU would still work, and take memory, there.
             && !self.is_overbooked()
+            && self.quarantined_until <= now
             // A new incarnation may have another capacity and counts only once it has registered.
             && self.registration.incarnation == self.incarnation
             && self.registration.availability == model::Availability::Ready
@@ -275,7 +292,7 @@
         if !self.fenced {
             return true;
         }
-        let pending = self.last_outcome > self.acknowledged;
+        let pending = self.applied() > self.acknowledged;
         if pending && self.outcome_batch > durable {
             // The ended runs are not stored yet; until then, polls only renew the leases.
             return self
@@ -286,6 +303,13 @@
         pending || !self.runs.is_empty() || self.silent_since.is_some()
     }
 
+    /// Highest number of an ended run up to which all were applied.
+    #[must_use]
+    pub fn applied(&self) -> u64 {
+        let before = self.unapplied.map(|number| number.saturating_sub(1));
+        before.map_or(self.last_outcome, |last| last.min(self.last_outcome))
+    }
+
     /// Records a failed run; returns whether the worker is suspended for it.
     pub fn record_failure(&mut self, job: &str, now: u64) -> bool {
         if self.last_failed_job == job {
@@ -333,6 +357,9 @@
     pub runs: SlotMap<RunKey, Run>,
     /// Whether all runs of earlier owners are known.
     pub reconciled: bool,
+    /// Workers that were removed while an acknowledgement might still be carried out: id, incarnation and
+    /// local time until which it may be, in milliseconds; sorted.
+    pub late_acks: Vec<(CompactString, u64, u64)>,
 }
 
 impl Cluster {
@@ -348,7 +375,11 @@
     /// Adds a worker.
     pub fn add_worker(&mut self, registration: model::Registration) -> WorkerKey {
         let id = registration.id.clone();
-        let key = self.workers.insert(Worker::new(registration));
+        let mut worker = Worker::new(registration);
+        let late = self.late_acks.iter();
+        let mut late = late.filter(|(name, life, _)| *name == id && *life != worker.incarnation);
+        worker.quarantined_until = late.next_back().map_or(0, |(_, _, until)| *until);
+        let key = self.workers.insert(worker);
         match self.index.binary_search_by(|(name, _)| name.cmp(&id)) {
             Ok(at) => self.index[at].1 = key,
             Err(at) => self.index.insert(at, (id, key)),
@@ -367,6 +398,15 @@
         if let Some(worker) = self.workers.remove(key) {
             self.index
                 .retain(|(name, _)| *name != worker.registration.id);
+            if worker.acked_until > 0 {
+                let late = (
+                    worker.registration.id,
+                    worker.incarnation,
+                    worker.acked_until,
+                );
+                let at = self.late_acks.partition_point(|other| *other < late);
+                self.late_acks.insert(at, late);
+            }
         }
     }
 
--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -191,6 +191,8 @@
     changed_jobs: Vec<(u64, JobKey)>,
     /// Finished jobs.
     archive: archive::Archive,
+    /// Ids of the jobs of which a stored record could not be read, sorted.
+    unread_jobs: Vec<CompactString>,
     /// Number of stored worker records that could not be read.
     unread_workers: usize,
     /// Workers whose registration is to be stored.
@@ -249,6 +251,7 @@
             new_jobs: Vec::new(),
             changed_jobs: Vec::new(),
             archive: archive::Archive::default(),
+            unread_jobs: Vec::new(),
             unread_workers: 0,
             unstored_workers: Vec::new(),
             timed_jobs: Vec::new(),
@@ -355,10 +358,14 @@
 
     /// Adds a step to the backlog.
     fn enqueue(&mut self, step: StepKey) {
-        let Some(state) = self
-            .jobs
-            .get_mut(step.job)
-            .and_then(|job| job.step_mut(step))
+        let Some(job) = self.jobs.get_mut(step.job) else {
+            return;
+        };
+        // The other steps follow when their time comes.
+        let occurrence = job.occurrences.get_mut(step.occurrence as usize);
+        let Some(state) = occurrence
+            .filter(|occurrence| occurrence.due)
+            .and_then(|occurrence| occurrence.steps.get_mut(step.step as usize))
         else {
             return;
         };
@@ -387,8 +394,14 @@
                 .push(Occurrence::new(number, &job.submission.steps));
             free -= 1;
         }
+        let due = job.occurrences.iter();
+        let due = due.take_while(|o| o.due || job.due_at(o.number) <= unix);
+        let due = due.count();
+        for occurrence in &mut job.occurrences[..due] {
+            occurrence.due = true;
+        }
         let mut steps = Vec::new();
-        for (o, occurrence) in job.occurrences.iter().enumerate() {
+        for (o, occurrence) in job.occurrences[..due].iter().enumerate() {
             for (s, (state, definition)) in occurrence
                 .steps
                 .iter()
@@ -404,9 +417,7 @@
                 }
             }
         }
-        if (job.occurrences.len() as u32) < job.occurrence_count()
-            && !self.timed_jobs.contains(&key)
-        {
+        if (due as u32) < job.occurrence_count() && !self.timed_jobs.contains(&key) {
             self.timed_jobs.push(key);
         }
         for step in steps {
@@ -414,6 +425,32 @@
         }
     }
 
+    /// Begins the occurrences of a job up to that of a run which a worker reports: an earlier owner
+    /// has started the run, whatever this owner's clock says.
+    fn begin_reported(&mut self, name: &model::TaskName) {
+        let Some(key) = self.find_job(&name.job) else {
+            return;
+        };
+        let job = &mut self.jobs[key];
+        let begun = job.occurrences.len() as u32;
+        if job.state.is_final() || !job.stored || name.occurrence < begun || !job.has_task(name) {
+            return;
+        }
+        let live = job.occurrences.iter().filter(|o| !o.is_done()).count();
+        let more = (name.occurrence - begun) as usize + 1;
+        // As many again may be done, and their ends not reported yet.
+        if live.saturating_add(more) > 2 * MAX_OCCURRENCES {
+            return;
+        }
+        for number in begun..=name.occurrence {
+            let occurrence = Occurrence::new(number, &job.submission.steps);
+            job.occurrences.push(occurrence);
+        }
+        if !self.timed_jobs.contains(&key) {
+            self.timed_jobs.push(key);
+        }
+    }
+
     /// Handles what depends on time: due occurrences, retries, expired leases, old jobs.
     pub fn tick(&mut self, now: u64) {
         for key in std::mem::take(&mut self.timed_jobs) {
@@ -428,6 +465,7 @@
         self.reconcile(now);
         self.poll_due_workers(now);
         self.expire_archive(now);
+        self.cluster.late_acks.retain(|(_, _, until)| *until > now);
         self.pass_needed |= !self.backlog.is_empty() && now >= self.last_pass + LOOK_AGAIN;
     }
 
--- a/src/cell/engine/reports.rs
+++ b/src/cell/engine/reports.rs
@@ -97,9 +97,12 @@
         if same {
             worker.acknowledged = worker.acknowledged.max(seen);
         }
-        let known = worker.last_outcome;
-        let mut new_ends: Vec<&model::EndedRun> =
-            report.ended.iter().filter(|e| e.number > known).collect();
+        let known = worker.applied();
+        let above = &worker.applied_above;
+        let is_new = |end: &&model::EndedRun| {
+            end.number > known && above.binary_search(&end.number).is_err()
+        };
+        let mut new_ends: Vec<&model::EndedRun> = report.ended.iter().filter(is_new).collect();
         new_ends.sort_by_key(|end| end.number);
         let any_new = !new_ends.is_empty();
         for end in new_ends {
@@ -115,16 +118,35 @@
             let worker = &mut self.cluster.workers[key];
             worker.outcome_batch = worker.outcome_batch.max(last);
         }
+        self.note_unapplied(key, report);
         self.compare_runs(key, sent, report, now);
         let worker = &self.cluster.workers[key];
-        if worker.last_outcome == worker.acknowledged {
+        if worker.applied() <= worker.acknowledged {
             self.remove_if_empty(key);
         }
     }
 
+    /// Notes from which number on ends were not all applied. A full page is acknowledged in any case: the
+    /// ends after it would never be seen.
+    fn note_unapplied(&mut self, key: WorkerKey, report: &model::Report) {
+        let unread = |end: &&model::EndedRun| self.is_unread(&end.task.job);
+        let of_unread = report.ended.iter().filter(unread);
+        let lowest = of_unread.map(|end| end.number).chain(report.unread).min();
+        let worker = &mut self.cluster.workers[key];
+        worker.unapplied = lowest.filter(|_| !report.partial);
+        worker.applied_above.clear();
+        if worker.unapplied.is_none() {
+            return;
+        }
+        let numbers = report.ended.iter().map(|end| end.number);
+        worker.applied_above.extend(numbers);
+        worker.applied_above.sort_unstable();
+    }
+
     /// Applies one ended run from a report.
     fn apply_end(&mut self, worker: WorkerKey, end: &model::EndedRun, now: u64) {
-        self.cluster.workers[worker].last_outcome = end.number;
+        let last = &mut self.cluster.workers[worker].last_outcome;
+        *last = end.number.max(*last);
         let run = self.cluster.find_run(worker, &end.task, end.run);
         match run.map(|key| (key, self.cluster.runs[key].task)) {
             Some((key, Some(_))) => self.end_run(key, end.outcome, &end.checkpoint, now),
@@ -140,11 +162,13 @@
     /// Applies the end of a run that is not tracked: a run of an earlier owner, or one that was
     /// given up.
     fn apply_untracked_end(&mut self, worker: WorkerKey, end: &model::EndedRun, now: u64) {
+        self.begin_reported(&end.task);
         let Some(task) = self.find_task(&end.task) else {
             return;
         };
         let job = &mut self.jobs[task.step.job];
-        if job.state.is_final() {
+        // Whatever is stored now would replace the progress that could not be read.
+        if job.state.is_final() || job.unread {
             return;
         }
         let Some(state) = job.task_mut(task) else {
@@ -239,12 +263,13 @@
     /// Tracks a reported run that is not known yet: a run of an earlier owner is adopted, any other
     /// run is stopped.
     fn adopt_run(&mut self, worker: WorkerKey, live: &model::LiveRun, now: u64) {
+        self.begin_reported(&live.task);
         let task = self.find_task(&live.task).filter(|task| {
             let job = &self.jobs[task.step.job];
             let state = job
                 .step(task.step)
                 .and_then(|s| s.tasks.get(task.index as usize));
-            !job.state.is_final() && state.is_some_and(|t| t.phase == Phase::Waiting)
+            !job.state.is_final() && !job.unread && state.is_some_and(|t| t.phase == Phase::Waiting)
         });
         let id = self.cluster.workers[worker].registration.id.clone();
         let demand = self.find_task(&live.task).map(|task| {
--- a/src/cell/engine/submissions.rs
+++ b/src/cell/engine/submissions.rs
@@ -43,6 +43,9 @@
                 false => Submitted::InBatch(job.batch),
             });
         }
+        if self.is_unread(id) {
+            return Ok(Submitted::Known);
+        }
         validate(&work)?;
         let accepted = self.unix(now);
         let key = self.insert_job(new_job(id, queue, work, accepted, self.term));
@@ -179,6 +182,7 @@
         deadline: 0,
         inherited: false,
         suspected: false,
+        unread: false,
         origin: CompactString::default(),
     };
     let span = job.critical_path() as f64 * job.queue.stretch;
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -214,6 +214,9 @@
     pub number: u32,
     /// Steps of the occurrence.
     pub steps: Vec<StepState>,
+    /// Whether its due time has come by this owner's clock. An earlier owner whose clock was ahead may
+    /// have begun it before.
+    pub due: bool,
 }
 
 impl Occurrence {
@@ -223,6 +226,7 @@
         Self {
             number,
             steps: steps.iter().map(StepState::new).collect(),
+            due: false,
         }
     }
 
@@ -279,6 +283,8 @@
     pub inherited: bool,
     /// Whether a worker has crashed under a task of the job.
     pub suspected: bool,
+    /// Whether the stored progress could not be read, so that any task may be done.
+    pub unread: bool,
 }
 
 impl Job {
@@ -318,6 +324,13 @@
         }
     }
 
+    /// Whether the job has a task of this name, in an occurrence that has begun or a later one.
+    #[must_use]
+    pub fn has_task(&self, name: &model::TaskName) -> bool {
+        let step = self.submission.steps.get(name.step as usize);
+        name.occurrence < self.occurrence_count() && step.is_some_and(|s| name.index < s.count)
+    }
+
     /// Total number of occurrences of the job.
     #[must_use]
     pub fn occurrence_count(&self) -> u32 {
@@ -374,5 +387,5 @@
 /// Whether `job` may start runs now, given the workers that may hold unknown runs.
 #[must_use]
 pub fn may_start(job: &Job, cluster: &cluster::Cluster) -> bool {
-    !job.state.is_final() && job.stored && (!job.inherited || cluster.reconciled)
+    !job.state.is_final() && job.stored && !job.unread && (!job.inherited || cluster.reconciled)
 }
--- a/tests/cell/faults.rs
+++ b/tests/cell/faults.rs
@@ -74,6 +74,10 @@
     pub(super) capacities: u32,
     /// Whether workers refuse what exceeds their capacity.
     pub(super) guarded: bool,
+    /// Polls and stops that the next incarnation under the same id carries out, of all late ones.
+    pub(super) astray: u32,
+    /// The same for starts.
+    pub(super) astray_starts: u32,
 }
 
 impl FaultRates {
@@ -103,6 +107,8 @@
         workers: 0,
         capacities: 0,
         guarded: false,
+        astray: 0,
+        astray_starts: 0,
     };
 }
 
--- a/tests/cell/fuzz.rs
+++ b/tests/cell/fuzz.rs
@@ -457,3 +457,34 @@
     play_all(40_140, 16, rates);
     play_all(50_176, 1, rates);
 }
+
+/// Workers that start again under their ids while commands to them are late.
+const REBORN: FaultRates = FaultRates {
+    loss: 40,
+    delayed: 150,
+    faults: 250,
+    late: 60,
+    long: 150,
+    pauses: 40,
+    instances: true,
+    ..FaultRates::NONE
+};
+
+#[test]
+fn guarantees_hold_where_late_polls_reach_the_next_incarnation() {
+    let rates = FaultRates {
+        astray: 1_000,
+        ..REBORN
+    };
+    play_all(50_020, 16, rates);
+}
+
+#[test]
+fn guarantees_hold_where_late_starts_reach_the_next_incarnation() {
+    let rates = FaultRates {
+        astray: 1_000,
+        astray_starts: 1_000,
+        ..REBORN
+    };
+    play_all(24_000, 16, rates);
+}
--- a/tests/cell/workers.rs
+++ b/tests/cell/workers.rs
@@ -688,6 +688,7 @@
         running: machine.running.iter().map(live).collect(),
         ended: machine.ended.clone(),
         partial: false,
+        unread: None,
     })
 }
 
