fix(cell): suspects that find no empty worker, stale exposures and starts that waited for the store

Cause: a review by someone who had not seen the work, by reading: a suspect could wait for ever where each worker runs something that lasts; a start that waited for the store went to a worker that had begun to drain meanwhile; the place of a run that had ended well counted against its task when its worker restarted later; an exposure of another worker was dropped; the runs of an earlier owner counted as just started; a trial went to a worker that had been down unnoticed; no rule ended the starts of a task that never ran alone. Change: suspects share a worker when none is empty and most of the CPU is free; held starts are checked again; exposures are cleared when a run ends or lasts; adopted runs count as late; the worker of a trial is polled first, and a start without an answer counts as alone only if its worker had answered just before; eight crashes convict in any case.

--- a/src/cell/engine/caution.rs
+++ b/src/cell/engine/caution.rs
@@ -13,6 +13,7 @@
     job::{
         Job,
         JobKey,
+        RunKey,
         StepKey,
         WorkerKey, //
     },
@@ -224,6 +225,8 @@
     pub(super) apart: usize,
     /// Workers that careful queues may use in all.
     pub(super) most_apart: usize,
+    /// Whether suspected tasks may share a worker, since none becomes empty.
+    pub(super) shared: bool,
 }
 
 impl Allowance {
@@ -250,14 +253,14 @@
 
 /// Use of the workers by suspected tasks and careful queues.
 pub(super) struct Apartness {
-    /// Purpose of each worker that is not open, sorted by worker.
-    pub(super) purposes: Vec<(WorkerKey, Purpose)>,
+    /// Purpose of each worker of the pass.
+    pub(super) purposes: Vec<Purpose>,
     pub(super) allowance: Allowance,
 }
 
 impl Engine {
-    /// Determines what the workers are used for, given the steps that wait; `None` if no task or queue
-    /// needs caution.
+    /// Determines what the workers `slots` are used for, given the steps that wait, of which the first
+    /// `timely` can still be of use; `None` if no task or queue needs caution.
     pub(super) fn set_apart(
         &mut self,
         slots: &[WorkerKey],
@@ -271,53 +274,31 @@
         if trials == 0 && !under_way && self.caution.careful.is_empty() {
             return None;
         }
-        let workers = &self.cluster.workers;
-        let total = workers.values().filter(|w| w.registered).count();
-        let mut allowance = Allowance::default();
-        let mut purposes = Vec::new();
+        let total = self.cluster.workers.values().filter(|w| w.registered);
+        let total = total.count();
+        let mut allowance = Allowance {
+            most_apart: (total / CAREFUL_DIVISOR).max(1),
+            ..Allowance::default()
+        };
+        let mut purposes = vec![Purpose::Open; slots.len()];
         let (mut tried, mut apart) = (0, 0);
-        for (key, worker) in workers {
-            let mut purpose = Purpose::Open;
-            let mut mixed = false;
-            let mut queue = None;
-            for run in worker.runs.iter().map(|run| &self.cluster.runs[*run]) {
-                let job = run.task.and_then(|task| self.jobs.get(task.step.job));
-                let name = job.map(|job| &job.queue.name);
-                if run.trial {
-                    purpose = Purpose::Trial;
-                    queue = name;
-                } else if name.is_some_and(|name| self.caution.is_careful(name)) {
-                    if purpose == Purpose::Open {
-                        purpose = Purpose::Apart;
-                    }
-                } else {
-                    mixed = true;
-                }
-            }
-            match purpose {
-                Purpose::Trial => {
-                    tried += 1;
-                    if let Some(queue) = queue {
-                        count(&mut allowance.under_way, queue);
-                    }
-                }
-                Purpose::Apart => {
-                    apart += 1;
-                    if mixed {
-                        // Other queues go on here; the careful ones do not.
-                        purpose = Purpose::Open;
-                    }
-                }
-                _ => {}
+        for (key, worker) in &self.cluster.workers {
+            let (purpose, queue) = self.purpose(&worker.runs);
+            if let Some(queue) = queue.filter(|_| purpose == Purpose::Trial) {
+                count(&mut allowance.under_way, queue);
             }
-            if purpose != Purpose::Open {
-                purposes.push((key, purpose));
+            tried += usize::from(purpose == Purpose::Trial);
+            let careful = queue.is_some() && purpose != Purpose::Trial;
+            apart += usize::from(careful);
+            if let Ok(at) = slots.binary_search(&key)
+                && (purpose != Purpose::Apart || apart <= allowance.most_apart)
+            {
+                purposes[at] = purpose;
             }
         }
-        let empty = slots
-            .iter()
-            .filter(|key| workers[**key].runs.is_empty())
-            .count();
+        let workers = &self.cluster.workers;
+        let empty = slots.iter().filter(|key| workers[**key].runs.is_empty());
+        let empty = empty.count();
         let most = (total / TRIAL_DIVISOR).max(empty / 2).max(1);
         allowance.trials = most.saturating_sub(tried);
         // One queue leaves half of the trials to the others, if they have any.
@@ -325,8 +306,9 @@
             0 | 1 => most,
             _ => most.div_ceil(2),
         };
-        allowance.most_apart = (total / CAREFUL_DIVISOR).max(1);
         allowance.apart = allowance.most_apart.saturating_sub(apart);
+        // Where each worker runs something that lasts, no worker ever becomes empty.
+        allowance.shared = empty == 0 && self.is_mostly_free(slots);
         let most = (total / VACANT_DIVISOR).max(1);
         let steps = waiting[..timely].iter();
         let steps = steps.filter(|key| self.trials_in(&[**key]) > 0);
@@ -338,29 +320,59 @@
                 self.vacate(slots, &mut purposes, None);
             }
         }
-        purposes.sort_by_key(|(key, _)| *key);
         Some(Apartness {
             purposes,
             allowance,
         })
     }
 
+    /// What a worker with these runs is used for, and the queue that is tried or careful there.
+    fn purpose(&self, runs: &[RunKey]) -> (Purpose, Option<&CompactString>) {
+        let mut found = None;
+        let mut mixed = false;
+        for run in runs.iter().map(|run| &self.cluster.runs[*run]) {
+            let job = run.task.and_then(|task| self.jobs.get(task.step.job));
+            let name = job.map(|job| &job.queue.name);
+            if run.trial {
+                return (Purpose::Trial, name);
+            }
+            match name.filter(|name| self.caution.is_careful(name)) {
+                Some(name) => found = Some(name),
+                None => mixed = true,
+            }
+        }
+        match (found, mixed) {
+            (Some(_), false) => (Purpose::Apart, found),
+            // Other queues go on here; the careful ones do not.
+            _ => (Purpose::Open, found),
+        }
+    }
+
+    /// Whether less than half of the CPU of the workers is in use.
+    fn is_mostly_free(&self, slots: &[WorkerKey]) -> bool {
+        let workers = slots.iter().map(|key| &self.cluster.workers[*key]);
+        let (used, all) = workers.fold((0_u64, 0_u64), |(used, all), worker| {
+            let capacity = worker.registration.capacity.millicores;
+            (
+                used + u64::from(worker.used.millicores),
+                all + u64::from(capacity),
+            )
+        });
+        used * 2 < all
+    }
+
     /// Keeps the worker with the least work free of new tasks of other queues, among those that may
     /// run `step`.
-    fn vacate(
-        &self,
-        slots: &[WorkerKey],
-        purposes: &mut Vec<(WorkerKey, Purpose)>,
-        step: Option<StepKey>,
-    ) {
-        let open = |key: &&WorkerKey| purposes.iter().all(|(other, _)| other != *key);
-        let useful = |key: &&WorkerKey| step.is_none_or(|step| self.may_run(step, **key));
+    fn vacate(&self, slots: &[WorkerKey], purposes: &mut [Purpose], step: Option<StepKey>) {
+        let useful = |key: &WorkerKey| step.is_none_or(|step| self.may_run(step, *key));
         let least = slots
             .iter()
-            .filter(open)
-            .filter(useful)
-            .min_by_key(|key| (self.cluster.workers[**key].used.millicores, **key));
-        purposes.extend(least.map(|key| (*key, Purpose::Vacant)));
+            .enumerate()
+            .filter(|(at, key)| purposes[*at] == Purpose::Open && useful(key))
+            .min_by_key(|(_, key)| (self.cluster.workers[**key].used.millicores, **key));
+        if let Some((at, _)) = least {
+            purposes[at] = Purpose::Vacant;
+        }
     }
 
     /// Number of queues with tasks that wait to run alone.
--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -170,7 +170,10 @@
         }
         let first = run.start_expires == 0;
         let worker = self.cluster.workers.get(run.worker);
-        if !may_command || first && !current || worker.is_some_and(Worker::is_overbooked) {
+        // The worker may have changed while the start waited for the store.
+        let held = first && run.after_batch > 0;
+        let lost = held && worker.is_none_or(|w| !w.is_schedulable(durable, now));
+        if !may_command || lost || first && !current || worker.is_some_and(Worker::is_overbooked) {
             if first {
                 self.lose_run(key, Loss::Unsent, now);
             }
--- a/src/cell/engine/crashes.rs
+++ b/src/cell/engine/crashes.rs
@@ -23,7 +23,8 @@
     suspicion::{
         self,
         Crash,
-        Exposure, //
+        Exposure,
+        SOON_MS, //
     },
 };
 
@@ -31,6 +32,10 @@
 /// milliseconds.
 const ACQUITTAL_MS: u64 = 10_000;
 
+/// Time since a worker's last answer within which it was probably up when a start command that it did
+/// not answer was sent, in milliseconds.
+const ANSWER_AGE_MS: u64 = 1_000;
+
 /// What a crash of a worker means for a task that was on it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Evidence {
@@ -71,7 +76,10 @@
                 RunState::Confirmed(at) => (at, true),
                 RunState::Sent | RunState::Unanswered => (run.ordered_at, false),
             };
+            let answered = worker.clock_reading.map_or(0, |(at, _)| at);
             let sent = confirmed || run.start_expires > 0;
+            // The worker may have been down already when the command was sent.
+            let seen = confirmed || run.ordered_at <= answered + ANSWER_AGE_MS;
             if !sent || confirmed && started >= before || run.ordered_at > at {
                 continue;
             }
@@ -80,16 +88,20 @@
                 task,
                 crash: Crash {
                     run: run.number,
-                    // A run that was confirmed during a silence shows that the worker crashed later.
-                    age: Some(at.checked_sub(started).unwrap_or(now - started)),
-                    alone: true,
+                    age: match confirmed && run.start_expires == 0 {
+                        // The run of an earlier owner began some time before it was reported.
+                        true => Some((at - started.min(at)).max(SOON_MS + 1)),
+                        // A run that was confirmed during a silence crashed the worker later.
+                        false => at.checked_sub(started),
+                    },
+                    alone: seen,
                     joint: false,
                 },
                 confirmed,
             }));
         }
         for suspect in &mut suspects {
-            suspect.crash.alone = alone;
+            suspect.crash.alone &= alone;
         }
         suspects
     }
@@ -165,10 +177,10 @@
                 .jobs
                 .get_mut(task.step.job)
                 .and_then(|job| job.task_mut(task));
-            let Some(exposure) = state.and_then(|state| state.exposure.take()) else {
-                continue;
-            };
-            if exposure.worker == id && exposure.incarnation < incarnation {
+            let exposure = state.and_then(|state| state.exposure.take_if(|e| e.worker == id));
+            if let Some(exposure) = exposure
+                && exposure.incarnation < incarnation
+            {
                 let suspect = Suspect {
                     task,
                     crash: exposure.crash,
@@ -274,13 +286,30 @@
 
     /// Ends the trials of runs that have lasted: other jobs may share their workers.
     pub(super) fn end_trials(&mut self, now: u64) {
-        let mut ended = false;
+        let mut ended = Vec::new();
         for run in self.cluster.runs.values_mut().filter(|run| run.trial) {
-            let lasted = matches!(run.state, RunState::Confirmed(at) if now > at + ACQUITTAL_MS);
-            run.trial = !lasted;
-            ended |= lasted;
+            let silent = self.cluster.workers.get(run.worker);
+            let silent = silent.is_some_and(|worker| worker.silent_since.is_some());
+            if matches!(run.state, RunState::Confirmed(at) if now > at + ACQUITTAL_MS && !silent) {
+                run.trial = false;
+                ended.extend(run.task);
+            }
+        }
+        self.pass_needed |= !ended.is_empty();
+        for task in ended {
+            self.clear_exposure(task);
+        }
+    }
+
+    /// Forgets where a task ran: its run there has ended without a crash, or lasts.
+    pub(super) fn clear_exposure(&mut self, task: TaskKey) {
+        let Some(job) = self.jobs.get_mut(task.step.job) else {
+            return;
+        };
+        let state = job.task_mut(task);
+        if state.is_some_and(|state| state.exposure.take().is_some()) && !job.state.is_final() {
+            self.mark_dirty(task.step.job);
         }
-        self.pass_needed |= ended;
     }
 
     /// Takes the evidence since the last call, for metrics.
--- a/src/cell/engine/placement.rs
+++ b/src/cell/engine/placement.rs
@@ -221,10 +221,8 @@
         let mut allowance = Allowance::default();
         if let Some(apart) = self.set_apart(&workers, waiting, timely, now) {
             allowance = apart.allowance;
-            for (worker, purpose) in apart.purposes {
-                if let Ok(at) = workers.binary_search(&worker) {
-                    slots[at].purpose = purpose;
-                }
+            for (slot, purpose) in slots.iter_mut().zip(apart.purposes) {
+                slot.purpose = purpose;
             }
         }
         Pass {
@@ -338,10 +336,11 @@
 
     /// Whether a worker may take the step, given what the worker is used for.
     fn is_apart_enough(slot: &Slot, pending: &PendingStep, allowance: &Allowance) -> bool {
-        let empty = slot.runs == 0 && matches!(slot.purpose, Purpose::Open | Purpose::Vacant);
+        let free = matches!(slot.purpose, Purpose::Open | Purpose::Vacant);
+        let empty = slot.runs == 0 && free;
         match pending.care {
             Care::None => slot.purpose == Purpose::Open,
-            Care::Alone => empty,
+            Care::Alone => empty || allowance.shared && free,
             Care::Apart => slot.purpose == Purpose::Apart || empty && allowance.apart > 0,
         }
     }
@@ -496,7 +495,7 @@
             let away = !rack.is_empty() && worker.registration.rack() != rack;
             let left = match pending.care {
                 // A crash takes down few tasks where they are spread.
-                Care::Apart => slot.runs as u32,
+                Care::Alone | Care::Apart => slot.runs as u32,
                 _ => slot
                     .free
                     .millicores
@@ -713,6 +712,8 @@
         let run = &mut self.cluster.runs[key];
         run.trial = true;
         run.after_batch = self.open_batch;
+        // An empty worker is not polled, and may be down by now.
+        self.actions.push(Action::Poll(run.worker));
         self.held_starts.push(key);
     }
 
--- a/src/cell/engine/reports.rs
+++ b/src/cell/engine/reports.rs
@@ -369,6 +369,10 @@
         };
         let (gang, long_running) = (definition.gang, definition.long_running);
         let id = job.id.clone();
+        if outcome != Outcome::Lapsed {
+            self.clear_exposure(task);
+        }
+        let job = &mut self.jobs[task.step.job];
         if !checkpoint.is_empty()
             && outcome != Outcome::Done
             && let Some(state) = job.task_mut(task)
--- a/src/cell/suspicion.rs
+++ b/src/cell/suspicion.rs
@@ -33,6 +33,9 @@
 /// beside its workers.
 const ANY_CRASHES: usize = 5;
 
+/// Crashes that convict a task whatever ran beside it: no start is free for ever.
+const MAX_CRASHES: usize = 8;
+
 /// Crashes that convict a task that ran alone in [`LATE_ALONE`] of them.
 const LATE_CRASHES: usize = 5;
 
@@ -109,6 +112,7 @@
     alone >= 1 && (early && count >= EARLY_CRASHES || similar && count >= SOON_CRASHES)
         || soon && crashes.len() >= ANY_CRASHES && crashes.iter().any(|crash| crash.alone)
         || alone >= LATE_ALONE && count >= LATE_CRASHES
+        || crashes.len() >= MAX_CRASHES
 }
 
 /// Whether a task must run on a worker without other jobs: the next crash then shows whether the task
