fix(cell): an owner that cannot read the registrations lets another take over; lost starts are repeated again

Cause: a review, by reading: tasks are placed only by a list of registrations that is less than 3 s old, so that an owner whose appends get through and whose reads do not would have kept the cell and placed nothing. Change: such an owner is shown as one that others should follow; a list counts for 2 s at least, whatever the contact time.

--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -595,11 +595,7 @@
                 continue;
             }
             let worker = &self.cluster.workers[run.worker];
-            // A new life of the worker may answer under its id, with another capacity and clock; only
-            // a report tells.
-            let reported = worker.last_report + RETRY_DELAY_MS >= run.retry_after;
-            let known = reported && worker.silent_since.is_none() && !worker.is_overbooked();
-            let clock = worker.clock_at(now).filter(|_| known);
+            let clock = worker.clock_at(now).filter(|_| !worker.is_overbooked());
             if clock.is_some_and(|clock| clock < run.start_expires) {
                 self.actions.push(Action::Start(key));
             }
--- a/src/cell/engine/registry.rs
+++ b/src/cell/engine/registry.rs
@@ -24,6 +24,10 @@
 /// clocks, in milliseconds.
 const LIST_MARGIN_MS: u64 = 500;
 
+/// Shortest age of the list of registrations that counts as too old, in milliseconds: a few reads may
+/// fail.
+const MIN_LIST_MS: u64 = 2_000;
+
 /// Shortest validity of a start command, in milliseconds: a round trip to another region and a busy
 /// worker.
 const MIN_START_MS: u64 = 500;
@@ -49,6 +53,7 @@
     /// may have shrunk since.
     pub(super) fn list_validity(&self, now: u64) -> u64 {
         let longest = self.times.contact.saturating_sub(LIST_MARGIN_MS);
+        let longest = longest.max(MIN_LIST_MS);
         self.listed_at
             .map_or(longest, |at| (at + longest).saturating_sub(now))
     }
--- a/src/cell/shell/owner.rs
+++ b/src/cell/shell/owner.rs
@@ -257,7 +257,10 @@
     pub fn should_step_down(&self) -> bool {
         let now = self.now();
         let settled = now > self.began + MIN_TERM_MS && self.engine.borrow().is_reconciled();
+        // The store may answer appends of this instance and not its reads.
+        let uninformed = settled && !self.engine.borrow().is_list_current(now);
         self.batch_waits(STEP_DOWN_MS)
+            || uninformed
             || settled
                 && self
                     .roster
