fix(cell): suspects use the workers that nobody else wants

Change: with no other job waiting, all empty workers may be used for trials, and a job may have several at a time.

--- a/src/cell/engine/caution.rs
+++ b/src/cell/engine/caution.rs
@@ -219,6 +219,8 @@
     pub(super) trials: usize,
     /// Trials that each queue may have at a time.
     pub(super) queue_trials: usize,
+    /// Trials that each job may have at a time.
+    pub(super) job_trials: usize,
     /// Trials under way, by queue, sorted.
     pub(super) under_way: Vec<(CompactString, usize)>,
     /// Empty workers that careful queues may take.
@@ -299,8 +301,11 @@
         let workers = &self.cluster.workers;
         let empty = slots.iter().filter(|key| workers[**key].runs.is_empty());
         let empty = empty.count();
-        let most = (total / TRIAL_DIVISOR).max(empty / 2).max(1);
+        let (jobs, others) = self.jobs_on_trial(waiting);
+        let vacant = if others { empty / 2 } else { empty };
+        let most = (total / TRIAL_DIVISOR).max(vacant).max(1);
         allowance.trials = most.saturating_sub(tried);
+        allowance.job_trials = (most / jobs.max(1)).max(1);
         // One queue leaves half of the trials to the others, if they have any.
         allowance.queue_trials = match self.queues_on_trial(waiting) {
             0 | 1 => most,
@@ -375,6 +380,16 @@
         }
     }
 
+    /// Number of jobs with tasks that wait to run alone, and whether jobs without such tasks wait.
+    fn jobs_on_trial(&self, waiting: &[StepKey]) -> (usize, bool) {
+        let suspected = |key: &&StepKey| self.jobs.get(key.job).is_some_and(|job| job.suspected);
+        let mut jobs: Vec<JobKey> = waiting.iter().filter(suspected).map(|k| k.job).collect();
+        let others = jobs.len() < waiting.len();
+        jobs.sort();
+        jobs.dedup();
+        (jobs.len(), others)
+    }
+
     /// Number of queues with tasks that wait to run alone.
     fn queues_on_trial(&self, waiting: &[StepKey]) -> usize {
         let names = waiting.iter().filter_map(|key| {
--- a/src/cell/engine/placement.rs
+++ b/src/cell/engine/placement.rs
@@ -275,33 +275,38 @@
         if !job.suspected {
             return self.place_tasks(pass, &pending);
         }
-        let mut steps = job.occurrences.iter().flat_map(|o| &o.steps);
-        let on_trial = steps.any(|step| self.is_on_trial(step));
-        pending.hold_new = trials > 0 || self.is_on_trial(step);
+        let steps = job.occurrences.iter().flat_map(|o| &o.steps);
+        let on_trial: usize = steps.map(|step| self.trials_under_way(step)).sum();
+        pending.hold_new = trials > 0 || self.trials_under_way(step) > 0;
         pending.waiting = pending.count(step);
         if pending.waiting > 0 {
             self.place_tasks(pass, &pending);
         }
-        if trials > 0 && !on_trial && pass.allowance.admits(&queue) {
-            // One task of a job at a time: if it is convicted, the others need not be tried.
-            pending.care = Care::Alone;
-            pending.waiting = 1;
-            if self.place_tasks(pass, &pending) {
-                pass.allowance.take(&queue);
+        // Few tasks of a job at a time: if one is convicted, the others need not be tried.
+        pending.care = Care::Alone;
+        pending.waiting = 1;
+        let most = pass.allowance.job_trials.saturating_sub(on_trial);
+        for _ in 0..trials.min(most) {
+            if !pass.allowance.admits(&queue) || !self.place_tasks(pass, &pending) {
+                break;
             }
+            pass.allowance.take(&queue);
         }
         let job = self.jobs.get(key.job);
         job.and_then(|job| job.step(key))
             .is_none_or(|step| step.waiting() == 0)
     }
 
-    /// Whether a task of the step is being tried.
-    fn is_on_trial(&self, step: &StepState) -> bool {
-        let tried = |task: &Task| match task.phase {
+    /// Number of tasks of the step that are being tried.
+    fn trials_under_way(&self, step: &StepState) -> usize {
+        let tried = |task: &&Task| match task.phase {
             Phase::Active(run) => self.cluster.runs.get(run).is_some_and(|run| run.trial),
             _ => false,
         };
-        step.suspected && step.tasks.iter().any(tried)
+        match step.suspected {
+            true => step.tasks.iter().filter(tried).count(),
+            false => 0,
+        }
     }
 
     /// Places a gang, on workers without other jobs if it is suspected of crashing workers, unless it
