--- a/src/cell/suspicion.rs
+++ b/src/cell/suspicion.rs
@@ -25,9 +25,9 @@
 /// time.
 const SOON_CRASHES: usize = 3;
 
-/// Greatest difference between similar times, in milliseconds: a crash is noticed at once or by a
-/// time-out.
-const SPREAD_MS: u64 = 500;
+/// Greatest difference between similar times, in milliseconds: a crash without a notice is seen by the
+/// time-out of a poll, which a worker may hold for a second.
+const SPREAD_MS: u64 = 1_000;
 
 /// Crashes that convict a task that ran alone in one of them, if all came soon, and whatever crashed
 /// beside its workers.
