--- a/src/cell/suspicion.rs
+++ b/src/cell/suspicion.rs
@@ -25,6 +25,10 @@
 /// time.
 const SOON_CRASHES: usize = 3;
 
+/// Crashes that convict a task whatever ran beside it, if all came soon and after a similar time: a gang
+/// may be too wide to run alone.
+const SHARED_CRASHES: usize = 4;
+
 /// Greatest difference between similar times, in milliseconds: a crash without a notice is seen by the
 /// time-out of a poll, which a worker may hold for a second.
 const SPREAD_MS: u64 = 1_000;
@@ -110,6 +114,7 @@
     let soon = crashes.iter().all(Crash::is_soon);
     let similar = single(crashes).all(Crash::is_soon) && spread(crashes) <= SPREAD_MS;
     alone >= 1 && (early && count >= EARLY_CRASHES || similar && count >= SOON_CRASHES)
+        || similar && count >= SHARED_CRASHES
         || soon && crashes.len() >= ANY_CRASHES && crashes.iter().any(|crash| crash.alone)
         || alone >= LATE_ALONE && count >= LATE_CRASHES
         || crashes.len() >= MAX_CRASHES
