fix(cell): a start that no worker confirmed does not convict its task

One worker had crashed under the task, not two. Change: the early verdicts need two crashes under runs that their workers had confirmed.

--- a/src/cell/engine/crashes.rs
+++ b/src/cell/engine/crashes.rs
@@ -96,6 +96,7 @@
                     },
                     alone: seen,
                     joint: false,
+                    unsure: !confirmed,
                 },
                 confirmed,
             }));
@@ -276,6 +277,7 @@
                 age: None,
                 alone: true,
                 joint: false,
+                unsure: true,
             },
         };
         if let Some(state) = self.jobs[task.step.job].task_mut(task) {
--- a/src/cell/suspicion.rs
+++ b/src/cell/suspicion.rs
@@ -18,6 +18,9 @@
 /// milliseconds: a crash that gives no notice is seen by a time-out.
 pub const SOON_MS: u64 = 2_000;
 
+/// Fewest crashes under confirmed runs of a task that is given up early.
+const SURE_CRASHES: usize = 2;
+
 /// Crashes that convict a task that ran alone in one of them, if all were early.
 const EARLY_CRASHES: usize = 2;
 
@@ -64,6 +67,9 @@
     /// Whether other workers went down with this one, so that the cause lies outside the tasks.
     #[serde(default, skip_serializing_if = "is_false")]
     pub joint: bool,
+    /// Whether the worker had not confirmed the run, and may have been down before it.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub unsure: bool,
 }
 
 /// Run whose worker may have crashed under it, stored so that a later owner can tell.
@@ -110,11 +116,12 @@
 pub fn is_convicted(crashes: &[Crash]) -> bool {
     let count = single(crashes).count();
     let alone = single(crashes).filter(|crash| crash.alone).count();
+    let sure = single(crashes).filter(|crash| !crash.unsure).count() >= SURE_CRASHES;
     let early = single(crashes).all(Crash::is_early);
     let soon = crashes.iter().all(Crash::is_soon);
     let similar = single(crashes).all(Crash::is_soon) && spread(crashes) <= SPREAD_MS;
-    alone >= 1 && (early && count >= EARLY_CRASHES || similar && count >= SOON_CRASHES)
-        || similar && count >= SHARED_CRASHES
+    sure && alone >= 1 && (early && count >= EARLY_CRASHES || similar && count >= SOON_CRASHES)
+        || sure && similar && count >= SHARED_CRASHES
         || soon && crashes.len() >= ANY_CRASHES && crashes.iter().any(|crash| crash.alone)
         || alone >= LATE_ALONE && count >= LATE_CRASHES
         || crashes.len() >= MAX_CRASHES
