--- a/tests/soak/seeds.rs
+++ b/tests/soak/seeds.rs
@@ -130,7 +130,7 @@
         Ok("short") | Err(_) => SHORT,
         Ok(other) => {
             panic!(
-                "BAMBOOLOCK_SOAK_SIZE={other:?} is not short, usual, large, split, deadly or shrinking"
+                "BAMBOOLOCK_SOAK_SIZE={other:?} is not short, usual, large, split, deadly, few-deadly or shrinking"
             )
         }
     }
