--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -138,6 +138,13 @@
         }
     }
 
+    /// Refuses an append with a record over the limit.
+    fn refuse_size(&self, largest: usize) -> Response {
+        let mut refused = self.too_large.lock().unwrap_or_else(|e| e.into_inner());
+        *refused = (refused.0 + 1, largest);
+        Response::json(413, "{}".to_owned())
+    }
+
     fn append(&self, request: &Request) -> Response {
         let number = |name: &str| {
             request
@@ -163,11 +170,7 @@
             rest = tail;
         }
         let largest = records.iter().map(|r| r.len()).max().unwrap_or(0);
-        if largest > RECORD_BYTES || request.body.len() > CALL_BYTES {
-            let mut refused = self.too_large.lock().unwrap_or_else(|e| e.into_inner());
-            *refused = (refused.0 + 1, largest);
-            return Response::json(413, "{}".to_owned());
-        }
+        let too_large = largest > RECORD_BYTES || request.body.len() > CALL_BYTES;
         let mut topics = self.lock();
         let topic = topics.0.entry(name.clone()).or_default();
         let end = topic.records.len() as u64;
@@ -199,7 +202,11 @@
                         format!("{{\"reason\":\"seq\",\"sequence\":{}}}", producer.next),
                     );
                 }
-            } else {
+            }
+            if too_large {
+                return self.refuse_size(largest);
+            }
+            if epoch > producer.epoch {
                 producer.last.clear();
             }
             (producer.epoch, producer.next) = (epoch, sequence + 1);
@@ -208,6 +215,9 @@
                 producer.last.remove(0);
             }
         }
+        if too_large {
+            return self.refuse_size(largest);
+        }
         let keyed = name.starts_with("keyed.");
         records.iter().for_each(|record| topic.push(record, keyed));
         drop(topics);
