test(review): case 2, a late copy of a start runs a finished task again

The first copy of a start command has no answer and is carried out after the run has ended, its end was taken note of, and the worker has crashed and started again under its id.

--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -13,7 +13,7 @@
 };
 
 use crate::{
-    http::{self, Seen},
+    http::{self, Request, Response, Seen},
     json::Json,
     platform::{self, Store},
 };
@@ -57,6 +57,10 @@
     pub ends: BTreeMap<String, Vec<(u64, String, u64, String)>>,
     /// Runs at work now: task and run, with the worker.
     pub live: BTreeMap<(String, u64), String>,
+    /// Ends of each life of a worker: number, task, outcome.
+    listed: BTreeMap<(String, u64), Vec<(u64, String, String)>>,
+    /// Tasks of which an end `done` was taken note of, with the time.
+    pub noted: BTreeMap<String, u64>,
     /// Runs that their worker has taken down with it: task, time.
     pub lost: Vec<(String, u64)>,
 }
@@ -64,6 +68,8 @@
 struct WorkerSlot {
     id: String,
     address: SocketAddr,
+    /// Address in the registration.
+    public: SocketAddr,
     born: u64,
     child: Option<Child>,
     sequence: u64,
@@ -78,6 +84,8 @@
     workers: Mutex<Vec<WorkerSlot>>,
     instances: Mutex<Vec<(Instance, Option<Child>)>>,
     pub worker_cpu: u64,
+    /// Handles each request to a worker, if not the worker itself.
+    proxy: Option<Arc<Proxy>>,
     folder: PathBuf,
     program: PathBuf,
 }
@@ -90,6 +98,9 @@
     settings: PathBuf,
 }
 
+/// Handles a request to the worker of this number and address.
+pub type Proxy = dyn Fn(usize, SocketAddr, Request) -> Option<Response> + Send + Sync;
+
 /// The processes of this case.
 static FLEET: OnceLock<Arc<Fleet>> = OnceLock::new();
 
@@ -128,6 +139,17 @@
 impl Fleet {
     /// Starts the platform, `workers` workers and `instances` instances of the cell.
     pub fn start(folder: &Path, instances: usize, workers: usize, worker_cpu: u64) -> Arc<Self> {
+        Self::start_behind(folder, instances, workers, worker_cpu, None)
+    }
+
+    /// The same, with a proxy in front of the workers.
+    pub fn start_behind(
+        folder: &Path,
+        instances: usize,
+        workers: usize,
+        worker_cpu: u64,
+        proxy: Option<Arc<Proxy>>,
+    ) -> Arc<Self> {
         let program =
             PathBuf::from(std::env::var_os("REVIEW_CELL").expect("REVIEW_CELL names the program"));
         let file = File::create(folder.join("record.txt")).expect("the record can be written");
@@ -142,7 +164,14 @@
         let platform_ip = ip(7, 0);
         let instance_ips: Vec<IpAddr> = (0..instances).map(|n| ip(1, n)).collect();
         let worker_ips: Vec<IpAddr> = (0..workers).map(|n| ip(2, n)).collect();
-        let all: Vec<IpAddr> = [&[platform_ip], &instance_ips[..], &worker_ips[..]].concat();
+        let proxy_ips: Vec<IpAddr> = (0..workers).map(|n| ip(3, n)).collect();
+        let all: Vec<IpAddr> = [
+            &[platform_ip],
+            &instance_ips[..],
+            &worker_ips[..],
+            &proxy_ips[..],
+        ]
+        .concat();
         let ports = free_ports(&all, 5);
         let store_address = SocketAddr::new(platform_ip, ports[0]);
         let fleet = Arc::new(Self {
@@ -151,6 +180,7 @@
             workers: Mutex::default(),
             instances: Mutex::default(),
             worker_cpu,
+            proxy,
             folder: scratch,
             program,
             record,
@@ -164,9 +194,22 @@
             std::process::exit(2);
         });
         for (n, ip) in worker_ips.iter().enumerate() {
+            let address = SocketAddr::new(*ip, ports[1]);
+            let listed = match &fleet.proxy {
+                None => address,
+                Some(proxy) => {
+                    let listed = SocketAddr::new(proxy_ips[n], ports[1]);
+                    let listener = TcpListener::bind(listed).expect("the address is free");
+                    let proxy = proxy.clone();
+                    let handler = move |request| proxy(n, address, request);
+                    std::thread::spawn(move || http::serve(listener, Arc::new(handler)));
+                    listed
+                }
+            };
             lock(&fleet.workers).push(WorkerSlot {
                 id: format!("i-{n:04x}"),
-                address: SocketAddr::new(*ip, ports[1]),
+                address,
+                public: listed,
                 born: 0,
                 child: None,
                 sequence: 0,
@@ -300,6 +343,20 @@
                 let end = (now, id.to_owned(), run, how.to_owned());
                 runs.ends.entry(task.to_owned()).or_default().push(end);
                 runs.live.remove(&(task.to_owned(), run));
+                let life = runs.listed.entry((id.to_owned(), born)).or_default();
+                life.push((number(1), task.to_owned(), how.to_owned()));
+            }
+            ["seen", _] => {
+                let seen = number(1);
+                let life = runs.listed.entry((id.to_owned(), born)).or_default();
+                let done: Vec<String> = life
+                    .extract_if(.., |end| end.0 <= seen)
+                    .filter(|end| end.2 == "done")
+                    .map(|end| end.1)
+                    .collect();
+                for task in done {
+                    runs.noted.entry(task).or_insert(now);
+                }
             }
             _ => {}
         }
@@ -317,7 +374,7 @@
         slot.listed = true;
         let text = format!(
             r#"{{"service":"{SERVICE}","address":"{}","zone":"a","version":"1","slots":8,"state":"ready","cold_remaining_ms":0,"sequence":{},"born":{},"capacity":{{"cpu":{},"mem_mb":65536,"gpu":0}},"labels":["k","r{}"]}}"#,
-            slot.address,
+            slot.public,
             slot.sequence,
             slot.born,
             self.worker_cpu,
@@ -479,6 +536,11 @@
         last
     }
 
+    /// Number of a worker, by its id.
+    pub fn number(id: &str) -> Option<usize> {
+        usize::from_str_radix(id.trim_start_matches("i-"), 16).ok()
+    }
+
     /// Asks for the state of a job; repeated once at another instance.
     pub fn state(&self, id: &str, prefix: &str, first: usize) -> (Option<u16>, String) {
         let count = lock(&self.instances).len();
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,13 +1,13 @@
 //! Stand-ins for the scripts of the review, and what each script does. Standard library only.
 
 mod crash_loop;
-mod flapping;
 mod fleet;
 mod frozen_front;
 mod http;
 mod json;
+mod late_copy;
 mod platform;
-mod rolling_crashes;
+mod startup_crash;
 mod worker;
 
 use std::{path::Path, process::ExitCode};
@@ -43,9 +43,9 @@
             Some(true)
         }
         ["crash-loop", folder] => crash_loop::play(Path::new(folder), trouble),
-        ["flapping", folder] => flapping::play(Path::new(folder), trouble),
+        ["startup-crash", folder] => startup_crash::play(Path::new(folder), trouble),
         ["frozen-front", folder] => frozen_front::play(Path::new(folder), trouble),
-        ["rolling-crashes", folder] => rolling_crashes::play(Path::new(folder), trouble),
+        ["late-copy", folder] => late_copy::play(Path::new(folder), trouble),
         _ => None,
     }
 }
--- a/review/standin/flapping.rs
+++ b/review/standin/startup_crash.rs
@@ -1,4 +1,4 @@
-//! Two services that last, on workers of which one goes down and up by turns for some seconds.
+//! Two services that last. The worker of the second crashes once, just after its tasks have started.
 
 use std::{collections::BTreeMap, path::Path, sync::Arc, time::Duration};
 
@@ -21,13 +21,13 @@
 const LARGE: &str = "1a00000000000000";
 const SMALL: &str = "5a00000000000000";
 
-/// Time for which the worker flaps, and the period, in milliseconds.
-const FLAP_MS: u64 = 6_500;
-const PERIOD_MS: u64 = 1_400;
+/// Time from the first start of the small service to the crash, and time for which the worker is down.
+const CRASH_AFTER: Duration = Duration::from_millis(40);
+const DOWN: Duration = Duration::from_millis(4_000);
 
-/// Time for which the services run before and after.
-const BEFORE: Duration = Duration::from_secs(14);
-const AFTER_MS: u64 = 60_000;
+/// Time for which the large service runs before, and both after.
+const BEFORE: Duration = Duration::from_secs(8);
+const AFTER_MS: u64 = 40_000;
 
 /// Bounds of the rule, in milliseconds: calm before it holds, the time since a task's last run, and the
 /// time for which it may not run.
@@ -93,32 +93,41 @@
             r#"{{"spec":"last","steps":[{{"count":{count},"cpu":{TASK_CPU},"mem_mb":256,"estimated_ms":1000,"long_running":true}}]}}"#
         )
     };
-    for (id, count, all) in [
-        (LARGE, LARGE_TASKS, LARGE_TASKS),
-        (SMALL, SMALL_TASKS, LARGE_TASKS + SMALL_TASKS),
-    ] {
-        if fleet.submit(id, "/lasting/", &work(count), 0) != Some(200) {
-            return None;
-        }
-        if !wait_for_all(fleet, all as usize, Duration::from_secs(10)) {
-            fleet.record.note("the services do not start");
-            return None;
-        }
+    if fleet.submit(LARGE, "/lasting/", &work(LARGE_TASKS), 0) != Some(200)
+        || !wait_for_all(fleet, LARGE_TASKS as usize, Duration::from_secs(10))
+    {
+        fleet.record.note("the large service does not start");
+        return None;
     }
     std::thread::sleep(BEFORE);
-    // The worker of the small service; the others have no room.
-    let worker = at_work(fleet).get(&format!("{SMALL}.0.0.0")).cloned()?;
-    let worker = usize::from_str_radix(worker.trim_start_matches("i-"), 16).ok()?;
-    let half = Duration::from_millis(PERIOD_MS / 2);
-    for _ in 0..FLAP_MS / PERIOD_MS {
-        if trouble {
-            fleet.crash_worker(worker);
+    let handing = fleet.clone();
+    let body = work(SMALL_TASKS);
+    let client = std::thread::spawn(move || handing.submit(SMALL, "/lasting/", &body, 0));
+    // The other workers have no room for the small service.
+    let worker = loop {
+        let found = at_work(fleet)
+            .into_iter()
+            .find(|(task, _)| task.starts_with(SMALL));
+        if let Some((_, worker)) = found {
+            break worker;
         }
-        std::thread::sleep(half);
-        if trouble {
-            fleet.start_worker(worker);
+        if fleet.record.now() > 40_000 {
+            fleet.record.note("the small service does not start");
+            return None;
         }
-        std::thread::sleep(half);
+        std::thread::sleep(Duration::from_millis(2));
+    };
+    let worker = Fleet::number(&worker)?;
+    std::thread::sleep(CRASH_AFTER);
+    if trouble {
+        fleet.crash_worker(worker);
+    }
+    std::thread::sleep(DOWN);
+    if trouble {
+        fleet.start_worker(worker);
+    }
+    if client.join().ok()? != Some(200) {
+        return None;
     }
     let calm = fleet.record.now();
     fleet.record.note("the disruption ends");
