fix(cell): a silent worker holds back only its own tasks after a change of owner

Starts are not stored, so a new owner kept every inherited task back until every stored worker had reported, or 12.6 s had passed if no former instance was left to say that it sends no more. One worker that never answers was enough. The log says so: "stored jobs loaded" at 34.6 s with 77 open jobs, 47 workers report within 0.1 s, "runs of earlier owners reconciled" does not come before the end at 47 s.

Ruled out: the placement policy and the list of registrations (new jobs are placed meanwhile); the 3 s before the claim of an instance that reaches no other (they add to the wait and do not cause it: with them the jobs now go on at 34.6 s). Shorter leases or a shorter right to command without the store would cost work in outages that are borne now.

Change: a worker that has been silent for 0.5 s is cordoned. Its record names the tasks that may be on it and the time in which their leases end; until a record without it is stored, no command starts a task or renews a lease there. A new owner that hears from all but cordoned workers withholds these tasks alone, until the leases have expired and ownership is proven after it. What the wait guards (TWICE and ORDER at a change of owner) stays: the wait itself is kept for workers without such a record. Related: a worker that registers and never answers, and one that owners in a row do not hear, are not waited for again. Memory: one record for each worker, gone with it. The status line and two gauges say how many workers are waited for or cordoned.

Tests: cell::cordons, 11 tests. Eight were red on the code before, among them a_silent_worker_holds_back_only_its_own_tasks_after_a_change_of_owner; a ninth, a_worker_that_no_owner_hears_is_outwaited_once, was green there and has been sharpened since. Two tests changed: rules::inherited_tasks_wait_for_every_worker_and_new_ones_do_not let the new owner wait for workers that no record names, and no owner starts tasks there: the first owner now registers them. In waiting::a_silent_worker_without_runs_is_polled_until_it_answers the batch that lifts the cordon is stored.

--- a/src/cell/cluster.rs
+++ b/src/cell/cluster.rs
@@ -12,6 +12,7 @@
         TaskKey,
         WorkerKey, //
     },
+    journal,
     model,
     suspicion, //
 };
@@ -116,6 +117,13 @@
     pub stored_registration: Option<model::Registration>,
     /// Batch that stores the registration; `u64::MAX` until it is part of a batch.
     pub record_batch: u64,
+    /// What may run on the worker, as its record says, while it is cordoned: it gets no command that
+    /// starts a task or renews a lease.
+    pub cordon: Option<journal::Cordon>,
+    /// Batch that lifts the last cordon; 0 for none, `u64::MAX` until it is part of a batch.
+    pub lifted_batch: u64,
+    /// Whether an earlier owner may have started tasks on the worker.
+    pub inherited: bool,
     /// Incarnation of the worker; 0 until known.
     pub incarnation: u64,
     /// Whether this incarnation has seen the owner's fencing token.
@@ -183,6 +191,9 @@
             registered: true,
             stored_registration: None,
             record_batch: u64::MAX,
+            cordon: None,
+            lifted_batch: 0,
+            inherited: false,
             fenced: false,
             superseded: false,
             clock_reading: None,
@@ -265,6 +276,18 @@
         !self.registered && self.runs.is_empty() && !self.polling
     }
 
+    /// Whether the worker is cordoned by a record that is stored or may be.
+    #[must_use]
+    pub fn is_cordoned(&self, durable: u64) -> bool {
+        self.cordon.is_some() || self.lifted_batch > durable
+    }
+
+    /// Whether the worker may hold runs of earlier owners that nobody has reported.
+    #[must_use]
+    pub fn is_unaccounted(&self) -> bool {
+        self.inherited && !self.fenced && !self.superseded
+    }
+
     /// Whether new tasks may be placed on the worker.
     #[must_use]
     pub fn is_schedulable(&self, durable: u64, now: u64) -> bool {
@@ -272,6 +295,7 @@
             && self.fenced
             // A later owner must know every worker that may run tasks.
             && self.record_batch <= durable
+            && !self.is_cordoned(durable)
             && self.silent_since.is_none()
             && self.clock_reading.is_some()
             && self.suspended_until <= now
@@ -357,6 +381,9 @@
     pub runs: SlotMap<RunKey, Run>,
     /// Whether all runs of earlier owners are known.
     pub reconciled: bool,
+    /// Whether all runs of earlier owners are known but those of cordoned workers, whose tasks are
+    /// withheld.
+    pub surveyed: bool,
     /// Workers that were removed while an acknowledgement might still be carried out: id, incarnation and
     /// local time until which it may be, in milliseconds; sorted.
     pub late_acks: Vec<(CompactString, u64, u64)>,
--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -37,6 +37,7 @@
 pub mod batch;
 mod caution;
 pub mod commands;
+mod cordons;
 pub mod crashes;
 pub mod losses;
 pub mod placement;
@@ -217,6 +218,10 @@
     succession: succession::Succession,
     /// Local time at which reconciliation ends at the latest, in milliseconds.
     reconcile_by: u64,
+    /// Local time at which the stored records were loaded, in milliseconds.
+    loaded_at: u64,
+    /// Tasks that may run on cordoned workers.
+    withheld: Vec<cordons::Withheld>,
     /// Unix time minus local time, in milliseconds.
     wall_offset: i64,
 }
@@ -264,6 +269,8 @@
             held_starts: Vec::new(),
             succession: succession::Succession::default(),
             reconcile_by: 0,
+            loaded_at: 0,
+            withheld: Vec::new(),
             wall_offset: 0,
         }
     }
@@ -463,6 +470,7 @@
         self.stop_stuck_gangs(now);
         self.end_trials(now);
         self.reconcile(now);
+        self.cordon_silent_workers(now);
         self.poll_due_workers(now);
         self.expire_archive(now);
         self.cluster.late_acks.retain(|(_, _, until)| *until > now);
--- a/src/cell/engine/batch.rs
+++ b/src/cell/engine/batch.rs
@@ -27,13 +27,25 @@
             return None;
         }
         let mut entries = Vec::with_capacity(self.dirty_jobs.len() + self.dropped_keys.len());
+        let mut records = Vec::new();
         for key in std::mem::take(&mut self.unstored_workers) {
             let Some(worker) = self.cluster.workers.get_mut(key) else {
                 continue;
             };
             worker.record_batch = self.open_batch;
-            if let Some(record) = &worker.stored_registration {
-                entries.push(encode_record(journal::Kind::Worker, &record.id, record));
+            if worker.lifted_batch == u64::MAX {
+                worker.lifted_batch = self.open_batch;
+            }
+            if let Some(registration) = &worker.stored_registration {
+                let record = journal::Worker {
+                    registration: registration.clone(),
+                    cordon: worker.cordon.clone(),
+                };
+                records.push(encode_record(
+                    journal::Kind::Worker,
+                    &registration.id,
+                    &record,
+                ));
             }
         }
         entries.extend(self.succession.take_records(self.term));
@@ -77,6 +89,8 @@
         // several parts.
         let segments = self.archive.take_changed();
         entries.extend(segments.map(|(key, segment)| (key.clone(), encode(key, segment))));
+        // A cordon leaves out the runs whose ends are stored: with this batch, or before it.
+        entries.append(&mut records);
         deleted.append(&mut self.dropped_keys);
         entries.extend(deleted.into_iter().map(|key| (key, None)));
         let batch = self.open_batch;
--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -172,7 +172,8 @@
         let worker = self.cluster.workers.get(run.worker);
         // The worker may have changed while the start waited for the store.
         let held = first && run.after_batch > 0;
-        let lost = held && worker.is_none_or(|w| !w.is_schedulable(durable, now));
+        let cordoned = first && worker.is_some_and(|w| w.is_cordoned(durable));
+        let lost = cordoned || held && worker.is_none_or(|w| !w.is_schedulable(durable, now));
         if !may_command || lost || first && !current || worker.is_some_and(Worker::is_overbooked) {
             if first {
                 self.lose_run(key, Loss::Unsent, now);
@@ -425,7 +426,8 @@
         };
         // A silent worker is polled without renewal: each renewed lease would postpone the time at
         // which its runs have certainly expired.
-        let renew = may_command && !worker.runs.is_empty() && worker.silent_since.is_none();
+        let reachable = worker.silent_since.is_none() && !worker.is_cordoned(durable);
+        let renew = may_command && !worker.runs.is_empty() && reachable;
         let clock = worker.clock_at(now).filter(|_| renew);
         let lease_end = clock.map(|clock| clock + lease);
         if let Some(lease_end) = lease_end {
@@ -521,6 +523,7 @@
             info!(worker = worker.registration.id.as_str(), after = now - since; "worker answers again");
             self.pass_needed = true;
         }
+        self.lift_cordon(key);
     }
 
     fn mark_silent(&mut self, key: WorkerKey, now: u64) {
--- a/src/cell/engine/placement.rs
+++ b/src/cell/engine/placement.rs
@@ -148,7 +148,7 @@
 impl PendingStep {
     /// Whether a task of the step is to be placed.
     fn includes(&self, task: &Task) -> bool {
-        task.phase == Phase::Waiting
+        task.waits()
             && task.awaits_trial() == (self.care == Care::Alone)
             && !(self.hold_new && self.care != Care::Alone && task.last_run == 0)
     }
@@ -267,7 +267,7 @@
             hold_new: false,
         };
         if definition.gang {
-            if step.active() > 0 || step.broken {
+            if step.active() > 0 || step.broken || step.tasks.iter().any(|t| t.withheld) {
                 return false;
             }
             return self.place_gang_with_care(pass, pending, trials > 0, &queue);
--- a/src/cell/engine/recovery.rs
+++ b/src/cell/engine/recovery.rs
@@ -22,10 +22,7 @@
             WorkerKey, //
         },
         journal,
-        model::{
-            self,
-            State, //
-        },
+        model::State, //
     },
     malformed,
 };
@@ -129,13 +126,15 @@
         self.load_exposures();
         self.succession.load(owners);
         self.cluster.reconciled = false;
+        self.loaded_at = now;
         self.reconcile_by =
             now + MAX_STORE_OUTAGE_MS + self.times.lease + succession::RECONCILE_MARGIN_MS;
         info!(open = self.jobs.len(), finished = self.archive.len(), skipped, term = self.term, token = self.token; "stored jobs loaded");
     }
 
     /// Adds a worker that an earlier owner gave tasks to, whether or not it is registered now.
-    fn load_worker(&mut self, id: &str, registration: model::Registration) -> Result<(), String> {
+    fn load_worker(&mut self, id: &str, record: journal::Worker) -> Result<(), String> {
+        let registration = record.registration;
         registration.check()?;
         if registration.id != id {
             return Err(format!("the record names worker {}", registration.id));
@@ -145,6 +144,8 @@
         worker.registered = false;
         worker.stored_registration = Some(registration);
         worker.record_batch = 0;
+        worker.inherited = true;
+        self.load_cordon(key, record.cordon);
         Ok(())
     }
 
@@ -219,30 +220,59 @@
         now <= self.proven_at + MAX_STORE_OUTAGE_MS
     }
 
-    /// Ends reconciliation, in which runs of earlier owners may be unknown, once every worker has
-    /// reported, or enough time has passed and ownership has been proven after it.
+    /// Ends reconciliation, in which runs of earlier owners may be unknown, once every worker that may
+    /// hold some has reported, or enough time has passed and ownership has been proven after it.
+    ///
+    /// Tasks that cannot be on a worker that is still to report start before: with the last worker
+    /// that is not cordoned.
     pub(super) fn reconcile(&mut self, now: u64) {
         if self.cluster.reconciled || self.cluster.workers.is_empty() && now < self.reconcile_by {
             return;
         }
-        let unanswered = |w: &&cluster::Worker| !w.fenced && !w.superseded;
-        let known = self.cluster.workers.values().filter(unanswered).count();
-        let count = known + self.unread_workers;
-        if count > 0 && now < self.reconcile_by {
+        let workers = self.cluster.workers.values();
+        let unanswered = workers.filter(|w| w.is_unaccounted());
+        let (cordoned, open): (Vec<_>, Vec<_>) = unanswered.partition(|w| w.cordon.is_some());
+        let count = cordoned.len() + open.len() + self.unread_workers;
+        let mut deadline = self.reconcile_by;
+        if open.len() + self.unread_workers == 0 {
+            let cordons = cordoned.iter().filter_map(|w| w.cordon.as_ref());
+            let leases = cordons.map(|cordon| cordon.leases).max().unwrap_or(0);
+            deadline = deadline.min(self.loaded_at + leases + succession::RECONCILE_MARGIN_MS);
+            self.survey(count, now);
+        }
+        self.release_tasks(false, now);
+        if count > 0 && now < deadline {
             return;
         }
-        if count > 0 && self.proven_at < self.reconcile_by {
+        if count > 0 && self.proven_at < deadline {
             // A later owner may know the outcomes of the workers that were not heard.
-            self.proof_from = self.proof_from.max(self.reconcile_by);
+            self.proof_from = self.proof_from.max(deadline);
             return;
         }
         info!(workers = self.cluster.workers.len(), unanswered = count; "runs of earlier owners reconciled");
         self.cluster.reconciled = true;
         self.settle();
+        self.release_tasks(true, now);
         let removable: Vec<WorkerKey> = self.cluster.removable().collect();
         removable
             .into_iter()
             .for_each(|key| self.remove_if_empty(key));
+        self.repair_jobs(now);
+    }
+
+    /// Lets inherited tasks start that are not on any worker, once `unanswered` workers are left that
+    /// are all cordoned.
+    fn survey(&mut self, unanswered: usize, now: u64) {
+        if self.cluster.surveyed || unanswered == 0 {
+            return;
+        }
+        self.cluster.surveyed = true;
+        self.withhold_tasks();
+        info!(unanswered, withheld = self.withheld.len(); "all workers but cordoned ones have reported");
+        self.repair_jobs(now);
+    }
+
+    fn repair_jobs(&mut self, now: u64) {
         self.pass_needed = true;
         let keys: Vec<JobKey> = self.jobs.keys().collect();
         for key in keys {
--- a/src/cell/engine/registry.rs
+++ b/src/cell/engine/registry.rs
@@ -134,6 +134,12 @@
             return;
         }
         worker.stored_registration = Some(worker.registration.clone());
+        self.store_worker(key);
+    }
+
+    /// Marks the record of a worker to be stored.
+    pub(super) fn store_worker(&mut self, key: WorkerKey) {
+        let worker = &mut self.cluster.workers[key];
         worker.record_batch = u64::MAX;
         // A batch deletes after it stores.
         let record = journal::key(journal::Kind::Worker, &worker.registration.id);
--- a/src/cell/engine/reports.rs
+++ b/src/cell/engine/reports.rs
@@ -93,7 +93,9 @@
             let longest = cluster::local_duration(self.times.lease);
             worker.leases_end = worker.leases_end.max(now + longest);
             self.pass_needed = true;
+            self.lift_cordon(key);
         }
+        let worker = &mut self.cluster.workers[key];
         if same {
             worker.acknowledged = worker.acknowledged.max(seen);
         }
--- a/src/cell/engine/status.rs
+++ b/src/cell/engine/status.rs
@@ -31,6 +31,7 @@
         let claimed = self.reserved_cpu(now);
         let careful = self.caution.careful();
         info!(waiting:? = waiting, trials = self.waiting_trials(), careful:? = careful, claimed:? = claimed, workers = self.cluster.workers.len(), open = count, silent = self.silent_workers(),
+            unanswered = self.unanswered_workers(), cordoned = self.cordoned_workers(), withheld = self.withheld.len(), waits = self.reconciliation_left(now),
             proof = now.saturating_sub(self.proven_at), listed = self.listed_at.map_or(0, |at| now.saturating_sub(at)), runs = self.cluster.runs.len(),
             room, used, queries = self.proxies.in_flight(), advisers = self.proxies.live(now).count(), batch = self.open_batch,
             durable = self.durable_batch; "cell status");
@@ -65,6 +66,31 @@
         (claimed.0 as u64, claimed.1 as u64)
     }
 
+    /// Number of workers that may hold runs of earlier owners and have not reported.
+    #[must_use]
+    pub fn unanswered_workers(&self) -> usize {
+        if self.cluster.reconciled {
+            return 0;
+        }
+        let workers = self.cluster.workers.values();
+        workers.filter(|w| w.is_unaccounted()).count() + self.unread_workers
+    }
+
+    /// Number of cordoned workers.
+    #[must_use]
+    pub fn cordoned_workers(&self) -> usize {
+        let workers = self.cluster.workers.values();
+        workers.filter(|w| w.cordon.is_some()).count()
+    }
+
+    /// Longest time until all runs of earlier owners have ended or are known, in milliseconds.
+    fn reconciliation_left(&self, now: u64) -> u64 {
+        match self.cluster.reconciled {
+            true => 0,
+            false => self.reconcile_by.saturating_sub(now),
+        }
+    }
+
     /// Number of steps in the backlog.
     #[must_use]
     pub fn backlog(&self) -> usize {
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -88,13 +88,21 @@
     pub crashes: Vec<suspicion::Crash>,
     /// Run whose worker may have crashed under it.
     pub exposure: Option<suspicion::Exposure>,
+    /// Whether a run of an earlier owner may be on a cordoned worker.
+    pub withheld: bool,
 }
 
 impl Task {
+    /// Whether the task waits to be placed.
+    #[must_use]
+    pub fn waits(&self) -> bool {
+        self.phase == Phase::Waiting && !self.withheld
+    }
+
     /// Whether the task waits and may only start on a worker without other jobs.
     #[must_use]
     pub fn awaits_trial(&self) -> bool {
-        self.phase == Phase::Waiting && suspicion::needs_trial(&self.crashes)
+        self.waits() && suspicion::needs_trial(&self.crashes)
     }
 }
 
@@ -186,8 +194,7 @@
     /// Number of tasks that wait to be placed.
     #[must_use]
     pub fn waiting(&self) -> usize {
-        let idle = |t: &&Task| t.phase == Phase::Waiting;
-        self.tasks.iter().filter(idle).count()
+        self.tasks.iter().filter(|t| t.waits()).count()
     }
 
     /// Number of tasks that wait to run alone, because workers have crashed under them.
@@ -384,8 +391,12 @@
     }
 }
 
-/// Whether `job` may start runs now, given the workers that may hold unknown runs.
+/// Whether `job` may start runs now, given the workers that may hold unknown runs. Of
+/// its tasks, those that may be on a cordoned worker are withheld.
 #[must_use]
 pub fn may_start(job: &Job, cluster: &cluster::Cluster) -> bool {
-    !job.state.is_final() && job.stored && !job.unread && (!job.inherited || cluster.reconciled)
+    !job.state.is_final()
+        && job.stored
+        && !job.unread
+        && (!job.inherited || cluster.reconciled || cluster.surveyed)
 }
--- a/src/cell/journal.rs
+++ b/src/cell/journal.rs
@@ -60,6 +60,29 @@
     pub term: u64,
 }
 
+/// Stored record of a worker that may run tasks.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Worker {
+    /// Registration of the worker.
+    #[serde(flatten)]
+    pub registration: model::Registration,
+    /// What may run on the worker, if it is cordoned.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cordon: Option<Cordon>,
+}
+
+/// What may run on a cordoned worker. While the record stands, no owner sends the worker a command
+/// that starts a task or renews a lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cordon {
+    /// Time after the writing of the record by which all leases on the worker have expired, in
+    /// milliseconds.
+    pub leases: u64,
+    /// Tasks with a run that may be on the worker.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub tasks: Vec<model::TaskName>,
+}
+
 /// Progress of a task that has not succeeded.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskProgress {
@@ -115,7 +138,7 @@
     Progress,
     /// A [`archive::Segment`](super::archive::Segment) of finished jobs.
     Segment,
-    /// The [`model::Registration`] of a worker that may run tasks.
+    /// A [`Worker`] that may run tasks.
     Worker,
     /// An [`Owner`].
     Owner,
--- a/src/cell/shell/metrics.rs
+++ b/src/cell/shell/metrics.rs
@@ -95,6 +95,10 @@
     pub terms: Counter,
     /// Workers that do not answer, as this process knows them in its own term.
     pub silent_workers: Gauge,
+    /// Workers for whose runs of earlier owners the owner waits.
+    pub unanswered_workers: Gauge,
+    /// Workers that the owner has cordoned.
+    pub cordoned_workers: Gauge,
     /// Workers to which connections may be open.
     pub open_workers: Gauge,
     losses: Family<LossLabels, Counter>,
@@ -147,6 +151,8 @@
             appends: Counter::default(),
             terms: Counter::default(),
             silent_workers: Gauge::default(),
+            unanswered_workers: Gauge::default(),
+            cordoned_workers: Gauge::default(),
             open_workers: Gauge::default(),
             losses: Family::default(),
             crashes: Family::default(),
@@ -185,6 +191,16 @@
             "Workers that do not answer the owner",
             self.silent_workers.clone(),
         );
+        registry.register(
+            "unanswered_workers",
+            "Workers that may hold runs of earlier owners and have not reported",
+            self.unanswered_workers.clone(),
+        );
+        registry.register(
+            "cordoned_workers",
+            "Silent workers whose record says what may run there",
+            self.cordoned_workers.clone(),
+        );
         registry.register(
             "open_workers",
             "Workers to which connections may be open",
--- a/src/cell/shell/owner.rs
+++ b/src/cell/shell/owner.rs
@@ -401,6 +401,12 @@
             metrics.waiting_trials.set(engine.waiting_trials() as i64);
             metrics.careful_queues.set(engine.careful_queues() as i64);
             metrics.silent_workers.set(engine.silent_workers() as i64);
+            metrics
+                .unanswered_workers
+                .set(engine.unanswered_workers() as i64);
+            metrics
+                .cordoned_workers
+                .set(engine.cordoned_workers() as i64);
         }
         owner.run_actions();
     }
--- a/src/cell/shell/watch.rs
+++ b/src/cell/shell/watch.rs
@@ -309,6 +309,8 @@
             shared.owner.replace(None);
             shared.uplink.favour_messages(false);
             shared.metrics.silent_workers.set(0);
+            shared.metrics.unanswered_workers.set(0);
+            shared.metrics.cordoned_workers.set(0);
             shared.metrics.waiting_trials.set(0);
             shared.metrics.careful_queues.set(0);
             shared.ownership.borrow_mut().stale = true;
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -8,6 +8,7 @@
     mod archive;
     mod capacity;
     mod caution;
+    mod cordons;
     mod crashes;
     mod deadly;
     mod driver;
--- a/tests/cell/rules.rs
+++ b/tests/cell/rules.rs
@@ -197,6 +197,9 @@
 #[test]
 fn inherited_tasks_wait_for_every_worker_and_new_ones_do_not() {
     let mut first = make::owner(&[]);
+    for id in ["w1", "w2"] {
+        first.register(make::worker(id, 1, 16_000));
+    }
     let work = make::work(vec![make::step(1, 1_000)]);
     first
         .submit(JOB, make::queue("q", 0), work.clone(), START)
--- a/tests/cell/waiting.rs
+++ b/tests/cell/waiting.rs
@@ -105,5 +105,7 @@
         "no reply can end its silence"
     );
     make::answer(&mut engine, worker, make::report(1, 9_000), over + 5_100);
+    // Its cordon is lifted.
+    make::store(&mut engine, over + 5_120);
     assert_eq!(make::starts(&mut engine, over + 5_200).len(), 1);
 }
