fix(cell): a job cancelled before any owner knew it is not accepted later

The owner kept nothing of a cancelled id that it did not know, so the order in which the two requests arrived decided.

Change: the owner stores a tombstone before it answers 410 to a cancellation, and answers 410 to a later submission of that id; so do later owners. Tombstones lie in the segments of finished jobs, with the same retention, 10,000 at most; beyond that the answer is 504, since 410 would not be true. A GET of such an id stays 410: nobody has submitted it. Related, by reading: a submission that was withdrawn while the store was away took the acknowledged cancellation of its job with it; a cancelled job is not withdrawn any more.

Tests: instances::cancelled plays it with real processes and a change of owner after it, red on the build before (one start). cell::tombstones, four tests; a_cancelled_job_is_not_withdrawn_while_the_store_is_away was seen red without its guard, the others need the new call.

--- a/src/cell/archive.rs
+++ b/src/cell/archive.rs
@@ -1,4 +1,5 @@
-//! Archive of the final states of finished jobs, stored in segments.
+//! Archive of the final states of finished jobs, stored in segments, and of tombstones: jobs that
+//! were cancelled before any owner knew them, and are not accepted any more.
 //!
 //! A new owner reads every stored record before it decides anything. One record for each finished
 //! job would make that read grow over the day; a segment holds many jobs.
@@ -21,12 +22,18 @@
 /// Number of jobs in a full segment of an owner whose link is slow.
 const SHORT_SEGMENT_JOBS: usize = 25;
 
+/// Maximum number of tombstones: anyone can cancel jobs that do not exist.
+const MAX_TOMBSTONES: usize = 10_000;
+
+/// Final state of a job; `None` for a tombstone.
+type Entry = (CompactString, Option<State>);
+
 /// Segment as it is stored.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Segment {
-    /// Ids and final states of the jobs.
-    pub jobs: Vec<(CompactString, State)>,
+    /// Ids and final states of the jobs; no state for a tombstone.
+    pub jobs: Vec<Entry>,
 }
 
 /// Segment with its key and age.
@@ -42,7 +49,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct Archive {
     /// Ids and final states, sorted by id.
-    states: Vec<(CompactString, State)>,
+    states: Vec<Entry>,
+    /// Number of tombstones.
+    tombstones: usize,
     /// Segments, oldest first.
     segments: Vec<StoredSegment>,
     /// Number of segments begun in this term.
@@ -64,10 +73,43 @@
         self.short = true;
     }
 
-    /// Final state of a job.
+    /// Final state of a job; `None` also for a tombstone.
     #[must_use]
     pub fn state(&self, id: &str) -> Option<State> {
-        self.find(id).ok().map(|at| self.states[at].1)
+        self.find(id).ok().and_then(|at| self.states[at].1)
+    }
+
+    /// Whether a job was cancelled before any owner knew it.
+    #[must_use]
+    pub fn has_tombstone(&self, id: &str) -> bool {
+        self.find(id).is_ok_and(|at| self.states[at].1.is_none())
+    }
+
+    /// Keeps a job that is not known from being accepted, from local time `now` in milliseconds on.
+    /// Returns whether the tombstone is there; there can be too many.
+    pub fn bury(&mut self, id: &str, now: u64, term: u64) -> bool {
+        let Err(at) = self.find(id) else {
+            return self.has_tombstone(id);
+        };
+        if self.tombstones >= MAX_TOMBSTONES {
+            return false;
+        }
+        self.tombstones += 1;
+        self.states.insert(at, (id.into(), None));
+        self.append(id, None, now, term);
+        true
+    }
+
+    /// Number of tombstones.
+    #[must_use]
+    pub fn tombstones(&self) -> usize {
+        self.tombstones
+    }
+
+    /// Whether a segment has changed since the last call of [`Archive::take_changed`].
+    #[must_use]
+    pub fn has_changed(&self) -> bool {
+        self.stored < self.segments.len()
     }
 
     /// Number of archived jobs.
@@ -85,14 +127,17 @@
     /// Records that the final state of a job is stored.
     pub fn record(&mut self, id: &str, state: State) {
         match self.find(id) {
-            Ok(at) => self.states[at].1 = state,
-            Err(at) => self.states.insert(at, (id.into(), state)),
+            Ok(at) => {
+                let before = self.states[at].1.replace(state);
+                self.tombstones -= usize::from(before.is_none());
+            }
+            Err(at) => self.states.insert(at, (id.into(), Some(state))),
         }
     }
 
     /// Appends a job that ended at local time `ended_at`, in milliseconds, to the open segment of
     /// `term`.
-    pub fn append(&mut self, id: &str, state: State, ended_at: u64, term: u64) {
+    pub fn append(&mut self, id: &str, state: Option<State>, ended_at: u64, term: u64) {
         let full = match self.short {
             true => SHORT_SEGMENT_JOBS,
             false => SEGMENT_JOBS,
@@ -133,7 +178,11 @@
             });
         }
         self.states.sort();
+        // Of a job with a tombstone and a state, the state counts: tombstones sort first.
+        self.states.reverse();
         self.states.dedup_by(|a, b| a.0 == b.0);
+        self.states.reverse();
+        self.tombstones = self.states.iter().filter(|(_, s)| s.is_none()).count();
         self.stored = self.segments.len();
     }
 
@@ -147,7 +196,8 @@
             self.stored -= 1;
             for (id, _) in &old.segment.jobs {
                 if let Ok(at) = self.find(id) {
-                    self.states.remove(at);
+                    let (_, state) = self.states.remove(at);
+                    self.tombstones -= usize::from(state.is_none());
                 }
             }
             keys.push(old.key);
--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -103,6 +103,8 @@
     InBatch(u64),
     /// The job was accepted before.
     Known,
+    /// The job was cancelled before it was submitted.
+    Cancelled,
 }
 
 /// Status of a submission once its batch is stored.
--- a/src/cell/engine/batch.rs
+++ b/src/cell/engine/batch.rs
@@ -22,6 +22,7 @@
         if self.dirty_jobs.is_empty()
             && self.dropped_keys.is_empty()
             && self.unstored_workers.is_empty()
+            && !self.archive.has_changed()
             && !self.succession.is_dirty()
         {
             return None;
@@ -62,7 +63,7 @@
                 }
                 job.sent = true;
                 self.archive
-                    .append(&job.id, job.state, job.ended_at, self.term);
+                    .append(&job.id, Some(job.state), job.ended_at, self.term);
                 continue;
             }
             if !job.stored {
--- a/src/cell/engine/submissions.rs
+++ b/src/cell/engine/submissions.rs
@@ -1,7 +1,10 @@
 //! Submission, cancellation and status of jobs.
 
 use compact_str::CompactString;
-use log::info;
+use log::{
+    info,
+    warn, //
+};
 
 use super::{
     Engine,
@@ -46,6 +49,10 @@
         if self.is_unread(id) {
             return Ok(Submitted::Known);
         }
+        if self.archive.has_tombstone(id) {
+            info!(job = id; "submission of a cancelled job");
+            return Ok(Submitted::Cancelled);
+        }
         validate(&work)?;
         let accepted = self.unix(now);
         let key = self.insert_job(new_job(id, queue, work, accepted, self.term));
@@ -78,7 +85,8 @@
             return true;
         };
         let job = &self.jobs[key];
-        if job.stored || job.sent {
+        // A cancellation must be stored.
+        if job.stored || job.sent || job.state.is_final() {
             return false;
         }
         self.remove_job(key);
@@ -113,6 +121,31 @@
         Some(self.jobs[key].batch)
     }
 
+    /// Keeps a job that is not known from being accepted later: a request to submit it can be under
+    /// way for any time. Returns the number of the batch that stores this, or `None` if too many
+    /// such jobs are remembered.
+    pub fn bury(&mut self, id: &str, now: u64) -> Option<u64> {
+        if self.is_unread(id) {
+            // A job whose record cannot be read never runs.
+            return Some(self.durable_batch);
+        }
+        if !self.archive.bury(id, now, self.term) {
+            warn!(job = id, tombstones = self.archive.tombstones(); "cancellation of an unknown job not remembered");
+            return None;
+        }
+        info!(job = id, tombstones = self.archive.tombstones(); "unknown job cancelled by its caller");
+        Some(match self.archive.has_changed() {
+            true => self.open_batch,
+            false => self.open_batch - 1,
+        })
+    }
+
+    /// Number of jobs that were cancelled before any owner knew them.
+    #[must_use]
+    pub fn tombstones(&self) -> usize {
+        self.archive.tombstones()
+    }
+
     /// State of a stored job that callers may see; `None` until the job is stored.
     #[must_use]
     pub fn visible_state(&self, id: &str) -> Option<State> {
--- a/src/cell/shell/handler.rs
+++ b/src/cell/shell/handler.rs
@@ -59,19 +59,31 @@
             timeout,
         } => submit(owner, &id, (*queue, *work), &origin, timeout).await,
         Request::State { id } => state(owner, &id).await,
-        Request::Cancel { id, timeout } => {
-            let now = owner.now();
-            let batch = owner.engine.borrow_mut().cancel(&id, now);
-            owner.run_actions();
-            let Some(batch) = batch else {
-                return gone(owner).await;
-            };
-            wait_durable(owner, batch, timeout).await
-        }
+        Request::Cancel { id, timeout } => cancel(owner, &id, timeout).await,
         Request::Waiting { queue } => Outcome::Waiting(owner.engine.borrow().waiting_jobs(&queue)),
     }
 }
 
+/// Cancels a job. One that is not known is remembered as cancelled, because a request to submit it
+/// may still arrive: from an instance that was paused, or over a slow path.
+async fn cancel(owner: &Rc<Owner>, id: &str, timeout: u64) -> Outcome {
+    let now = owner.now();
+    let known = owner.engine.borrow_mut().cancel(id, now);
+    let buried = match known {
+        None => owner.engine.borrow_mut().bury(id, now),
+        Some(_) => None,
+    };
+    owner.run_actions();
+    match (known, buried) {
+        (Some(batch), _) => wait_durable(owner, batch, timeout).await,
+        (None, Some(batch)) => match wait_durable(owner, batch, timeout).await {
+            Outcome::Accepted => Outcome::Gone,
+            outcome => outcome,
+        },
+        (None, None) => Outcome::Unknown,
+    }
+}
+
 /// Returns the state of a job. Another owner may have moved it on unless ownership is proven.
 async fn state(owner: &Rc<Owner>, id: &str) -> Outcome {
     let state = owner.engine.borrow().visible_state(id);
@@ -147,6 +159,7 @@
     owner.run_actions();
     match submitted {
         Ok(Submitted::Known) => Outcome::Accepted,
+        Ok(Submitted::Cancelled) => Outcome::Gone,
         Ok(Submitted::InBatch(batch)) => await_stored(owner, id, batch, timeout, retry).await,
         Err(text) => Outcome::Invalid(text),
     }
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -32,6 +32,7 @@
     mod spread;
     mod stored;
     mod superseded;
+    mod tombstones;
     mod twice;
     mod waiting;
     #[expect(dead_code, reason = "the soak uses the rest")]
--- a/tests/instances.rs
+++ b/tests/instances.rs
@@ -4,6 +4,7 @@
 #![expect(clippy::unwrap_used, reason = "a panic fails the test")]
 
 mod instances {
+    mod cancelled;
     mod deadly;
     #[expect(dead_code, reason = "the soak uses the rest")]
     mod delivery;
