fix(cell): a worker with more than 1,000 runs is not cordoned

Change: a worker with more than 1,000 runs keeps its plain record and is waited for as before. Some names in `reconcile` and `take_batch` say more. Measured: cordons::a_worker_with_very_many_runs_is_not_cordoned, 1,001 runs; cell::cordons and cell::tombstones green.

--- a/src/cell/engine/batch.rs
+++ b/src/cell/engine/batch.rs
@@ -28,7 +28,7 @@
             return None;
         }
         let mut entries = Vec::with_capacity(self.dirty_jobs.len() + self.dropped_keys.len());
-        let mut records = Vec::new();
+        let mut workers = Vec::new();
         for key in std::mem::take(&mut self.unstored_workers) {
             let Some(worker) = self.cluster.workers.get_mut(key) else {
                 continue;
@@ -42,7 +42,7 @@
                     registration: registration.clone(),
                     cordon: worker.cordon.clone(),
                 };
-                records.push(encode_record(
+                workers.push(encode_record(
                     journal::Kind::Worker,
                     &registration.id,
                     &record,
@@ -91,7 +91,7 @@
         let segments = self.archive.take_changed();
         entries.extend(segments.map(|(key, segment)| (key.clone(), encode(key, segment))));
         // A cordon leaves out the runs whose ends are stored: with this batch, or before it.
-        entries.append(&mut records);
+        entries.append(&mut workers);
         deleted.append(&mut self.dropped_keys);
         entries.extend(deleted.into_iter().map(|key| (key, None)));
         let batch = self.open_batch;
--- a/src/cell/engine/cordons.rs
+++ b/src/cell/engine/cordons.rs
@@ -27,6 +27,9 @@
 /// Silence after which a worker is cordoned, in milliseconds: a single lost response ends earlier.
 const CORDON_DELAY_MS: u64 = 500;
 
+/// Maximum number of runs on a worker that is cordoned, so that the store takes its record.
+const MAX_RUNS: usize = 1_000;
+
 /// Inherited task that may run on a cordoned worker.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Withheld {
@@ -46,6 +49,7 @@
             silent
                 && w.stored_registration.is_some()
                 && !w.superseded
+                && w.runs.len() <= MAX_RUNS
                 && (w.fenced || reconciled && unheard)
         };
         let outdated = |w: &Worker| match &w.cordon {
--- a/src/cell/engine/recovery.rs
+++ b/src/cell/engine/recovery.rs
@@ -223,18 +223,17 @@
     /// Ends reconciliation, in which runs of earlier owners may be unknown, once every worker that may
     /// hold some has reported, or enough time has passed and ownership has been proven after it.
     ///
-    /// Tasks that cannot be on a worker that is still to report start before: with the last worker
-    /// that is not cordoned.
+    /// Once only cordoned workers are left, all tasks may start but those that these workers may run.
     pub(super) fn reconcile(&mut self, now: u64) {
         if self.cluster.reconciled || self.cluster.workers.is_empty() && now < self.reconcile_by {
             return;
         }
         let workers = self.cluster.workers.values();
         let unanswered = workers.filter(|w| w.is_unaccounted());
-        let (cordoned, open): (Vec<_>, Vec<_>) = unanswered.partition(|w| w.cordon.is_some());
-        let count = cordoned.len() + open.len() + self.unread_workers;
+        let (cordoned, unknown): (Vec<_>, Vec<_>) = unanswered.partition(|w| w.cordon.is_some());
+        let count = cordoned.len() + unknown.len() + self.unread_workers;
         let mut deadline = self.reconcile_by;
-        if open.len() + self.unread_workers == 0 {
+        if unknown.len() + self.unread_workers == 0 {
             let cordons = cordoned.iter().filter_map(|w| w.cordon.as_ref());
             let leases = cordons.map(|cordon| cordon.leases).max().unwrap_or(0);
             deadline = deadline.min(self.loaded_at + leases + succession::RECONCILE_MARGIN_MS);
--- a/tests/cell/cordons.rs
+++ b/tests/cell/cordons.rs
@@ -305,6 +305,27 @@
     assert_eq!(started(&mut next, now + 100), [WAITING, WAITING]);
 }
 
+/// A record that the store refuses would hold up all others.
+#[test]
+fn a_worker_with_very_many_runs_is_not_cordoned() {
+    let mut engine = make::owner(&[("w1", 16_000)]);
+    let mut step = make::step(1_001, 1);
+    step.demand.memory = 1;
+    make::submit(
+        &mut engine,
+        RUNNING,
+        make::queue("q", 0),
+        make::work(vec![step]),
+        START,
+    );
+    let runs = make::starts(&mut engine, START);
+    assert_eq!(runs.len(), 1_001);
+    make::accept(&mut engine, &runs, START);
+    let mut stored = Stored::new();
+    fall_silent(&mut engine, &mut stored, "w1");
+    assert_eq!(engine.cordoned_workers(), 0);
+}
+
 /// An end that was read before the owner was lost must not be hidden by a cordon.
 #[test]
 fn a_failed_run_on_a_worker_that_then_falls_silent_is_not_withheld() {
