fix(cell): a lost worker without runs is noticed by its missing heartbeats

A worker without runs is not polled, so its owner did not notice that it was lost, did not cordon it, and was lost before the platform took the registration away.

Ruled out: polling idle workers all the time, since each look at a worker is paid for; taking the removed registration for the end of the worker, since a worker that loses the store runs on.

Change: the owner sees each heartbeat in the list that it reads anyway. A worker that has shown none for 2.5 s, and no report, is polled; without an answer it is cordoned at once, as nothing runs there. After a pause in reading the list of more than 1 s, the time starts anew, so that an outage of the store causes no polls.

--- a/src/cell/cluster.rs
+++ b/src/cell/cluster.rs
@@ -113,6 +113,11 @@
     pub address_number: u32,
     /// Whether the worker is registered now.
     pub registered: bool,
+    /// Whether the worker has written its registration since the last complete read of the list.
+    pub beaten: bool,
+    /// Local time of the newest read of the list that showed a heartbeat of the worker, in
+    /// milliseconds.
+    pub last_beat: u64,
     /// Registration that is stored, or about to be stored, for later owners.
     pub stored_registration: Option<model::Registration>,
     /// Batch that stores the registration; `u64::MAX` until it is part of a batch.
@@ -189,6 +194,8 @@
             registration,
             address_number: 0,
             registered: true,
+            beaten: true,
+            last_beat: 0,
             stored_registration: None,
             record_batch: u64::MAX,
             cordon: None,
@@ -324,7 +331,14 @@
                 .is_some_and(|(at, _)| now >= at + RENEWAL_INTERVAL_MS);
         }
         // Only a reply ends the silence of a worker.
-        pending || !self.runs.is_empty() || self.silent_since.is_some()
+        pending || !self.runs.is_empty() || self.silent_since.is_some() || self.is_overdue(now)
+    }
+
+    /// Whether neither a heartbeat nor a report has shown the worker for some time. Without runs, it
+    /// is not polled otherwise.
+    fn is_overdue(&self, now: u64) -> bool {
+        let seen = self.last_beat.max(self.last_report);
+        self.registered && self.last_beat > 0 && now > seen + BEAT_TIMEOUT_MS
     }
 
     /// Highest number of an ended run up to which all were applied.
@@ -367,6 +381,10 @@
     }
 }
 
+/// Time after which a worker whose heartbeats cannot be seen in the list is polled, in milliseconds:
+/// one heartbeat, a read of the list, and some delay of both.
+const BEAT_TIMEOUT_MS: u64 = 2_500;
+
 /// Interval of polls while ended runs wait to be stored, in milliseconds: a tenth of the lease.
 const RENEWAL_INTERVAL_MS: u64 = 500;
 
--- a/src/cell/engine/cordons.rs
+++ b/src/cell/engine/cordons.rs
@@ -42,7 +42,13 @@
     pub(super) fn cordon_silent_workers(&mut self, now: u64) {
         let reconciled = self.cluster.reconciled;
         let due = |w: &Worker| {
-            let silent = w.silent_since.is_some_and(|at| now >= at + CORDON_DELAY_MS);
+            // A cordon without tasks costs nothing but the record.
+            let delay = if w.runs.is_empty() {
+                0
+            } else {
+                CORDON_DELAY_MS
+            };
+            let silent = w.silent_since.is_some_and(|at| now >= at + delay);
             // A worker that this owner has never heard or started a task on has no runs once those
             // of earlier owners have ended.
             let unheard = w.clock_reading.is_none() && w.last_report == 0 && w.runs.is_empty();
--- a/src/cell/engine/registry.rs
+++ b/src/cell/engine/registry.rs
@@ -28,6 +28,10 @@
 /// fail.
 const MIN_LIST_MS: u64 = 2_000;
 
+/// Longest time between two reads of the list after which the heartbeats between them can be told
+/// from missing ones, in milliseconds.
+const MAX_READ_GAP_MS: u64 = 1_000;
+
 /// Shortest validity of a start command, in milliseconds: a round trip to another region and a busy
 /// worker.
 const MIN_START_MS: u64 = 500;
@@ -45,6 +49,13 @@
     /// Records that all registrations that the store had at local time `sent`, in milliseconds, are
     /// applied.
     pub fn registrations_read(&mut self, sent: u64) {
+        // Workers may not have reached the store either.
+        let gap = self.listed_at.is_none_or(|at| sent > at + MAX_READ_GAP_MS);
+        for worker in self.cluster.workers.values_mut() {
+            if std::mem::take(&mut worker.beaten) || gap {
+                worker.last_beat = sent;
+            }
+        }
         self.listed_at = self.listed_at.max(Some(sent));
         self.pass_needed |= !self.backlog.is_empty();
     }
@@ -74,11 +85,11 @@
             self.pass_needed = true;
             return;
         };
-        let worker = &self.cluster.workers[key];
+        let worker = &mut self.cluster.workers[key];
         if registration.incarnation < worker.incarnation {
             return;
         }
-        let worker = &mut self.cluster.workers[key];
+        worker.beaten = true;
         if registration.incarnation > worker.incarnation {
             // Commands sent in the meantime may have reached the new incarnation: its own report
             // tells.
--- a/tests/cell/cordons.rs
+++ b/tests/cell/cordons.rs
@@ -2,7 +2,10 @@
 
 use bamboolock::cell::{
     cluster,
-    engine::Engine,
+    engine::{
+        Action,
+        Engine, //
+    },
     job::RunKey,
     journal,
     model::Outcome, //
@@ -105,8 +108,13 @@
 
 /// Lets a third worker join.
 fn spare(engine: &mut Engine, now: u64) {
-    engine.register(make::worker("w3", 1, 16_000));
-    let key = engine.cluster.find_worker("w3").unwrap();
+    spare_as(engine, "w3", now);
+}
+
+/// Lets another worker join.
+fn spare_as(engine: &mut Engine, id: &str, now: u64) {
+    engine.register(make::worker(id, 1, 16_000));
+    let key = engine.cluster.find_worker(id).unwrap();
     make::answer(engine, key, make::report(1, 500), now);
     make::store(engine, now);
     engine.tick(now);
@@ -305,6 +313,63 @@
     assert_eq!(started(&mut next, now + 100), [WAITING, WAITING]);
 }
 
+/// A worker without runs is not polled while its heartbeats arrive. Lost with its owner, it must not
+/// hold back all inherited tasks.
+#[test]
+fn a_worker_without_runs_whose_heartbeats_end_is_polled_and_cordoned() {
+    let (mut first, mut stored) = owner(false);
+    let (one, two) = (index_on(&first, "w1"), index_on(&first, "w2"));
+    spare(&mut first, START + 10);
+    let idle = first.cluster.find_worker("w3").unwrap();
+    let beat = |engine: &mut Engine, ids: &[&str], now: u64| {
+        for id in ids {
+            let capacity = if *id == "w3" { 16_000 } else { 1_000 };
+            engine.register(make::worker(id, 1, capacity));
+        }
+        engine.registrations_read(now);
+        engine.tick(now);
+    };
+    let polled = |engine: &mut Engine| {
+        let actions = std::mem::take(&mut engine.actions);
+        actions.contains(&Action::Poll(idle))
+    };
+    let mut now = START + 20;
+    while now < START + 6_000 {
+        beat(&mut first, &["w1", "w2", "w3"], now);
+        assert!(!polled(&mut first), "at {now}");
+        now += 400;
+    }
+    let lost = now;
+    while !polled(&mut first) {
+        assert!(now < lost + 3_500, "never polled");
+        beat(&mut first, &["w1", "w2"], now);
+        now += 400;
+    }
+    first.poll_command(idle, now).unwrap();
+    first.poll_failed(idle, now + 300);
+    first.tick(now + 325);
+    assert_eq!(first.cordoned_workers(), 1);
+    stored.extend(make::store(&mut first, now + 330));
+    let began = now + 1_000;
+    let mut next = load(2, &stored, began);
+    report(&mut next, "w1", Some(one), began + 40);
+    report(&mut next, "w2", Some(two), began + 50);
+    spare_as(&mut next, "w4", began + 100);
+    assert_eq!(started(&mut next, began + 100), [WAITING, WAITING]);
+}
+
+/// While the store is away, no heartbeat is seen, and all workers would be polled at once.
+#[test]
+fn workers_without_runs_are_not_polled_because_the_list_was_not_read() {
+    let mut engine = make::owner(&[("w1", 16_000)]);
+    engine.registrations_read(START);
+    for now in [START + 5_000, START + 5_400, START + 7_000] {
+        engine.registrations_read(now);
+        engine.tick(now);
+        assert_eq!(engine.actions, []);
+    }
+}
+
 /// A record that the store refuses would hold up all others.
 #[test]
 fn a_worker_with_very_many_runs_is_not_cordoned() {
