--- a/src/cell/cluster.rs
+++ b/src/cell/cluster.rs
@@ -114,7 +114,7 @@
     /// Whether the worker is registered now.
     pub registered: bool,
     /// Whether the worker has written its registration since the last complete read of the list.
-    pub beaten: bool,
+    pub beat_seen: bool,
     /// Local time of the newest read of the list that showed a heartbeat of the worker, in
     /// milliseconds.
     pub last_beat: u64,
@@ -194,7 +194,7 @@
             registration,
             address_number: 0,
             registered: true,
-            beaten: true,
+            beat_seen: true,
             last_beat: 0,
             stored_registration: None,
             record_batch: u64::MAX,
--- a/src/cell/engine/registry.rs
+++ b/src/cell/engine/registry.rs
@@ -52,7 +52,7 @@
         // Workers may not have reached the store either.
         let gap = self.listed_at.is_none_or(|at| sent > at + MAX_READ_GAP_MS);
         for worker in self.cluster.workers.values_mut() {
-            if std::mem::take(&mut worker.beaten) || gap {
+            if std::mem::take(&mut worker.beat_seen) || gap {
                 worker.last_beat = sent;
             }
         }
@@ -89,7 +89,7 @@
         if registration.incarnation < worker.incarnation {
             return;
         }
-        worker.beaten = true;
+        worker.beat_seen = true;
         if registration.incarnation > worker.incarnation {
             // Commands sent in the meantime may have reached the new incarnation: its own report
             // tells.
