fix(cell): a submission that its caller gave up during a stall is not handed in

The instance counted the caller's timeout from when it read the request, not from its arrival, and did not look whether the caller was still there.

Always refusing a request whose caller has closed its sending side: such a caller may still wait.

The longest time that a request may have waited is taken off its caller's timeout; without time left, or with a closed connection after a stall, a submission gets 503 and is not handed in. An owner that read a forwarded submission too late answers that nothing is known. The deadline of a request follows the clock that goes on while the machine is suspended.

Conclusion: what is handed in has a caller who may still wait.

--- a/src/cell/shell/frontend.rs
+++ b/src/cell/shell/frontend.rs
@@ -51,6 +51,9 @@
 /// owner. Longer than a commit, shorter than a caller's timeout.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Time in which the end of a connection is read after the request that precedes it.
+const CLOSE_DELAY: Duration = Duration::from_millis(20);
+
 /// Pause before a request is repeated.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 
@@ -84,6 +87,12 @@
         return unavailable(503, "no configuration yet\n");
     }
     let timeout = incoming.timeout.unwrap_or(DEFAULT_TIMEOUT_MS);
+    if incoming.method == Method::POST && incoming.age > 0 && is_outdated(&incoming, timeout).await
+    {
+        info!(path = incoming.path.as_str(), age = incoming.age, timeout, closed = incoming.peer_closed.get(); "submission not taken: its caller may have given up");
+        return unavailable(503, "the request was read too late; it does not run\n");
+    }
+    let timeout = timeout.saturating_sub(incoming.age);
     let timeout = (timeout as f64 * TIMEOUT_SHARE) as u64;
     let Some(catalog) = matching_catalog(shared, &incoming, Duration::from_millis(timeout)).await
     else {
@@ -112,6 +121,18 @@
     encode_outcome(outcome)
 }
 
+/// Whether the caller of a request that was read after a stall has given it up, or may have: it has
+/// closed the connection, or its timeout may have passed.
+///
+/// Without a stall, a caller that has closed its side may still wait for the response.
+async fn is_outdated(incoming: &CallerRequest, timeout: u64) -> bool {
+    if incoming.age >= timeout {
+        return true;
+    }
+    time::sleep(CLOSE_DELAY).await;
+    incoming.peer_closed.get()
+}
+
 /// Returns the configuration in force once it has a queue for the request, or is known to be the
 /// newest; `None` if neither is so within `timeout`.
 ///
@@ -175,11 +196,12 @@
 /// Forwards a request to the current owner, with retries until the caller's timeout. Repetitions
 /// are safe because the job's id makes them idempotent.
 async fn forward(shared: &Rc<Shared>, request: Request, timeout: Duration) -> Outcome {
-    let deadline = Instant::now() + timeout;
+    // By the clock that goes on while the machine is suspended, as the caller's does.
+    let deadline = shared.now() + timeout.as_millis() as u64;
     let mut sent = false;
     let mut without_owner: Option<Instant> = None;
     loop {
-        let left = deadline.saturating_duration_since(Instant::now());
+        let left = Duration::from_millis(deadline.saturating_sub(shared.now()));
         if left.is_zero() {
             return if sent {
                 Outcome::Unknown
--- a/src/cell/shell/mod.rs
+++ b/src/cell/shell/mod.rs
@@ -40,6 +40,7 @@
 pub mod claim;
 pub mod clock;
 pub mod commit;
+pub mod connection;
 pub mod dispatch;
 pub mod frontend;
 pub mod handler;
@@ -50,6 +51,7 @@
 pub mod relay;
 pub mod roster;
 pub mod server;
+pub mod stalls;
 pub mod watch;
 
 /// How long idle connections to the store, to workers and to instances are kept: less than the
@@ -151,6 +153,18 @@
     }
 }
 
+/// Notes until the process ends that it runs.
+async fn watch_stalls(shared: Rc<Shared>) {
+    let mut ticks = time::interval(Duration::from_millis(stalls::TICK_MS));
+    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        if let Some(length) = shared.stalls.tick(shared.now()) {
+            info!(length; "process stood still");
+        }
+    }
+}
+
 /// State shared by all tasks of the process.
 pub struct Shared {
     /// Settings of the instance.
@@ -193,6 +207,8 @@
     pub active: Cell<usize>,
     /// Local time of the store's last response, in milliseconds.
     pub store_answered_at: Cell<u64>,
+    /// Times in which the process stood still.
+    pub stalls: stalls::Stalls,
     /// Random number that identifies this incarnation of the instance.
     pub incarnation: u64,
     clock: clock::Clock,
@@ -260,6 +276,7 @@
         closed: Cell::new(false),
         active: Cell::new(0),
         store_answered_at: Cell::new(0),
+        stalls: stalls::Stalls::default(),
         incarnation: rand::random::<u64>() >> 12,
         clock: clock::Clock::start(),
         uplink,
@@ -286,6 +303,7 @@
     actix_rt::spawn(catalog::follow(shared.clone()));
     actix_rt::spawn(watch::run(shared.clone()));
     actix_rt::spawn(close_idle(shared.clone()));
+    actix_rt::spawn(watch_stalls(shared.clone()));
     actix_rt::spawn(reload(shared.clone()));
     program::shutdown_signal()
         .await
--- a/src/cell/shell/peer.rs
+++ b/src/cell/shell/peer.rs
@@ -6,6 +6,7 @@
 };
 
 use compact_str::CompactString;
+use log::info;
 use serde::{
     Deserialize,
     Serialize,
@@ -220,8 +221,12 @@
             reply(body, announced).await
         }
         ASK => {
-            let forwarded =
-                |request: Request| async move { Ok(answer_caller(shared, request).await) };
+            let forwarded = |request: Request| async move {
+                Ok(match is_outdated(shared, &request) {
+                    true => Outcome::Unknown,
+                    false => answer_caller(shared, request).await,
+                })
+            };
             reply(body, forwarded).await
         }
         RELAY => {
@@ -238,6 +243,20 @@
     }
 }
 
+/// Whether the instance that forwarded a submission may have given it up while this process stood
+/// still.
+fn is_outdated(shared: &Shared, request: &Request) -> bool {
+    let age = shared.stalls.age(shared.now());
+    let Request::Submit { id, timeout, .. } = request else {
+        return false;
+    };
+    let outdated = age > 0 && age >= *timeout;
+    if outdated {
+        info!(job = id.as_str(), age, timeout; "forwarded submission not handled: it was read too late");
+    }
+    outdated
+}
+
 async fn reply<A, B, F>(body: &[u8], handler: impl FnOnce(A) -> F) -> Answer
 where
     A: DeserializeOwned,
--- a/src/cell/shell/server.rs
+++ b/src/cell/shell/server.rs
@@ -37,6 +37,10 @@
 use super::{
     Error,
     Shared,
+    connection::{
+        Connection,
+        PeerClosed, //
+    },
     frontend,
     peer, //
 };
@@ -113,6 +117,10 @@
     pub body: Bytes,
     /// Caller's timeout in milliseconds, if the request states one.
     pub timeout: Option<u64>,
+    /// Longest time for which the request may have waited to be read, in milliseconds.
+    pub age: u64,
+    /// Whether the caller has closed its side of the connection.
+    pub peer_closed: PeerClosed,
 }
 
 /// Binds `address` and serves it in a background task.
@@ -143,11 +151,13 @@
         .keep_alive(idle)
         .client_request_timeout(HEADER_TIMEOUT)
         .graceful_shutdown_signal(move || closed(closing.clone()))
+        .on_connect_ext(|connection: &Connection, data| {
+            data.insert(connection.peer_closed());
+        })
         .h1(fn_service(move |request: Request| {
             let shared = handler.clone();
             async move { Ok::<_, actix_http::Error>(respond(shared, request, endpoint).await) }
-        }))
-        .tcp();
+        }));
     let Ok(service) = factory.new_service(()).await else {
         log::error!(endpoint:? = endpoint; "cannot create the HTTP service");
         return;
@@ -155,13 +165,14 @@
     let service = Rc::new(service);
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, peer)) => {
                 if let Err(e) = stream.set_nodelay(true) {
                     debug!("cannot set TCP_NODELAY: {e}");
                 }
                 let service = service.clone();
                 actix_rt::spawn(async move {
-                    if let Err(e) = service.call(stream).await {
+                    let connection = Connection::new(stream);
+                    if let Err(e) = service.call((connection, Some(peer))).await {
                         debug!(endpoint:? = endpoint; "connection failed: {e}");
                     }
                 });
@@ -235,6 +246,11 @@
         path: request.path().to_owned(),
         host: host.split(':').next().unwrap_or_default().to_owned(),
         timeout: header(&request, api::DEADLINE_HEADER).and_then(|text| text.parse().ok()),
+        age: shared.stalls.age(shared.now()),
+        peer_closed: request
+            .conn_data::<PeerClosed>()
+            .cloned()
+            .unwrap_or_default(),
         body,
     };
     shared.active.set(shared.active.get() + 1);
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -30,6 +30,7 @@
     mod rules;
     mod slow_link;
     mod spread;
+    mod stalls;
     mod stored;
     mod superseded;
     mod tombstones;
