feat(access): organisations have keys, and withdrawn ones are refused everywhere in time

Cause: the product knew no organisations.

Ruled out: keys at the owner alone, since an instance that is cut off would go on answering; keys kept in plain text, which a log or a timing can show.

Change: platform/ decodes organisations, keys and public queues; cell::access decides by a digest of the key. An instance proves by the send time of its last read of the configuration that it is recent enough, and otherwise answers 503 and is not ready. The organisation of a job is stored with it. Without organisations nothing changes: no field is written.

--- a/src/cell/engine/batch.rs
+++ b/src/cell/engine/batch.rs
@@ -71,6 +71,7 @@
                     queue: job.queue.clone(),
                     submission: job.submission.clone(),
                     origin: job.origin.clone(),
+                    organisation: job.organisation.clone(),
                     accepted_at: job.accepted_at,
                     term: job.term,
                 };
--- a/src/cell/engine/recovery.rs
+++ b/src/cell/engine/recovery.rs
@@ -175,6 +175,7 @@
             accepted.term,
         );
         job.origin = accepted.origin;
+        job.organisation = accepted.organisation;
         job.stored = true;
         job.sent = true;
         job.inherited = true;
--- a/src/cell/engine/submissions.rs
+++ b/src/cell/engine/submissions.rs
@@ -70,6 +70,17 @@
         }
     }
 
+    /// Records the organisation on whose behalf a job is submitted, unless the job is stored or has
+    /// one already.
+    pub fn set_organisation(&mut self, id: &str, organisation: &str) {
+        if let Some(key) = self.find_job(id)
+            && !self.jobs[key].sent
+            && self.jobs[key].organisation.is_empty()
+        {
+            self.jobs[key].organisation = organisation.into();
+        }
+    }
+
     /// Instance that received the job of a run from its caller, if the start command of the run may
     /// be relayed by it: a command that may be under way already is repeated directly.
     #[must_use]
@@ -217,6 +228,7 @@
         suspected: false,
         unread: false,
         origin: CompactString::default(),
+        organisation: CompactString::default(),
     };
     let span = job.critical_path() as f64 * job.queue.stretch;
     job.deadline = accepted_at
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -262,6 +262,8 @@
     pub submission: model::Submission,
     /// Instance that received the job from its caller; empty if not known in this term.
     pub origin: CompactString,
+    /// Organisation on whose behalf the job was submitted; empty for none.
+    pub organisation: CompactString,
     /// Time of acceptance, in Unix milliseconds.
     pub accepted_at: u64,
     /// Owner's term in which the job was accepted.
--- a/src/cell/journal.rs
+++ b/src/cell/journal.rs
@@ -53,6 +53,9 @@
     /// Instance that received the job from its caller; empty if not known.
     #[serde(default, skip_serializing_if = "CompactString::is_empty")]
     pub origin: CompactString,
+    /// Organisation on whose behalf the job was submitted; empty for none.
+    #[serde(default, skip_serializing_if = "CompactString::is_empty")]
+    pub organisation: CompactString,
     /// Time of acceptance, in Unix milliseconds.
     #[serde(rename = "at")]
     pub accepted_at: u64,
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -4,6 +4,7 @@
 //! [`engine`] holds the owner's decisions and [`election`] the rules by which an instance becomes
 //! owner; both are free of input and output. [`shell`] does the input and output for them.
 
+pub mod access;
 pub mod archive;
 pub mod cluster;
 pub mod election;
--- a/src/cell/model.rs
+++ b/src/cell/model.rs
@@ -137,6 +137,21 @@
     pub enforces_capacity: bool,
 }
 
+/// Digest of an API key.
+pub type KeyDigest = [u8; 32];
+
+/// Organisation whose callers submit jobs.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Organisation {
+    /// Name of the organisation.
+    pub name: CompactString,
+    /// Share of the cell while there is too little room, relative to the weights of the others. It
+    /// is also the number of jobs a second that the organisation is entitled to.
+    pub weight: f64,
+    /// Most resources that its tasks take over all workers; 0 in one of them for no limit.
+    pub cap: Resources,
+}
+
 /// Limits on requests of callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -159,9 +174,31 @@
     pub services: Vec<Service>,
     /// Limits on requests of callers.
     pub limits: Limits,
+    /// Organisations.
+    pub organisations: Vec<Organisation>,
+    /// Digests of the keys of all organisations, each with the position of its organisation, sorted.
+    pub keys: Vec<(KeyDigest, u32)>,
+    /// Names of the queues that need no key, sorted.
+    pub public_queues: Vec<CompactString>,
 }
 
 impl Catalog {
+    /// Organisation that has a key.
+    #[must_use]
+    pub fn organisation(&self, key: &KeyDigest) -> Option<&Organisation> {
+        let at = self.keys.binary_search_by_key(key, |(key, _)| *key).ok()?;
+        self.organisations.get(self.keys[at].1 as usize)
+    }
+
+    /// Whether requests to a queue need no key.
+    #[must_use]
+    pub fn is_public(&self, queue: &str) -> bool {
+        let public = &self.public_queues;
+        public
+            .binary_search_by(|name| name.as_str().cmp(queue))
+            .is_ok()
+    }
+
     /// Queue of a request: the longest matching prefix among the queues of the host.
     #[must_use]
     pub fn queue(&self, host: &str, path: &str) -> Option<&Queue> {
--- a/src/cell/settings.rs
+++ b/src/cell/settings.rs
@@ -7,6 +7,8 @@
 
 use compact_str::CompactString;
 
+use super::access;
+
 /// CPU share that keeps up with one megabit per second of an owner's traffic, in millicores.
 const MILLICORES_PER_MBIT: u32 = 10;
 
@@ -49,6 +51,8 @@
     pub retention: Duration,
     /// Time after which a worker's registration must be known.
     pub contact: Duration,
+    /// Rules for the keys of callers.
+    pub access: access::Rules,
 }
 
 impl Cell {
--- a/src/cell/shell/catalog.rs
+++ b/src/cell/shell/catalog.rs
@@ -26,6 +26,9 @@
 /// a dead connection, well before a new configuration must be in force.
 const POLL_WAIT: Duration = Duration::from_millis(1_200);
 
+/// Number of polls within the time in which withdrawn keys must be refused.
+const REVOCATION_POLLS: u64 = 8;
+
 /// Timeout of a poll in addition to its wait.
 const POLL_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -48,6 +51,7 @@
     let mut failing = false;
     loop {
         let before = version(&shared);
+        let asked_at = shared.now();
         let step = match from {
             None => snapshot(&shared).await,
             Some(from) => tail(&shared, from).await,
@@ -62,6 +66,9 @@
                 let slow = shared.store_polls.transfer_time() > SLOW_TRANSFER;
                 let skips = slow && version(&shared) > before && is_outdated(&shared, next).await;
                 from = (!skips).then_some(next);
+                if !skips {
+                    shared.catalog_proven_at.set(asked_at);
+                }
             }
             Err(e) => {
                 if !failing {
@@ -96,6 +103,15 @@
     shared.store_polls.receiving() > MIN_CONFIGURATION
 }
 
+/// Longest wait of a poll. A poll proves that the configuration was the newest when the poll was
+/// sent; where withdrawn keys must be refused in time, several polls fit into that time.
+fn poll_wait(shared: &Shared) -> Duration {
+    let revocation = shared.settings.access.revocation;
+    revocation.map_or(POLL_WAIT, |time| {
+        POLL_WAIT.min(Duration::from_millis(time / REVOCATION_POLLS))
+    })
+}
+
 fn version(shared: &Shared) -> u64 {
     shared.catalog.borrow().as_ref().map_or(0, |c| c.version)
 }
@@ -114,7 +130,7 @@
         &shared.store_polls,
         store::OPERATOR,
         from,
-        POLL_WAIT,
+        poll_wait(shared),
         POLL_TIMEOUT,
     )
     .await?;
--- a/src/cell/shell/frontend.rs
+++ b/src/cell/shell/frontend.rs
@@ -18,7 +18,10 @@
 };
 
 use crate::{
-    cell::model,
+    cell::{
+        access,
+        model, //
+    },
     platform::api,
     remote::link, //
 };
@@ -63,12 +66,14 @@
 /// Length of a job's id, in hexadecimal digits.
 const ID_LEN: usize = 16;
 
-/// Answers the readiness check: the instance is ready once it has a configuration and until it
-/// stops.
+/// Answers the readiness check: the instance is ready once it has a configuration, while it may
+/// admit keys by it, and until it stops.
 #[must_use]
 pub fn ready(shared: &Shared) -> Answer {
     let known = shared.catalog.borrow().is_some();
-    if shared.stopping.get() || !known {
+    // Callers with keys are served elsewhere meanwhile.
+    let outdated = shared.settings.access.is_outdated(shared.catalog_age());
+    if shared.stopping.get() || !known || outdated {
         return Answer::text(503, "not ready\n");
     }
     Answer::text(200, "ready\n")
@@ -102,9 +107,13 @@
         info!(host = incoming.host.as_str(), path = incoming.path.as_str(), version = catalog.version; "no queue matches the request");
         return Answer::text(404, "no such queue\n");
     };
+    let organisation = match access(shared, &catalog, queue, &incoming) {
+        Ok(organisation) => organisation,
+        Err(answer) => return answer,
+    };
     let id = incoming.path[queue.prefix.len()..].trim_end_matches('/');
     let timeout = timeout.saturating_sub(began.elapsed().as_millis() as u64);
-    let request = match request(shared, &incoming, queue, id, timeout) {
+    let request = match request(shared, &incoming, (queue, organisation), id, timeout) {
         Ok(request) => request,
         Err(answer) => return answer,
     };
@@ -133,6 +142,40 @@
     incoming.peer_closed.get()
 }
 
+/// Organisation on whose behalf a request is made, by its key.
+fn admits<'a>(
+    shared: &Shared,
+    catalog: &'a model::Catalog,
+    queue: &model::Queue,
+    incoming: &CallerRequest,
+) -> Result<&'a str, access::Denied> {
+    let rules = &shared.settings.access;
+    let age = shared.catalog_age();
+    access::check(catalog, queue, incoming.key.as_deref(), rules, age)
+}
+
+/// The same, or the response to a request that is not admitted.
+fn access<'a>(
+    shared: &Shared,
+    catalog: &'a model::Catalog,
+    queue: &model::Queue,
+    incoming: &CallerRequest,
+) -> Result<&'a str, Answer> {
+    let denied = match admits(shared, catalog, queue, incoming) {
+        Ok(organisation) => return Ok(organisation),
+        Err(denied) => denied,
+    };
+    info!(path = incoming.path.as_str(), queue = queue.name.as_str(), version = catalog.version, age = shared.catalog_age(), keyed = incoming.key.is_some(), denied:? = denied; "request not admitted");
+    shared.metrics.count_denied(denied);
+    Err(match denied {
+        access::Denied::Unknown => Answer::text(401, "the key is not known\n"),
+        access::Denied::Unproven => unavailable(
+            503,
+            "it is not known whether the key is still valid; not taken\n",
+        ),
+    })
+}
+
 /// Returns the configuration in force once it has a queue for the request, or is known to be the
 /// newest; `None` if neither is so within `timeout`.
 ///
@@ -145,7 +188,9 @@
     let deadline = Instant::now() + timeout;
     loop {
         let catalog = shared.catalog.borrow().clone()?;
-        let found = catalog.queue(&incoming.host, &incoming.path).is_some();
+        let found = catalog
+            .queue(&incoming.host, &incoming.path)
+            .is_some_and(|queue| admits(shared, &catalog, queue, incoming).is_ok());
         if found || !catalog::is_behind(shared) {
             return Some(catalog);
         }
@@ -160,7 +205,7 @@
 fn request(
     shared: &Shared,
     incoming: &CallerRequest,
-    queue: &model::Queue,
+    (queue, organisation): (&model::Queue, &str),
     id: &str,
     timeout: u64,
 ) -> Result<Request, Answer> {
@@ -186,6 +231,7 @@
                 origin: shared.settings.instance.clone(),
                 queue: Box::new(queue.clone()),
                 work: Box::new(work),
+                organisation: organisation.into(),
                 timeout,
             })
         }
--- a/src/cell/shell/handler.rs
+++ b/src/cell/shell/handler.rs
@@ -5,6 +5,7 @@
     time::Duration, //
 };
 
+use compact_str::CompactString;
 use log::info;
 use tokio::time;
 
@@ -56,8 +57,15 @@
             queue,
             work,
             origin,
+            organisation,
             timeout,
-        } => submit(owner, &id, (*queue, *work), &origin, timeout).await,
+        } => {
+            let source = Source {
+                origin,
+                organisation,
+            };
+            submit(owner, &id, (*queue, *work), &source, timeout).await
+        }
         Request::State { id } => state(owner, &id).await,
         Request::Cancel { id, timeout } => cancel(owner, &id, timeout).await,
         Request::Waiting { queue } => Outcome::Waiting(owner.engine.borrow().waiting_jobs(&queue)),
@@ -135,11 +143,19 @@
     if objective < SLACK_MS { short } else { long }
 }
 
+/// Where a job comes from.
+struct Source {
+    /// Instance that received the job from its caller.
+    origin: CompactString,
+    /// Organisation on whose behalf the job is submitted; empty for none.
+    organisation: CompactString,
+}
+
 async fn submit(
     owner: &Rc<Owner>,
     id: &str,
     (queue, work): (model::Queue, model::Submission),
-    origin: &str,
+    source: &Source,
     timeout: u64,
 ) -> Outcome {
     let retry = retry_after(&queue, &work);
@@ -154,8 +170,13 @@
         };
     }
     let now = owner.now();
-    let submitted = owner.engine.borrow_mut().submit(id, queue, work, now);
-    owner.engine.borrow_mut().set_origin(id, origin);
+    let submitted = {
+        let mut engine = owner.engine.borrow_mut();
+        let submitted = engine.submit(id, queue, work, now);
+        engine.set_origin(id, &source.origin);
+        engine.set_organisation(id, &source.organisation);
+        submitted
+    };
     owner.run_actions();
     match submitted {
         Ok(Submitted::Known) => Outcome::Accepted,
--- a/src/cell/shell/metrics.rs
+++ b/src/cell/shell/metrics.rs
@@ -24,9 +24,12 @@
 };
 
 use crate::{
-    cell::engine::{
-        crashes::Evidence,
-        losses::Loss, //
+    cell::{
+        access::Denied,
+        engine::{
+            crashes::Evidence,
+            losses::Loss, //
+        }, //
     },
     malformed::{
         self,
@@ -78,6 +81,13 @@
     pub evidence: &'static str,
 }
 
+/// Labels of the requests that were not admitted.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct DeniedLabels {
+    /// Why the request was not admitted.
+    pub reason: &'static str,
+}
+
 /// All metrics of the process.
 pub struct Metrics {
     registry: RefCell<Registry>,
@@ -102,6 +112,7 @@
     /// Workers to which connections may be open.
     pub open_workers: Gauge,
     losses: Family<LossLabels, Counter>,
+    denied: Family<DeniedLabels, Counter>,
     crashes: Family<CrashLabels, Counter>,
     /// Tasks that wait to run alone because workers have crashed under them.
     pub waiting_trials: Gauge,
@@ -155,6 +166,7 @@
             cordoned_workers: Gauge::default(),
             open_workers: Gauge::default(),
             losses: Family::default(),
+            denied: Family::default(),
             crashes: Family::default(),
             waiting_trials: Gauge::default(),
             careful_queues: Gauge::default(),
@@ -211,6 +223,11 @@
             "Runs presumed over without an outcome from their worker",
             self.losses.clone(),
         );
+        registry.register(
+            "denied",
+            "Callers' requests that were not admitted, by reason",
+            self.denied.clone(),
+        );
         registry.register(
             "crashes",
             "Tasks that were on a worker when it crashed, by evidence",
@@ -263,6 +280,14 @@
         self.losses.get_or_create(&label).inc();
     }
 
+    /// Counts a request that was not admitted.
+    pub fn count_denied(&self, denied: Denied) {
+        let label = DeniedLabels {
+            reason: denied.label(),
+        };
+        self.denied.get_or_create(&label).inc();
+    }
+
     /// Counts a crash of a worker against a task.
     pub fn count_crash(&self, evidence: Evidence) {
         let label = CrashLabels {
--- a/src/cell/shell/mod.rs
+++ b/src/cell/shell/mod.rs
@@ -185,6 +185,9 @@
     pub policy: Option<Link>,
     /// The configuration in force.
     pub catalog: RefCell<Option<Rc<model::Catalog>>>,
+    /// Local time at which the newest read of the store was sent after which the configuration in
+    /// force was the newest, in milliseconds; 0 for none.
+    pub catalog_proven_at: Cell<u64>,
     /// What this instance knows about the owner.
     pub ownership: RefCell<watch::Ownership>,
     /// State of the owner, if this instance owns the cell.
@@ -236,6 +239,12 @@
         }
     }
 
+    /// Time since the configuration in force was known to be the newest, in milliseconds.
+    #[must_use]
+    pub fn catalog_age(&self) -> u64 {
+        self.now().saturating_sub(self.catalog_proven_at.get())
+    }
+
     /// Records that the store has responded now.
     pub fn note_store_answer(&self) {
         self.store_answered_at.set(self.now());
@@ -265,6 +274,7 @@
         workers: Links::new(&zone, &uplink),
         peers: Links::new(&zone, &uplink),
         catalog: RefCell::new(None),
+        catalog_proven_at: Cell::new(0),
         ownership: RefCell::new(watch::Ownership::default()),
         owner: RefCell::new(None),
         starting_term: Cell::new(false),
--- a/src/cell/shell/peer.rs
+++ b/src/cell/shell/peer.rs
@@ -142,6 +142,9 @@
         /// Instance that received the job from its caller.
         #[serde(default)]
         origin: CompactString,
+        /// Organisation on whose behalf the job is submitted; empty for none.
+        #[serde(default, skip_serializing_if = "CompactString::is_empty")]
+        organisation: CompactString,
         /// Caller's timeout in milliseconds.
         #[serde(rename = "patience")]
         timeout: u64,
--- a/src/cell/shell/server.rs
+++ b/src/cell/shell/server.rs
@@ -25,6 +25,7 @@
     Bytes,
     BytesMut, //
 };
+use compact_str::CompactString;
 use futures_util::StreamExt;
 use log::{
     debug,
@@ -104,8 +105,8 @@
     }
 }
 
-/// A caller's request after its body has been read.
-#[derive(Debug)]
+/// A caller's request after its body has been read. It holds a key, and so is not for logs.
+#[expect(missing_debug_implementations, reason = "the key must not be logged")]
 pub struct CallerRequest {
     /// HTTP method.
     pub method: Method,
@@ -117,6 +118,8 @@
     pub body: Bytes,
     /// Caller's timeout in milliseconds, if the request states one.
     pub timeout: Option<u64>,
+    /// API key that the request carries.
+    pub key: Option<CompactString>,
     /// Longest time for which the request may have waited to be read, in milliseconds.
     pub age: u64,
     /// Whether the caller has closed its side of the connection.
@@ -246,6 +249,9 @@
         path: request.path().to_owned(),
         host: host.split(':').next().unwrap_or_default().to_owned(),
         timeout: header(&request, api::DEADLINE_HEADER).and_then(|text| text.parse().ok()),
+        key: header(&request, api::KEY_HEADER)
+            .and_then(api::decode_key)
+            .map(CompactString::from),
         age: shared.stalls.age(shared.now()),
         peer_closed: request
             .conn_data::<PeerClosed>()
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -4,6 +4,7 @@
 #![expect(clippy::unwrap_used, reason = "a test fails by a panic")]
 
 mod cell {
+    mod access;
     mod acknowledged;
     mod archive;
     mod capacity;
--- a/tests/instances/processes.rs
+++ b/tests/instances/processes.rs
@@ -27,7 +27,10 @@
     time::Duration, //
 };
 
-use serde_json::json;
+use serde_json::{
+    Value,
+    json, //
+};
 
 /// Timeout of one exchange.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -97,6 +100,25 @@
         instance
     }
 
+    /// Starts an instance with further parts of the rules in force, and their bounds.
+    pub(super) fn start_with_rules(
+        name: &str,
+        platform: SocketAddr,
+        contracts: &[&str],
+        bounds: &Value,
+    ) -> Self {
+        let mut instance = Self::prepare(name, platform, free_port());
+        let text = fs::read_to_string(&instance.settings).unwrap();
+        let mut boot: Value = serde_json::from_str(&text).unwrap();
+        boot["contracts"] = json!(contracts);
+        for (name, bound) in bounds.as_object().unwrap() {
+            boot["bounds"][name] = bound.clone();
+        }
+        fs::write(&instance.settings, boot.to_string()).unwrap();
+        instance.launch();
+        instance
+    }
+
     fn prepare_with_link(name: &str, platform: SocketAddr, front: SocketAddr, mbps: f64) -> Self {
         let (ready, peer) = (free_port(), free_port());
         let boot = json!({
@@ -206,12 +228,33 @@
     method: &str,
     path: &str,
     body: &str,
+) -> Option<(u16, String)> {
+    exchange_with(to, (method, path), "", body)
+}
+
+/// Sends one request without a body, with an API key if there is one.
+pub(super) fn exchange_with_key(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    key: Option<&str>,
+) -> Option<(u16, String)> {
+    let header = key.map(|key| format!("authorization: Bearer {key}\r\n"));
+    exchange_with(to, (method, path), &header.unwrap_or_default(), "")
+}
+
+/// Sends one request with further header lines.
+fn exchange_with(
+    to: SocketAddr,
+    (method, path): (&str, &str),
+    headers: &str,
+    body: &str,
 ) -> Option<(u16, String)> {
     let mut stream = TcpStream::connect_timeout(&to, EXCHANGE_TIMEOUT).ok()?;
     stream.set_read_timeout(Some(EXCHANGE_TIMEOUT)).ok()?;
     let len = body.len();
     let head = format!(
-        "{method} {path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\ncontent-length: {len}\r\n\r\n{body}"
+        "{method} {path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n{headers}content-length: {len}\r\n\r\n{body}"
     );
     stream.write_all(head.as_bytes()).ok()?;
     let mut answer = String::new();
--- a/tests/platform/configuration.rs
+++ b/tests/platform/configuration.rs
@@ -1,7 +1,10 @@
 //! Configurations with values out of range are rejected as a whole, so that the one in force holds.
 
 use assert_matches::assert_matches;
-use bamboolock::platform::catalog;
+use bamboolock::{
+    cell::access,
+    platform::catalog, //
+};
 use serde_json::{
     Value,
     json, //
@@ -82,3 +85,32 @@
         assert_matches!(catalog::decode(&with(field, &nested)), Err(_), "{field}");
     }
 }
+
+/// Organisations are found by their keys, and only by them.
+#[test]
+fn organisations_are_decoded() {
+    let mut config = config();
+    config["routes"][0]["public"] = json!(true);
+    config["tenants"] = json!([
+        {"name": "a", "api_keys": ["k1", "k2"], "priority": 1, "weight": 65, "cap": {"cpu": 3_120_199, "mem_mb": 7_022_861, "gpu": 0}},
+        {"name": "b", "api_keys": []},
+    ]);
+    let catalog = catalog::decode(config.to_string().as_bytes()).unwrap();
+    let found = |key| {
+        let found = catalog.organisation(&access::digest(key));
+        found.map(|organisation| organisation.name.as_str())
+    };
+    assert_eq!(
+        (found("k1"), found("k2"), found("k3")),
+        (Some("a"), Some("a"), None)
+    );
+    let a = &catalog.organisations[0];
+    assert_eq!(a.weight, 65.0);
+    assert_eq!(
+        (a.cap.millicores, a.cap.memory, a.cap.accelerators),
+        (3_120_199, 7_022_861, 0)
+    );
+    assert!(catalog.is_public("q"));
+    config["tenants"][0]["weight"] = json!(-1);
+    assert_matches!(catalog::decode(config.to_string().as_bytes()), Err(_));
+}
