fix(cell): a submission that was not sent to the store is refused, not left unknown

Others were refused from 0.9 s on although the store came back within their time: each attempt that is refused takes one of the five that a caller makes within its 3 s.

Ruled out: starts before the acceptance is stored. A successor would acknowledge ends of jobs that it does not know, and the repeated job would run again.

Change: cell::outage decides who waits: a caller whose time ends before the store is usually back is refused as before, a later one waits. At the end of a caller's time the owner withdraws a job that it has not sent, and answers 503. The instance tells the owner at each attempt how long the caller still waits. A job is withdrawn with the last request that waits for it.

Conclusion: three tests in cell::outage; the last two need the new calls. A job in a batch that is under way still gets 504.

--- a/src/cell/engine/submissions.rs
+++ b/src/cell/engine/submissions.rs
@@ -106,6 +106,25 @@
         true
     }
 
+    /// Records that a caller waits for the acceptance of a job until local time `until`, in
+    /// milliseconds.
+    pub fn extend_wait(&mut self, id: &str, until: u64) {
+        if let Some(key) = self.find_job(id) {
+            let job = &mut self.jobs[key];
+            job.awaited_until = job.awaited_until.max(until);
+        }
+    }
+
+    /// Withdraws a job for a request whose caller waits until local time `until`, in milliseconds,
+    /// unless a later request for the job still waits. Returns whether the job is withdrawn.
+    pub fn withdraw_expired(&mut self, id: &str, now: u64, until: u64) -> bool {
+        let job = self.find_job(id).map(|key| &self.jobs[key]);
+        if job.is_some_and(|job| job.awaited_until > until && job.awaited_until > now) {
+            return false;
+        }
+        self.withdraw(id)
+    }
+
     /// Status of a job whose batch is stored. The job may have been withdrawn before the batch was
     /// gathered, when another request for it was abandoned.
     #[must_use]
@@ -229,6 +248,7 @@
         unread: false,
         origin: CompactString::default(),
         organisation: CompactString::default(),
+        awaited_until: 0,
     };
     let span = job.critical_path() as f64 * job.queue.stretch;
     job.deadline = accepted_at
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -276,6 +276,8 @@
     pub stored: bool,
     /// Whether the job was sent to the store, and so may be stored.
     pub sent: bool,
+    /// Local time until which a caller waits for the job to be stored, in milliseconds.
+    pub awaited_until: u64,
     /// Batch that stores the newest state.
     pub batch: u64,
     /// Whether the job is part of the batch being gathered.
--- a/src/cell/shell/frontend.rs
+++ b/src/cell/shell/frontend.rs
@@ -241,7 +241,7 @@
 
 /// Forwards a request to the current owner, with retries until the caller's timeout. Repetitions
 /// are safe because the job's id makes them idempotent.
-async fn forward(shared: &Rc<Shared>, request: Request, timeout: Duration) -> Outcome {
+async fn forward(shared: &Rc<Shared>, mut request: Request, timeout: Duration) -> Outcome {
     // By the clock that goes on while the machine is suspended, as the caller's does.
     let deadline = shared.now() + timeout.as_millis() as u64;
     let mut sent = false;
@@ -255,6 +255,7 @@
                 Outcome::Refused(RETRY_AFTER_S)
             };
         }
+        request.set_timeout(left.as_millis() as u64);
         let outcome = exchange(shared, &request, left.min(EXCHANGE_TIMEOUT)).await;
         match outcome {
             Ok(Outcome::Elsewhere) | Err(link::Error::Refused | link::Error::Unreachable) => {}
--- a/src/cell/shell/handler.rs
+++ b/src/cell/shell/handler.rs
@@ -14,7 +14,8 @@
         SubmissionStatus,
         Submitted, //
     },
-    model, //
+    model,
+    outage, //
 };
 
 use super::{
@@ -25,9 +26,6 @@
     }, //
 };
 
-/// Time for which a batch may wait to be stored before new jobs are rejected, in milliseconds.
-const STORE_LOST_MS: u64 = 900;
-
 /// Retry delays while the store is unreachable, in seconds: for urgent jobs, and for jobs with
 /// slack. Jobs with slack are retried later, so that a caller's usual number of retries outlasts a
 /// longer outage.
@@ -37,6 +35,10 @@
 /// store.
 const SLACK_MS: u64 = 4_500;
 
+/// Time before the end of a caller's timeout at which a submission is answered, in milliseconds: the
+/// way back to the caller through a slow machine.
+const ANSWER_MARGIN_MS: u64 = 100;
+
 /// Interval at which the store's reachability is checked while a job waits to be stored.
 const STORE_POLL: Duration = Duration::from_millis(150);
 
@@ -159,10 +161,12 @@
     timeout: u64,
 ) -> Outcome {
     let retry = retry_after(&queue, &work);
-    if owner.batch_waits(STORE_LOST_MS) && !owner.engine.borrow().is_stored(id) {
+    let until = owner.now() + timeout.saturating_sub(ANSWER_MARGIN_MS);
+    if is_hopeless(owner, until) && !owner.engine.borrow().is_stored(id) {
         // A job that may be on its way to the store is not rejected, because it may run.
-        let pending = owner.engine.borrow().is_known(id);
-        info!(job = id, waits = owner.now() - owner.waiting_since.get(), pending; "submission not accepted: store unreachable");
+        let now = owner.now();
+        let pending = !owner.engine.borrow_mut().withdraw_expired(id, now, until);
+        info!(job = id, waits = owner.store_delay(), timeout, pending; "submission not accepted: store unreachable");
         return if pending {
             Outcome::Unknown
         } else {
@@ -175,37 +179,55 @@
         let submitted = engine.submit(id, queue, work, now);
         engine.set_origin(id, &source.origin);
         engine.set_organisation(id, &source.organisation);
+        engine.extend_wait(id, until);
         submitted
     };
     owner.run_actions();
     match submitted {
         Ok(Submitted::Known) => Outcome::Accepted,
         Ok(Submitted::Cancelled) => Outcome::Gone,
-        Ok(Submitted::InBatch(batch)) => await_stored(owner, id, batch, timeout, retry).await,
+        Ok(Submitted::InBatch(batch)) => await_stored(owner, id, (batch, until), retry).await,
         Err(text) => Outcome::Invalid(text),
     }
 }
 
-/// Waits until a new job is stored. While the store is unreachable, a job that was not yet sent to
-/// it is withdrawn at once.
+/// Whether a submission whose caller waits until local time `until`, in milliseconds, should be
+/// refused because the store does not answer.
+fn is_hopeless(owner: &Owner, until: u64) -> bool {
+    let left = until.saturating_sub(owner.now());
+    outage::is_hopeless(owner.store_delay(), left)
+}
+
+/// Waits until a new job is stored, or until local time `until`, in milliseconds. A job that was not
+/// yet sent to the store is withdrawn then, or as soon as its caller waits in vain: a caller may
+/// repeat what is known not to run.
 async fn await_stored(
     owner: &Rc<Owner>,
     id: &str,
-    batch: u64,
-    timeout: u64,
+    (batch, until): (u64, u64),
     retry: u64,
 ) -> Outcome {
-    let stored = wait_durable(owner, batch, timeout);
+    let left = until.saturating_sub(owner.now());
+    let stored = wait_durable(owner, batch, left + ANSWER_MARGIN_MS);
     let mut stored = std::pin::pin!(stored);
     loop {
+        let now = owner.now();
+        let pause = Duration::from_millis(until.saturating_sub(now)).min(STORE_POLL);
         tokio::select! {
             outcome = &mut stored => return stored_outcome(owner, id, outcome, retry),
-            () = time::sleep(STORE_POLL) => {}
+            () = time::sleep(pause) => {}
+        }
+        let now = owner.now();
+        if now < until && !is_hopeless(owner, until) {
+            continue;
         }
-        if owner.batch_waits(STORE_LOST_MS) && owner.engine.borrow_mut().withdraw(id) {
-            info!(job = id, waits = owner.now() - owner.waiting_since.get(); "submission withdrawn: store unreachable");
+        if owner.engine.borrow_mut().withdraw_expired(id, now, until) {
+            info!(job = id, waits = owner.store_delay(), expired = now >= until; "submission withdrawn: store unreachable");
             return Outcome::Refused(retry);
         }
+        if now >= until {
+            return Outcome::Unknown;
+        }
     }
 }
 
--- a/src/cell/shell/owner.rs
+++ b/src/cell/shell/owner.rs
@@ -275,6 +275,14 @@
         f64::from(other.strength) > f64::from(self.shared.settings.strength()) * TAKEOVER_RATIO
     }
 
+    /// Time for which a batch has waited to be stored, in milliseconds; 0 if none waits.
+    pub(super) fn store_delay(&self) -> u64 {
+        match self.waiting_since.get() {
+            0 => 0,
+            since => self.shared.now().saturating_sub(since),
+        }
+    }
+
     /// Whether a batch has waited to be stored for longer than `span` milliseconds.
     pub(super) fn batch_waits(&self, span: u64) -> bool {
         let since = self.waiting_since.get();
--- a/src/cell/shell/peer.rs
+++ b/src/cell/shell/peer.rs
@@ -169,6 +169,15 @@
     },
 }
 
+impl Request {
+    /// Sets the time for which the caller still waits, in milliseconds.
+    pub fn set_timeout(&mut self, left: u64) {
+        if let Request::Submit { timeout, .. } | Request::Cancel { timeout, .. } = self {
+            *timeout = left;
+        }
+    }
+}
+
 /// Outcome of a caller's request, as the owner reports it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -23,6 +23,7 @@
     mod make;
     mod malformed;
     mod network;
+    mod outage;
     mod owners;
     mod ownership;
     mod proxies;
