--- a/tests/instances/processes.rs
+++ b/tests/instances/processes.rs
@@ -119,6 +119,24 @@
         instance
     }
 
+    /// Starts an instance whose machine has the given limits, in addition to the usual ones.
+    pub(super) fn start_with_limits(name: &str, platform: SocketAddr, limits: &Value) -> Self {
+        let mut instance = Self::prepare(name, platform, free_port());
+        let text = fs::read_to_string(&instance.settings).unwrap();
+        let mut boot: Value = serde_json::from_str(&text).unwrap();
+        for (name, limit) in limits.as_object().unwrap() {
+            boot["limits"][name] = limit.clone();
+        }
+        fs::write(&instance.settings, boot.to_string()).unwrap();
+        instance.launch();
+        instance
+    }
+
+    /// Returns the process id.
+    pub(super) fn pid(&self) -> u32 {
+        self.child.as_ref().unwrap().id()
+    }
+
     fn prepare_with_link(name: &str, platform: SocketAddr, front: SocketAddr, mbps: f64) -> Self {
         let (ready, peer) = (free_port(), free_port());
         let boot = json!({
--- a/tests/instances/standin.rs
+++ b/tests/instances/standin.rs
@@ -59,6 +59,9 @@
 /// Interval between two parts of a response that is sent slowly.
 const CHUNK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Largest body of a request, in bytes: more than one append of an instance holds.
+const MAX_BODY: usize = 4 << 20;
+
 /// Interval at which the state advances and polls are checked.
 const STEP: Duration = Duration::from_millis(5);
 
@@ -339,6 +342,7 @@
         let app = move || {
             App::new()
                 .app_data(data.clone())
+                .app_data(web::PayloadConfig::new(MAX_BODY))
                 .default_service(web::to(serve))
         };
         let server = HttpServer::new(app).workers(2).disable_signals();
