feat(intake): bounds what clients can make a process keep

Cause: nothing bounded it. The HTTP library parses every request that it has read, about 4 KB each; bodies were read before the route was known and kept without a total; unread answers piled up; a head was bounded in time for the first request of a connection only; jobs were accepted without regard to the owner's memory. A step's unknown fields were kept as a tree while it was decoded, and a placement pass walked all steps of a job for each of them.

Ruled out: limits of the HTTP library alone (it has none for parsed requests); a charge by the stated length of a body (a client that sends nothing would take all); timers for each read.

Change: connection.rs hands the library one complete head at a time, then the body as far as its handler has room, and the next head once the answer is written. cell::shell::intake decides on bytes, connections and deadlines, guard.rs carries it out for each address by itself. Route and key are checked before the body is read. engine::memory refuses new jobs beyond a quarter of the machine's memory, lets occurrences wait while it is scarce, and rejects a job whose record the store does not take. Specifications kept for relays follow the memory, and count with their entries: empty ones were never dropped. A caller's request counts as in progress until its future is dropped, also when its connection fails.

Not bounded: the jobs that a new owner takes over from one with more memory, and the occurrences of a schedule that are done.

--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -40,6 +40,7 @@
 mod cordons;
 pub mod crashes;
 pub mod losses;
+pub mod memory;
 pub mod placement;
 pub mod policy;
 pub mod proxies;
@@ -226,6 +227,8 @@
     withheld: Vec<cordons::Withheld>,
     /// Unix time minus local time, in milliseconds.
     wall_offset: i64,
+    /// Memory of the jobs.
+    memory: memory::Memory,
 }
 
 impl Engine {
@@ -274,6 +277,7 @@
             loaded_at: 0,
             withheld: Vec::new(),
             wall_offset: 0,
+            memory: memory::Memory::default(),
         }
     }
 
@@ -297,6 +301,7 @@
 
     fn insert_job(&mut self, job: Job) -> JobKey {
         let id = job.id.clone();
+        self.count_job(&job);
         let key = self.jobs.insert(job);
         match self.index.binary_search_by(|(name, _)| name.cmp(&id)) {
             Ok(at) => self.index[at].1 = key,
@@ -310,6 +315,7 @@
         let Some(job) = self.jobs.remove(key) else {
             return;
         };
+        self.discount_job(&job);
         if let Ok(at) = self.index.binary_search_by(|(name, _)| name.cmp(&job.id)) {
             self.index.remove(at);
         }
@@ -388,12 +394,16 @@
     /// Creates due occurrences and adds the steps whose dependencies are met to the backlog.
     fn advance(&mut self, key: JobKey, now: u64) {
         let unix = self.unix(now);
-        let job = &mut self.jobs[key];
+        let job = &self.jobs[key];
         if job.state.is_final() || !job.stored {
             return;
         }
+        let before = job.occurrences.len();
         let live = job.occurrences.iter().filter(|o| !o.is_done()).count();
-        let mut free = MAX_OCCURRENCES.saturating_sub(live);
+        // While memory is scarce, later occurrences wait for the oldest to finish.
+        let room = self.occurrence_room(job, live);
+        let mut free = MAX_OCCURRENCES.saturating_sub(live).min(room);
+        let job = &mut self.jobs[key];
         while (job.occurrences.len() as u32) < job.occurrence_count() && free > 0 {
             let number = job.occurrences.len() as u32;
             if job.due_at(number) > unix {
@@ -429,6 +439,7 @@
         if (due as u32) < job.occurrence_count() && !self.timed_jobs.contains(&key) {
             self.timed_jobs.push(key);
         }
+        self.count_occurrences(key, before);
         for step in steps {
             self.enqueue(step);
         }
@@ -455,6 +466,7 @@
             let occurrence = Occurrence::new(number, &job.submission.steps);
             job.occurrences.push(occurrence);
         }
+        self.count_occurrences(key, begun as usize);
         if !self.timed_jobs.contains(&key) {
             self.timed_jobs.push(key);
         }
--- a/src/cell/engine/recovery.rs
+++ b/src/cell/engine/recovery.rs
@@ -123,6 +123,7 @@
             }
             self.advance(key, now);
         }
+        self.recount_jobs();
         self.load_exposures();
         self.succession.load(owners);
         self.cluster.reconciled = false;
--- a/src/cell/engine/submissions.rs
+++ b/src/cell/engine/submissions.rs
@@ -14,6 +14,7 @@
 };
 use crate::cell::{
     job::{
+        self,
         Job,
         RunKey, //
     },
@@ -211,6 +212,7 @@
     let mut job = Job {
         id: id.into(),
         queue,
+        chains: job::chains(&submission.steps),
         submission,
         accepted_at,
         term,
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -260,6 +260,9 @@
     pub queue: model::Queue,
     /// Job as submitted.
     pub submission: model::Submission,
+    /// Estimated run time of the longest chain from each step on, in milliseconds. A placement pass
+    /// needs it for each step, and it takes the time of all steps to find.
+    pub chains: Vec<u64>,
     /// Instance that received the job from its caller; empty if not known in this term.
     pub origin: CompactString,
     /// Organisation on whose behalf the job was submitted; empty for none.
@@ -367,30 +370,30 @@
     /// Estimated run time of the longest chain of steps that begins with `step`, in milliseconds.
     #[must_use]
     pub fn critical_path_from(&self, step: usize) -> u64 {
-        self.chains().get(step).copied().unwrap_or(0)
+        self.chains.get(step).copied().unwrap_or(0)
     }
 
     /// Estimated run time of the longest chain of steps in the job, in milliseconds.
     #[must_use]
     pub fn critical_path(&self) -> u64 {
-        self.chains().into_iter().max().unwrap_or(0)
+        self.chains.iter().copied().max().unwrap_or(0)
     }
+}
 
-    /// Estimated run time of the longest chain from each step on, in milliseconds.
-    fn chains(&self) -> Vec<u64> {
-        let steps = &self.submission.steps;
-        let mut chains = vec![0_u64; steps.len()];
-        // Steps depend on earlier steps only.
-        for (i, step) in steps.iter().enumerate().rev() {
-            chains[i] = chains[i].saturating_add(step.estimate);
-            for before in step.depends_on.iter().map(|before| *before as usize) {
-                if before < i {
-                    chains[before] = chains[before].max(chains[i]);
-                }
+/// Estimated run time of the longest chain from each of `steps` on, in milliseconds.
+#[must_use]
+pub fn chains(steps: &[model::Step]) -> Vec<u64> {
+    let mut chains = vec![0_u64; steps.len()];
+    // Steps depend on earlier steps only.
+    for (i, step) in steps.iter().enumerate().rev() {
+        chains[i] = chains[i].saturating_add(step.estimate);
+        for before in step.depends_on.iter().map(|before| *before as usize) {
+            if before < i {
+                chains[before] = chains[before].max(chains[i]);
             }
         }
-        chains
     }
+    chains
 }
 
 /// Whether `job` may start runs now, given the workers that may hold unknown runs. Of
--- a/src/cell/settings.rs
+++ b/src/cell/settings.rs
@@ -12,6 +12,84 @@
 /// CPU share that keeps up with one megabit per second of an owner's traffic, in millicores.
 const MILLICORES_PER_MBIT: u32 = 10;
 
+/// Largest message between instances, in bytes.
+const MAX_PEER_BODY: usize = 4 << 20;
+
+/// What one connection takes without its request's body, in bytes: the buffers of the HTTP library
+/// and the state of its task.
+const CONNECTION_BYTES: usize = 32 << 10;
+
+/// What the clients of one address may take of the machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Share {
+    /// Number of connections.
+    pub connections: usize,
+    /// Bytes of the heads and bodies of requests, and of decoded jobs.
+    pub bytes: usize,
+}
+
+/// Limits on what clients, other instances and accepted jobs take of the machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Share of callers. Default: half of the descriptors for connections, as far as these fit into an
+    /// eighth of the memory, and another eighth of the memory.
+    pub callers: Share,
+    /// Share of readiness checks, and that of metrics. Default: a sixteenth of the descriptors, 8 to
+    /// 64, and 1/64 of the memory.
+    pub ready: Share,
+    /// Share of other instances. Default: a quarter of the descriptors, and a sixteenth of the memory,
+    /// at least two messages of the largest size.
+    pub peers: Share,
+    /// Memory of the jobs that an owner accepts, by estimate, in bytes. Default: a quarter.
+    pub job_bytes: usize,
+    /// Memory of the specifications that an instance keeps to relay start commands, in bytes.
+    /// Default: 1/32, at most 4 MiB.
+    pub spec_bytes: usize,
+    /// Largest head of a request, in bytes. Default: 32 KiB, twice the platform's limit of headers.
+    pub head_bytes: usize,
+    /// Time for a head, in milliseconds. Default: 3,000, the platform's limit.
+    pub head_time: u64,
+    /// Time without a byte of a body, in milliseconds. Default: 5,000, more than a caller's usual
+    /// deadline.
+    pub body_time: u64,
+    /// Time for a whole body, in milliseconds. Default: 30,000.
+    pub body_span: u64,
+    /// Time without a byte of an answer that is taken, in milliseconds. Default: 5,000.
+    pub answer_time: u64,
+    /// Time to close a connection whose client still sends, in milliseconds. Default: 2,000.
+    pub close_time: u64,
+}
+
+impl Limits {
+    /// Limits of a machine with `memory` bytes whose process may open `connections`.
+    #[must_use]
+    pub fn new(memory: usize, connections: usize) -> Self {
+        let part = memory / 8;
+        Self {
+            callers: Share {
+                connections: (connections / 2).min(part / CONNECTION_BYTES).max(16),
+                bytes: part,
+            },
+            ready: Share {
+                connections: (connections / 16).clamp(8, 64),
+                bytes: memory / 64,
+            },
+            peers: Share {
+                connections: (connections / 4).max(16),
+                bytes: (memory / 16).max(2 * MAX_PEER_BODY),
+            },
+            job_bytes: memory / 4,
+            spec_bytes: (memory / 32).min(4 << 20),
+            head_bytes: 32 << 10,
+            head_time: 3_000,
+            body_time: 5_000,
+            body_span: 30_000,
+            answer_time: 5_000,
+            close_time: 2_000,
+        }
+    }
+}
+
 /// Settings of one process.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Cell {
@@ -51,6 +129,8 @@
     pub retention: Duration,
     /// Time after which a worker's registration must be known.
     pub contact: Duration,
+    /// Limits on clients, other instances and accepted jobs.
+    pub limits: Limits,
     /// Rules for the keys of callers.
     pub access: access::Rules,
 }
--- a/src/cell/shell/frontend.rs
+++ b/src/cell/shell/frontend.rs
@@ -20,6 +20,7 @@
 use crate::{
     cell::{
         access,
+        engine::memory,
         model, //
     },
     platform::api,
@@ -28,6 +29,7 @@
 
 use super::{
     Shared,
+    body,
     catalog,
     peer::{
         self,
@@ -35,6 +37,7 @@
         Request, //
     },
     server::{
+        self,
         Answer,
         CallerRequest, //
     }, //
@@ -86,40 +89,48 @@
 }
 
 /// Serves a caller's request.
-pub async fn serve(shared: &Rc<Shared>, incoming: CallerRequest) -> Answer {
+pub async fn serve(shared: &Rc<Shared>, incoming: &mut CallerRequest) -> Answer {
     let began = Instant::now();
     if shared.catalog.borrow().is_none() {
         return unavailable(503, "no configuration yet\n");
     }
-    let timeout = incoming.timeout.unwrap_or(DEFAULT_TIMEOUT_MS);
-    if incoming.method == Method::POST && incoming.age > 0 && is_outdated(&incoming, timeout).await
-    {
-        info!(path = incoming.path.as_str(), age = incoming.age, timeout, closed = incoming.peer_closed.get(); "submission not taken: its caller may have given up");
-        return unavailable(503, "the request was read too late; it does not run\n");
-    }
-    let timeout = timeout.saturating_sub(incoming.age);
-    let timeout = (timeout as f64 * TIMEOUT_SHARE) as u64;
-    let Some(catalog) = matching_catalog(shared, &incoming, Duration::from_millis(timeout)).await
-    else {
+    let limit = incoming.timeout.unwrap_or(DEFAULT_TIMEOUT_MS);
+    let timeout = Duration::from_millis(share(limit, incoming.age));
+    let Some(catalog) = matching_catalog(shared, incoming, timeout).await else {
         return unavailable(503, "a new configuration is being received\n");
     };
     let Some(queue) = catalog.queue(&incoming.host, &incoming.path) else {
         info!(host = incoming.host.as_str(), path = incoming.path.as_str(), version = catalog.version; "no queue matches the request");
         return Answer::text(404, "no such queue\n");
     };
-    let organisation = match access(shared, &catalog, queue, &incoming) {
+    let organisation = match access(shared, &catalog, queue, incoming) {
         Ok(organisation) => organisation,
         Err(answer) => return answer,
     };
+    // The time that a caller takes to send its body is its own.
+    let spent = began.elapsed();
+    let body = match body(shared, incoming).await {
+        Ok(body) => body,
+        Err(unread) => return server::unread(unread),
+    };
+    let _active = server::Active::begin(shared);
+    let began = Instant::now();
+    let timeout = limit;
+    if incoming.method == Method::POST && incoming.age > 0 && is_outdated(incoming, timeout).await {
+        info!(path = incoming.path.as_str(), age = incoming.age, timeout, closed = incoming.peer_closed.get(); "submission not taken: its caller may have given up");
+        return unavailable(503, "the request was read too late; it does not run\n");
+    }
     let id = incoming.path[queue.prefix.len()..].trim_end_matches('/');
-    let timeout = timeout.saturating_sub(began.elapsed().as_millis() as u64);
-    let request = match request(shared, &incoming, (queue, organisation), id, timeout) {
+    let spent = spent + began.elapsed();
+    let timeout = share(limit, incoming.age).saturating_sub(spent.as_millis() as u64);
+    let request = match request(shared, incoming, &body, (queue, organisation), id, timeout) {
         Ok(request) => request,
         Err(answer) => return answer,
     };
+    drop(body);
     let submits = matches!(request, Request::Submit { .. });
     let outcome = forward(shared, request, Duration::from_millis(timeout)).await;
-    let took = began.elapsed();
+    let took = spent + began.elapsed();
     if submits || !matches!(outcome, Outcome::State(_)) {
         info!(job = id, method = incoming.method.as_str(), queue = queue.name.as_str(), version = catalog.version,
             outcome:? = outcome, took = took.as_millis() as u64; "request answered");
@@ -130,6 +141,23 @@
     encode_outcome(outcome)
 }
 
+/// Time that a request may use in this process, in milliseconds, by its caller's timeout and its age.
+fn share(timeout: u64, age: u64) -> u64 {
+    (timeout.saturating_sub(age) as f64 * TIMEOUT_SHARE) as u64
+}
+
+/// Reads the body of a submission, and discards any other. The time for which it waits for memory
+/// counts as age of the request.
+async fn body(shared: &Shared, incoming: &mut CallerRequest) -> Result<Vec<u8>, body::Unread> {
+    let body = match incoming.method {
+        Method::POST => incoming.body.read().await?,
+        _ => incoming.body.discard().await.map(|()| Vec::new())?,
+    };
+    let age = incoming.age.max(shared.stalls.age(shared.now()));
+    incoming.age = age + incoming.body.waited();
+    Ok(body)
+}
+
 /// Whether the caller of a request that was read after a stall has given it up, or may have: it has
 /// closed the connection, or its timeout may have passed.
 ///
@@ -205,6 +233,7 @@
 fn request(
     shared: &Shared,
     incoming: &CallerRequest,
+    body: &[u8],
     (queue, organisation): (&model::Queue, &str),
     id: &str,
     timeout: u64,
@@ -223,8 +252,15 @@
         Method::GET => Ok(Request::State { id }),
         Method::DELETE => Ok(Request::Cancel { id, timeout }),
         Method::POST => {
-            let work = api::decode_job(&incoming.body)
+            let work = api::decode_job(body)
                 .map_err(|e| Answer::text(400, &format!("the job cannot be read: {e}\n")))?;
+            // The job is encoded or copied for the owner.
+            if !incoming
+                .body
+                .replace_charge(2 * memory::submission_bytes(&work))
+            {
+                return Err(unavailable(503, "too little memory; it does not run\n"));
+            }
             shared.specs.insert(&id, &work.spec);
             Ok(Request::Submit {
                 id,
--- a/src/cell/shell/handler.rs
+++ b/src/cell/shell/handler.rs
@@ -12,12 +12,14 @@
 use crate::cell::{
     engine::{
         SubmissionStatus,
-        Submitted, //
+        Submitted,
+        memory::Shortage, //
     },
     model, //
 };
 
 use super::{
+    intake::Limit,
     owner::Owner,
     peer::{
         Outcome,
@@ -169,6 +171,9 @@
             Outcome::Refused(retry)
         };
     }
+    if let Some(outcome) = lacks_room(owner, id, &work, retry) {
+        return outcome;
+    }
     let now = owner.now();
     let submitted = {
         let mut engine = owner.engine.borrow_mut();
@@ -186,6 +191,25 @@
     }
 }
 
+/// Outcome of a job for which there is no room at the owner; `None` if there is.
+fn lacks_room(owner: &Owner, id: &str, work: &model::Submission, retry: u64) -> Option<Outcome> {
+    let shortage = owner.engine.borrow().check_room(id, work).err()?;
+    let guard = &owner.shared.guards.callers;
+    match shortage {
+        Shortage::Memory => {
+            guard.note(Limit::Jobs);
+            Some(Outcome::Refused(retry))
+        }
+        Shortage::Record(bytes) => {
+            guard.note(Limit::Record);
+            let limit = owner.shared.settings.max_append;
+            let text =
+                format!("/steps: the job's record of {bytes} bytes exceeds the limit of {limit}");
+            Some(Outcome::Invalid(text))
+        }
+    }
+}
+
 /// Waits until a new job is stored. While the store is unreachable, a job that was not yet sent to
 /// it is withdrawn at once.
 async fn await_stored(
--- a/src/cell/shell/metrics.rs
+++ b/src/cell/shell/metrics.rs
@@ -39,7 +39,10 @@
     remote::uplink::Uplink, //
 };
 
-use super::peer::Outcome;
+use super::{
+    guard,
+    peer::Outcome, //
+};
 
 /// Upper bound of the histograms' first bucket, in seconds: half a millisecond is below any round
 /// trip.
@@ -119,6 +122,8 @@
     /// Queues that are placed with caution because their starts crash workers.
     pub careful_queues: Gauge,
     storing: Histogram,
+    /// Limits on clients, and what they have in use.
+    pub limits: guard::Counters,
 }
 
 fn histogram() -> Histogram {
@@ -171,8 +176,10 @@
             waiting_trials: Gauge::default(),
             careful_queues: Gauge::default(),
             storing: histogram(),
+            limits: guard::Counters::default(),
         };
         metrics.register();
+        metrics.limits.register(&mut metrics.registry.borrow_mut());
         uplink.register(&mut metrics.registry.borrow_mut());
         metrics
     }
--- a/src/cell/shell/mod.rs
+++ b/src/cell/shell/mod.rs
@@ -36,6 +36,7 @@
     settings, //
 };
 
+pub mod body;
 pub mod catalog;
 pub mod claim;
 pub mod clock;
@@ -43,7 +44,10 @@
 pub mod connection;
 pub mod dispatch;
 pub mod frontend;
+pub mod gate;
+pub mod guard;
 pub mod handler;
+pub mod intake;
 pub mod metrics;
 pub mod owner;
 pub mod peer;
@@ -198,6 +202,8 @@
     pub owner_changed: Notify,
     /// Specifications of the jobs that this instance received from callers.
     pub specs: relay::Specs,
+    /// Limits on the clients of each address.
+    pub guards: guard::Guards,
     /// Metrics of the process.
     pub metrics: metrics::Metrics,
     /// Whether the process has received a stop signal.
@@ -264,6 +270,7 @@
         .parse()
         .map_err(|e| Error::Settings(format!("/zone: {e}")))?;
     let uplink = Rc::new(Uplink::new(settings.link_bytes()));
+    let metrics = metrics::Metrics::new(&uplink);
     let link = |address: std::net::SocketAddr| {
         Link::new(&address.to_string(), &zone, IDLE_TIMEOUT).over(&uplink)
     };
@@ -279,8 +286,9 @@
         owner: RefCell::new(None),
         starting_term: Cell::new(false),
         owner_changed: Notify::new(),
-        specs: relay::Specs::default(),
-        metrics: metrics::Metrics::new(&uplink),
+        specs: relay::Specs::new(settings.limits.spec_bytes),
+        guards: guard::Guards::new(&settings.limits, &metrics.limits),
+        metrics,
         stopping: Cell::new(false),
         closing: Notify::new(),
         closed: Cell::new(false),
@@ -314,6 +322,7 @@
     actix_rt::spawn(watch::run(shared.clone()));
     actix_rt::spawn(close_idle(shared.clone()));
     actix_rt::spawn(watch_stalls(shared.clone()));
+    actix_rt::spawn(guard::run(shared.clone()));
     actix_rt::spawn(reload(shared.clone()));
     program::shutdown_signal()
         .await
--- a/src/cell/shell/owner.rs
+++ b/src/cell/shell/owner.rs
@@ -179,6 +179,7 @@
             contact: cfg.contact.as_millis() as u64,
         };
         let mut engine = Engine::new(term, term, times);
+        engine.set_memory(cfg.limits.job_bytes, cfg.max_append);
         if cfg.link_kbps.is_some_and(|kbps| kbps < SLOW_LINK_KBPS) {
             engine.shorten_segments();
         }
--- a/src/cell/shell/peer.rs
+++ b/src/cell/shell/peer.rs
@@ -206,6 +206,11 @@
     }
 }
 
+/// Whether there is a call at `path`.
+pub(super) fn is_call(path: &str) -> bool {
+    matches!(path, PING | SEEN | OWNER | ASK | ADVISE | RELAY)
+}
+
 /// Serves a request of another instance.
 pub async fn serve(shared: &Rc<Shared>, path: &str, body: &[u8]) -> Answer {
     match path {
--- a/src/cell/shell/relay.rs
+++ b/src/cell/shell/relay.rs
@@ -7,7 +7,10 @@
 //! paused starts nothing that the owner has written off.
 
 use std::{
-    cell::RefCell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     collections::VecDeque,
     rc::Rc,
     time::Duration, //
@@ -51,8 +54,8 @@
 /// Timeout of an exchange with a relay: that of the worker, and the way to the relay.
 const TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Maximum size of all specifications that an instance keeps, in bytes; the oldest are dropped first.
-const MAX_SPEC_BYTES: usize = 4 << 20;
+/// Size of an entry without its specification, in bytes.
+const ENTRY_BYTES: usize = 96;
 
 /// A specification with the job that it was submitted for.
 #[derive(Debug)]
@@ -64,12 +67,25 @@
 
 /// Specifications that this instance received from callers, oldest first. The jobs may have been
 /// rejected, and submitted again with other specifications.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Specs {
     list: RefCell<VecDeque<Known>>,
+    /// Size of all entries, in bytes.
+    size: Cell<usize>,
+    limit: usize,
 }
 
 impl Specs {
+    /// Creates a list of up to `limit` bytes; the oldest entries are dropped first.
+    #[must_use]
+    pub fn new(limit: usize) -> Self {
+        Self {
+            list: RefCell::default(),
+            size: Cell::new(0),
+            limit,
+        }
+    }
+
     /// Keeps a specification that was submitted for a job.
     pub fn insert(&self, job: &str, spec: &str) {
         let hash = hash(spec);
@@ -82,12 +98,13 @@
             hash,
             spec: spec.into(),
         });
-        let mut size: usize = list.iter().map(|known| known.spec.len()).sum();
-        while size > MAX_SPEC_BYTES
+        let mut size = self.size.get() + ENTRY_BYTES + spec.len();
+        while size > self.limit
             && let Some(oldest) = list.pop_front()
         {
-            size -= oldest.spec.len();
+            size -= ENTRY_BYTES + oldest.spec.len();
         }
+        self.size.set(size);
     }
 
     /// Returns the specification of a job with the given hash.
--- a/src/cell/shell/server.rs
+++ b/src/cell/shell/server.rs
@@ -7,10 +7,8 @@
 };
 
 use actix_http::{
-    BoxedPayloadStream,
     HttpService,
     Method,
-    Payload,
     Request,
     Response,
     StatusCode,
@@ -21,12 +19,8 @@
     ServiceFactory,
     fn_service, //
 };
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
+use bytes::Bytes;
 use compact_str::CompactString;
-use futures_util::StreamExt;
 use log::{
     debug,
     info, //
@@ -38,11 +32,18 @@
 use super::{
     Error,
     Shared,
+    body::{
+        Body,
+        Unread, //
+    },
     connection::{
         Connection,
         PeerClosed, //
     },
     frontend,
+    gate::Gate,
+    guard::Guard,
+    intake::Limit,
     peer, //
 };
 
@@ -105,7 +106,26 @@
     }
 }
 
-/// A caller's request after its body has been read. It holds a key, and so is not for logs.
+/// Value of the `Retry-After` header of a request for which there was too little memory, in seconds.
+const RETRY_AFTER_S: u64 = 1;
+
+/// Response to a request whose body was not read to its end.
+#[must_use]
+pub fn unread(cause: Unread) -> Answer {
+    match cause {
+        Unread::Unfit => Answer::text(413, "the body is too large or was cut short\n"),
+        Unread::GivenUp(Limit::BodyTime) => {
+            Answer::text(408, "the body did not arrive in time; it does not run\n")
+        }
+        Unread::GivenUp(_) => {
+            let mut answer = Answer::text(503, "too little memory; it does not run\n");
+            answer.retry_after = Some(RETRY_AFTER_S);
+            answer
+        }
+    }
+}
+
+/// A caller's request. It holds a key, and so is not for logs.
 #[expect(missing_debug_implementations, reason = "the key must not be logged")]
 pub struct CallerRequest {
     /// HTTP method.
@@ -114,8 +134,8 @@
     pub path: String,
     /// Host header, without the port.
     pub host: String,
-    /// Body of the message.
-    pub body: Bytes,
+    /// Body of the message, which is read on demand.
+    pub body: Body,
     /// Caller's timeout in milliseconds, if the request states one.
     pub timeout: Option<u64>,
     /// API key that the request carries.
@@ -150,12 +170,13 @@
         (Endpoint::Callers, Some(catalog)) => catalog.limits.idle,
         _ => KEEP_ALIVE,
     };
+    let guard = guard(&shared, endpoint).clone();
     let factory = HttpService::build()
         .keep_alive(idle)
         .client_request_timeout(HEADER_TIMEOUT)
         .graceful_shutdown_signal(move || closed(closing.clone()))
         .on_connect_ext(|connection: &Connection, data| {
-            data.insert(connection.peer_closed());
+            data.insert(connection.gate());
         })
         .h1(fn_service(move |request: Request| {
             let shared = handler.clone();
@@ -172,13 +193,18 @@
                 if let Err(e) = stream.set_nodelay(true) {
                     debug!("cannot set TCP_NODELAY: {e}");
                 }
+                let Some(gate) = guard.open().await else {
+                    continue;
+                };
                 let service = service.clone();
-                actix_rt::spawn(async move {
-                    let connection = Connection::new(stream);
+                let key = gate.key();
+                let connection = Connection::new(stream, gate);
+                let task = actix_rt::spawn(async move {
                     if let Err(e) = service.call((connection, Some(peer))).await {
                         debug!(endpoint:? = endpoint; "connection failed: {e}");
                     }
                 });
+                guard.attach(key, task.abort_handle());
             }
             Err(e) => {
                 log::warn!(endpoint:? = endpoint; "cannot accept a connection: {e}");
@@ -194,11 +220,34 @@
     }
 }
 
-async fn respond(shared: Rc<Shared>, request: Request, endpoint: Endpoint) -> Response<BoxBody> {
+fn guard(shared: &Shared, endpoint: Endpoint) -> &Rc<Guard> {
+    match endpoint {
+        Endpoint::Callers => &shared.guards.callers,
+        Endpoint::Ready => &shared.guards.ready,
+        Endpoint::Peers => &shared.guards.peers,
+        Endpoint::Admin => &shared.guards.admin,
+    }
+}
+
+async fn respond(
+    shared: Rc<Shared>,
+    mut request: Request,
+    endpoint: Endpoint,
+) -> Response<BoxBody> {
+    let Some(gate) = request.conn_data::<Rc<Gate>>().cloned() else {
+        return Response::internal_server_error();
+    };
+    let mut body = Body::of(&mut request, &gate, max_bytes(&shared, endpoint));
     let answer = match endpoint {
         Endpoint::Ready if request.path() == api::READY_PATH => frontend::ready(&shared),
-        Endpoint::Callers => callers(&shared, request).await,
-        Endpoint::Peers if request.path() != "/metrics" => peers(&shared, request).await,
+        Endpoint::Callers => {
+            let answer;
+            (answer, body) = callers(&shared, &request, body, &gate).await;
+            answer
+        }
+        Endpoint::Peers if request.path() != "/metrics" => {
+            peers(&shared, &request, &mut body).await
+        }
         _ if request.path() == "/metrics" => Answer::text(200, &shared.metrics.text()),
         _ => Answer::text(404, "no such page\n"),
     };
@@ -208,69 +257,77 @@
     if let Some(seconds) = answer.retry_after {
         response.insert_header(("retry-after", seconds.to_string()));
     }
-    if shared.stopping.get() && endpoint == Endpoint::Callers {
+    let stopping = shared.stopping.get() && endpoint == Endpoint::Callers;
+    let keeps = body.finish().await && !stopping;
+    if !keeps {
         response.force_close();
     }
+    gate.answered(keeps);
     response.body(answer.body).map_into_boxed_body()
 }
 
-/// Reads a body; returns `None` if it exceeds `max_bytes` or is incomplete.
-async fn read_body(mut payload: Payload<BoxedPayloadStream>, max_bytes: usize) -> Option<Bytes> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.ok()?;
-        if body.len() + chunk.len() > max_bytes {
-            return None;
-        }
-        body.extend_from_slice(&chunk);
+/// Largest body of a request, in bytes.
+fn max_bytes(shared: &Shared, endpoint: Endpoint) -> usize {
+    match (endpoint, &*shared.catalog.borrow()) {
+        (Endpoint::Callers, Some(catalog)) => catalog.limits.body,
+        _ => MAX_PEER_BODY,
     }
-    Some(body.freeze())
 }
 
 fn header<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
     request.head().headers.get(name)?.to_str().ok()
 }
 
-async fn callers(shared: &Rc<Shared>, mut request: Request) -> Answer {
-    let max_bytes = shared
-        .catalog
-        .borrow()
-        .as_ref()
-        .map_or(MAX_PEER_BODY, |c| c.limits.body);
-    let payload = request.take_payload();
-    let Some(body) = read_body(payload, max_bytes).await else {
-        return Answer::text(413, "the body is too large or was cut short\n");
-    };
-    let host = header(&request, "host")
+/// Counts a caller's request whose body has arrived while it is in progress.
+pub(super) struct Active<'a>(&'a Shared);
+
+impl<'a> Active<'a> {
+    pub(super) fn begin(shared: &'a Shared) -> Self {
+        shared.active.set(shared.active.get() + 1);
+        Self(shared)
+    }
+}
+
+impl Drop for Active<'_> {
+    fn drop(&mut self) {
+        self.0.active.set(self.0.active.get() - 1);
+    }
+}
+
+async fn callers(
+    shared: &Rc<Shared>,
+    request: &Request,
+    body: Body,
+    gate: &Gate,
+) -> (Answer, Body) {
+    let host = header(request, "host")
         .or(request.uri().host())
         .unwrap_or_default();
-    let caller_request = CallerRequest {
+    let mut caller_request = CallerRequest {
         method: request.method().clone(),
         path: request.path().to_owned(),
         host: host.split(':').next().unwrap_or_default().to_owned(),
-        timeout: header(&request, api::DEADLINE_HEADER).and_then(|text| text.parse().ok()),
-        key: header(&request, api::KEY_HEADER)
+        timeout: header(request, api::DEADLINE_HEADER).and_then(|text| text.parse().ok()),
+        key: header(request, api::KEY_HEADER)
             .and_then(api::decode_key)
             .map(CompactString::from),
         age: shared.stalls.age(shared.now()),
-        peer_closed: request
-            .conn_data::<PeerClosed>()
-            .cloned()
-            .unwrap_or_default(),
+        peer_closed: gate.peer_closed().clone(),
         body,
     };
-    shared.active.set(shared.active.get() + 1);
-    let answer = frontend::serve(shared, caller_request).await;
-    shared.active.set(shared.active.get() - 1);
-    answer
+    let answer = frontend::serve(shared, &mut caller_request).await;
+    (answer, caller_request.body)
 }
 
-async fn peers(shared: &Rc<Shared>, mut request: Request) -> Answer {
-    let payload = request.take_payload();
-    let Some(body) = read_body(payload, MAX_PEER_BODY).await else {
-        return Answer::text(413, "the body is too large or was cut short\n");
-    };
+async fn peers(shared: &Rc<Shared>, request: &Request, body: &mut Body) -> Answer {
     let kind = peer::kind(request.path());
+    if !peer::is_call(request.path()) {
+        return Answer::text(404, "no such call\n");
+    }
+    let body = match body.read().await {
+        Ok(body) => body,
+        Err(cause) => return unread(cause),
+    };
     shared.uplink.count_received(kind, body.len());
     let answer = peer::serve(shared, request.path(), &body).await;
     shared.uplink.count_sent(kind, answer.body.len());
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -14,9 +14,13 @@
 
 use assert_matches::assert_matches;
 use bamboolock::{
-    cell::model::{
-        Availability,
-        State, //
+    cell::{
+        engine::memory,
+        model::{
+            Availability,
+            State, //
+        },
+        settings, //
     },
     platform::{
         api,
@@ -88,6 +92,31 @@
     }
 }
 
+/// A limit that does not follow the machine lets clients run the process out of memory or descriptors.
+#[test]
+fn limits_of_clients_follow_the_machine_unless_they_are_set() {
+    let limits = |limits| {
+        let text = boot_text(|boot| boot["limits"] = limits);
+        boot::decode("boot", &text).unwrap().limits
+    };
+    let small = limits(json!({"cpu_share": 0.5, "memory_mb": 160, "max_fds": 4_100}));
+    assert_eq!(small, settings::Limits::new(160_000_000, 3_900));
+    let unknown = settings::Limits::new(256_000_000, 1_024);
+    assert_eq!(limits(json!({"cpu_share": 0.5})), unknown);
+    assert_eq!(
+        limits(json!({"cpu_share": 0.5, "memory_mb": 0, "max_fds": 0})),
+        unknown
+    );
+    let set = json!({"caller_connections": 7, "caller_bytes": 8, "job_bytes": 9, "body_ms": 10});
+    let set = limits(json!({"cpu_share": 0.5, "intake": set}));
+    let callers = settings::Share {
+        connections: 7,
+        bytes: 8,
+    };
+    assert_eq!((set.callers, set.job_bytes), (callers, 9));
+    assert_eq!((set.body_time, set.ready), (10, unknown.ready));
+}
+
 #[test]
 fn all_faults_of_settings_are_reported_with_their_locations() {
     let text = boot_text(|boot| {
@@ -342,3 +371,24 @@
         "the names do not occur in the adapter, so the check cannot fail"
     );
 }
+
+/// A body that decodes to many times its size runs the process out of memory.
+#[test]
+fn a_job_decodes_to_a_bounded_multiple_of_its_size() {
+    let list = |item: &str, count: usize| vec![item; count].join(",");
+    let decode = |steps: &str| api::decode_job(format!("{{\"steps\":[{steps}]}}").as_bytes());
+    let step = r#"{"count":1}"#;
+    let most = decode(&list(step, 20_000)).unwrap();
+    let bytes = memory::submission_bytes(&most);
+    assert!(bytes < 16 * 20_000 * step.len(), "{bytes}");
+    let error = decode(&list(step, 20_001)).unwrap_err();
+    assert!(error.to_string().contains("at most 20000"), "{error}");
+    let depends = |count| format!(r#"{{"count":1,"depends_on":[{}]}}"#, list("0", count));
+    let most = decode(&depends(20_000)).unwrap();
+    assert!(memory::submission_bytes(&most) < 16 * 40_000);
+    assert!(decode(&depends(20_001)).is_err());
+    // Fields that are not known are skipped, whatever they hold.
+    let unknown = format!(r#"{{"count":3,"x":[{}]}}"#, list("[0,{}]", 30_000));
+    let job = decode(&unknown).unwrap();
+    assert_eq!((job.steps.len(), job.steps[0].count), (1, 3));
+}
