feat(intake): a body whose client sends is given up after a longer wait

Cause: while the budget was exhausted, the newest body was given up after 200 ms of waiting, also where all clients were sending and the next bodies would have been complete soon.

Ruled out: no such end at all; bodies that each hold a part of the budget would wait for each other.

Change: slow bodies are given up after 200 ms as before, others after 1 s.

Conclusion: reading pauses before a client that sends is refused.

--- a/src/cell/shell/intake/budget.rs
+++ b/src/cell/shell/intake/budget.rs
@@ -14,9 +14,13 @@
 /// Part of the budget that is reserved for small requests: one eighth.
 const RESERVE_PART: usize = 8;
 
-/// Time for which a request waits before another one is given up, in milliseconds.
+/// Time for which a request waits before a slow one is given up, in milliseconds.
 pub const PATIENCE_MS: u64 = 200;
 
+/// Time for which a request waits before one is given up whose client sends, in milliseconds: most
+/// bodies that arrive are complete by then, and handled.
+pub const LONG_PATIENCE_MS: u64 = 1_000;
+
 /// Time without a byte after which a client counts as slow, in milliseconds.
 pub const SLOW_MS: u64 = 500;
 
@@ -210,19 +214,19 @@
         let chosen = if now >= hold.waits_since + MAX_WAIT_MS {
             oldest
         } else {
-            self.expendable(oldest, hold.wanted, now)?
+            self.expendable(oldest, hold, now)?
         };
         self.holds.get_mut(chosen)?.given_up = true;
         Some(chosen)
     }
 
-    /// Body whose end lets `oldest` go on, which waits for `wanted` bytes; `None` if those that were
-    /// given up before suffice.
-    fn expendable(&self, oldest: ConnectionKey, wanted: usize, now: u64) -> Option<ConnectionKey> {
+    /// Body whose end lets `oldest` go on, which holds and waits as in `wait`; `None` if those that were
+    /// given up before suffice, or if it has to wait longer.
+    fn expendable(&self, oldest: ConnectionKey, wait: &Hold, now: u64) -> Option<ConnectionKey> {
         let ending = self.holds.values().filter(|hold| hold.given_up);
         let ending: usize = ending.map(|hold| hold.head + hold.body).sum();
         let usable = self.limit - self.limit / RESERVE_PART;
-        if (self.used - ending).saturating_add(wanted) <= usable {
+        if (self.used - ending).saturating_add(wait.wanted) <= usable {
             return None;
         }
         let others = || {
@@ -233,7 +237,8 @@
         };
         let slow = others().filter(|(_, h)| h.wanted == 0 && now >= h.progress_at + SLOW_MS);
         let slowest = slow.min_by_key(|(_, hold)| hold.progress_at);
-        let newest = || others().max_by_key(|(_, hold)| hold.began);
+        let long = now >= wait.waits_since + LONG_PATIENCE_MS;
+        let newest = || others().filter(|_| long).max_by_key(|(_, hold)| hold.began);
         slowest.or_else(newest).map(|(key, _)| key)
     }
 }
