feat(shares): organisations have caps, weighted shares, rates and early refusal at the owner

Cause: the owner knew the organisation of a job and did nothing with it. An organisation could take the whole cell, and nothing kept it within its cap.

The organisation in the segments of finished jobs: the records of a cancelled or failed job are kept until its runs have ended instead, so that the next owner counts them, and no field is new. Two rounds alone: an organisation whose small tasks fill all workers leaves larger tasks of the others no room.

Change: cell::shares decides, over counters and a clock: caps, entitlements by weight and dominant resource, token buckets, expected waits, bounded log lines. Cluster::add_run and remove_run count each run with its declared demand. engine::organisations places in two rounds, engine::remnants bounds the runs that are not known, engine::admission refuses. A start command is checked against the cap and the age of the configuration again when it is sent, and before it is repeated. Without organisations in the configuration, the order and the results are as before.

--- a/src/cell/cluster.rs
+++ b/src/cell/cluster.rs
@@ -14,6 +14,10 @@
     },
     journal,
     model,
+    shares::usage::{
+        Charge,
+        Usage, //
+    },
     suspicion, //
 };
 
@@ -67,6 +71,8 @@
     pub worker: WorkerKey,
     /// Resources that the run takes on the worker.
     pub demand: Resources,
+    /// What the run counts for against the cap and the share of its organisation.
+    pub charge: Charge,
     /// State of the run.
     pub state: RunState,
     /// Expiry of the start command on the worker's clock, in milliseconds; 0 until the first
@@ -93,6 +99,14 @@
     pub after_batch: u64,
 }
 
+impl Run {
+    /// Whether the worker has confirmed the run.
+    #[must_use]
+    pub fn is_confirmed(&self) -> bool {
+        matches!(self.state, RunState::Confirmed(_))
+    }
+}
+
 /// Task that was on a worker when the worker crashed or fell silent.
 #[derive(Debug, Clone, Copy)]
 pub struct Suspect {
@@ -397,6 +411,8 @@
     pub index: Vec<(CompactString, WorkerKey)>,
     /// Runs.
     pub runs: SlotMap<RunKey, Run>,
+    /// What the runs of each organisation take.
+    pub usage: Usage,
     /// Whether all runs of earlier owners are known.
     pub reconciled: bool,
     /// Whether all runs of earlier owners are known but those of cordoned workers, whose tasks are
@@ -458,6 +474,7 @@
     /// Tracks a run and takes its resources from the worker.
     pub fn add_run(&mut self, run: Run) -> RunKey {
         let (worker, demand) = (run.worker, run.demand);
+        self.usage.add(&run.charge);
         let key = self.runs.insert(run);
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.runs.push(key);
@@ -469,6 +486,7 @@
     /// Removes a run and frees its resources.
     pub fn remove_run(&mut self, key: RunKey) -> Option<Run> {
         let run = self.runs.remove(key)?;
+        self.usage.remove(&run.charge);
         if let Some(worker) = self.workers.get_mut(run.worker) {
             worker.runs.retain(|other| *other != key);
             let left = worker.used.minus(&run.demand);
--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -32,19 +32,23 @@
         self,
         State, //
     },
+    shares,
 };
 
+mod admission;
 pub mod batch;
 mod caution;
 pub mod commands;
 mod cordons;
 pub mod crashes;
 pub mod losses;
+mod organisations;
 pub mod placement;
 pub mod policy;
 pub mod proxies;
 pub mod recovery;
 pub mod registry;
+mod remnants;
 pub mod reports;
 pub mod status;
 pub mod submissions;
@@ -226,6 +230,15 @@
     withheld: Vec<cordons::Withheld>,
     /// Unix time minus local time, in milliseconds.
     wall_offset: i64,
+    /// Organisations and their shares.
+    shares: shares::Shares,
+    /// Resources that the last placement pass left free on each worker.
+    pass_room: Vec<(WorkerKey, Resources)>,
+    /// Ended jobs of organisations, of which runs may go on.
+    remnants: Vec<remnants::Remnant>,
+    /// Whether only cordoned workers were unaccounted for when unknown runs were last counted, and the
+    /// local time of that, in milliseconds.
+    unknown_counted: Option<(bool, u64)>,
 }
 
 impl Engine {
@@ -274,6 +287,10 @@
             loaded_at: 0,
             withheld: Vec::new(),
             wall_offset: 0,
+            shares: shares::Shares::default(),
+            pass_room: Vec::new(),
+            remnants: Vec::new(),
+            unknown_counted: None,
         }
     }
 
@@ -349,6 +366,7 @@
         for run in live {
             self.discard_run(run);
         }
+        self.keep_remnant(key, now);
         self.backlog.retain(|step| step.job != key);
         self.mark_dirty(key);
         self.pass_needed = true;
@@ -474,7 +492,9 @@
         self.reconcile(now);
         self.cordon_silent_workers(now);
         self.poll_due_workers(now);
+        self.release_remnants();
         self.expire_archive(now);
+        self.note_caps(now);
         self.cluster.late_acks.retain(|(_, _, until)| *until > now);
         self.pass_needed |= !self.backlog.is_empty() && now >= self.last_pass + LOOK_AGAIN;
     }
@@ -489,7 +509,13 @@
         now: u64,
     ) -> RunKey {
         let job = &mut self.jobs[task.step.job];
-        let demand = demand(&job.submission.steps[task.step.step as usize]);
+        let step = &job.submission.steps[task.step.step as usize];
+        let demand = demand(step);
+        let charge = shares::usage::Charge {
+            organisation: job.organisation_key,
+            demand: shares::amounts::Amounts::of(&step.demand),
+        };
+        self.shares.count_placed(charge.organisation);
         let name = job.task_name(task);
         let run = self.cluster.add_run(Run {
             task: Some(task),
@@ -497,6 +523,7 @@
             number,
             worker,
             demand,
+            charge,
             state: RunState::Sent,
             start_expires: 0,
             ordered_at: now,
--- a/src/cell/engine/batch.rs
+++ b/src/cell/engine/batch.rs
@@ -57,7 +57,12 @@
             };
             job.dirty = false;
             if job.state.is_final() {
-                if job.sent {
+                let mut remnants = self.remnants.iter_mut();
+                let remnant = remnants.find(|remnant| remnant.id == job.id);
+                if let Some(remnant) = remnant {
+                    // A later owner must know whose runs may go on.
+                    remnant.kept = true;
+                } else if job.sent {
                     deleted.push(journal::key(journal::Kind::Accepted, &job.id));
                     deleted.push(journal::key(journal::Kind::Progress, &job.id));
                 }
@@ -154,9 +159,11 @@
 
     /// Drops the states of finished jobs whose retention time has passed.
     pub(super) fn expire_archive(&mut self, now: u64) {
-        let keep = self.times.keep;
-        self.dropped_keys
-            .extend(self.archive.expire(now.saturating_sub(keep)));
+        // Without the final state, a record that is kept beyond it would be that of an open job.
+        let kept = self.remnants.iter().map(|remnant| remnant.since).min();
+        let limit = now.saturating_sub(self.times.keep);
+        let limit = limit.min(kept.unwrap_or(u64::MAX));
+        self.dropped_keys.extend(self.archive.expire(limit));
     }
 }
 
--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -160,7 +160,8 @@
     /// still has the capacity. Any time may have passed since the run was placed. The command
     /// expires before the list of registrations is too old.
     pub fn start_command(&mut self, key: RunKey, now: u64) -> Option<Start> {
-        let may_command = self.may_command(now);
+        let organisation = self.cluster.runs.get(key)?.charge.organisation;
+        let may_command = self.may_command(now) && self.may_send(organisation, now);
         let durable = self.durable_batch;
         let validity = START_VALIDITY_MS.min(self.list_validity(now));
         let current = self.is_list_current(now);
@@ -225,7 +226,8 @@
         let worker = worker.filter(|worker| !worker.is_overbooked());
         let clock = worker.and_then(|worker| worker.clock_at(now));
         let expired = clock.is_none_or(|clock| clock >= run.start_expires);
-        run.task.is_some() && !run.stopping && !expired && self.may_command(now)
+        let may_send = self.may_send(run.charge.organisation, now);
+        run.task.is_some() && !run.stopping && !expired && may_send && self.may_command(now)
     }
 
     /// Applies the reply to a start command.
@@ -594,7 +596,8 @@
                 self.actions.push(Action::Stop(key));
                 continue;
             }
-            if run.state != RunState::Unanswered || !may_command {
+            let may_send = may_command && self.may_send(run.charge.organisation, now);
+            if run.state != RunState::Unanswered || !may_send {
                 continue;
             }
             let worker = &self.cluster.workers[run.worker];
--- a/src/cell/engine/placement.rs
+++ b/src/cell/engine/placement.rs
@@ -37,7 +37,7 @@
 
 /// Multiple of the objective after which a job's completion has no value, from the platform's
 /// description of late work.
-const LATE_FACTOR: u64 = 3;
+pub(super) const LATE_FACTOR: u64 = 3;
 
 /// Class of jobs that can still meet their objective.
 const ON_TIME: u8 = 0;
@@ -69,6 +69,22 @@
         let reserved = self.reserved.parts();
         Resources::from_parts(std::array::from_fn(|i| free[i].saturating_sub(reserved[i])))
     }
+
+    /// Whether the worker takes tasks of any job.
+    pub(super) fn is_open(&self) -> bool {
+        self.purpose == Purpose::Open
+    }
+}
+
+/// Sort key of a waiting step: class, priority of the queue, and objective in Unix milliseconds.
+type Rank = (u8, u32, u64);
+
+/// Waiting step with its sort key.
+pub(super) type Ranked = (Rank, StepKey);
+
+/// Whether the completion of a step of this rank still has value.
+pub(super) fn is_timely(rank: &Rank) -> bool {
+    rank.0 < WORTHLESS
 }
 
 /// Sort key of waiting steps: steps that are on time first, then those that are late but still have
@@ -76,7 +92,7 @@
 ///
 /// Handles a burst that exceeds the capacity for some seconds: work that can no longer be on time
 /// must not delay work that still can.
-fn rank(job: &Job, step: StepKey, unix: u64) -> (u8, u32, u64) {
+fn rank(job: &Job, step: StepKey, unix: u64) -> Rank {
     let rest = job.critical_path_from(step.step as usize);
     let due = job.due_at(
         job.occurrences
@@ -100,7 +116,7 @@
 }
 
 /// Number of tasks of `demand` that fit into `free`, at most `most`.
-fn fit_count(free: &Resources, demand: &Resources, most: u32) -> u32 {
+pub(super) fn fit_count(free: &Resources, demand: &Resources, most: u32) -> u32 {
     let fits = |have: u32, need: u32| have.checked_div(need).unwrap_or(u32::MAX);
     fits(free.millicores, demand.millicores)
         .min(fits(free.memory, demand.memory))
@@ -127,6 +143,21 @@
     pub(super) now: u64,
 }
 
+impl Pass {
+    /// Number of workers on which capacity may still be reserved.
+    pub(super) fn reservable(&self) -> usize {
+        let most = (self.slots.len() / GANG_RESERVE_DIVISOR).max(1);
+        most.saturating_sub(self.gang_slots)
+    }
+
+    /// Reserves resources of a worker against steps that come later in this pass.
+    pub(super) fn reserve(&mut self, slot: usize, demand: &Resources) {
+        let slot = &mut self.slots[slot];
+        slot.reserved = slot.reserved.plus(demand);
+        self.gang_slots += 1;
+    }
+}
+
 /// Step as seen by a placement pass.
 pub(super) struct PendingStep {
     pub(super) key: StepKey,
@@ -168,11 +199,14 @@
         self.pass_needed = false;
         self.last_pass = now;
         let informed = self.may_command(now) && self.is_list_current(now);
-        if self.backlog.is_empty() || self.deposed || !informed {
+        if self.deposed || !informed {
             return;
         }
+        if self.backlog.is_empty() {
+            return self.note_idle(now);
+        }
         let unix = self.unix(now);
-        let mut ranked: Vec<((u8, u32, u64), StepKey)> = Vec::with_capacity(self.backlog.len());
+        let mut ranked: Vec<Ranked> = Vec::with_capacity(self.backlog.len());
         for key in std::mem::take(&mut self.backlog) {
             let Some(job) = self.jobs.get_mut(key.job) else {
                 continue;
@@ -187,18 +221,37 @@
             }
         }
         ranked.sort_by_key(|(rank, _)| *rank);
-        let waiting: Vec<StepKey> = ranked.iter().map(|(_, key)| *key).collect();
-        let timely = ranked.partition_point(|(rank, _)| rank.0 < WORTHLESS);
+        self.begin_shares(&ranked, now);
+        // No worker is set apart for a step that its cap keeps from starting.
+        let startable = ranked
+            .iter()
+            .filter(|(_, key)| self.startable(*key, now) > 0);
+        let startable: Vec<&Ranked> = startable.collect();
+        let timely = startable.partition_point(|(rank, _)| is_timely(rank));
+        let waiting: Vec<StepKey> = startable.iter().map(|(_, key)| *key).collect();
         let mut pass = self.pass(&waiting, timely, now);
-        for (rank, key) in ranked {
-            let placed = self.place_step(&mut pass, key, rank.0 == ON_TIME);
-            self.apply_reservations(&mut pass, key);
-            if let (true, Some(step)) = (placed, self.jobs[key.job].step_mut(key)) {
-                step.queued = false;
-            } else {
-                self.backlog.push(key);
-            }
+        let left = self.place_in_rounds(&mut pass, ranked);
+        self.backlog.extend(left.iter().map(|(_, key)| *key));
+        let slots = pass.slots.iter();
+        let room = slots.map(|slot| (slot.worker, slot.available()));
+        self.end_shares(&left, room.collect(), now);
+    }
+
+    /// Places at most `most` tasks of a step, and queries the policy about the rest; returns whether
+    /// none of its tasks waits any longer.
+    pub(super) fn place_ranked(&mut self, pass: &mut Pass, ranked: &Ranked, most: u32) -> bool {
+        let (rank, key) = *ranked;
+        let most = most.min(self.startable(key, pass.now));
+        if most == 0 {
+            return false;
         }
+        let placed = self.place_step(pass, key, rank.0 == ON_TIME, most);
+        self.apply_reservations(pass, key);
+        let step = self.jobs[key.job].step_mut(key).filter(|_| placed);
+        step.is_some_and(|step| {
+            step.queued = false;
+            true
+        })
     }
 
     fn pass(&mut self, waiting: &[StepKey], timely: usize, now: u64) -> Pass {
@@ -234,8 +287,8 @@
         }
     }
 
-    /// Places tasks of a step; returns whether none of them waits any longer.
-    fn place_step(&mut self, pass: &mut Pass, key: StepKey, on_time: bool) -> bool {
+    /// Places at most `most` tasks of a step; returns whether none of its tasks waits any longer.
+    fn place_step(&mut self, pass: &mut Pass, key: StepKey, on_time: bool, most: u32) -> bool {
         let job = &self.jobs[key.job];
         let (Some(definition), Some(step)) = (job.definition(key), job.step(key)) else {
             return true;
@@ -273,12 +326,14 @@
             return self.place_gang_with_care(pass, pending, trials > 0, &queue);
         }
         if !job.suspected {
-            return self.place_tasks(pass, &pending);
+            let waiting = pending.waiting;
+            pending.waiting = waiting.min(most);
+            return self.place_tasks(pass, &pending) && pending.waiting == waiting;
         }
         let steps = job.occurrences.iter().flat_map(|o| &o.steps);
         let on_trial: usize = steps.map(|step| self.trials_under_way(step)).sum();
         pending.hold_new = trials > 0 || self.trials_under_way(step) > 0;
-        pending.waiting = pending.count(step);
+        pending.waiting = pending.count(step).min(most);
         if pending.waiting > 0 {
             self.place_tasks(pass, &pending);
         }
@@ -365,7 +420,12 @@
     }
 
     /// Whether a worker may run tasks of the step, regardless of capacity and permits.
-    fn is_eligible(&self, worker: WorkerKey, job: &Job, definition: &model::Step) -> bool {
+    pub(super) fn is_eligible(
+        &self,
+        worker: WorkerKey,
+        job: &Job,
+        definition: &model::Step,
+    ) -> bool {
         let entry = &self.cluster.workers[worker].registration;
         let labelled = definition.label.is_empty() || entry.labels.contains(&definition.label);
         entry.service == job.queue.service && labelled
@@ -450,11 +510,17 @@
             step.policy.reservations.retain(|c| c.pending);
         }
         let mut left = pending.waiting;
+        let mut held = false;
         for (index, avoid) in tasks {
             if pass.budget == 0 {
                 // The permits that are held are used first.
                 return false;
             }
+            // The cap counts each task that was placed before.
+            held = self.startable(pending.key, pass.now) == 0;
+            if held {
+                break;
+            }
             let Some(at) = self.best_offer(pass, pending, &usable, &avoid) else {
                 break;
             };
@@ -467,7 +533,7 @@
             self.start_task(pass, pending, task, slot);
             left -= 1;
         }
-        if left > 0 && pending.needs_permit {
+        if left > 0 && pending.needs_permit && !held {
             self.query_for_tasks(pass, pending, &offers, left);
         }
         left == 0
--- a/src/cell/engine/recovery.rs
+++ b/src/cell/engine/recovery.rs
@@ -103,6 +103,7 @@
             }
         }
         self.archive.load(segments, now);
+        self.load_remnants(now);
         let past = &self.archive;
         // An interrupted batch can leave records that a segment has already replaced.
         self.jobs.retain(|_, job| past.state(&job.id).is_none());
@@ -176,6 +177,7 @@
         );
         job.origin = accepted.origin;
         job.organisation = accepted.organisation;
+        job.organisation_key = self.shares.intern(&job.organisation);
         job.stored = true;
         job.sent = true;
         job.inherited = true;
--- /dev/null
+++ b/src/cell/engine/remnants.rs
@@ -0,0 +1,232 @@
+//! Runs that may exist and that the owner does not know, as far as caps need an upper bound.
+//!
+//! Starts are not stored, so a new owner learns the runs of earlier owners from the workers. Until all
+//! have reported, each task that may have a run counts as running. A job that ends while runs of it
+//! may go on leaves the owner's jobs; its stored records are kept until these runs have ended, so that
+//! a later owner counts them too.
+
+use compact_str::CompactString;
+
+use super::Engine;
+use crate::cell::{
+    cluster::Run,
+    job::{
+        Job,
+        JobKey,
+        Phase,
+        RunKey,
+        Task, //
+    },
+    journal,
+    model::{
+        self,
+        State, //
+    },
+    shares::{
+        self,
+        amounts::Amounts,
+        usage::Charge, //
+    },
+};
+
+/// Interval at which unknown runs are counted, in milliseconds: a pass may follow another one within a
+/// few. An older count is never too low, since runs only become known.
+const COUNT_INTERVAL_MS: u64 = 100;
+
+/// Ended job of an organisation, of which runs may go on.
+#[derive(Debug)]
+pub(super) struct Remnant {
+    /// Id of the job.
+    pub(super) id: CompactString,
+    organisation: shares::Key,
+    /// Declared demand of a task of each step.
+    demands: Vec<Amounts>,
+    /// Declared demand of all tasks that may have a run.
+    total: Amounts,
+    /// Whether earlier owners may have started some of them.
+    inherited: bool,
+    /// Whether the job's records are kept in the store.
+    pub(super) kept: bool,
+    /// Local time at which the job ended or was loaded, in milliseconds.
+    pub(super) since: u64,
+}
+
+impl Remnant {
+    fn new(job: &Job, kept: bool, since: u64) -> Self {
+        let steps = job.submission.steps.iter();
+        let demands: Vec<Amounts> = steps.map(|step| Amounts::of(&step.demand)).collect();
+        let mut total = Amounts::default();
+        if job.occurrences.is_empty() {
+            for (step, demand) in job.submission.steps.iter().zip(&demands) {
+                total = total.plus(demand.times(u64::from(step.count)));
+            }
+        }
+        for step in job.occurrences.iter().map(|o| o.steps.iter().zip(&demands)) {
+            for (state, demand) in step {
+                total = total.plus(demand.times(u64::from(state.left)));
+            }
+        }
+        Self {
+            id: job.id.clone(),
+            organisation: job.organisation_key,
+            demands,
+            total,
+            inherited: job.inherited,
+            kept,
+            since,
+        }
+    }
+}
+
+impl Engine {
+    /// Keeps a job that is ending, if runs of it may go on beyond the end.
+    pub(super) fn keep_remnant(&mut self, key: JobKey, now: u64) {
+        let job = &self.jobs[key];
+        if job.organisation_key == shares::Key::NONE || job.state == State::Completed || !job.sent {
+            return;
+        }
+        let unknown = job.inherited && !self.cluster.reconciled;
+        let mut runs = self.cluster.runs.values();
+        if unknown || runs.any(|run| is_of(run, &job.id)) {
+            let remnant = Remnant::new(job, false, now);
+            self.remnants.push(remnant);
+        }
+    }
+
+    /// Takes jobs whose records an earlier owner kept beyond their end.
+    pub(super) fn load_remnants(&mut self, now: u64) {
+        let past = &self.archive;
+        let ended = self.jobs.values().filter(|job| {
+            job.organisation_key != shares::Key::NONE && past.state(&job.id).is_some()
+        });
+        self.remnants
+            .extend(ended.map(|job| Remnant::new(job, true, now)));
+    }
+
+    /// Forgets the ended jobs whose runs have all ended, and deletes their records.
+    pub(super) fn release_remnants(&mut self) {
+        if self.remnants.is_empty() {
+            return;
+        }
+        let reconciled = self.cluster.reconciled;
+        let runs = &self.cluster.runs;
+        let over = |remnant: &mut Remnant| {
+            let unknown = remnant.inherited && !reconciled;
+            !unknown && !runs.values().any(|run| is_of(run, &remnant.id))
+        };
+        for remnant in self.remnants.extract_if(.., over) {
+            if remnant.kept {
+                let kinds = [journal::Kind::Accepted, journal::Kind::Progress];
+                let keys = kinds.map(|kind| journal::key(kind, &remnant.id));
+                self.dropped_keys.extend(keys);
+            }
+        }
+    }
+
+    /// What a run of a task counts for.
+    pub(super) fn charge(&self, name: &model::TaskName) -> Charge {
+        let step = name.step as usize;
+        if let Some(key) = self.find_job(&name.job) {
+            let job = &self.jobs[key];
+            let demand = job.submission.steps.get(step).map(|step| &step.demand);
+            return Charge {
+                organisation: job.organisation_key,
+                demand: demand.map(Amounts::of).unwrap_or_default(),
+            };
+        }
+        let remnant = self.remnants.iter().find(|r| r.id == name.job);
+        let charge = remnant.map(|remnant| Charge {
+            organisation: remnant.organisation,
+            demand: remnant.demands.get(step).copied().unwrap_or_default(),
+        });
+        charge.unwrap_or_default()
+    }
+
+    /// Counts the runs of earlier owners that may exist and are not known.
+    pub(super) fn count_unknown(&mut self, now: u64) {
+        if self.cluster.reconciled || !self.shares.is_used() {
+            if self.shares.has_unknown() {
+                self.shares.set_unknown(Vec::new());
+            }
+            return;
+        }
+        let surveyed = self.cluster.surveyed;
+        let recent = |(stage, at): (bool, u64)| stage == surveyed && now < at + COUNT_INTERVAL_MS;
+        if self.unknown_counted.is_some_and(recent) {
+            return;
+        }
+        self.unknown_counted = Some((surveyed, now));
+        let mut sums = Vec::new();
+        match surveyed {
+            true => self.count_cordoned(&mut sums),
+            false => self.count_inherited(&mut sums),
+        }
+        self.shares.set_unknown(sums);
+    }
+
+    /// Adds the tasks of inherited jobs that are not done and have no known run.
+    ///
+    /// The steps whose dependencies are not met by what is stored count too: the earlier owner may have
+    /// known of ends that it could not store.
+    fn count_inherited(&self, sums: &mut Vec<Amounts>) {
+        let open = |job: &&Job| {
+            job.inherited && !job.state.is_final() && job.organisation_key != shares::Key::NONE
+        };
+        for job in self.jobs.values().filter(open) {
+            for occurrence in &job.occurrences {
+                for (state, step) in occurrence.steps.iter().zip(&job.submission.steps) {
+                    let tasks = state.tasks.iter();
+                    let tasks = tasks.filter(|task| self.may_run_elsewhere(task, step.copies));
+                    let demand = Amounts::of(&step.demand).times(tasks.count() as u64);
+                    add(sums, job.organisation_key, demand);
+                }
+            }
+        }
+        for remnant in self.remnants.iter().filter(|remnant| remnant.inherited) {
+            let runs = self.cluster.runs.values();
+            let tracked = runs.filter(|run| is_of(run, &remnant.id));
+            let tracked = tracked.map(|run| run.charge.demand);
+            let tracked = tracked.fold(Amounts::default(), Amounts::plus);
+            add(sums, remnant.organisation, remnant.total.minus(tracked));
+        }
+    }
+
+    /// Whether a task of an inherited job may have a run that is not tracked. One of which copies may
+    /// run starts again before that is known.
+    fn may_run_elsewhere(&self, task: &Task, copies: bool) -> bool {
+        let adopted = |run: RunKey| {
+            let run = self.cluster.runs.get(run);
+            // A run of an earlier owner was never commanded by this one.
+            run.is_some_and(|run| run.start_expires == 0 && run.is_confirmed())
+        };
+        match task.phase {
+            Phase::Done => false,
+            Phase::Waiting => true,
+            Phase::Active(run) => copies && !adopted(run),
+        }
+    }
+
+    /// Adds the tasks that may run on cordoned workers which have not reported.
+    fn count_cordoned(&self, sums: &mut Vec<Amounts>) {
+        for worker in self.cluster.workers.values() {
+            let cordon = worker.cordon.as_ref().filter(|_| worker.is_unaccounted());
+            for name in cordon.iter().flat_map(|cordon| &cordon.tasks) {
+                let charge = self.charge(name);
+                add(sums, charge.organisation, charge.demand);
+            }
+        }
+    }
+}
+
+/// Whether a run is one of an ended job; no task needs its result.
+fn is_of(run: &Run, ended: &str) -> bool {
+    run.task.is_none() && run.name.job == ended
+}
+
+fn add(sums: &mut Vec<Amounts>, organisation: shares::Key, demand: Amounts) {
+    let at = organisation.index();
+    if sums.len() <= at {
+        sums.resize(at + 1, Amounts::default());
+    }
+    sums[at] = sums[at].plus(demand);
+}
--- a/src/cell/engine/reports.rs
+++ b/src/cell/engine/reports.rs
@@ -278,6 +278,7 @@
             let job = &self.jobs[task.step.job];
             super::demand(&job.submission.steps[task.step.step as usize])
         });
+        let charge = self.charge(&live.task);
         info!(job = live.task.job.as_str(), step = live.task.step, task = live.task.index, run = live.run,
             worker = id.as_str(), kept = task.is_some(); "untracked run found on worker");
         let key = self.cluster.add_run(Run {
@@ -287,6 +288,7 @@
             worker,
             // An unknown run may use the whole capacity of the worker, also once it has grown.
             demand: demand.unwrap_or(model::MAX_RESOURCES),
+            charge,
             state: RunState::Confirmed(now),
             start_expires: 0,
             ordered_at: now,
--- a/src/cell/engine/submissions.rs
+++ b/src/cell/engine/submissions.rs
@@ -14,13 +14,15 @@
 };
 use crate::cell::{
     job::{
+        self,
         Job,
         RunKey, //
     },
     model::{
         self,
         State, //
-    }, //
+    },
+    shares,
 };
 
 impl Engine {
@@ -73,11 +75,15 @@
     /// Records the organisation on whose behalf a job is submitted, unless the job is stored or has
     /// one already.
     pub fn set_organisation(&mut self, id: &str, organisation: &str) {
+        if organisation.is_empty() {
+            return;
+        }
         if let Some(key) = self.find_job(id)
             && !self.jobs[key].sent
             && self.jobs[key].organisation.is_empty()
         {
             self.jobs[key].organisation = organisation.into();
+            self.count_job(key);
         }
     }
 
@@ -103,6 +109,8 @@
         self.remove_job(key);
         self.dirty_jobs.retain(|other| *other != key);
         self.new_jobs.retain(|(_, other)| *other != key);
+        // It does not wait any more.
+        self.pass_needed |= self.shares.is_active();
         true
     }
 
@@ -229,11 +237,11 @@
         unread: false,
         origin: CompactString::default(),
         organisation: CompactString::default(),
+        organisation_key: shares::Key::NONE,
+        excess: false,
     };
-    let span = job.critical_path() as f64 * job.queue.stretch;
-    job.deadline = accepted_at
-        .saturating_add(span as u64)
-        .saturating_add(job.queue.target);
+    let objective = job::objective(&job.queue, &job.submission.steps);
+    job.deadline = accepted_at.saturating_add(objective);
     job
 }
 
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -8,6 +8,7 @@
 use super::{
     cluster,
     model,
+    shares,
     suspicion, //
 };
 
@@ -264,6 +265,10 @@
     pub origin: CompactString,
     /// Organisation on whose behalf the job was submitted; empty for none.
     pub organisation: CompactString,
+    /// Key of the organisation.
+    pub organisation_key: shares::Key,
+    /// Whether the job is beyond the rate at which its organisation is owed service.
+    pub excess: bool,
     /// Time of acceptance, in Unix milliseconds.
     pub accepted_at: u64,
     /// Owner's term in which the job was accepted.
@@ -367,30 +372,41 @@
     /// Estimated run time of the longest chain of steps that begins with `step`, in milliseconds.
     #[must_use]
     pub fn critical_path_from(&self, step: usize) -> u64 {
-        self.chains().get(step).copied().unwrap_or(0)
+        chains(&self.submission.steps)
+            .get(step)
+            .copied()
+            .unwrap_or(0)
     }
 
     /// Estimated run time of the longest chain of steps in the job, in milliseconds.
     #[must_use]
     pub fn critical_path(&self) -> u64 {
-        self.chains().into_iter().max().unwrap_or(0)
+        let chains = chains(&self.submission.steps);
+        chains.into_iter().max().unwrap_or(0)
     }
+}
 
-    /// Estimated run time of the longest chain from each step on, in milliseconds.
-    fn chains(&self) -> Vec<u64> {
-        let steps = &self.submission.steps;
-        let mut chains = vec![0_u64; steps.len()];
-        // Steps depend on earlier steps only.
-        for (i, step) in steps.iter().enumerate().rev() {
-            chains[i] = chains[i].saturating_add(step.estimate);
-            for before in step.depends_on.iter().map(|before| *before as usize) {
-                if before < i {
-                    chains[before] = chains[before].max(chains[i]);
-                }
+/// Estimated run time of the longest chain from each step on, in milliseconds.
+fn chains(steps: &[model::Step]) -> Vec<u64> {
+    let mut chains = vec![0_u64; steps.len()];
+    // Steps depend on earlier steps only.
+    for (i, step) in steps.iter().enumerate().rev() {
+        chains[i] = chains[i].saturating_add(step.estimate);
+        for before in step.depends_on.iter().map(|before| *before as usize) {
+            if before < i {
+                chains[before] = chains[before].max(chains[i]);
             }
         }
-        chains
     }
+    chains
+}
+
+/// Time in which a job of these steps is to complete, in milliseconds.
+#[must_use]
+pub fn objective(queue: &model::Queue, steps: &[model::Step]) -> u64 {
+    let longest = chains(steps).into_iter().max().unwrap_or(0);
+    let span = longest as f64 * queue.stretch;
+    (span as u64).saturating_add(queue.target)
 }
 
 /// Whether `job` may start runs now, given the workers that may hold unknown runs. Of
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -13,5 +13,6 @@
 pub mod journal;
 pub mod model;
 pub mod settings;
+pub mod shares;
 pub mod shell;
 pub mod suspicion;
--- a/src/cell/shell/mod.rs
+++ b/src/cell/shell/mod.rs
@@ -45,6 +45,7 @@
 pub mod frontend;
 pub mod handler;
 pub mod metrics;
+pub mod organisations;
 pub mod owner;
 pub mod peer;
 pub mod registry;
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -29,6 +29,10 @@
     mod recovery;
     mod roster;
     mod rules;
+    mod shares;
+    mod shares_owners;
+    mod shares_refusal;
+    mod shares_replay;
     mod slow_link;
     mod spread;
     mod stalls;
--- a/tests/cell/driver.rs
+++ b/tests/cell/driver.rs
@@ -79,8 +79,14 @@
     former: Vec<Former>,
     /// Duration of the runs that start, in milliseconds.
     pub(super) duration: u64,
+    /// Time within which the durations of runs differ, in milliseconds.
+    pub(super) spread: u64,
     /// Whether the answers to start commands are lost.
     pub(super) unanswered: bool,
+    /// Time until which the store takes nothing, in milliseconds.
+    pub(super) outage: u64,
+    /// Organisations in the configuration.
+    organisations: Vec<model::Organisation>,
 }
 
 impl Cell {
@@ -98,7 +104,10 @@
             exits: vec![None; workers],
             former: Vec::new(),
             duration: 500,
+            spread: 0,
             unanswered: false,
+            outage: 0,
+            organisations: Vec::new(),
         };
         cell.judge.attempts = 3;
         cell.judge.traced = std::env::var_os("BAMBOOLOCK_TRACE").is_some();
@@ -140,13 +149,16 @@
             self.list();
         }
         self.engine.set_wall_clock(now, now);
+        self.engine.set_catalog_proven_at(now);
         if now.is_multiple_of(20) {
             self.engine.tick(now);
         }
         if self.engine.pass_needed {
             self.engine.schedule(now);
         }
-        self.log.extend(make::store(&mut self.engine, now));
+        if now >= self.outage {
+            self.log.extend(make::store(&mut self.engine, now));
+        }
         for action in std::mem::take(&mut self.engine.actions) {
             self.act(action);
         }
@@ -284,8 +296,9 @@
     }
 
     fn start(&mut self, at: usize, order: (&TaskName, u32, u64, u64)) -> Reply {
+        let starts = u64::from(self.judge.starts);
         let fate = Behaviour {
-            duration: self.duration,
+            duration: self.duration + starts * 37 % (self.spread + 1),
             outcome: Outcome::Done,
         };
         workers::start(
@@ -315,6 +328,32 @@
         self.engine.submit(id, queue, work, self.now).unwrap();
     }
 
+    /// Puts a configuration with these organisations in force.
+    pub(super) fn configure(&mut self, organisations: &[model::Organisation]) {
+        self.organisations = organisations.to_vec();
+        self.engine.set_organisations(organisations);
+    }
+
+    /// Submits a job of an organisation.
+    pub(super) fn submit_for(&mut self, id: &str, organisation: &str, work: model::Submission) {
+        self.submit(id, work, None);
+        self.engine.set_organisation(id, organisation);
+    }
+
+    /// CPU that the tasks of a job take on the workers, in millicores.
+    pub(super) fn used_by(&self, id: &str) -> u32 {
+        let steps = self.judge.jobs[id].steps.iter().enumerate();
+        let tasks = steps.flat_map(|(step, (count, demand, _, _))| {
+            (0..*count).map(move |index| (make::task(id, step as u32, index), *demand))
+        });
+        let machines = || self.machines.iter().filter(|m| m.up);
+        let used = tasks.map(|(task, demand)| {
+            let runs = machines().filter(|m| m.runs(&task)).count();
+            runs as u32 * demand
+        });
+        used.sum()
+    }
+
     /// Replaces the owner by another one that knows what is stored.
     pub(super) fn replace_owner(&mut self) {
         let records = self.log.iter();
@@ -323,6 +362,7 @@
         let mut engine = Engine::new(token, term, make::TIMES);
         engine.set_wall_clock(self.now, self.now);
         engine.proven_at = u64::MAX / 2;
+        engine.set_organisations(&self.organisations);
         engine.load(records, self.now);
         self.engine = engine;
         self.list();
@@ -334,6 +374,11 @@
         self.machines.iter().position(runs)
     }
 
+    /// Whether a worker is up.
+    pub(super) fn is_up(&self, at: usize) -> bool {
+        self.machines[at].up
+    }
+
     pub(super) fn crash(&mut self, at: usize) {
         self.machines[at].crash(at, &mut self.judge, self.now);
         self.downs[at] = self.now + DOWN;
