feat(shares): callers whose organisation has too much work waiting get 429

Cause: a caller whose organisation could not get capacity in time waited, and its job ran too late to be of value.

Ruled out: passing the refusal on after the request was sent before and had no answer. The earlier copy may still be accepted, and a refused job must never run: the caller gets 504 and asks again.

Change: the handler asks Engine::admit before Engine::submit, in one borrow. peer::Outcome::Overloaded(seconds) is answered with 429 and Retry-After. The owner passes the organisations of the newest configuration and its age to the engine at the start of the term, at each tick and before each placement pass.

Figures: instances::overload sends 60 jobs of one second to a cap of two cores: some are refused, none of these starts, and the workers never have more than the cap. Red with the call of admit taken out. The answer 504 after an earlier copy has no test.

--- a/src/cell/shell/frontend.rs
+++ b/src/cell/shell/frontend.rs
@@ -259,6 +259,8 @@
         match outcome {
             Ok(Outcome::Elsewhere) | Err(link::Error::Refused | link::Error::Unreachable) => {}
             Ok(Outcome::Interrupted) => sent = true,
+            // A copy of the request that is still under way may be accepted later.
+            Ok(Outcome::Overloaded(_)) if sent => return Outcome::Unknown,
             Ok(outcome) => return outcome,
             Err(e) => {
                 debug!("no response from the owner: {e}");
@@ -329,6 +331,12 @@
             answer.retry_after = Some(seconds);
             answer
         }
+        Outcome::Overloaded(seconds) => {
+            let text = "not taken, too much work of the organisation waits; it does not run\n";
+            let mut answer = Answer::text(429, text);
+            answer.retry_after = Some(seconds);
+            answer
+        }
         Outcome::Elsewhere => unavailable(503, "no owner\n"),
     }
 }
--- a/src/cell/shell/handler.rs
+++ b/src/cell/shell/handler.rs
@@ -172,6 +172,9 @@
     let now = owner.now();
     let submitted = {
         let mut engine = owner.engine.borrow_mut();
+        if let Err(seconds) = engine.admit(id, &source.organisation, &queue, &work, now) {
+            return Outcome::Overloaded(seconds);
+        }
         let submitted = engine.submit(id, queue, work, now);
         engine.set_origin(id, &source.origin);
         engine.set_organisation(id, &source.organisation);
--- a/src/cell/shell/metrics.rs
+++ b/src/cell/shell/metrics.rs
@@ -39,7 +39,10 @@
     remote::uplink::Uplink, //
 };
 
-use super::peer::Outcome;
+use super::{
+    organisations,
+    peer::Outcome, //
+};
 
 /// Upper bound of the histograms' first bucket, in seconds: half a millisecond is below any round
 /// trip.
@@ -118,6 +121,8 @@
     pub waiting_trials: Gauge,
     /// Queues that are placed with caution because their starts crash workers.
     pub careful_queues: Gauge,
+    /// Figures of the organisations.
+    pub organisations: organisations::Families,
     storing: Histogram,
 }
 
@@ -129,6 +134,7 @@
     match outcome {
         Outcome::Accepted => "accepted",
         Outcome::Refused(_) => "refused",
+        Outcome::Overloaded(_) => "overloaded",
         Outcome::Invalid(_) => "invalid",
         Outcome::Unknown => "unknown",
         Outcome::State(_) => "state",
@@ -170,6 +176,7 @@
             crashes: Family::default(),
             waiting_trials: Gauge::default(),
             careful_queues: Gauge::default(),
+            organisations: organisations::Families::default(),
             storing: histogram(),
         };
         metrics.register();
@@ -243,6 +250,7 @@
             "Queues that are placed with caution because their starts crash workers",
             self.careful_queues.clone(),
         );
+        self.organisations.register(&mut registry);
         registry.register(
             "storing_seconds",
             "Time to commit a batch",
--- a/src/cell/shell/owner.rs
+++ b/src/cell/shell/owner.rs
@@ -43,6 +43,7 @@
     Shared,
     commit,
     dispatch,
+    organisations,
     peer::{
         Heartbeat,
         Member, //
@@ -136,6 +137,8 @@
     pub(super) term: u64,
     /// Local time at which the term began, in milliseconds.
     began: u64,
+    /// Version of the configuration whose organisations the engine has.
+    configured: Cell<Option<u64>>,
 }
 
 impl Owner {
@@ -182,6 +185,9 @@
         if cfg.link_kbps.is_some_and(|kbps| kbps < SLOW_LINK_KBPS) {
             engine.shorten_segments();
         }
+        engine.limit_configuration_age(cfg.access.propagation);
+        let configured = Cell::new(None);
+        organisations::update(shared, &mut engine, &configured);
         let now = shared.now();
         engine.set_wall_clock(unix_ms(), now);
         engine.confirm_ownership(fenced_at);
@@ -209,6 +215,7 @@
             waiting_since: Cell::new(0),
             term,
             began: now,
+            configured,
         });
         shared.metrics.terms.inc();
         actix_rt::spawn(until_over(owner.clone(), tick_loop(owner.clone())));
@@ -244,6 +251,7 @@
         if !self.over.send_replace(true) {
             let proof = self.now().saturating_sub(self.engine.borrow().proven_at);
             warn!(term = self.term, reason, proof; "term ends");
+            self.shared.metrics.organisations.clear();
         }
     }
 
@@ -390,6 +398,7 @@
             let mut engine = owner.engine.borrow_mut();
             let now = owner.now();
             engine.set_wall_clock(unix_ms(), now);
+            organisations::update(&owner.shared, &mut engine, &owner.configured);
             engine.tick(now);
             let metrics = &owner.shared.metrics;
             for loss in engine.take_losses() {
@@ -419,6 +428,8 @@
     loop {
         time::sleep(STATUS_INTERVAL).await;
         owner.engine.borrow().log_status(owner.now());
+        let stats = owner.engine.borrow_mut().take_organisation_stats();
+        owner.shared.metrics.organisations.set(&stats);
         let volumes = uplink.volumes();
         uplink::log_traffic(&before, &volumes);
         before = volumes;
@@ -437,6 +448,7 @@
         let now = owner.now();
         let mut engine = owner.engine.borrow_mut();
         engine.start_budget = uplink.room(PLACE_AHEAD);
+        organisations::update(&owner.shared, &mut engine, &owner.configured);
         engine.schedule(now);
         drop(engine);
         owner.run_actions();
--- a/src/cell/shell/peer.rs
+++ b/src/cell/shell/peer.rs
@@ -177,6 +177,9 @@
     Accepted,
     /// The job was rejected and never runs; holds the delay before a retry in seconds.
     Refused(u64),
+    /// The job was rejected and never runs, since its organisation has too much work waiting; holds the
+    /// delay before a retry in seconds.
+    Overloaded(u64),
     /// The job is invalid; holds the reason.
     Invalid(String),
     /// Whether the job is stored is unknown.
--- a/tests/instances.rs
+++ b/tests/instances.rs
@@ -15,6 +15,7 @@
     #[path = "../cell/make.rs"]
     mod make;
     mod malformed;
+    mod overload;
     mod processes;
     mod slow_link;
     #[expect(dead_code, reason = "the soak uses the rest")]
--- a/tests/instances/processes.rs
+++ b/tests/instances/processes.rs
@@ -250,6 +250,37 @@
     headers: &str,
     body: &str,
 ) -> Option<(u16, String)> {
+    let answer = request(to, (method, path), headers, body)?;
+    let status = answer.split(' ').nth(1)?.parse().ok()?;
+    let body = answer.split_once("\r\n\r\n")?.1.to_owned();
+    Some((status, body))
+}
+
+/// Submits a job with an API key; returns the status and the seconds after which to come back.
+pub(super) fn post_with_key(
+    to: SocketAddr,
+    path: &str,
+    key: &str,
+    body: &str,
+) -> Option<(u16, Option<u64>)> {
+    let header = format!("authorization: Bearer {key}\r\n");
+    let answer = request(to, ("POST", path), &header, body)?;
+    let status = answer.split(' ').nth(1)?.parse().ok()?;
+    let mut lines = answer.lines();
+    let retry = lines.find_map(|line| line.strip_prefix("retry-after: "));
+    Some((
+        status,
+        retry.and_then(|seconds| seconds.trim().parse().ok()),
+    ))
+}
+
+/// Sends one request and returns the whole response.
+fn request(
+    to: SocketAddr,
+    (method, path): (&str, &str),
+    headers: &str,
+    body: &str,
+) -> Option<String> {
     let mut stream = TcpStream::connect_timeout(&to, EXCHANGE_TIMEOUT).ok()?;
     stream.set_read_timeout(Some(EXCHANGE_TIMEOUT)).ok()?;
     let len = body.len();
@@ -259,7 +290,5 @@
     stream.write_all(head.as_bytes()).ok()?;
     let mut answer = String::new();
     stream.read_to_string(&mut answer).ok()?;
-    let status = answer.split(' ').nth(1)?.parse().ok()?;
-    let body = answer.split_once("\r\n\r\n")?.1.to_owned();
-    Some((status, body))
+    Some(answer)
 }
