--- a/src/cell/shell/mod.rs
+++ b/src/cell/shell/mod.rs
@@ -49,6 +49,7 @@
 pub mod handler;
 pub mod intake;
 pub mod metrics;
+pub mod organisations;
 pub mod owner;
 pub mod peer;
 pub mod registry;
