feat(neighbours): tasks that slow each other down are detected and kept apart

Cause: tasks share caches, memory bandwidth and disks that no reservation expresses. The owner placed tasks that slow each other down on one worker while others had capacity.

Ruled out: workers report no hardware counters, and profiling runs throw work away. Means and variances with decay: one late report moves them by more than the interference. A slowdown of a worker that includes the runs beside the kind in question: a kind that slows down all others then looks like a slow worker (by reasoning, not tried). What is usual for a kind that only uses slow workers as a measure of these workers: tried, and such a kind was blamed for its workers. The preference without a look at capacity: tried, and passes placed fewer tasks.

Change: cell::neighbours holds the kinds, who ran beside whom, the samples, the comparison of medians and the preference; engine::apart connects it. Placement has one more part of its cost, after the rack of the data and before the packing; it holds only in passes in which all that waits has room however it is placed. A step may name an image, which is stored only if it is named. Metrics neighbour_slowdown and neighbour_moves, bounded log lines. Active only where the settings' contracts contain "sharing"; nothing is recorded otherwise.

Each guard was taken out once and its test was red: the look at capacity, the preference, fewest workers for a gang, the rack of the data, measured runs only (gangs and the like; resumed, repeated, silent), adopted runs, the threshold in standard errors, the worker's own slowdown, runs of the kind itself in it, the check for another cause, expiry, refutation, change of a queue, the bound on pairs, activation, both decoders, and the length of an image. The test on full workers was not red with a preference that waits for workers (other work fills them); it was with one that places nothing in half of the passes.

Not covered by a test: a pass with permits of the placement policy, and the metrics.

--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -32,8 +32,10 @@
         self,
         State, //
     },
+    neighbours::Neighbours, //
 };
 
+mod apart;
 pub mod batch;
 mod caution;
 pub mod commands;
@@ -214,6 +216,8 @@
     exposed: Vec<(CompactString, TaskKey)>,
     /// Recent silences and crashes of workers.
     caution: caution::Caution,
+    /// Tasks that slow each other down.
+    pub neighbours: Neighbours,
     /// Runs whose start command waits for a batch.
     held_starts: Vec<RunKey>,
     /// Owners of the cell up to this one.
@@ -268,6 +272,7 @@
             evidence: Vec::new(),
             exposed: Vec::new(),
             caution: caution::Caution::default(),
+            neighbours: Neighbours::default(),
             held_starts: Vec::new(),
             succession: succession::Succession::default(),
             reconcile_by: 0,
@@ -475,6 +480,7 @@
         self.cordon_silent_workers(now);
         self.poll_due_workers(now);
         self.expire_archive(now);
+        self.neighbours.tick(now);
         self.cluster.late_acks.retain(|(_, _, until)| *until > now);
         self.pass_needed |= !self.backlog.is_empty() && now >= self.last_pass + LOOK_AGAIN;
     }
@@ -513,6 +519,7 @@
             state.phase = Phase::Active(run);
             state.last_run = state.last_run.max(number);
         }
+        self.note_begin(run, now);
         run
     }
 
--- a/src/cell/engine/placement.rs
+++ b/src/cell/engine/placement.rs
@@ -26,7 +26,8 @@
             TaskKey,
             WorkerKey, //
         },
-        model, //
+        model,
+        neighbours::preference, //
     },
     resources::Resources, //
 };
@@ -63,6 +64,11 @@
 }
 
 impl Slot {
+    /// Whether the worker takes tasks that need no caution.
+    pub(super) fn is_open(&self) -> bool {
+        self.purpose == Purpose::Open
+    }
+
     /// Resources that are free and not reserved.
     pub(super) fn available(&self) -> Resources {
         let free = self.free.parts();
@@ -100,7 +106,7 @@
 }
 
 /// Number of tasks of `demand` that fit into `free`, at most `most`.
-fn fit_count(free: &Resources, demand: &Resources, most: u32) -> u32 {
+pub(super) fn fit_count(free: &Resources, demand: &Resources, most: u32) -> u32 {
     let fits = |have: u32, need: u32| have.checked_div(need).unwrap_or(u32::MAX);
     fits(free.millicores, demand.millicores)
         .min(fits(free.memory, demand.memory))
@@ -124,6 +130,8 @@
     gang_slots: usize,
     /// Workers that may still be set apart.
     allowance: Allowance,
+    /// Whether the capacity suffices for all that waits, however it is placed.
+    pub(super) is_ample: bool,
     pub(super) now: u64,
 }
 
@@ -190,6 +198,7 @@
         let waiting: Vec<StepKey> = ranked.iter().map(|(_, key)| *key).collect();
         let timely = ranked.partition_point(|(rank, _)| rank.0 < WORTHLESS);
         let mut pass = self.pass(&waiting, timely, now);
+        pass.is_ample = self.is_capacity_ample(&pass, &waiting);
         for (rank, key) in ranked {
             let placed = self.place_step(&mut pass, key, rank.0 == ON_TIME);
             self.apply_reservations(&mut pass, key);
@@ -230,6 +239,7 @@
             budget: self.start_budget,
             gang_slots: 0,
             allowance,
+            is_ample: false,
             now,
         }
     }
@@ -365,7 +375,12 @@
     }
 
     /// Whether a worker may run tasks of the step, regardless of capacity and permits.
-    fn is_eligible(&self, worker: WorkerKey, job: &Job, definition: &model::Step) -> bool {
+    pub(super) fn is_eligible(
+        &self,
+        worker: WorkerKey,
+        job: &Job,
+        definition: &model::Step,
+    ) -> bool {
         let entry = &self.cluster.workers[worker].registration;
         let labelled = definition.label.is_empty() || entry.labels.contains(&definition.label);
         entry.service == job.queue.service && labelled
@@ -373,7 +388,7 @@
 
     /// Number of runs of the step that are already on a worker, including runs that are being
     /// stopped.
-    fn runs_on(&self, key: StepKey, worker: WorkerKey) -> u32 {
+    pub(super) fn runs_on(&self, key: StepKey, worker: WorkerKey) -> u32 {
         let Some(job) = self.jobs.get(key.job) else {
             return 0;
         };
@@ -474,7 +489,7 @@
     }
 
     /// Index of the offer that leaves the least free capacity; workers on which the task has failed
-    /// are a last resort.
+    /// are a last resort, and those on which tasks would slow each other down are avoided.
     fn best_offer(
         &self,
         pass: &Pass,
@@ -486,7 +501,10 @@
         let rack = job
             .definition(pending.key)
             .map_or("", |definition| definition.data_rack.as_str());
-        let mut best: Option<((bool, bool, u32), usize)> = None;
+        let view = self.view(pass, pending.key);
+        let mut best: Option<((bool, bool, u32, u32), usize)> = None;
+        // The choice without regard to the other tasks on the workers.
+        let mut plain: Option<((bool, bool, u32), usize)> = None;
         for (at, (i, count)) in usable.iter().enumerate() {
             let slot = &pass.slots[*i];
             if *count == 0
@@ -506,12 +524,21 @@
                     .millicores
                     .saturating_sub(pending.demand.millicores),
             };
-            let cost = (failed, away, left);
+            let slowed = view.map_or(0, |view| view.cost(slot.worker));
+            let cost = (failed, away, slowed, left);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, at));
             }
+            let cost = (failed, away, left);
+            if view.is_some() && plain.is_none_or(|(least, _)| cost < least) {
+                plain = Some((cost, at));
+            }
         }
-        best.map(|(_, at)| at)
+        let best = best.map(|(_, at)| at);
+        if view.is_some() && best != plain.map(|(_, at)| at) {
+            self.neighbours.count_moves(1);
+        }
+        best
     }
 
     /// Places all members of a gang at once, or reserves capacity for them.
@@ -631,16 +658,14 @@
         }
         usable
             .sort_by_key(|(i, count)| (std::cmp::Reverse(*count), pass.slots[*i].free.millicores));
-        let mut left = need;
-        let mut chosen = Vec::new();
-        for (i, count) in usable {
-            if left == 0 {
-                break;
-            }
-            let taken = count.min(left);
-            left -= taken;
-            chosen.push((i, taken));
-        }
+        let plain = preference::choose(&usable, need, |_| 0);
+        let Some(view) = self.view(pass, pending.key) else {
+            return Some(plain);
+        };
+        let chosen = preference::choose(&usable, need, |i| view.cost(pass.slots[i].worker));
+        let moved = chosen.iter().filter(|member| !plain.contains(member));
+        let moved = moved.map(|(_, count)| u64::from(*count)).sum();
+        self.neighbours.count_moves(moved);
         Some(chosen)
     }
 
--- a/src/cell/engine/policy.rs
+++ b/src/cell/engine/policy.rs
@@ -40,7 +40,7 @@
 const MIN_QUERY_WORKERS: usize = 4;
 
 /// Most workers in a query, so that its duration leaves time to meet a job's objective.
-const MAX_QUERY_WORKERS: usize = 30;
+pub(super) const MAX_QUERY_WORKERS: usize = 30;
 
 /// Time before its expiry at which a permit is no longer used, in milliseconds: the way to the
 /// worker.
@@ -65,7 +65,7 @@
 const MIN_GANG_WORKERS: usize = 12;
 
 /// Most workers queried for a gang at a time, over all its queries.
-const MAX_GANG_WORKERS: usize = 200;
+pub(super) const MAX_GANG_WORKERS: usize = 200;
 
 /// Lower bound on the assumed share of allowed workers.
 const MIN_ALLOWED_SHARE: f64 = 0.05;
--- a/src/cell/engine/reports.rs
+++ b/src/cell/engine/reports.rs
@@ -303,6 +303,7 @@
             self.actions.push(Action::Stop(key));
             return;
         };
+        self.note_begin(key, now);
         self.mark_started(task);
         if let Some(state) = self.jobs[task.step.job].task_mut(task) {
             state.phase = Phase::Active(key);
@@ -332,6 +333,7 @@
             return;
         };
         self.pass_needed = true;
+        self.note_end(key, &run, outcome, now);
         let Some(task) = run.task else {
             return;
         };
--- a/src/cell/engine/submissions.rs
+++ b/src/cell/engine/submissions.rs
@@ -247,6 +247,12 @@
         if step.count == 0 {
             return Err(format!("/steps/{i}: a step needs at least one task"));
         }
+        if step.image.len() > model::MAX_IMAGE_BYTES {
+            return Err(format!(
+                "/steps/{i}: an image has at most {} bytes",
+                model::MAX_IMAGE_BYTES
+            ));
+        }
         if let Some(bad) = step.depends_on.iter().find(|s| **s as usize >= i) {
             return Err(format!(
                 "/steps/{i}: depends on step {bad}, which is not an earlier step"
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -12,6 +12,7 @@
 pub mod job;
 pub mod journal;
 pub mod model;
+pub mod neighbours;
 pub mod settings;
 pub mod shell;
 pub mod suspicion;
--- a/src/cell/model.rs
+++ b/src/cell/model.rs
@@ -24,6 +24,9 @@
     *value == T::default()
 }
 
+/// Maximum length of the name of an image, in bytes.
+pub const MAX_IMAGE_BYTES: usize = 64;
+
 /// One step of a job: a number of identical tasks.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -52,6 +55,10 @@
     /// Maximum number of the step's tasks on one worker; 0 for no limit.
     #[serde(rename = "spread", skip_serializing_if = "is_default")]
     pub max_per_worker: u32,
+    /// Image of the tasks, at most [`MAX_IMAGE_BYTES`] bytes; empty if none is named. Tasks of one
+    /// queue and image are of one kind.
+    #[serde(skip_serializing_if = "is_default")]
+    pub image: CompactString,
     /// Whether duplicate runs of a task may run in parallel.
     #[serde(skip_serializing_if = "is_default")]
     pub copies: bool,
--- /dev/null
+++ b/src/cell/neighbours/comparison.rs
@@ -0,0 +1,130 @@
+//! Comparison of the runs of a pair with other runs of the same kind.
+
+use super::{
+    estimate::{
+        self,
+        Difference,
+        Sample, //
+    },
+    evidence::{
+        Evidence,
+        Pair,
+        REFUTED_RATIO, //
+    },
+    kinds::{
+        Kind,
+        MAX_KINDS, //
+    },
+};
+
+/// Number of runs of a kind after which its usual ratio is known.
+const USUAL_RUNS: usize = 6;
+
+/// Time before and after a run from which samples show the worker's own slowdown, in milliseconds.
+const WORKER_SPAN_MS: u64 = 15_000;
+
+/// Time by which a run without the other kind may precede the first run beside it, in milliseconds:
+/// what has changed since would count as interference.
+const MATCH_MS: u64 = 10_000;
+
+/// Number of runs of a pair after which it is learned although another kind was there each time.
+const TOGETHER_RUNS: usize = 32;
+
+/// Share of the runs of a pair from which another kind that was there may be the cause. A kind that was
+/// there less often does not move the median.
+const RIVAL_SHARE: f64 = 0.5;
+
+/// Share by which such a kind was there more often than beside the runs that they are compared with.
+const RIVAL_EXCESS: f64 = 0.4;
+
+impl Evidence {
+    /// Usual values of the kinds of a set, each over its runs that were not beside kind `by`.
+    fn usual_without(&self, by: Kind, kinds: u64) -> [Option<f64>; MAX_KINDS] {
+        let mut usual = [None; MAX_KINDS];
+        for kind in Kind::all_of(kinds) {
+            let slowed = by.bit() | self.slowed_by[kind.index()];
+            let runs = self.kinds[kind.index()].iter();
+            let runs = runs.filter(|s| s.touched & slowed == 0);
+            let values: Vec<f64> = runs.map(|s| s.value).collect();
+            if values.len() >= USUAL_RUNS {
+                usual[kind.index()] = Some(estimate::median(values.into_iter()));
+            }
+        }
+        usual
+    }
+
+    /// Own slowdown of a worker around the time of a run beside kind `by`, as a logarithm, from runs of
+    /// other kinds that were not beside that kind; `None` if there are none. A kind that slows down all
+    /// others would look like a slow worker otherwise, and what is usual for a kind that only uses slow
+    /// workers is slow.
+    fn slowdown(&self, run: &Sample, by: Kind, usual: &[Option<f64>; MAX_KINDS]) -> Option<f64> {
+        let list = self.workers.get(run.worker)?;
+        let clean = |(kind, s): &&(Kind, Sample)| {
+            let slowed = s.touched & (by.bit() | self.slowed_by[kind.index()]) != 0;
+            *kind != by && s.at.abs_diff(run.at) <= WORKER_SPAN_MS && !slowed
+        };
+        let deviations = list.iter().filter(clean);
+        let deviations = deviations.filter_map(|(kind, s)| Some(s.value - usual[kind.index()]?));
+        let deviations: Vec<f64> = deviations.collect();
+        (!deviations.is_empty()).then(|| estimate::median(deviations.into_iter()))
+    }
+
+    /// Compares the runs of a pair with those of the same kind that were not beside the other one. Runs
+    /// beside `others`, and beside kinds that are known to slow them down, are left out of both.
+    pub(super) fn compare(&self, pair: &Pair, others: u64, now: u64) -> Option<Difference> {
+        let (beside, apart) = self.groups(pair, others, now)?;
+        estimate::compare(&beside, &apart, now)
+    }
+
+    /// Runs of a pair, and those that they are compared with.
+    fn groups(&self, pair: &Pair, others: u64, now: u64) -> Option<(Vec<Sample>, Vec<Sample>)> {
+        let known = self.slowed_by[pair.slowed.index()];
+        let excluded = (known | others) & !pair.by.bit();
+        let counts = |s: &&Sample| s.is_recent(now) && s.touched & excluded == 0;
+        let beside = pair.beside.iter().filter(counts);
+        let lists = beside.clone().filter_map(|s| self.workers.get(s.worker));
+        let kinds = lists.flatten().fold(0, |set, (kind, _)| set | kind.bit());
+        let usual = self.usual_without(pair.by, kinds);
+        let beside = beside.map(|s| {
+            // Nothing is added for a fast worker, so that a mistake makes the difference smaller.
+            let slowdown = self.slowdown(s, pair.by, &usual);
+            Sample {
+                value: s.value - slowdown.unwrap_or(0.0).max(0.0),
+                grounded: slowdown.is_some(),
+                ..*s
+            }
+        });
+        let beside: Vec<Sample> = beside.collect();
+        let first = beside.iter().map(|s| s.at).min()?;
+        let apart = self.kinds[pair.slowed.index()].iter().filter(counts);
+        let apart = apart.filter(|s| s.touched & pair.by.bit() == 0 && s.at + MATCH_MS >= first);
+        let apart: Vec<Sample> = apart.copied().collect();
+        Some((beside, apart))
+    }
+
+    /// Whether no other kind that was often there explains the difference of a pair.
+    pub(super) fn is_cause(&self, pair: &Pair, now: u64) -> bool {
+        let Some((beside, apart)) = self.groups(pair, 0, now) else {
+            return false;
+        };
+        let share = |list: &[Sample], kind: Kind| {
+            let there = list.iter().filter(|s| s.touched & kind.bit() != 0);
+            there.count() as f64 / list.len().max(1) as f64
+        };
+        let there = beside.iter().fold(0, |set, s| set | s.touched);
+        let rivals = Kind::all_of(there & !pair.by.bit()).filter(|kind| {
+            let often = share(&beside, *kind);
+            often >= RIVAL_SHARE && often >= share(&apart, *kind) + RIVAL_EXCESS
+        });
+        let slows = |d: Difference| d.ratio >= REFUTED_RATIO;
+        let together = pair.beside.len() >= TOGETHER_RUNS;
+        rivals.into_iter().all(|rival| {
+            let own = self.compare(pair, rival.bit(), now).map(slows);
+            let other = self.position(pair.slowed, rival).ok();
+            let other = other.and_then(|at| self.compare(&self.pairs[at], pair.by.bit(), now));
+            let theirs = other.map(slows);
+            // Of two kinds that stay together for many runs, either may be the cause.
+            own.unwrap_or(theirs == Some(false) || theirs.is_none() && together)
+        })
+    }
+}
--- a/src/cell/settings.rs
+++ b/src/cell/settings.rs
@@ -53,6 +53,8 @@
     pub contact: Duration,
     /// Rules for the keys of callers.
     pub access: access::Rules,
+    /// Whether tasks that slow each other down are detected and kept apart.
+    pub sharing: bool,
 }
 
 impl Cell {
--- a/src/cell/shell/metrics.rs
+++ b/src/cell/shell/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::RefCell,
+    sync::atomic::AtomicU64,
     time::Duration, //
 };
 
@@ -29,7 +30,8 @@
         engine::{
             crashes::Evidence,
             losses::Loss, //
-        }, //
+        },
+        neighbours::Neighbours, //
     },
     malformed::{
         self,
@@ -88,6 +90,15 @@
     pub reason: &'static str,
 }
 
+/// Labels of the pairs of kinds of tasks that are known to interfere: at most 512, of 64 kinds.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PairLabels {
+    /// Kind that is slowed down.
+    pub slowed: String,
+    /// Kind that slows it down.
+    pub beside: String,
+}
+
 /// All metrics of the process.
 pub struct Metrics {
     registry: RefCell<Registry>,
@@ -118,6 +129,8 @@
     pub waiting_trials: Gauge,
     /// Queues that are placed with caution because their starts crash workers.
     pub careful_queues: Gauge,
+    slowdowns: Family<PairLabels, Gauge<f64, AtomicU64>>,
+    moves: Counter,
     storing: Histogram,
 }
 
@@ -170,6 +183,8 @@
             crashes: Family::default(),
             waiting_trials: Gauge::default(),
             careful_queues: Gauge::default(),
+            slowdowns: Family::default(),
+            moves: Counter::default(),
             storing: histogram(),
         };
         metrics.register();
@@ -243,6 +258,16 @@
             "Queues that are placed with caution because their starts crash workers",
             self.careful_queues.clone(),
         );
+        registry.register(
+            "neighbour_slowdown",
+            "Run time of a kind of task beside another one, relative to that without it",
+            self.slowdowns.clone(),
+        );
+        registry.register(
+            "neighbour_moves",
+            "Tasks placed on another worker to keep them apart from others",
+            self.moves.clone(),
+        );
         registry.register(
             "storing_seconds",
             "Time to commit a batch",
@@ -296,6 +321,29 @@
         self.crashes.get_or_create(&label).inc();
     }
 
+    /// Records the pairs of kinds of tasks that are known to interfere, and the placements that they
+    /// changed.
+    pub fn record_neighbours(&self, neighbours: &mut Neighbours) {
+        self.moves.inc_by(neighbours.take_moves());
+        let Some(pairs) = neighbours.take_changed() else {
+            return;
+        };
+        self.slowdowns.clear();
+        for pair in pairs {
+            let label = PairLabels {
+                slowed: pair.slowed.into(),
+                beside: pair.by.into(),
+            };
+            let gauge = self.slowdowns.get_or_create(&label);
+            gauge.set(pair.difference.ratio);
+        }
+    }
+
+    /// Forgets the pairs of a term that is over.
+    pub fn clear_neighbours(&self) {
+        self.slowdowns.clear();
+    }
+
     /// Records the time that a batch took to commit.
     pub fn observe_commit(&self, took: Duration) {
         self.storing.observe(took.as_secs_f64());
--- a/src/cell/shell/owner.rs
+++ b/src/cell/shell/owner.rs
@@ -182,6 +182,9 @@
         if cfg.link_kbps.is_some_and(|kbps| kbps < SLOW_LINK_KBPS) {
             engine.shorten_segments();
         }
+        if cfg.sharing {
+            engine.watch_neighbours();
+        }
         let now = shared.now();
         engine.set_wall_clock(unix_ms(), now);
         engine.confirm_ownership(fenced_at);
@@ -242,6 +245,7 @@
     /// Ends the term; `reason` is logged.
     pub fn end(&self, reason: &str) {
         if !self.over.send_replace(true) {
+            self.shared.metrics.clear_neighbours();
             let proof = self.now().saturating_sub(self.engine.borrow().proven_at);
             warn!(term = self.term, reason, proof; "term ends");
         }
@@ -398,6 +402,7 @@
             for evidence in engine.take_evidence() {
                 metrics.count_crash(evidence);
             }
+            metrics.record_neighbours(&mut engine.neighbours);
             metrics.waiting_trials.set(engine.waiting_trials() as i64);
             metrics.careful_queues.set(engine.careful_queues() as i64);
             metrics.silent_workers.set(engine.silent_workers() as i64);
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -22,6 +22,7 @@
     mod load;
     mod make;
     mod malformed;
+    mod neighbours;
     mod network;
     mod owners;
     mod ownership;
--- a/tests/cell/make.rs
+++ b/tests/cell/make.rs
@@ -10,13 +10,16 @@
             Times, //
         },
         job::{
+            JobKey,
             RunKey,
             WorkerKey, //
         },
-        model, //
+        model,
+        neighbours, //
     },
     resources::Resources, //
 };
+use slotmap::SlotMap;
 
 /// Local time at which tests begin, in milliseconds.
 pub(super) const START: u64 = 1_000_000;
@@ -224,6 +227,47 @@
     }
 }
 
+/// Lets an owner know that the tasks of queue `b` double the run times of those of queue `a`. The runs
+/// that show it are not the owner's own.
+pub(super) fn teach(engine: &mut Engine, now: u64) {
+    engine.watch_neighbours();
+    let mut keys = SlotMap::<WorkerKey, ()>::with_key();
+    let workers: Vec<WorkerKey> = (0..8).map(|_| keys.insert(())).collect();
+    let mut jobs = SlotMap::<JobKey, ()>::with_key();
+    let mut runs = SlotMap::<RunKey, ()>::with_key();
+    let (a, b, step) = (queue("a", 0), queue("b", 0), step(1, 1_000));
+    let kind = |queue| neighbours::Task {
+        queue,
+        step: &step,
+        number: 0,
+        accepted: 1,
+        measured: true,
+    };
+    for n in 0..48 {
+        let (worker, job) = (workers[n / 2 % 8], jobs.insert(()));
+        let (slow, other) = (n % 2 == 0, runs.insert(()));
+        let run = runs.insert(());
+        if slow {
+            engine.neighbours.begin(other, worker, &kind(&b), now);
+        }
+        engine.neighbours.begin(run, worker, &kind(&a), now);
+        let success = neighbours::Success {
+            worker,
+            job,
+            took: if slow { 2_000 } else { 1_000 },
+            estimate: 1_000,
+        };
+        engine
+            .neighbours
+            .end(run, Some(success), now + success.took);
+        engine.neighbours.end(other, None, now + success.took);
+    }
+    engine.neighbours.tick(now + 2_000);
+    let pairs = engine.neighbours.pairs();
+    let names = pairs.iter().map(|p| (p.slowed.as_str(), p.by.as_str()));
+    assert_eq!(names.collect::<Vec<_>>(), [("a#0", "b#0")]);
+}
+
 /// Id of a run's worker.
 pub(super) fn place(engine: &Engine, run: RunKey) -> String {
     let worker = engine.cluster.runs[run].worker;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -72,6 +72,15 @@
     assert_eq!((cell.policy, cell.admin), (None, None));
 }
 
+#[test]
+fn tasks_are_kept_apart_only_where_the_rules_say_so() {
+    let cell = |parts| boot::decode("boot", &boot_text(|boot| boot["contracts"] = parts)).unwrap();
+    assert!(!boot::decode("boot", &boot_text(|_| {})).unwrap().sharing);
+    assert!(!cell(json!(["tenants"])).sharing);
+    let both = cell(json!(["tenants", "sharing"]));
+    assert!(both.sharing && both.access.required);
+}
+
 #[test]
 fn limits_of_link_and_descriptors_are_read_and_checked() {
     let limits = |limits| boot::decode("boot", &boot_text(|boot| boot["limits"] = limits));
@@ -184,7 +193,7 @@
     let job = json!({
         "spec": "text", "start_at_ms": 5, "interval_ms": 6, "repeat_count": 7,
         "steps": [
-            {"count": 4, "cpu": 500, "mem_mb": 256, "gpu": 1, "estimated_ms": 900, "affinity": "r1-3"},
+            {"count": 4, "cpu": 500, "mem_mb": 256, "gpu": 1, "estimated_ms": 900, "affinity": "r1-3", "image": "resize:3"},
             {"count": 20, "depends_on": [0], "checkpointing": true, "gang": true, "same_rack": true, "requirements": "a",
              "anti_affinity": 2, "allow_duplicates": true, "long_running": true, "fills": true, "may_miss": 3}
         ]
@@ -203,6 +212,13 @@
         (4, 500, 1)
     );
     assert_eq!((first.data_rack.as_str(), first.estimate), ("r1-3", 900));
+    assert_eq!(
+        (first.image.as_str(), second.image.as_str()),
+        ("resize:3", "")
+    );
+    // Without an image, stored jobs stay as they were.
+    let stored = serde_json::to_string(&job.steps).unwrap();
+    assert_eq!(stored.matches("image").count(), 1);
     assert!(
         second.gang
             && second.compact
