--- a/src/cell/engine/placement.rs
+++ b/src/cell/engine/placement.rs
@@ -26,7 +26,8 @@
             TaskKey,
             WorkerKey, //
         },
-        model, //
+        model,
+        neighbours::preference, //
     },
     resources::Resources, //
 };
@@ -63,17 +64,17 @@
 }
 
 impl Slot {
+    /// Whether the worker takes tasks that need no caution.
+    pub(super) fn is_open(&self) -> bool {
+        self.purpose == Purpose::Open
+    }
+
     /// Resources that are free and not reserved.
     pub(super) fn available(&self) -> Resources {
         let free = self.free.parts();
         let reserved = self.reserved.parts();
         Resources::from_parts(std::array::from_fn(|i| free[i].saturating_sub(reserved[i])))
     }
-
-    /// Whether the worker takes tasks of any job.
-    pub(super) fn is_open(&self) -> bool {
-        self.purpose == Purpose::Open
-    }
 }
 
 /// Sort key of a waiting step: class, priority of the queue, and objective in Unix milliseconds.
@@ -140,6 +141,8 @@
     gang_slots: usize,
     /// Workers that may still be set apart.
     allowance: Allowance,
+    /// Whether the capacity suffices for all that waits, however it is placed.
+    pub(super) is_ample: bool,
     pub(super) now: u64,
 }
 
@@ -230,6 +233,7 @@
         let timely = startable.partition_point(|(rank, _)| is_timely(rank));
         let waiting: Vec<StepKey> = startable.iter().map(|(_, key)| *key).collect();
         let mut pass = self.pass(&waiting, timely, now);
+        pass.is_ample = self.is_capacity_ample(&pass, &waiting);
         let left = self.place_in_rounds(&mut pass, ranked);
         self.backlog.extend(left.iter().map(|(_, key)| *key));
         let slots = pass.slots.iter();
@@ -283,6 +287,7 @@
             budget: self.start_budget,
             gang_slots: 0,
             allowance,
+            is_ample: false,
             now,
         }
     }
@@ -433,7 +438,7 @@
 
     /// Number of runs of the step that are already on a worker, including runs that are being
     /// stopped.
-    fn runs_on(&self, key: StepKey, worker: WorkerKey) -> u32 {
+    pub(super) fn runs_on(&self, key: StepKey, worker: WorkerKey) -> u32 {
         let Some(job) = self.jobs.get(key.job) else {
             return 0;
         };
@@ -540,7 +545,7 @@
     }
 
     /// Index of the offer that leaves the least free capacity; workers on which the task has failed
-    /// are a last resort.
+    /// are a last resort, and those on which tasks would slow each other down are avoided.
     fn best_offer(
         &self,
         pass: &Pass,
@@ -552,7 +557,10 @@
         let rack = job
             .definition(pending.key)
             .map_or("", |definition| definition.data_rack.as_str());
-        let mut best: Option<((bool, bool, u32), usize)> = None;
+        let view = self.view(pass, pending.key);
+        let mut best: Option<((bool, bool, u32, u32), usize)> = None;
+        // The choice without regard to the other tasks on the workers.
+        let mut plain: Option<((bool, bool, u32), usize)> = None;
         for (at, (i, count)) in usable.iter().enumerate() {
             let slot = &pass.slots[*i];
             if *count == 0
@@ -572,12 +580,21 @@
                     .millicores
                     .saturating_sub(pending.demand.millicores),
             };
-            let cost = (failed, away, left);
+            let slowed = view.map_or(0, |view| view.cost(slot.worker));
+            let cost = (failed, away, slowed, left);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, at));
             }
+            let cost = (failed, away, left);
+            if view.is_some() && plain.is_none_or(|(least, _)| cost < least) {
+                plain = Some((cost, at));
+            }
+        }
+        let best = best.map(|(_, at)| at);
+        if view.is_some() && best != plain.map(|(_, at)| at) {
+            self.neighbours.count_moves(1);
         }
-        best.map(|(_, at)| at)
+        best
     }
 
     /// Places all members of a gang at once, or reserves capacity for them.
@@ -697,16 +714,14 @@
         }
         usable
             .sort_by_key(|(i, count)| (std::cmp::Reverse(*count), pass.slots[*i].free.millicores));
-        let mut left = need;
-        let mut chosen = Vec::new();
-        for (i, count) in usable {
-            if left == 0 {
-                break;
-            }
-            let taken = count.min(left);
-            left -= taken;
-            chosen.push((i, taken));
-        }
+        let plain = preference::choose(&usable, need, |_| 0);
+        let Some(view) = self.view(pass, pending.key) else {
+            return Some(plain);
+        };
+        let chosen = preference::choose(&usable, need, |i| view.cost(pass.slots[i].worker));
+        let moved = chosen.iter().filter(|member| !plain.contains(member));
+        let moved = moved.map(|(_, count)| u64::from(*count)).sum();
+        self.neighbours.count_moves(moved);
         Some(chosen)
     }
 
