fix(intake): a body counts as complete when its handler has read it

Cause: a connection counted as serving a complete request once the framing of its body said so. The HTTP library may expect more than that: it reads a request to upgrade to WebSocket until the end of the connection, whatever its length, and takes a bare LF after the last chunk as the start of a trailer. The handler then waited for ever. Such a connection was never overdue, never made room for another one and outlasted its client, and its bytes stayed charged. As many clients as an address has connections, each with one short request, stopped the address for good.

Change: the handler notes the end of the body. Until then the connection is in the stage of a body: it can make room for a new one, and after body_ms without a byte its request gets 408.

--- a/src/cell/shell/body.rs
+++ b/src/cell/shell/body.rs
@@ -125,6 +125,7 @@
             }
         }
         self.payload = None;
+        self.gate.body_read();
         Ok(body)
     }
 
@@ -146,6 +147,7 @@
             }
         }
         self.payload = None;
+        self.gate.body_read();
         Ok(())
     }
 
--- a/src/cell/shell/gate.rs
+++ b/src/cell/shell/gate.rs
@@ -171,14 +171,11 @@
         let mut state = self.state.borrow_mut();
         let (len, data) = state.framing.accept(bytes, room);
         state.delivered += data;
-        let done = state.framing.is_done();
-        if done {
+        if state.framing.is_done() {
             state.phase = Phase::Held;
         }
         drop(state);
-        if done {
-            self.guard.body_complete(self.key);
-        } else if len > 0 {
+        if len > 0 {
             self.guard.body_progress(self.key);
         }
         len
@@ -247,6 +244,12 @@
         self.wake_if_withheld();
     }
 
+    /// Notes that the handler has read the body to its end. The framing does not tell this: the
+    /// library may expect more than it says.
+    pub(super) fn body_read(&self) {
+        self.guard.body_complete(self.key);
+    }
+
     /// Asks for `bytes` of the budget; returns whether they are granted now.
     pub(super) fn charge(&self, bytes: usize) -> bool {
         let granted = self.guard.charge(self.key, bytes);
--- a/tests/crowds/connections.rs
+++ b/tests/crowds/connections.rs
@@ -69,3 +69,22 @@
     message.resize(message.len() + 1_000, b' ');
     face(message, |site| site.instance.front);
 }
+
+/// The end of the body, as the length of the message says, is not the end of an upgraded connection.
+/// A request of which a part is still expected must not count as complete: its connection would never
+/// make room for another one, and would outlast its client.
+#[test]
+fn upgrades_with_a_body() {
+    let message = b"POST /q/00000000000000b3 HTTP/1.1\r\nhost: h\r\nconnection: upgrade\r\n\
+        upgrade: websocket\r\ncontent-length: 20\r\n\r\n01234567890123456789";
+    face(message.to_vec(), |site| site.instance.front);
+}
+
+/// The line after the last chunk lacks its carriage return, so that the HTTP library expects a
+/// further line. See [`upgrades_with_a_body`].
+#[test]
+fn bodies_whose_last_line_is_malformed() {
+    let message = b"POST /q/00000000000000b4 HTTP/1.1\r\nhost: h\r\n\
+        transfer-encoding: chunked\r\n\r\n5\r\n01234\r\n0\r\n\n";
+    face(message.to_vec(), |site| site.instance.front);
+}
