fix(intake): chunks of one byte do not take memory beyond the budget

Cause: the window of a body counts its data. The lines between chunks were delivered without a bound, up to the 128 KiB that the HTTP library reads at once, and the library keeps an entry of 32 bytes for each chunk in a queue whose room it keeps until the request ends. A body of 17,000 chunks of one byte held about 0.5 MB and was charged 32 KiB.

Change: a body that is not of a known length is delivered 4 KiB at a time; the library parses these, and the handler takes them, before it gets more.

Result: crowds::bodies::stalled_bodies_in_chunks_of_one_byte (300 clients, machine of 96 MB, debug build) failed before with 148,464 KiB resident, bound 65,625; it passes with a peak of 43,328 KiB. stalled_bodies_in_chunks and ordinary::clients_within_the_limits_are_served_as_before pass.

--- a/src/cell/shell/connection.rs
+++ b/src/cell/shell/connection.rs
@@ -38,7 +38,10 @@
     },
     intake::{
         Limit,
-        framing::HeadScan, //
+        framing::{
+            Framing,
+            HeadScan, //
+        }, //
     }, //
 };
 
@@ -48,6 +51,11 @@
 /// Size of the buffer that an idle connection keeps, in bytes.
 const KEPT_BYTES: usize = 4 << 10;
 
+/// Bytes of a body that is not of a known length that are delivered before the library parses them. It
+/// keeps an entry of 32 bytes for each chunk, also for one of 6 bytes, and the buffer for the lines
+/// between the chunks, which the window of the body does not count.
+const CHUNKS_TURN: usize = 4 << 10;
+
 /// Bytes that are discarded at once from a client whose body is not wanted.
 const DISCARD_TURN: usize = 64 << 10;
 
@@ -77,6 +85,8 @@
     scan: HeadScan,
     /// Length of the complete head at the start of `ahead` that is being delivered; 0 for none.
     head: usize,
+    /// Bytes of a body that were delivered since the library parsed last.
+    turn: usize,
     /// Whether nothing more can be read.
     ended: bool,
     /// Whether the client has not taken all of an answer.
@@ -97,6 +107,7 @@
             ahead: BytesMut::new(),
             scan: HeadScan::default(),
             head: 0,
+            turn: 0,
             ended: false,
             blocked: false,
             shut: false,
@@ -212,17 +223,27 @@
             self.gate.withhold(true);
             return Poll::Pending;
         }
+        let most = match self.gate.framing() {
+            Framing::Length(_) => usize::MAX,
+            _ => CHUNKS_TURN.saturating_sub(self.turn),
+        };
+        if most == 0 {
+            // The library parses what it has before it reads again.
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         if !self.ahead.is_empty() {
-            let len = self.ahead.len().min(buf.remaining());
+            let len = self.ahead.len().min(buf.remaining()).min(most);
             let len = self.gate.accept(&self.ahead[..len]);
             buf.put_slice(&self.ahead[..len]);
             self.consume(len);
+            self.turn += len;
             return Poll::Ready(Ok(()));
         }
         if self.ended {
             return Poll::Ready(Ok(()));
         }
-        let want = self.gate.wanted().min(buf.remaining());
+        let want = self.gate.wanted().min(buf.remaining()).min(most);
         let mut part = ReadBuf::new(buf.initialize_unfilled_to(want));
         ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
         let bytes = part.filled();
@@ -233,6 +254,7 @@
         let len = self.gate.accept(bytes);
         self.ahead.extend_from_slice(&bytes[len..]);
         buf.advance(len);
+        self.turn += len;
         Poll::Ready(Ok(()))
     }
 
@@ -284,7 +306,10 @@
             Phase::Closing => Poll::Ready(Ok(())),
         };
         match &read {
-            Poll::Pending => this.gate.store_waker(cx.waker()),
+            Poll::Pending => {
+                this.turn = 0;
+                this.gate.store_waker(cx.waker());
+            }
             Poll::Ready(Err(_)) => this.gate.peer_closed().0.set(true),
             Poll::Ready(Ok(())) => {}
         }
--- a/tests/crowds/bodies.rs
+++ b/tests/crowds/bodies.rs
@@ -96,6 +96,16 @@
     face(CLIENTS, SMALL, message, |site| site.instance.front);
 }
 
+/// The HTTP library keeps an entry for each chunk, which is larger than the chunk.
+#[test]
+fn stalled_bodies_in_chunks_of_one_byte() {
+    let mut message = head(ROUTE, "transfer-encoding: chunked");
+    for _ in 0..17_000 {
+        message.extend_from_slice(b"1\r\n \r\n");
+    }
+    face(CLIENTS, LARGE, message, |site| site.instance.front);
+}
+
 #[test]
 fn oversized_bodies() {
     let mut message = head(ROUTE, "content-length: 50000000");
