fix(intake): a head that begins with the request before is timed

Cause: the time for a head began when its first byte arrived while no request was handled. A head whose first bytes came with the request before was never timed, and each further byte began the idle time-out of the HTTP library again: one byte every few seconds kept a connection for hours, although head_ms covers the heads of later requests.

Change: the connection begins the time once it asks for the next head and a part of it is there.

--- a/src/cell/shell/connection.rs
+++ b/src/cell/shell/connection.rs
@@ -85,6 +85,8 @@
     scan: HeadScan,
     /// Length of the complete head at the start of `ahead` that is being delivered; 0 for none.
     head: usize,
+    /// Whether the time for the present head has begun.
+    timed: bool,
     /// Bytes of a body that were delivered since the library parsed last.
     turn: usize,
     /// Whether nothing more can be read.
@@ -107,6 +109,7 @@
             ahead: BytesMut::new(),
             scan: HeadScan::default(),
             head: 0,
+            timed: false,
             turn: 0,
             ended: false,
             blocked: false,
@@ -146,6 +149,10 @@
         {
             self.head = len;
         }
+        if self.head == 0 && !self.ahead.is_empty() {
+            // It was read ahead, while the request before was handled.
+            self.begin_head();
+        }
         loop {
             if self.head > 0 {
                 let len = self.head.min(buf.remaining());
@@ -153,7 +160,7 @@
                 self.consume(len);
                 self.head -= len;
                 if self.head == 0 {
-                    self.gate.head_delivered(self.ahead.len());
+                    self.end_head();
                 }
                 return Poll::Ready(Ok(()));
             }
@@ -180,7 +187,7 @@
                 if len <= buf.remaining() {
                     buf.put_slice(&bytes[..len]);
                     self.ahead.extend_from_slice(&bytes[len..]);
-                    self.gate.head_delivered(self.ahead.len());
+                    self.end_head();
                     return Poll::Ready(Ok(()));
                 }
                 self.head = len;
@@ -189,12 +196,27 @@
             if self.head == 0 {
                 self.head = self.scan.end(&self.ahead).unwrap_or(0);
             }
-            if !self.gate.head_arrives(self.ahead.len(), first) {
+            self.begin_head();
+            if !self.gate.charge_head(self.ahead.len()) {
                 return Poll::Ready(Err(self.refuse(Limit::Bytes)));
             }
         }
     }
 
+    /// Begins the time for a head at its first byte.
+    fn begin_head(&mut self) {
+        if !self.timed {
+            self.timed = true;
+            self.gate.head_begins();
+        }
+    }
+
+    /// Notes that a complete head was delivered.
+    fn end_head(&mut self) {
+        self.timed = false;
+        self.gate.head_delivered(self.ahead.len());
+    }
+
     fn refuse(&self, limit: Limit) -> io::Error {
         self.gate.guard().note(limit);
         io::Error::new(io::ErrorKind::InvalidData, limit.label())
--- a/src/cell/shell/gate.rs
+++ b/src/cell/shell/gate.rs
@@ -126,12 +126,13 @@
 
     // The side of the connection.
 
-    /// Notes that a part of a head has arrived, and charges `bytes` of it in all; returns whether
-    /// there is room.
-    pub(super) fn head_arrives(&self, bytes: usize, first: bool) -> bool {
-        if first {
-            self.guard.enter(self.key, Stage::Head);
-        }
+    /// Notes that a part of a head has arrived.
+    pub(super) fn head_begins(&self) {
+        self.guard.enter(self.key, Stage::Head);
+    }
+
+    /// Charges a head of which `bytes` have arrived; returns whether there is room.
+    pub(super) fn charge_head(&self, bytes: usize) -> bool {
         self.guard.charge_head(self.key, bytes)
     }
 
