fix(frontend): a stop waits for requests that wait for a configuration

Cause: a request counted as in progress only from the arrival of its body on. Before the route and key were checked ahead of the body, the wait for a configuration that is being received was part of that. A process that stopped in this time ended without an answer: its caller did not know whether the job runs.

Change: the request also counts while it waits for the configuration. It does not while its body is read, as before.

--- a/src/cell/shell/frontend.rs
+++ b/src/cell/shell/frontend.rs
@@ -96,9 +96,12 @@
     }
     let limit = incoming.timeout.unwrap_or(DEFAULT_TIMEOUT_MS);
     let timeout = Duration::from_millis(share(limit, incoming.age));
+    let waiting = server::Active::begin(shared);
     let Some(catalog) = matching_catalog(shared, incoming, timeout).await else {
         return unavailable(503, "a new configuration is being received\n");
     };
+    // A process that stops does not wait for bodies.
+    drop(waiting);
     let Some(queue) = catalog.queue(&incoming.host, &incoming.path) else {
         info!(host = incoming.host.as_str(), path = incoming.path.as_str(), version = catalog.version; "no queue matches the request");
         return Answer::text(404, "no such queue\n");
--- a/src/cell/shell/server.rs
+++ b/src/cell/shell/server.rs
@@ -278,7 +278,7 @@
     request.head().headers.get(name)?.to_str().ok()
 }
 
-/// Counts a caller's request whose body has arrived while it is in progress.
+/// Counts a caller's request while it is in progress, but for the time in which its body is read.
 pub(super) struct Active<'a>(&'a Shared);
 
 impl<'a> Active<'a> {
--- a/tests/instances/large_configuration.rs
+++ b/tests/instances/large_configuration.rs
@@ -88,3 +88,23 @@
         published.elapsed()
     );
 }
+
+/// Time after the stop signal at which a configuration is sent to an instance, so that it arrives
+/// after the instance begins to close its connections, at 4,500 ms.
+const PUBLISH_AFTER: Duration = Duration::from_millis(3_700);
+
+/// A request that waits for a configuration must get its answer also while the instance stops: a
+/// caller whose connection ends without one does not know whether its job runs.
+#[test]
+fn a_request_that_waits_for_a_configuration_is_answered_at_a_stop() {
+    let cell = Cell::start(1);
+    cell.instances[0].signal("TERM");
+    thread::sleep(PUBLISH_AFTER);
+    {
+        let mut state = cell.platform.lock().unwrap();
+        state.fault.config_rate = RATE;
+        state.publish("keyed.op", "config", &configuration(4, ROUTES));
+    }
+    thread::sleep(Duration::from_millis(300));
+    assert_eq!(post(&cell, "/none/00000000000000a9"), Some(404));
+}
