fix(intake): the time for a whole body leaves out waits for memory

Cause: body_span_ms is documented to leave out waits for memory, but a body that went on after a wait kept the start of its time. A slow client was cut short for a pause that the process had made, up to 2 s for each of the five pieces of a body of the largest size.

Change: the time stands still during a wait.

--- a/src/cell/shell/intake/connections.rs
+++ b/src/cell/shell/intake/connections.rs
@@ -131,14 +131,17 @@
         self.list.remove(key);
     }
 
-    /// Notes what a connection is doing now. A body that goes on after a wait keeps its time.
+    /// Notes what a connection is doing now. The time for a body stands still during a wait.
     pub fn enter(&mut self, key: ConnectionKey, stage: Stage, now: u64) {
         let Some(activity) = self.list.get_mut(key) else {
             return;
         };
-        let body = [Stage::Body, Stage::Waiting];
-        if !(body.contains(&activity.stage) && body.contains(&stage)) {
-            activity.began = now;
+        match (activity.stage, stage) {
+            (Stage::Waiting, Stage::Body | Stage::Waiting) => {
+                activity.began += now.saturating_sub(activity.moved);
+            }
+            (Stage::Body, Stage::Body | Stage::Waiting) => {}
+            _ => activity.began = now,
         }
         activity.stage = stage;
         activity.moved = now;
