feat(shares): caps use four fifths of the tolerated overage

Cause: with half of it, an organisation with a cap that sends many times its usual still loses what the settings allow; all that it sends within its weight is owed.

Change: USED_OVERAGE is 0.8. The owner tracks starts until their end is known and counts those of earlier owners from above, so the margin is for errors of that count alone.

--- a/src/cell/shares/mod.rs
+++ b/src/cell/shares/mod.rs
@@ -27,7 +27,7 @@
 
 /// Part of the tolerated overage of a cap that the owner uses. The rest is the margin for runs that it
 /// cannot see.
-const USED_OVERAGE: f64 = 0.5;
+const USED_OVERAGE: f64 = 0.8;
 
 /// Key of an organisation.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
