feat(shares): only steps that can still be on time go first by share

Cause: under overload, late work of organisations below their entitlement was placed before work of others that could still be on time.

Ruled out: no shares for late work at all; it keeps its place in the second round, by class.

Change: the first round of a pass takes steps that can still meet their objective.

The 33 tests of the shares hold.

--- a/src/cell/engine/organisations.rs
+++ b/src/cell/engine/organisations.rs
@@ -94,7 +94,7 @@
         let Some(definition) = job.definition(*key) else {
             return 0;
         };
-        if job.excess || !placement::is_timely(rank) {
+        if job.excess || !placement::is_on_time(rank) {
             return 0;
         }
         let demand = Amounts::of(&definition.demand);
--- a/src/cell/engine/placement.rs
+++ b/src/cell/engine/placement.rs
@@ -83,6 +83,11 @@
 /// Waiting step with its sort key.
 pub(super) type Ranked = (Rank, StepKey);
 
+/// Whether a step of this rank can still meet its objective.
+pub(super) fn is_on_time(rank: &Rank) -> bool {
+    rank.0 == ON_TIME
+}
+
 /// Whether the completion of a step of this rank still has value.
 pub(super) fn is_timely(rank: &Rank) -> bool {
     rank.0 < WORTHLESS
