fix(shares): runs count beside a copy that has completed their task

Cause: a task that is done counted as having no run. A step of which copies may run starts again before the workers have reported, and its copy can complete a task while the run of an earlier owner goes on. Until that run was reported, its organisation had room for another task; if the job completed, the run was attributed to no organisation at all.

Change: a task that a run of this owner completes before reconciliation, and of which copies may run, counts until then. A completed job with such tasks is kept as a remnant.

--- a/src/cell/engine/remnants.rs
+++ b/src/cell/engine/remnants.rs
@@ -15,7 +15,8 @@
         JobKey,
         Phase,
         RunKey,
-        Task, //
+        Task,
+        TaskKey, //
     },
     journal,
     model::{
@@ -63,7 +64,9 @@
         }
         for step in job.occurrences.iter().map(|o| o.steps.iter().zip(&demands)) {
             for (state, demand) in step {
-                total = total.plus(demand.times(u64::from(state.left)));
+                let open = |t: &&Task| t.phase != Phase::Done || t.overtaken;
+                let tasks = state.tasks.iter().filter(open).count();
+                total = total.plus(demand.times(tasks as u64));
             }
         }
         Self {
@@ -82,12 +85,16 @@
     /// Keeps a job that is ending, if runs of it may go on beyond the end.
     pub(super) fn keep_remnant(&mut self, key: JobKey, now: u64) {
         let job = &self.jobs[key];
-        if job.organisation_key == shares::Key::NONE || job.state == State::Completed || !job.sent {
+        if job.organisation_key == shares::Key::NONE || !job.sent {
             return;
         }
+        let completed = job.state == State::Completed;
+        let steps = job.occurrences.iter().flat_map(|o| &o.steps);
+        let mut tasks = steps.flat_map(|step| &step.tasks);
         let unknown = job.inherited && !self.cluster.reconciled;
+        let unknown = unknown && (!completed || tasks.any(|task| task.overtaken));
         let mut runs = self.cluster.runs.values();
-        if unknown || runs.any(|run| is_of(run, &job.id)) {
+        if unknown || !completed && runs.any(|run| is_of(run, &job.id)) {
             let remnant = Remnant::new(job, false, now);
             self.remnants.push(remnant);
         }
@@ -191,16 +198,34 @@
         }
     }
 
+    /// Notes that a run has completed a task, if a run of an earlier owner may go on beside it.
+    pub(super) fn note_overtaken(&mut self, task: TaskKey, run: &Run) {
+        if self.cluster.reconciled || is_adopted(run) {
+            return;
+        }
+        let job = self.jobs.get_mut(task.step.job);
+        let Some(job) = job.filter(|job| job.inherited) else {
+            return;
+        };
+        let Some(definition) = job.definition(task.step).filter(|step| step.copies) else {
+            return;
+        };
+        // The tasks of a gang succeed together.
+        let gang = definition.gang;
+        let Some(step) = job.step_mut(task.step) else {
+            return;
+        };
+        for (index, state) in step.tasks.iter_mut().enumerate() {
+            state.overtaken |= gang || index == task.index as usize;
+        }
+    }
+
     /// Whether a task of an inherited job may have a run that is not tracked. One of which copies may
     /// run starts again before that is known.
     fn may_run_elsewhere(&self, task: &Task, copies: bool) -> bool {
-        let adopted = |run: RunKey| {
-            let run = self.cluster.runs.get(run);
-            // A run of an earlier owner was never commanded by this one.
-            run.is_some_and(|run| run.start_expires == 0 && run.is_confirmed())
-        };
+        let adopted = |run: RunKey| self.cluster.runs.get(run).is_some_and(is_adopted);
         match task.phase {
-            Phase::Done => false,
+            Phase::Done => task.overtaken,
             Phase::Waiting => true,
             Phase::Active(run) => copies && !adopted(run),
         }
@@ -218,6 +243,11 @@
     }
 }
 
+/// Whether a run was started by an earlier owner: this one never sent a command to start it.
+fn is_adopted(run: &Run) -> bool {
+    run.start_expires == 0 && run.is_confirmed()
+}
+
 /// Whether a run is one of an ended job; no task needs its result.
 fn is_of(run: &Run, ended: &str) -> bool {
     run.task.is_none() && run.name.job == ended
--- a/src/cell/engine/reports.rs
+++ b/src/cell/engine/reports.rs
@@ -349,6 +349,9 @@
         {
             state.phase = Phase::Waiting;
         }
+        if outcome == Outcome::Done {
+            self.note_overtaken(task, &run);
+        }
         self.apply_outcome(task, run.worker, run.number, outcome, checkpoint, now);
     }
 
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -91,6 +91,8 @@
     pub exposure: Option<suspicion::Exposure>,
     /// Whether a run of an earlier owner may be on a cordoned worker.
     pub withheld: bool,
+    /// Whether a copy completed the task while a run of an earlier owner could be unknown.
+    pub overtaken: bool,
 }
 
 impl Task {
--- a/tests/cell/shares_owners.rs
+++ b/tests/cell/shares_owners.rs
@@ -2,6 +2,7 @@
 
 use bamboolock::cell::{
     engine::Engine,
+    job::RunKey,
     model, //
 };
 
@@ -158,6 +159,60 @@
     assert_eq!(make::starts(&mut engine, START + 500), []);
 }
 
+/// A successor that has started copies of the four tasks of the first job on `w1`.
+fn copied(steps: Vec<model::Step>) -> (Engine, Vec<RunKey>) {
+    let (mut first, log) = accepted(steps);
+    let runs = make::starts(&mut first, START);
+    make::accept(&mut first, &runs, START);
+    let mut engine = successor(&log);
+    engine.set_organisations(&[shares::organisation("a", 1.0, 8_000)]);
+    let copies = make::starts(&mut engine, START + 300);
+    assert_eq!(copies.len(), 4);
+    make::accept(&mut engine, &copies, START + 300);
+    (engine, copies)
+}
+
+fn copies() -> model::Step {
+    model::Step {
+        copies: true,
+        ..make::step(4, 1_000)
+    }
+}
+
+/// A copy may complete a task while the run of an earlier owner goes on. That run must still count,
+/// whether or not the job has completed.
+#[test]
+fn runs_of_tasks_that_a_copy_has_completed_count() {
+    let after = model::Step {
+        depends_on: vec![0],
+        ..make::step(1, 0)
+    };
+    for steps in [vec![copies(), after], vec![copies()]] {
+        let completes = steps.len() == 1;
+        let (mut engine, copies) = copied(steps);
+        let key = engine.cluster.find_worker("w1").unwrap();
+        let mut done = make::report(1, 900);
+        for (index, run) in copies.iter().enumerate() {
+            let name = make::task(&id(1), 0, index as u32);
+            let number = engine.cluster.runs[*run].number;
+            let end = make::end(index as u64 + 1, name, number, model::Outcome::Done);
+            done.ended.push(end);
+        }
+        make::answer(&mut engine, key, done, START + 400);
+        make::store(&mut engine, START + 400);
+        engine.set_organisations(&shares::capped());
+        submit_new(&mut engine);
+        assert_eq!(started(&mut engine, START + 500), [id(3)], "{completes}");
+        if completes {
+            assert_eq!(engine.visible_state(&id(1)), Some(model::State::Completed));
+            report(&mut engine, None, START + 600);
+            assert_eq!(started(&mut engine, START + 700), Vec::<String>::new());
+            report(&mut engine, Some(model::Outcome::Stopped), START + 800);
+            assert_eq!(started(&mut engine, START + 900), [id(2)]);
+        }
+    }
+}
+
 /// The runs of a job that was cancelled go on until their worker has stopped them. The owner that knew
 /// of them may be gone by then.
 #[test]
