fix(shares): copies of an ended job do not stand for unknown runs

Cause: the tracked runs of an ended inherited job were subtracted from those that may exist. Copies that this owner started were among them, so that the runs of the earlier owner counted for nothing while the copies were being stopped.

Change: only adopted runs are subtracted.

Result: copies_that_are_being_stopped_count_beside_the_runs_that_may_exist failed before and passes.

--- a/src/cell/engine/remnants.rs
+++ b/src/cell/engine/remnants.rs
@@ -191,7 +191,8 @@
         }
         for remnant in self.remnants.iter().filter(|remnant| remnant.inherited) {
             let runs = self.cluster.runs.values();
-            let tracked = runs.filter(|run| is_of(run, &remnant.id));
+            // The copies that this owner started are not the runs of the earlier one.
+            let tracked = runs.filter(|run| is_of(run, &remnant.id) && is_adopted(run));
             let tracked = tracked.map(|run| run.charge.demand);
             let tracked = tracked.fold(Amounts::default(), Amounts::plus);
             add(sums, remnant.organisation, remnant.total.minus(tracked));
--- a/tests/cell/shares_owners.rs
+++ b/tests/cell/shares_owners.rs
@@ -213,6 +213,16 @@
     }
 }
 
+/// The copies of a cancelled job are stopped; they are not the runs that an earlier owner may have
+/// started, and both must count.
+#[test]
+fn copies_that_are_being_stopped_count_beside_the_runs_that_may_exist() {
+    let (mut engine, _) = copied(vec![copies()]);
+    engine.cancel(&id(1), START + 400).unwrap();
+    submit_new(&mut engine);
+    assert_eq!(started(&mut engine, START + 500), [id(3)]);
+}
+
 /// The runs of a job that was cancelled go on until their worker has stopped them. The owner that knew
 /// of them may be gone by then.
 #[test]
