fix(shares): runs that a completed job leaves count at the next owner

Cause: the records of a completed job were deleted at once. A worker that was unreachable can report that a task has succeeded while a later run of it is under way elsewhere. If that run could not be stopped before the owner changed, the next one attributed it to no organisation.

Change: a completed job is kept as a remnant too if runs of it go on. The runs are searched only for jobs of which a task was started more than once or may have copies.

--- a/src/cell/engine/remnants.rs
+++ b/src/cell/engine/remnants.rs
@@ -90,11 +90,15 @@
         }
         let completed = job.state == State::Completed;
         let steps = job.occurrences.iter().flat_map(|o| &o.steps);
-        let mut tasks = steps.flat_map(|step| &step.tasks);
+        let tasks = steps.flat_map(|step| &step.tasks);
         let unknown = job.inherited && !self.cluster.reconciled;
-        let unknown = unknown && (!completed || tasks.any(|task| task.overtaken));
+        let unknown = unknown && (!completed || tasks.clone().any(|task| task.overtaken));
+        // Only a job of which tasks were started more than once completes while runs go on, so that few
+        // completed jobs need the search.
+        let copies = job.submission.steps.iter().any(|step| step.copies);
+        let repeated = copies || tasks.clone().any(|task| task.last_run > 1);
         let mut runs = self.cluster.runs.values();
-        if unknown || !completed && runs.any(|run| is_of(run, &job.id)) {
+        if unknown || (!completed || repeated) && runs.any(|run| is_of(run, &job.id)) {
             let remnant = Remnant::new(job, false, now);
             self.remnants.push(remnant);
         }
--- a/tests/cell/shares_owners.rs
+++ b/tests/cell/shares_owners.rs
@@ -7,6 +7,10 @@
 };
 
 use super::{
+    driver::{
+        Back,
+        Cell, //
+    },
     make::{
         self,
         START, //
@@ -223,6 +227,38 @@
     assert_eq!(started(&mut engine, START + 500), [id(3)]);
 }
 
+/// A worker that was unreachable reports that tasks have succeeded while later runs of them are under
+/// way elsewhere. The job completes, and the runs that are to be stopped must count at the next owner.
+#[test]
+fn runs_that_a_completed_job_leaves_count_at_the_next_owner() {
+    let mut cell = Cell::new(3, Back::Itself);
+    cell.configure(&[shares::organisation("a", 1.0, 8_000)]);
+    let work = make::work(vec![make::step(8, 1_000)]);
+    cell.submit_for(&id(1), "a", work.clone());
+    cell.run(100);
+    let task = make::task(&id(1), 0, 0);
+    let first = cell.place(&task).unwrap();
+    cell.cuts[first] = cell.now + 60_000;
+    cell.duration = 60_000;
+    cell.run_until("started again", |cell| {
+        cell.place(&task).is_some_and(|at| at != first)
+    });
+    let second = cell.place(&task).unwrap();
+    assert_eq!(cell.used_by(&id(1)), 8_000);
+    (cell.cuts[first], cell.cuts[second]) = (cell.now, cell.now + 4_000);
+    cell.run_until("completed", |cell| {
+        cell.state(&id(1)) == Some(model::State::Completed)
+    });
+    assert_eq!(cell.used_by(&id(1)), 8_000);
+    cell.replace_owner();
+    cell.submit_for(&id(2), "a", work);
+    while cell.used_by(&id(2)) < 8_000 {
+        cell.run(10);
+        let used = cell.used_by(&id(1)) + cell.used_by(&id(2));
+        assert!(used <= 8_000, "{used}");
+    }
+}
+
 /// The runs of a job that was cancelled go on until their worker has stopped them. The owner that knew
 /// of them may be gone by then.
 #[test]
