fix(shares): nothing is reserved where a step has its most tasks

Cause: a step that is owed service and could not be placed was taken to wait for capacity also if all workers with room had as many of its tasks as it allows. What was reserved for it there stayed unused.

Change: such workers are left out.

Result: nothing_is_reserved_where_a_step_has_its_most_tasks failed before, with one of four cores unused, and passes.

--- a/src/cell/engine/organisations.rs
+++ b/src/cell/engine/organisations.rs
@@ -172,7 +172,9 @@
                 let worker = &self.cluster.workers[slot.worker];
                 let fits = demand.fits(&worker.registration.capacity)
                     && self.is_eligible(slot.worker, job, definition);
-                if slot.is_open() && fits {
+                let limit = definition.max_per_worker;
+                let full = || limit > 0 && self.runs_on(ranked.1, slot.worker) >= limit;
+                if slot.is_open() && fits && !full() {
                     parts.push((fitting_part(&slot.available(), &demand), at));
                 }
             }
--- a/tests/cell/shares.rs
+++ b/tests/cell/shares.rs
@@ -360,3 +360,19 @@
     submit(&mut engine, 1, "a", vec![make::step(10, 1_000)]);
     assert_eq!(make::starts(&mut engine, START).len(), 5);
 }
+
+/// A step that may have no more tasks on any worker does not wait for capacity. What is reserved for it
+/// would stay unused.
+#[test]
+fn nothing_is_reserved_where_a_step_has_its_most_tasks() {
+    let list = ["a", "b"].map(|name| organisation(name, 100.0, 0));
+    let mut engine = cell(&[("w1", 4_000)], &list);
+    let step = model::Step {
+        max_per_worker: 1,
+        ..make::step(2, 1_000)
+    };
+    submit(&mut engine, 1, "a", vec![step]);
+    assert_eq!(started(&mut engine, START), [id(1)]);
+    submit(&mut engine, 2, "b", vec![make::step(3, 1_000)]);
+    assert_eq!(started(&mut engine, START + 400).len(), 3);
+}
