fix(shares): the expected wait leaves out resources that a job does not need

Cause: the wait of a job was that of the organisation's longest backlog by resource. A job without accelerators was refused for work that waits for accelerators, though such work does not delay it.

Change: only the resources that the job's first steps need count.

Result: the_expected_wait_counts_only_resources_that_the_job_needs failed before and passes.

--- a/src/cell/shares/waiting.rs
+++ b/src/cell/shares/waiting.rs
@@ -25,9 +25,10 @@
     }
 
     /// Time that the parts `capacity` of a cell with the resources `total` take for the work, in
-    /// milliseconds. A resource that no worker has says nothing.
-    fn time(&self, capacity: [f64; KINDS], total: [f64; KINDS]) -> u64 {
-        let counted = (0..KINDS).filter(|at| total[*at] > 0.0 && self.0[*at] > 0.0);
+    /// milliseconds. A resource that no worker has says nothing, nor does one of which `demand` is 0.
+    fn time(&self, capacity: [f64; KINDS], total: [f64; KINDS], demand: Amounts) -> u64 {
+        let counted = (0..KINDS).filter(|at| demand.0[*at] > 0);
+        let counted = counted.filter(|at| total[*at] > 0.0 && self.0[*at] > 0.0);
         let times = counted.map(|at| self.0[at] / capacity[at]);
         times.fold(0.0, f64::max) as u64
     }
@@ -130,7 +131,8 @@
     }
 
     /// Time after which a new job with tasks of `demand` is expected to start, in milliseconds: the work
-    /// that goes before it over the capacity that the organisation's share gives, and its cap allows.
+    /// that goes before it over the capacity that the organisation's share gives, and its cap allows. Only the
+    /// resources that the job needs count: work that waits for others does not delay it.
     ///
     /// A job beyond the rate goes after all work that is owed service, whose ever it is.
     #[must_use]
@@ -163,9 +165,9 @@
                 cap => given.min(cap as f64),
             }
         });
-        let own = ahead.time(capacity, total);
+        let own = ahead.time(capacity, total, demand);
         match excess {
-            true => own.max(self.waiting.total.time(total, total)),
+            true => own.max(self.waiting.total.time(total, total, demand)),
             false => own,
         }
     }
--- a/tests/cell/shares_refusal.rs
+++ b/tests/cell/shares_refusal.rs
@@ -107,6 +107,29 @@
     assert_eq!(admit(&mut engine, 2, "a", &work), Ok(()), "8 s are in time");
 }
 
+/// Work that waits for accelerators must not have a job refused that needs none.
+#[test]
+fn the_expected_wait_counts_only_resources_that_the_job_needs() {
+    let list = [shares::organisation("a", 100.0, 0)];
+    let mut engine = shares::cell(&[], &list);
+    let mut worker = make::worker("w1", 1, 1_000);
+    worker.capacity.accelerators = 1;
+    engine.register(worker);
+    let key = engine.cluster.find_worker("w1").unwrap();
+    make::answer(&mut engine, key, make::report(1, 500), START);
+    make::store(&mut engine, START);
+    let mut accelerated = make::step(30, 0);
+    accelerated.demand.accelerators = 1;
+    shares::submit(&mut engine, 1, "a", vec![accelerated.clone()]);
+    let plain = make::step(1, 1_000);
+    shares::submit(&mut engine, 2, "a", vec![plain.clone()]);
+    assert_eq!(shares::started(&mut engine, START).len(), 2);
+    // 29 seconds of work wait for the accelerator, and nothing for the core, which is busy.
+    assert_eq!(admit(&mut engine, 3, "a", &make::work(vec![plain])), Ok(()));
+    let work = make::work(vec![accelerated]);
+    assert_eq!(admit(&mut engine, 4, "a", &work), Err(5));
+}
+
 /// A job beyond the rate is served after all that is owed service, and must be told so.
 #[test]
 fn a_job_beyond_the_rate_is_refused_behind_the_work_of_others() {
