fix(shares): a refusal waits until ownership is proven

Cause: an owner that had been replaced, and had not learned of it, refused jobs with 429 and the statement that they do not run, also if the next owner had accepted them from another instance.

Change: as for a job that does not exist, the owner answers so only with a recent proof of ownership, and obtains one otherwise. Without one, the answer is that the outcome is unknown.

No test covers it: the tests of the engine have no handler, and those of instances were not run.

--- a/src/cell/shell/handler.rs
+++ b/src/cell/shell/handler.rs
@@ -179,11 +179,15 @@
         return outcome;
     }
     let now = owner.now();
+    let admitted = {
+        let mut engine = owner.engine.borrow_mut();
+        engine.admit(id, &source.organisation, &queue, &work, now)
+    };
+    if let Err(seconds) = admitted {
+        return overloaded(owner, id, seconds).await;
+    }
     let submitted = {
         let mut engine = owner.engine.borrow_mut();
-        if let Err(seconds) = engine.admit(id, &source.organisation, &queue, &work, now) {
-            return Outcome::Overloaded(seconds);
-        }
         let submitted = engine.submit(id, queue, work, now);
         engine.set_origin(id, &source.origin);
         engine.set_organisation(id, &source.organisation);
@@ -199,6 +203,20 @@
     }
 }
 
+/// Returns that a job is refused once ownership is proven, since another owner may have accepted it.
+async fn overloaded(owner: &Rc<Owner>, id: &str, seconds: u64) -> Outcome {
+    let fresh = owner.engine.borrow().has_fresh_proof(owner.now());
+    let proven = fresh || confirm(owner).await;
+    if owner.is_over() {
+        return Outcome::Elsewhere;
+    }
+    // Another request for the job may have been accepted meanwhile.
+    match proven && !owner.engine.borrow().is_known(id) {
+        true => Outcome::Overloaded(seconds),
+        false => Outcome::Unknown,
+    }
+}
+
 /// Outcome of a job for which there is no room at the owner; `None` if there is.
 fn lacks_room(owner: &Owner, id: &str, work: &model::Submission, retry: u64) -> Option<Outcome> {
     let shortage = owner.engine.borrow().check_room(id, work).err()?;
