fix(shares): runs that may exist count for no more than silent workers can hold

Cause: after a change of owner, every unfinished task of inherited jobs counted as running until all workers had reported.

Ruled out: counting steps whose dependencies are met alone, as the earlier owner may have known of ends that it could not store.

Change: the count of an organisation is bounded by the capacity of the workers that have not reported, the larger of what is registered and what is stored, and what its opportunistic tasks may take beside it. Without a bound if a worker's record could not be read.

--- a/src/cell/engine/remnants.rs
+++ b/src/cell/engine/remnants.rs
@@ -179,7 +179,11 @@
     ///
     /// The steps whose dependencies are not met by what is stored count too: the earlier owner may have
     /// known of ends that it could not store.
+    ///
+    /// Workers that have not reported hold no more than their capacity, in which the CPU of opportunistic
+    /// tasks does not count.
     fn count_inherited(&self, sums: &mut Vec<Amounts>) {
+        let mut beside: Vec<Amounts> = Vec::new();
         let open = |job: &&Job| {
             job.inherited && !job.state.is_final() && job.organisation_key != shares::Key::NONE
         };
@@ -190,9 +194,18 @@
                     let tasks = tasks.filter(|task| self.may_run_elsewhere(task, step.copies));
                     let demand = Amounts::of(&step.demand).times(tasks.count() as u64);
                     add(sums, job.organisation_key, demand);
+                    if step.opportunistic {
+                        add(&mut beside, job.organisation_key, demand);
+                    }
                 }
             }
         }
+        if let Some(most) = self.unreported_capacity() {
+            beside.resize(sums.len(), Amounts::default());
+            for (sum, beside) in sums.iter_mut().zip(beside) {
+                *sum = sum.at_most(most.plus(beside));
+            }
+        }
         for remnant in self.remnants.iter().filter(|remnant| remnant.inherited) {
             let runs = self.cluster.runs.values();
             // The copies that this owner started are not the runs of the earlier one.
@@ -203,6 +216,24 @@
         }
     }
 
+    /// Capacity of the workers that may hold runs of earlier owners and have not reported; `None` if not
+    /// all of them are known.
+    fn unreported_capacity(&self) -> Option<Amounts> {
+        if self.unread_workers > 0 {
+            return None;
+        }
+        let workers = self.cluster.workers.values();
+        let unreported = workers.filter(|worker| worker.is_unaccounted());
+        let capacities = unreported.map(|worker| {
+            let stored = worker.stored_registration.as_ref();
+            let stored = stored.map(|entry| Amounts::of(&entry.capacity));
+            // The capacity may have shrunk since the runs were placed.
+            let now = Amounts::of(&worker.registration.capacity);
+            now.at_least(stored.unwrap_or_default())
+        });
+        Some(capacities.fold(Amounts::default(), Amounts::plus))
+    }
+
     /// Notes that a run has completed a task, if a run of an earlier owner may go on beside it.
     pub(super) fn note_overtaken(&mut self, task: TaskKey, run: &Run) {
         if self.cluster.reconciled || is_adopted(run) {
--- a/src/cell/shares/amounts.rs
+++ b/src/cell/shares/amounts.rs
@@ -43,6 +43,18 @@
         }))
     }
 
+    /// The smaller of each amount and that of `other`.
+    #[must_use]
+    pub fn at_most(self, other: Self) -> Self {
+        Self(std::array::from_fn(|at| self.0[at].min(other.0[at])))
+    }
+
+    /// The larger of each amount and that of `other`.
+    #[must_use]
+    pub fn at_least(self, other: Self) -> Self {
+        Self(std::array::from_fn(|at| self.0[at].max(other.0[at])))
+    }
+
     /// Amounts of `count` times as much.
     #[must_use]
     pub fn times(self, count: u64) -> Self {
--- a/tests/cell/shares_owners.rs
+++ b/tests/cell/shares_owners.rs
@@ -127,6 +127,26 @@
     assert_eq!(started(&mut engine, START + 600), [id(2)]);
 }
 
+/// A few silent workers must not keep an organisation with a long backlog from starting anything.
+#[test]
+fn runs_that_may_exist_count_for_no_more_than_silent_workers_can_hold() {
+    let (_, log) = accepted(vec![make::step(10, 1_000)]);
+    let records = log.iter();
+    let records = records.map(|(key, value)| (key.as_str(), value.as_deref()));
+    let mut engine = make::successor(records, START + 100);
+    engine.set_organisations(&shares::capped());
+    engine.set_catalog_proven_at(START + 100);
+    engine.register(make::worker("w1", 1, 1));
+    engine.register(make::worker("w2", 1, 16_000));
+    let key = engine.cluster.find_worker("w2").unwrap();
+    make::answer(&mut engine, key, make::report(1, 600), START + 100);
+    make::store(&mut engine, START + 100);
+    engine.tick(START + 100);
+    assert!(!engine.is_reconciled());
+    submit_new(&mut engine);
+    assert_eq!(started(&mut engine, START + 200), [id(2), id(3)]);
+}
+
 /// The earlier owner may have started steps whose dependencies are not met by what it could store.
 #[test]
 fn steps_after_an_end_that_was_not_stored_count() {
