fix(neighbours): a task that waits for room switches the preference off

Cause: steps that fit on no worker at present were left out when a pass checked whether all that waits has room. Small tasks were placed apart on workers that a larger task was waiting for, which delayed it. With organisations, capacity is reserved for such a task between the two rounds of a pass; the check did not count it, so that tasks of the second round found no worker.

Change: a step counts if an empty worker of the pass could run it.

--- a/src/cell/engine/apart.rs
+++ b/src/cell/engine/apart.rs
@@ -35,7 +35,7 @@
 /// spare capacity.
 const MAX_SETS: usize = 32;
 
-/// Waiting step that may take or reserve capacity in a pass.
+/// Waiting step that takes or needs capacity.
 struct Demand {
     key: StepKey,
     each: Resources,
@@ -172,16 +172,15 @@
         Some((job, job.definition(key)?))
     }
 
-    /// Demand of a waiting step, if it may take or reserve capacity in this pass.
+    /// Demand of a waiting step, unless no worker of the pass could run it. A step for which there is no
+    /// room at present counts: tasks that are placed apart may use up what it waits for, and capacity
+    /// may be reserved for it.
     fn waiting_demand(&self, pass: &Pass, key: StepKey) -> Option<Demand> {
         let (job, step) = self.described(key)?;
         let each = super::demand(step);
-        let fits = |slot: &placement::Slot| {
-            each.fits(&slot.available()) && self.is_eligible(slot.worker, job, step)
-        };
         let count = job.step(key).map_or(0, |step| step.waiting() as u32);
-        // Queries to the placement policy reserve capacity.
-        let counts = job.queue.policy_cost.is_some() || pass.slots.iter().any(fits);
+        let mut slots = pass.slots.iter();
+        let counts = slots.any(|slot| self.may_run(key, slot.worker));
         counts.then_some(Demand { key, each, count })
     }
 
--- a/tests/cell/neighbours/placing.rs
+++ b/tests/cell/neighbours/placing.rs
@@ -1,14 +1,17 @@
 //! Where tasks are placed that would slow each other down.
 
-use bamboolock::cell::{
-    engine::{
-        Engine,
-        commands::SendError, //
+use bamboolock::{
+    cell::{
+        engine::{
+            Engine,
+            commands::SendError, //
+        },
+        model::{
+            self,
+            Outcome, //
+        }, //
     },
-    model::{
-        self,
-        Outcome, //
-    }, //
+    resources::Resources, //
 };
 use rand::{
     Rng,
@@ -105,6 +108,76 @@
     assert_eq!(used.len(), 2, "{wide:?}");
 }
 
+/// Guards against small tasks that are spread over the room that a large one waits for.
+#[test]
+fn a_large_task_that_waits_for_a_worker_is_not_delayed() {
+    let mut engine = owner(&[("w1", 4_000), ("w2", 4_000)]);
+    assert_eq!(place(&mut engine, 1, "b", make::step(1, 3_000)), ["w1"]);
+    assert_eq!(place(&mut engine, 2, "c", make::step(1, 1_500)), ["w2"]);
+    // It needs the whole of w2 once the task there has ended.
+    let large = place(&mut engine, 3, "c", make::step(1, 4_000));
+    assert!(large.is_empty(), "{large:?}");
+    assert_eq!(place(&mut engine, 4, "a", make::step(1, 1_000)), ["w1"]);
+    let worker = engine.cluster.find_worker("w2").unwrap();
+    let mut report = make::report(1, 5_000);
+    report.ended = vec![make::end(1, make::task(&id(2), 0, 0), 1, Outcome::Done)];
+    make::answer(&mut engine, worker, report, NOW + 1_000);
+    let runs = make::starts(&mut engine, NOW + 1_000);
+    let names = runs
+        .iter()
+        .map(|run| engine.cluster.runs[*run].name.job.as_str());
+    assert_eq!(names.collect::<Vec<_>>(), [id(3)]);
+}
+
+/// Guards against capacity that is reserved for a task of an organisation between the two rounds of a
+/// pass, and that the preference has not counted.
+#[test]
+fn room_that_is_reserved_for_an_organisation_costs_no_other_task() {
+    let mut engine = make::owner(&[("w1", 4_000), ("w2", 4_000)]);
+    for name in ["w1", "w2"] {
+        let mut entry = make::worker(name, 1, 4_000);
+        entry.capacity.memory = 8_000;
+        entry.labels.push(name.into());
+        engine.register(entry);
+    }
+    make::store(&mut engine, START);
+    make::teach(&mut engine, START);
+    let organisation = |name: &str, weight| model::Organisation {
+        name: name.into(),
+        weight,
+        cap: Resources::default(),
+    };
+    engine.set_organisations(&[organisation("small", 1.0), organisation("owed", 100.0)]);
+    engine.set_catalog_proven_at(NOW);
+    let submit = |engine: &mut Engine, n: usize, from: &str, queue: &str, step| {
+        let (work, queue) = (make::work(vec![step]), make::queue(queue, 0));
+        engine.submit(&id(n), queue, work, NOW).unwrap();
+        engine.set_organisation(&id(n), from);
+        make::store(engine, NOW);
+    };
+    let step = |count, millicores, memory, label: &str| {
+        let mut step = make::step(count, millicores);
+        step.demand.memory = memory;
+        step.label = label.into();
+        step
+    };
+    submit(&mut engine, 1, "small", "b", step(1, 2_000, 100, "w1"));
+    submit(&mut engine, 2, "small", "c", step(1, 1_500, 7_000, "w2"));
+    let runs = make::starts(&mut engine, NOW);
+    assert_eq!(runs.len(), 2);
+    make::accept(&mut engine, &runs, NOW);
+    submit(&mut engine, 3, "owed", "c", step(1, 4_000, 8_000, ""));
+    submit(&mut engine, 4, "owed", "a", step(1, 1_000, 500, ""));
+    submit(&mut engine, 5, "small", "c", step(2, 1_000, 500, ""));
+    // By now, capacity is reserved for the task that fits on no worker.
+    engine.set_wall_clock(NOW + 400, NOW + 400);
+    let runs = make::starts(&mut engine, NOW + 400);
+    let names = runs
+        .iter()
+        .map(|run| engine.cluster.runs[*run].name.job.as_str());
+    assert_eq!(names.collect::<Vec<_>>(), [id(4), id(5), id(5)]);
+}
+
 /// Steps of a random backlog.
 fn backlog(rng: &mut SmallRng) -> Vec<(&'static str, model::Step)> {
     let count = rng.random_range(1..8);
