fix(neighbours): workers to ask the policy about count as room

Cause: a step under a placement policy that holds no permit was left out when a pass checked whether all that waits has room, since it starts nothing in this pass. Tasks of other kinds were placed apart on the only workers that the policy could be asked about, so that the query was not sent in this pass.

Change: such a step needs as many places as any other, counted on the workers that the policy has not denied.

Result: a_step_without_permits_finds_the_workers_to_ask_about found no query before, and one about the worker now; the other 23 tests of cell::neighbours pass.

--- a/src/cell/engine/apart.rs
+++ b/src/cell/engine/apart.rs
@@ -150,13 +150,13 @@
             let set = (job.queue.service.as_str(), step.label.as_str());
             let asks = job.queue.policy_cost.is_some();
             let special = step.max_per_worker > 0 || asks;
-            // A step without a permit starts nothing in this pass.
-            let idle = asks && self.count_places(pass, demand.key, &demand.each, 1) == 0;
-            if idle || !special && enough.contains(&set) {
+            if !special && enough.contains(&set) {
                 continue;
             }
+            // A step without a permit starts nothing in this pass, but needs workers to ask about.
+            let asking = asks && self.count_places(pass, demand.key, &demand.each, 1, false) == 0;
             if enough.len() >= MAX_SETS
-                || self.count_places(pass, demand.key, &largest, places) < places
+                || self.count_places(pass, demand.key, &largest, places, asking) < places
             {
                 return false;
             }
@@ -204,19 +204,35 @@
     }
 
     /// Number of tasks of demand `each` that fit on the workers that may run a step, up to `most`; at
-    /// most one on each worker if the step limits its tasks on one.
-    fn count_places(&self, pass: &Pass, key: StepKey, each: &Resources, most: u64) -> u64 {
+    /// most one on each worker if the step limits its tasks on one. Under a placement policy, these are
+    /// the workers with a permit or, if `asking`, those that the policy has not denied.
+    fn count_places(
+        &self,
+        pass: &Pass,
+        key: StepKey,
+        each: &Resources,
+        most: u64,
+        asking: bool,
+    ) -> u64 {
         let Some((job, step)) = self.described(key) else {
             return 0;
         };
         let policy = job.step(key).map(|step| &step.policy);
+        let policy = policy.filter(|_| job.queue.policy_cost.is_some());
+        let is_admitted = |slot: &placement::Slot| {
+            policy.is_none_or(|policy| match asking {
+                true => policy.denied.binary_search(&slot.worker).is_err(),
+                false => policy
+                    .permit(slot.worker, slot.incarnation, pass.now)
+                    .is_some(),
+            })
+        };
         let limit = step.max_per_worker;
         let mut places = 0;
         for slot in &pass.slots {
-            let permit = policy.and_then(|p| p.permit(slot.worker, slot.incarnation, pass.now));
             if !slot.is_open()
                 || !self.is_eligible(slot.worker, job, step)
-                || job.queue.policy_cost.is_some() && permit.is_none()
+                || !is_admitted(slot)
                 || limit > 0 && self.runs_on(key, slot.worker) >= limit
             {
                 continue;
--- a/tests/cell/neighbours/placing.rs
+++ b/tests/cell/neighbours/placing.rs
@@ -3,6 +3,7 @@
 use bamboolock::{
     cell::{
         engine::{
+            Action,
             Engine,
             commands::SendError, //
         },
@@ -178,6 +179,32 @@
     assert_eq!(names.collect::<Vec<_>>(), [id(4), id(5), id(5)]);
 }
 
+/// Guards against a placement policy that is asked later because the only worker to ask about was
+/// filled.
+#[test]
+fn a_step_without_permits_finds_the_workers_to_ask_about() {
+    let mut engine = owner(&[("w1", 5_000), ("w2", 4_000), ("w3", 200_000)]);
+    let mut only = make::worker("w1", 1, 5_000);
+    only.labels = vec!["kind".into(), "only".into()];
+    engine.register(only);
+    make::store(&mut engine, NOW);
+    assert_eq!(place(&mut engine, 1, "b", make::step(1, 1_000)), ["w2"]);
+    engine.proxies.record_heartbeat("i1", NOW);
+    let work = make::work(vec![make::step(1, 1_000)]);
+    make::submit(&mut engine, &id(2), make::queue("a", 0), work, NOW);
+    let mut asks = make::step(1, 5_000);
+    asks.label = "only".into();
+    let queue = make::advised(make::queue("p", 1));
+    make::submit(&mut engine, &id(3), queue, make::work(vec![asks]), NOW);
+    engine.schedule(NOW);
+    let actions = std::mem::take(&mut engine.actions).into_iter();
+    let asked = actions.filter_map(|action| match action {
+        Action::Query(query) => Some(query.workers),
+        _ => None,
+    });
+    assert_eq!(asked.collect::<Vec<_>>(), [["w1"]]);
+}
+
 /// Steps of a random backlog.
 fn backlog(rng: &mut SmallRng) -> Vec<(&'static str, model::Step)> {
     let count = rng.random_range(1..8);
