fix(neighbours): names of kinds need no escapes in the metrics

Cause: the encoder of the metrics writes label values as they are, and the name of a kind contains an image, up to 64 bytes that a caller chooses. A quote or a line break in it spoils the whole text, so that no metric can be read while the pair is known.

Change: quotes, backslashes and control characters are `_` in the name. Two images that differ in these alone remain two kinds, and share a series.

--- a/src/cell/neighbours/kinds.rs
+++ b/src/cell/neighbours/kinds.rs
@@ -57,6 +57,18 @@
     }
 }
 
+/// Name of a kind for logs and metrics, with `_` for characters that the text format of metrics escapes:
+/// the encoder writes label values as they are, and callers choose the names of images.
+fn label(queue: &str, part: &Part) -> CompactString {
+    let name = match part {
+        Part::Image(image) => format_compact!("{queue}:{image}"),
+        Part::Step(number) => format_compact!("{queue}#{number}"),
+    };
+    let is_special = |c: char| c.is_control() || matches!(c, '"' | '\\');
+    let plain = name.chars().map(|c| if is_special(c) { '_' } else { c });
+    plain.collect()
+}
+
 #[derive(Debug, Clone)]
 struct Entry {
     label: CompactString,
@@ -147,10 +159,7 @@
 
     fn add(&mut self, queue: &model::Queue, part: Part, accepted: u64, now: u64) -> Option<Kind> {
         let entry = Entry {
-            label: match &part {
-                Part::Image(image) => format_compact!("{}:{image}", queue.name),
-                Part::Step(number) => format_compact!("{}#{number}", queue.name),
-            },
+            label: label(&queue.name, &part),
             queue: queue.clone(),
             newest: accepted,
             live: 0,
--- a/tests/cell/neighbours/placing.rs
+++ b/tests/cell/neighbours/placing.rs
@@ -10,7 +10,8 @@
         model::{
             self,
             Outcome, //
-        }, //
+        },
+        neighbours::kinds::Kinds, //
     },
     resources::Resources, //
 };
@@ -297,6 +298,19 @@
     assert!(refused.unwrap_err().starts_with("/steps/0: an image"));
 }
 
+/// Guards against an image that spoils all metrics: their encoder writes label values as they are.
+#[test]
+fn the_label_of_a_kind_needs_no_escapes() {
+    let mut kinds = Kinds::default();
+    let step = model::Step {
+        image: "a\"} 1\n\\b".into(),
+        ..make::step(1, 1_000)
+    };
+    let queue = make::queue("q", 0);
+    let found = kinds.enter(&queue, (&step, 0), START, START).unwrap();
+    assert_eq!(kinds.label(found.kind()), "q:a_} 1__b");
+}
+
 /// Guards against run times that say nothing about the neighbours.
 #[test]
 fn only_runs_of_known_length_give_samples() {
