fix(neighbours): gangs without room on the link count as not moved

Cause: the placements that a pair changed were counted when the workers of a gang were chosen. A gang that the budget of start commands keeps from starting was counted again in each pass, in neighbour_moves_total and in the log.

Change: they are counted only if the pass has budget left.

--- a/src/cell/engine/placement.rs
+++ b/src/cell/engine/placement.rs
@@ -721,7 +721,10 @@
         let chosen = preference::choose(&usable, need, |i| view.cost(pass.slots[i].worker));
         let moved = chosen.iter().filter(|member| !plain.contains(member));
         let moved = moved.map(|(_, count)| u64::from(*count)).sum();
-        self.neighbours.count_moves(moved);
+        // Without budget, the gang does not start in this pass.
+        if pass.budget > 0 {
+            self.neighbours.count_moves(moved);
+        }
         Some(chosen)
     }
 
--- a/tests/cell/neighbours/placing.rs
+++ b/tests/cell/neighbours/placing.rs
@@ -110,6 +110,23 @@
     assert_eq!(used.len(), 2, "{wide:?}");
 }
 
+/// Guards against a count, and log lines, of gangs that the link has no room to start.
+#[test]
+fn a_gang_that_does_not_start_counts_as_not_moved() {
+    let mut engine = owner(&[("w1", 4_000), ("w2", 6_000)]);
+    assert_eq!(place(&mut engine, 1, "b", make::step(1, 1_000)), ["w1"]);
+    engine.start_budget = 0;
+    let gang = model::Step {
+        gang: true,
+        ..make::step(3, 1_000)
+    };
+    assert!(place(&mut engine, 2, "a", gang).is_empty());
+    assert_eq!(engine.neighbours.moves(), 0);
+    engine.start_budget = usize::MAX;
+    let runs = make::starts(&mut engine, NOW);
+    assert_eq!((runs.len(), engine.neighbours.moves()), (3, 3));
+}
+
 /// Guards against small tasks that are spread over the room that a large one waits for.
 #[test]
 fn a_large_task_that_waits_for_a_worker_is_not_delayed() {
