fix(neighbours): a change of load on all workers is not taken for a pair

Cause: the lists of a pair and of a kind spread their samples over time in different ways, and runs without the other kind counted from 10 s before the first run beside it. When all workers became slower, the median of one group followed the change earlier than that of the other. The worker's own slowdown does not help where other kinds have no runs without the suspected one.

Change: both groups are taken relative to what is usual at the time of each run: the larger one of the medians of runs without the other kind before and after it, at least two on each side.

--- a/src/cell/neighbours/comparison.rs
+++ b/src/cell/neighbours/comparison.rs
@@ -37,6 +37,42 @@
 /// Share by which such a kind was there more often than beside the runs that they are compared with.
 const RIVAL_EXCESS: f64 = 0.4;
 
+/// Number of runs before a run, and after it, that show what is usual at its time.
+const LEVEL_RUNS: usize = 5;
+
+/// Fewest such runs on each side. With 3, a pair with a ratio of 2 was learned from 21 of its runs instead
+/// of at most 20.
+const MIN_LEVEL_RUNS: usize = 2;
+
+/// Time before and after a run in which they end, in milliseconds.
+const LEVEL_SPAN_MS: u64 = 5_000;
+
+/// What is usual at a time, from runs without the other kind in order of their ends: the larger one of
+/// the medians before and after, so that a change on all workers does not count as interference.
+/// `None` if there are too few.
+fn level(apart: &[Sample], at: u64) -> Option<f64> {
+    let first = apart.partition_point(|s| s.at + LEVEL_SPAN_MS < at);
+    let last = apart.partition_point(|s| s.at <= at + LEVEL_SPAN_MS);
+    let (from, to) = (
+        apart.partition_point(|s| s.at < at),
+        apart.partition_point(|s| s.at <= at),
+    );
+    let before = &apart[first.max(to.saturating_sub(LEVEL_RUNS))..to];
+    let after = &apart[from..last.min(from + LEVEL_RUNS)];
+    let median = |runs: &[Sample]| estimate::median(runs.iter().map(|s| s.value));
+    let known = before.len().min(after.len()) >= MIN_LEVEL_RUNS;
+    known.then(|| median(before).max(median(after)))
+}
+
+/// Runs relative to what is usual at their time, as far as that is known.
+fn relative_to(apart: &[Sample], runs: impl Iterator<Item = Sample>) -> Vec<Sample> {
+    let relative = runs.filter_map(|s| {
+        let value = s.value - level(apart, s.at)?;
+        Some(Sample { value, ..s })
+    });
+    relative.collect()
+}
+
 impl Evidence {
     /// Usual values of the kinds of a set, each over its runs that were not beside kind `by`.
     fn usual_without(&self, by: Kind, kinds: u64) -> [Option<f64>; MAX_KINDS] {
@@ -76,7 +112,8 @@
         estimate::compare(&beside, &apart, now)
     }
 
-    /// Runs of a pair, and those that they are compared with.
+    /// Runs of a pair, and those that they are compared with, both relative to what is usual at their
+    /// time.
     fn groups(&self, pair: &Pair, others: u64, now: u64) -> Option<(Vec<Sample>, Vec<Sample>)> {
         let known = self.slowed_by[pair.slowed.index()];
         let excluded = (known | others) & !pair.by.bit();
@@ -97,9 +134,12 @@
         let beside: Vec<Sample> = beside.collect();
         let first = beside.iter().map(|s| s.at).min()?;
         let apart = self.kinds[pair.slowed.index()].iter().filter(counts);
-        let apart = apart.filter(|s| s.touched & pair.by.bit() == 0 && s.at + MATCH_MS >= first);
+        let apart = apart.filter(|s| s.touched & pair.by.bit() == 0);
         let apart: Vec<Sample> = apart.copied().collect();
-        Some((beside, apart))
+        let matched = apart.iter().filter(|s| s.at + MATCH_MS >= first);
+        let matched = relative_to(&apart, matched.copied());
+        let beside = relative_to(&apart, beside.into_iter());
+        Some((beside, matched))
     }
 
     /// Whether no other kind that was often there explains the difference of a pair.
--- a/tests/cell/neighbours/learning.rs
+++ b/tests/cell/neighbours/learning.rs
@@ -197,3 +197,31 @@
     replay.run(500, &[60, 8], true, |rng, _| rng.random_range(0..30));
     assert_eq!(replay.neighbours.sizes(), [0, 0, 0, 0]);
 }
+
+/// Guards against a change of load that affects all workers being taken for a kind that comes with it.
+#[test]
+fn a_kind_that_comes_with_a_change_of_load_is_not_blamed() {
+    let mut wrong = Vec::new();
+    for (others, slow) in [(0, 1.6), (0, 2.0), (20, 1.6), (20, 2.0)] {
+        for (before, noisy) in [(0, 4), (0, 12), (0, 25), (2, 12), (2, 25)] {
+            for seed in 0..3 {
+                let mut replay = Replay::new(seed, 40, 3);
+                let place = |rng: &mut rand::rngs::SmallRng, _| rng.random_range(0..40);
+                replay.run(600, &[40, before, others], false, place);
+                // All workers become slower as more tasks of kind 1 come.
+                replay.slowness.fill(slow);
+                let from = replay.now;
+                while replay.now < from + 30_000 {
+                    let next = replay.ended + 20;
+                    replay.run(next, &[40, noisy, others], true, place);
+                    if !replay.known().is_empty() {
+                        let after = replay.now - from;
+                        wrong.push((others, slow, before, noisy, seed, after, replay.known()));
+                        break;
+                    }
+                }
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{} {wrong:?}", wrong.len());
+}
