--- a/src/cell/engine/apart.rs
+++ b/src/cell/engine/apart.rs
@@ -35,7 +35,7 @@
 /// spare capacity.
 const MAX_SETS: usize = 32;
 
-/// Waiting step that may take or reserve capacity in a pass.
+/// Waiting step that takes or needs capacity.
 struct Demand {
     key: StepKey,
     each: Resources,
@@ -150,13 +150,13 @@
             let set = (job.queue.service.as_str(), step.label.as_str());
             let asks = job.queue.policy_cost.is_some();
             let special = step.max_per_worker > 0 || asks;
-            // A step without a permit starts nothing in this pass.
-            let idle = asks && self.count_places(pass, demand.key, &demand.each, 1) == 0;
-            if idle || !special && enough.contains(&set) {
+            if !special && enough.contains(&set) {
                 continue;
             }
+            // A step without a permit starts nothing in this pass, but needs workers to ask about.
+            let asking = asks && self.count_places(pass, demand.key, &demand.each, 1, false) == 0;
             if enough.len() >= MAX_SETS
-                || self.count_places(pass, demand.key, &largest, places) < places
+                || self.count_places(pass, demand.key, &largest, places, asking) < places
             {
                 return false;
             }
@@ -172,16 +172,15 @@
         Some((job, job.definition(key)?))
     }
 
-    /// Demand of a waiting step, if it may take or reserve capacity in this pass.
+    /// Demand of a waiting step, unless no worker of the pass could run it. A step for which there is no
+    /// room at present counts: tasks that are placed apart may use up what it waits for, and capacity
+    /// may be reserved for it.
     fn waiting_demand(&self, pass: &Pass, key: StepKey) -> Option<Demand> {
         let (job, step) = self.described(key)?;
         let each = super::demand(step);
-        let fits = |slot: &placement::Slot| {
-            each.fits(&slot.available()) && self.is_eligible(slot.worker, job, step)
-        };
         let count = job.step(key).map_or(0, |step| step.waiting() as u32);
-        // Queries to the placement policy reserve capacity.
-        let counts = job.queue.policy_cost.is_some() || pass.slots.iter().any(fits);
+        let mut slots = pass.slots.iter();
+        let counts = slots.any(|slot| self.may_run(key, slot.worker));
         counts.then_some(Demand { key, each, count })
     }
 
@@ -205,19 +204,35 @@
     }
 
     /// Number of tasks of demand `each` that fit on the workers that may run a step, up to `most`; at
-    /// most one on each worker if the step limits its tasks on one.
-    fn count_places(&self, pass: &Pass, key: StepKey, each: &Resources, most: u64) -> u64 {
+    /// most one on each worker if the step limits its tasks on one. Under a placement policy, these are
+    /// the workers with a permit or, if `asking`, those that the policy has not denied.
+    fn count_places(
+        &self,
+        pass: &Pass,
+        key: StepKey,
+        each: &Resources,
+        most: u64,
+        asking: bool,
+    ) -> u64 {
         let Some((job, step)) = self.described(key) else {
             return 0;
         };
         let policy = job.step(key).map(|step| &step.policy);
+        let policy = policy.filter(|_| job.queue.policy_cost.is_some());
+        let is_admitted = |slot: &placement::Slot| {
+            policy.is_none_or(|policy| match asking {
+                true => policy.denied.binary_search(&slot.worker).is_err(),
+                false => policy
+                    .permit(slot.worker, slot.incarnation, pass.now)
+                    .is_some(),
+            })
+        };
         let limit = step.max_per_worker;
         let mut places = 0;
         for slot in &pass.slots {
-            let permit = policy.and_then(|p| p.permit(slot.worker, slot.incarnation, pass.now));
             if !slot.is_open()
                 || !self.is_eligible(slot.worker, job, step)
-                || job.queue.policy_cost.is_some() && permit.is_none()
+                || !is_admitted(slot)
                 || limit > 0 && self.runs_on(key, slot.worker) >= limit
             {
                 continue;
