feat(shares): jobs that exceed their organisation's cap are refused

Cause: a gang wider than its organisation's cap, or a task larger than it, was accepted and waited for ever: an accepted job that never runs is lost to its caller, and nobody is told.

Ruled out: 400, since the next configuration may raise the cap.

Change: such a job gets 429 with the longest Retry-After, lasting and scheduled ones too; one log line a second at most.

Conclusion: a cap that is lowered below a job that was accepted before still leaves it waiting.

--- a/src/cell/engine/admission.rs
+++ b/src/cell/engine/admission.rs
@@ -30,7 +30,7 @@
     /// # Errors
     ///
     /// Returns the time after which the caller should come back, in seconds, if the job cannot start
-    /// before its completion has no value any more.
+    /// before its completion has no value any more, or cannot start at all under the present cap.
     pub fn admit(
         &mut self,
         id: &str,
@@ -43,10 +43,19 @@
         let Some(key) = known.filter(|_| self.shares.is_active()) else {
             return Ok(());
         };
-        // What lasts or is due later is not waited for; what is invalid is answered as such.
-        let lasts = work.steps.iter().any(|step| step.long_running);
+        // What is invalid is answered as such.
         let answered = self.is_known(id) || self.is_unread(id) || self.archive.has_tombstone(id);
-        if answered || lasts || work.occurrences > 0 || submissions::validate(work).is_err() {
+        if answered || submissions::validate(work).is_err() {
+            return Ok(());
+        }
+        if self.exceeds_cap(key, work) {
+            if let Some(muted) = self.shares.count_refused(key, now) {
+                info!(job = id, organisation, muted; "submission not accepted: a task or gang exceeds the organisation's cap");
+            }
+            return Err(RETRY_S.1);
+        }
+        // What lasts or is due later is not waited for.
+        if work.occurrences > 0 || work.steps.iter().any(|step| step.long_running) {
             return Ok(());
         }
         let excess = self.shares.is_excess(key, self.unix(now));
@@ -69,6 +78,17 @@
         Err(seconds)
     }
 
+    /// Whether a task of a job, or a whole gang, takes more than its organisation may have running: it
+    /// would never start.
+    fn exceeds_cap(&self, organisation: shares::Key, work: &model::Submission) -> bool {
+        let cap = self.shares.cap(organisation);
+        work.steps.iter().any(|step| {
+            let least = if step.gang { step.count } else { 1 };
+            let room = cap.room(Amounts::default(), Amounts::of(&step.demand));
+            room < least
+        })
+    }
+
     /// Whether each step that a job begins with could start a task, or its whole gang, by the last
     /// placement pass.
     fn has_room(
--- a/tests/cell/shares_refusal.rs
+++ b/tests/cell/shares_refusal.rs
@@ -29,6 +29,29 @@
     engine.admit(&id(n), name, &make::queue("q", 0), work, START)
 }
 
+/// A job that can never start under its organisation's cap must not be accepted and wait for ever.
+#[test]
+fn jobs_that_exceed_the_cap_are_refused() {
+    let mut engine = shares::cell(&[("w1", 64_000)], &shares::capped());
+    engine.schedule(START);
+    let mut gang = make::step(5, 1_000);
+    gang.gang = true;
+    let mut lasting = make::step(1, 4_001);
+    lasting.long_running = true;
+    for (step, admitted) in [
+        (make::step(5, 1_000), Ok(())),
+        (make::step(1, 4_000), Ok(())),
+        (make::step(1, 4_001), Err(5)),
+        (gang.clone(), Err(5)),
+        (lasting, Err(5)),
+    ] {
+        let work = make::work(vec![step]);
+        assert_eq!(admit(&mut engine, 1, "a", &work), admitted);
+    }
+    let work = make::work(vec![gang]);
+    assert_eq!(admit(&mut engine, 1, "b", &work), Ok(()), "no cap");
+}
+
 /// A refusal must be true: no job is refused that has capacity, is known or could start in time, and a
 /// refused one is not kept.
 #[test]
