--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -8,6 +8,7 @@
 use super::{
     cluster,
     model,
+    shares,
     suspicion, //
 };
 
@@ -267,6 +268,10 @@
     pub origin: CompactString,
     /// Organisation on whose behalf the job was submitted; empty for none.
     pub organisation: CompactString,
+    /// Key of the organisation.
+    pub organisation_key: shares::Key,
+    /// Whether the job is beyond the rate at which its organisation is owed service.
+    pub excess: bool,
     /// Time of acceptance, in Unix milliseconds.
     pub accepted_at: u64,
     /// Owner's term in which the job was accepted.
@@ -398,6 +403,14 @@
     chains
 }
 
+/// Time in which a job of these steps is to complete, in milliseconds.
+#[must_use]
+pub fn objective(queue: &model::Queue, steps: &[model::Step]) -> u64 {
+    let longest = chains(steps).into_iter().max().unwrap_or(0);
+    let span = longest as f64 * queue.stretch;
+    (span as u64).saturating_add(queue.target)
+}
+
 /// Whether `job` may start runs now, given the workers that may hold unknown runs. Of
 /// its tasks, those that may be on a cordoned worker are withheld.
 #[must_use]
--- a/src/cell/shell/metrics.rs
+++ b/src/cell/shell/metrics.rs
@@ -41,6 +41,7 @@
 
 use super::{
     guard,
+    organisations,
     peer::Outcome, //
 };
 
@@ -121,6 +122,8 @@
     pub waiting_trials: Gauge,
     /// Queues that are placed with caution because their starts crash workers.
     pub careful_queues: Gauge,
+    /// Figures of the organisations.
+    pub organisations: organisations::Families,
     storing: Histogram,
     /// Limits on clients, and what they have in use.
     pub limits: guard::Counters,
@@ -134,6 +137,7 @@
     match outcome {
         Outcome::Accepted => "accepted",
         Outcome::Refused(_) => "refused",
+        Outcome::Overloaded(_) => "overloaded",
         Outcome::Invalid(_) => "invalid",
         Outcome::Unknown => "unknown",
         Outcome::State(_) => "state",
@@ -175,6 +179,7 @@
             crashes: Family::default(),
             waiting_trials: Gauge::default(),
             careful_queues: Gauge::default(),
+            organisations: organisations::Families::default(),
             storing: histogram(),
             limits: guard::Counters::default(),
         };
@@ -250,6 +255,7 @@
             "Queues that are placed with caution because their starts crash workers",
             self.careful_queues.clone(),
         );
+        self.organisations.register(&mut registry);
         registry.register(
             "storing_seconds",
             "Time to commit a batch",
