--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -32,8 +32,10 @@
         self,
         State, //
     },
+    shares,
 };
 
+mod admission;
 pub mod batch;
 mod caution;
 pub mod commands;
@@ -41,11 +43,13 @@
 pub mod crashes;
 pub mod losses;
 pub mod memory;
+mod organisations;
 pub mod placement;
 pub mod policy;
 pub mod proxies;
 pub mod recovery;
 pub mod registry;
+mod remnants;
 pub mod reports;
 pub mod status;
 pub mod submissions;
@@ -229,6 +233,15 @@
     wall_offset: i64,
     /// Memory of the jobs.
     memory: memory::Memory,
+    /// Organisations and their shares.
+    shares: shares::Shares,
+    /// Resources that the last placement pass left free on each worker.
+    pass_room: Vec<(WorkerKey, Resources)>,
+    /// Ended jobs of organisations, of which runs may go on.
+    remnants: Vec<remnants::Remnant>,
+    /// Whether only cordoned workers were unaccounted for when unknown runs were last counted, and the
+    /// local time of that, in milliseconds.
+    unknown_counted: Option<(bool, u64)>,
 }
 
 impl Engine {
@@ -278,6 +291,10 @@
             withheld: Vec::new(),
             wall_offset: 0,
             memory: memory::Memory::default(),
+            shares: shares::Shares::default(),
+            pass_room: Vec::new(),
+            remnants: Vec::new(),
+            unknown_counted: None,
         }
     }
 
@@ -301,7 +318,7 @@
 
     fn insert_job(&mut self, job: Job) -> JobKey {
         let id = job.id.clone();
-        self.count_job(&job);
+        self.count_memory(&job);
         let key = self.jobs.insert(job);
         match self.index.binary_search_by(|(name, _)| name.cmp(&id)) {
             Ok(at) => self.index[at].1 = key,
@@ -355,6 +372,7 @@
         for run in live {
             self.discard_run(run);
         }
+        self.keep_remnant(key, now);
         self.backlog.retain(|step| step.job != key);
         self.mark_dirty(key);
         self.pass_needed = true;
@@ -486,7 +504,9 @@
         self.reconcile(now);
         self.cordon_silent_workers(now);
         self.poll_due_workers(now);
+        self.release_remnants();
         self.expire_archive(now);
+        self.note_caps(now);
         self.cluster.late_acks.retain(|(_, _, until)| *until > now);
         self.pass_needed |= !self.backlog.is_empty() && now >= self.last_pass + LOOK_AGAIN;
     }
@@ -501,7 +521,13 @@
         now: u64,
     ) -> RunKey {
         let job = &mut self.jobs[task.step.job];
-        let demand = demand(&job.submission.steps[task.step.step as usize]);
+        let step = &job.submission.steps[task.step.step as usize];
+        let demand = demand(step);
+        let charge = shares::usage::Charge {
+            organisation: job.organisation_key,
+            demand: shares::amounts::Amounts::of(&step.demand),
+        };
+        self.shares.count_placed(charge.organisation);
         let name = job.task_name(task);
         let run = self.cluster.add_run(Run {
             task: Some(task),
@@ -509,6 +535,7 @@
             number,
             worker,
             demand,
+            charge,
             state: RunState::Sent,
             start_expires: 0,
             ordered_at: now,
--- a/src/cell/engine/memory.rs
+++ b/src/cell/engine/memory.rs
@@ -170,12 +170,12 @@
     }
 
     /// Counts a job that is added.
-    pub(super) fn count_job(&mut self, job: &Job) {
+    pub(super) fn count_memory(&mut self, job: &Job) {
         self.memory.used += job_bytes(&job.submission, job.occurrences.len());
     }
 
     /// Counts a job that is removed.
-    pub(super) fn discount_job(&mut self, job: &Job) {
+    pub(super) fn discount_memory(&mut self, job: &Job) {
         let bytes = job_bytes(&job.submission, job.occurrences.len());
         self.memory.used = self.memory.used.saturating_sub(bytes);
     }
@@ -193,7 +193,7 @@
     pub(super) fn recount_jobs(&mut self) {
         let jobs = mem::take(&mut self.jobs);
         self.memory.used = 0;
-        jobs.values().for_each(|job| self.count_job(job));
+        jobs.values().for_each(|job| self.count_memory(job));
         self.jobs = jobs;
     }
 }
--- a/src/cell/engine/submissions.rs
+++ b/src/cell/engine/submissions.rs
@@ -21,7 +21,8 @@
     model::{
         self,
         State, //
-    }, //
+    },
+    shares,
 };
 
 impl Engine {
@@ -74,11 +75,15 @@
     /// Records the organisation on whose behalf a job is submitted, unless the job is stored or has
     /// one already.
     pub fn set_organisation(&mut self, id: &str, organisation: &str) {
+        if organisation.is_empty() {
+            return;
+        }
         if let Some(key) = self.find_job(id)
             && !self.jobs[key].sent
             && self.jobs[key].organisation.is_empty()
         {
             self.jobs[key].organisation = organisation.into();
+            self.count_job(key);
         }
     }
 
@@ -104,6 +109,8 @@
         self.remove_job(key);
         self.dirty_jobs.retain(|other| *other != key);
         self.new_jobs.retain(|(_, other)| *other != key);
+        // It does not wait any more.
+        self.pass_needed |= self.shares.is_active();
         true
     }
 
@@ -251,11 +258,11 @@
         origin: CompactString::default(),
         organisation: CompactString::default(),
         awaited_until: 0,
+        organisation_key: shares::Key::NONE,
+        excess: false,
     };
-    let span = job.critical_path() as f64 * job.queue.stretch;
-    job.deadline = accepted_at
-        .saturating_add(span as u64)
-        .saturating_add(job.queue.target);
+    let objective = job::objective(&job.queue, &job.submission.steps);
+    job.deadline = accepted_at.saturating_add(objective);
     job
 }
 
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -14,5 +14,6 @@
 pub mod model;
 pub mod outage;
 pub mod settings;
+pub mod shares;
 pub mod shell;
 pub mod suspicion;
