--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -332,7 +332,7 @@
         let Some(job) = self.jobs.remove(key) else {
             return;
         };
-        self.discount_job(&job);
+        self.discount_memory(&job);
         if let Ok(at) = self.index.binary_search_by(|(name, _)| name.cmp(&job.id)) {
             self.index.remove(at);
         }
