--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -23,6 +23,7 @@
     mod load;
     mod make;
     mod malformed;
+    mod neighbours;
     mod network;
     mod outage;
     mod owners;
