--- a/src/cell/shell/connection.rs
+++ b/src/cell/shell/connection.rs
@@ -38,7 +38,10 @@
     },
     intake::{
         Limit,
-        framing::HeadScan, //
+        framing::{
+            Framing,
+            HeadScan, //
+        }, //
     }, //
 };
 
@@ -48,6 +51,11 @@
 /// Size of the buffer that an idle connection keeps, in bytes.
 const KEPT_BYTES: usize = 4 << 10;
 
+/// Bytes of a body that is not of a known length that are delivered before the library parses them. It
+/// keeps an entry of 32 bytes for each chunk, also for one of 6 bytes, and the buffer for the lines
+/// between the chunks, which the window of the body does not count.
+const CHUNKS_TURN: usize = 4 << 10;
+
 /// Bytes that are discarded at once from a client whose body is not wanted.
 const DISCARD_TURN: usize = 64 << 10;
 
@@ -77,6 +85,10 @@
     scan: HeadScan,
     /// Length of the complete head at the start of `ahead` that is being delivered; 0 for none.
     head: usize,
+    /// Whether the time for the present head has begun.
+    timed: bool,
+    /// Bytes of a body that were delivered since the library parsed last.
+    turn: usize,
     /// Whether nothing more can be read.
     ended: bool,
     /// Whether the client has not taken all of an answer.
@@ -97,6 +109,8 @@
             ahead: BytesMut::new(),
             scan: HeadScan::default(),
             head: 0,
+            timed: false,
+            turn: 0,
             ended: false,
             blocked: false,
             shut: false,
@@ -135,6 +149,10 @@
         {
             self.head = len;
         }
+        if self.head == 0 && !self.ahead.is_empty() {
+            // It was read ahead, while the request before was handled.
+            self.begin_head();
+        }
         loop {
             if self.head > 0 {
                 let len = self.head.min(buf.remaining());
@@ -142,7 +160,7 @@
                 self.consume(len);
                 self.head -= len;
                 if self.head == 0 {
-                    self.gate.head_delivered(self.ahead.len());
+                    self.end_head();
                 }
                 return Poll::Ready(Ok(()));
             }
@@ -169,7 +187,7 @@
                 if len <= buf.remaining() {
                     buf.put_slice(&bytes[..len]);
                     self.ahead.extend_from_slice(&bytes[len..]);
-                    self.gate.head_delivered(self.ahead.len());
+                    self.end_head();
                     return Poll::Ready(Ok(()));
                 }
                 self.head = len;
@@ -178,12 +196,27 @@
             if self.head == 0 {
                 self.head = self.scan.end(&self.ahead).unwrap_or(0);
             }
-            if !self.gate.head_arrives(self.ahead.len(), first) {
+            self.begin_head();
+            if !self.gate.charge_head(self.ahead.len()) {
                 return Poll::Ready(Err(self.refuse(Limit::Bytes)));
             }
         }
     }
 
+    /// Begins the time for a head at its first byte.
+    fn begin_head(&mut self) {
+        if !self.timed {
+            self.timed = true;
+            self.gate.head_begins();
+        }
+    }
+
+    /// Notes that a complete head was delivered.
+    fn end_head(&mut self) {
+        self.timed = false;
+        self.gate.head_delivered(self.ahead.len());
+    }
+
     fn refuse(&self, limit: Limit) -> io::Error {
         self.gate.guard().note(limit);
         io::Error::new(io::ErrorKind::InvalidData, limit.label())
@@ -212,17 +245,27 @@
             self.gate.withhold(true);
             return Poll::Pending;
         }
+        let most = match self.gate.framing() {
+            Framing::Length(_) => usize::MAX,
+            _ => CHUNKS_TURN.saturating_sub(self.turn),
+        };
+        if most == 0 {
+            // The library parses what it has before it reads again.
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         if !self.ahead.is_empty() {
-            let len = self.ahead.len().min(buf.remaining());
+            let len = self.ahead.len().min(buf.remaining()).min(most);
             let len = self.gate.accept(&self.ahead[..len]);
             buf.put_slice(&self.ahead[..len]);
             self.consume(len);
+            self.turn += len;
             return Poll::Ready(Ok(()));
         }
         if self.ended {
             return Poll::Ready(Ok(()));
         }
-        let want = self.gate.wanted().min(buf.remaining());
+        let want = self.gate.wanted().min(buf.remaining()).min(most);
         let mut part = ReadBuf::new(buf.initialize_unfilled_to(want));
         ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
         let bytes = part.filled();
@@ -233,6 +276,7 @@
         let len = self.gate.accept(bytes);
         self.ahead.extend_from_slice(&bytes[len..]);
         buf.advance(len);
+        self.turn += len;
         Poll::Ready(Ok(()))
     }
 
@@ -284,7 +328,10 @@
             Phase::Closing => Poll::Ready(Ok(())),
         };
         match &read {
-            Poll::Pending => this.gate.store_waker(cx.waker()),
+            Poll::Pending => {
+                this.turn = 0;
+                this.gate.store_waker(cx.waker());
+            }
             Poll::Ready(Err(_)) => this.gate.peer_closed().0.set(true),
             Poll::Ready(Ok(())) => {}
         }
