--- a/tests/cell/shares_owners.rs
+++ b/tests/cell/shares_owners.rs
@@ -2,10 +2,15 @@
 
 use bamboolock::cell::{
     engine::Engine,
+    job::RunKey,
     model, //
 };
 
 use super::{
+    driver::{
+        Back,
+        Cell, //
+    },
     make::{
         self,
         START, //
@@ -158,6 +163,102 @@
     assert_eq!(make::starts(&mut engine, START + 500), []);
 }
 
+/// A successor that has started copies of the four tasks of the first job on `w1`.
+fn copied(steps: Vec<model::Step>) -> (Engine, Vec<RunKey>) {
+    let (mut first, log) = accepted(steps);
+    let runs = make::starts(&mut first, START);
+    make::accept(&mut first, &runs, START);
+    let mut engine = successor(&log);
+    engine.set_organisations(&[shares::organisation("a", 1.0, 8_000)]);
+    let copies = make::starts(&mut engine, START + 300);
+    assert_eq!(copies.len(), 4);
+    make::accept(&mut engine, &copies, START + 300);
+    (engine, copies)
+}
+
+fn copies() -> model::Step {
+    model::Step {
+        copies: true,
+        ..make::step(4, 1_000)
+    }
+}
+
+/// A copy may complete a task while the run of an earlier owner goes on. That run must still count,
+/// whether or not the job has completed.
+#[test]
+fn runs_of_tasks_that_a_copy_has_completed_count() {
+    let after = model::Step {
+        depends_on: vec![0],
+        ..make::step(1, 0)
+    };
+    for steps in [vec![copies(), after], vec![copies()]] {
+        let completes = steps.len() == 1;
+        let (mut engine, copies) = copied(steps);
+        let key = engine.cluster.find_worker("w1").unwrap();
+        let mut done = make::report(1, 900);
+        for (index, run) in copies.iter().enumerate() {
+            let name = make::task(&id(1), 0, index as u32);
+            let number = engine.cluster.runs[*run].number;
+            let end = make::end(index as u64 + 1, name, number, model::Outcome::Done);
+            done.ended.push(end);
+        }
+        make::answer(&mut engine, key, done, START + 400);
+        make::store(&mut engine, START + 400);
+        engine.set_organisations(&shares::capped());
+        submit_new(&mut engine);
+        assert_eq!(started(&mut engine, START + 500), [id(3)], "{completes}");
+        if completes {
+            assert_eq!(engine.visible_state(&id(1)), Some(model::State::Completed));
+            report(&mut engine, None, START + 600);
+            assert_eq!(started(&mut engine, START + 700), Vec::<String>::new());
+            report(&mut engine, Some(model::Outcome::Stopped), START + 800);
+            assert_eq!(started(&mut engine, START + 900), [id(2)]);
+        }
+    }
+}
+
+/// The copies of a cancelled job are stopped; they are not the runs that an earlier owner may have
+/// started, and both must count.
+#[test]
+fn copies_that_are_being_stopped_count_beside_the_runs_that_may_exist() {
+    let (mut engine, _) = copied(vec![copies()]);
+    engine.cancel(&id(1), START + 400).unwrap();
+    submit_new(&mut engine);
+    assert_eq!(started(&mut engine, START + 500), [id(3)]);
+}
+
+/// A worker that was unreachable reports that tasks have succeeded while later runs of them are under
+/// way elsewhere. The job completes, and the runs that are to be stopped must count at the next owner.
+#[test]
+fn runs_that_a_completed_job_leaves_count_at_the_next_owner() {
+    let mut cell = Cell::new(3, Back::Itself);
+    cell.configure(&[shares::organisation("a", 1.0, 8_000)]);
+    let work = make::work(vec![make::step(8, 1_000)]);
+    cell.submit_for(&id(1), "a", work.clone());
+    cell.run(100);
+    let task = make::task(&id(1), 0, 0);
+    let first = cell.place(&task).unwrap();
+    cell.cuts[first] = cell.now + 60_000;
+    cell.duration = 60_000;
+    cell.run_until("started again", |cell| {
+        cell.place(&task).is_some_and(|at| at != first)
+    });
+    let second = cell.place(&task).unwrap();
+    assert_eq!(cell.used_by(&id(1)), 8_000);
+    (cell.cuts[first], cell.cuts[second]) = (cell.now, cell.now + 4_000);
+    cell.run_until("completed", |cell| {
+        cell.state(&id(1)) == Some(model::State::Completed)
+    });
+    assert_eq!(cell.used_by(&id(1)), 8_000);
+    cell.replace_owner();
+    cell.submit_for(&id(2), "a", work);
+    while cell.used_by(&id(2)) < 8_000 {
+        cell.run(10);
+        let used = cell.used_by(&id(1)) + cell.used_by(&id(2));
+        assert!(used <= 8_000, "{used}");
+    }
+}
+
 /// The runs of a job that was cancelled go on until their worker has stopped them. The owner that knew
 /// of them may be gone by then.
 #[test]
