--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -37,12 +37,12 @@
 };
 
 mod admission;
-mod apart;
 pub mod batch;
 mod caution;
 pub mod commands;
 mod cordons;
 pub mod crashes;
+mod ended_jobs;
 pub mod losses;
 pub mod memory;
 mod organisations;
@@ -51,8 +51,8 @@
 pub mod proxies;
 pub mod recovery;
 pub mod registry;
-mod remnants;
 pub mod reports;
+mod separation;
 pub mod status;
 pub mod submissions;
 pub mod succession;
@@ -242,7 +242,7 @@
     /// Resources that the last placement pass left free on each worker.
     pass_room: Vec<(WorkerKey, Resources)>,
     /// Ended jobs of organisations, of which runs may go on.
-    remnants: Vec<remnants::Remnant>,
+    ended_jobs: Vec<ended_jobs::EndedJob>,
     /// Whether only cordoned workers were unaccounted for when unknown runs were last counted, and the
     /// local time of that, in milliseconds.
     unknown_counted: Option<(bool, u64)>,
@@ -298,7 +298,7 @@
             memory: memory::Memory::default(),
             shares: shares::Shares::default(),
             pass_room: Vec::new(),
-            remnants: Vec::new(),
+            ended_jobs: Vec::new(),
             unknown_counted: None,
         }
     }
@@ -377,7 +377,7 @@
         for run in live {
             self.discard_run(run);
         }
-        self.keep_remnant(key, now);
+        self.keep_ended_job(key, now);
         self.backlog.retain(|step| step.job != key);
         self.mark_dirty(key);
         self.pass_needed = true;
@@ -509,7 +509,7 @@
         self.reconcile(now);
         self.cordon_silent_workers(now);
         self.poll_due_workers(now);
-        self.release_remnants();
+        self.release_ended_jobs();
         self.expire_archive(now);
         self.note_caps(now);
         self.neighbours.tick(now);
--- a/src/cell/engine/batch.rs
+++ b/src/cell/engine/batch.rs
@@ -57,11 +57,11 @@
             };
             job.dirty = false;
             if job.state.is_final() {
-                let mut remnants = self.remnants.iter_mut();
-                let remnant = remnants.find(|remnant| remnant.id == job.id);
-                if let Some(remnant) = remnant {
+                let mut ended_jobs = self.ended_jobs.iter_mut();
+                let ended = ended_jobs.find(|ended| ended.id == job.id);
+                if let Some(ended) = ended {
                     // A later owner must know whose runs may go on.
-                    remnant.kept = true;
+                    ended.kept = true;
                 } else if job.sent {
                     deleted.push(journal::key(journal::Kind::Accepted, &job.id));
                     deleted.push(journal::key(journal::Kind::Progress, &job.id));
@@ -160,7 +160,7 @@
     /// Drops the states of finished jobs whose retention time has passed.
     pub(super) fn expire_archive(&mut self, now: u64) {
         // Without the final state, a record that is kept beyond it would be that of an open job.
-        let kept = self.remnants.iter().map(|remnant| remnant.since).min();
+        let kept = self.ended_jobs.iter().map(|ended| ended.since).min();
         let limit = now.saturating_sub(self.times.keep);
         let limit = limit.min(kept.unwrap_or(u64::MAX));
         self.dropped_keys.extend(self.archive.expire(limit));
--- a/src/cell/engine/remnants.rs
+++ b/src/cell/engine/ended_jobs.rs
@@ -36,7 +36,7 @@
 
 /// Ended job of an organisation, of which runs may go on.
 #[derive(Debug)]
-pub(super) struct Remnant {
+pub(super) struct EndedJob {
     /// Id of the job.
     pub(super) id: CompactString,
     organisation: shares::Key,
@@ -52,7 +52,7 @@
     pub(super) since: u64,
 }
 
-impl Remnant {
+impl EndedJob {
     fn new(job: &Job, kept: bool, since: u64) -> Self {
         let steps = job.submission.steps.iter();
         let demands: Vec<Amounts> = steps.map(|step| Amounts::of(&step.demand)).collect();
@@ -83,7 +83,7 @@
 
 impl Engine {
     /// Keeps a job that is ending, if runs of it may go on beyond the end.
-    pub(super) fn keep_remnant(&mut self, key: JobKey, now: u64) {
+    pub(super) fn keep_ended_job(&mut self, key: JobKey, now: u64) {
         let job = &self.jobs[key];
         if job.organisation_key == shares::Key::NONE || !job.sent {
             return;
@@ -99,36 +99,36 @@
         let repeated = copies || tasks.clone().any(|task| task.last_run > 1);
         let mut runs = self.cluster.runs.values();
         if unknown || (!completed || repeated) && runs.any(|run| is_of(run, &job.id)) {
-            let remnant = Remnant::new(job, false, now);
-            self.remnants.push(remnant);
+            let ended = EndedJob::new(job, false, now);
+            self.ended_jobs.push(ended);
         }
     }
 
     /// Takes jobs whose records an earlier owner kept beyond their end.
-    pub(super) fn load_remnants(&mut self, now: u64) {
+    pub(super) fn load_ended_jobs(&mut self, now: u64) {
         let past = &self.archive;
         let ended = self.jobs.values().filter(|job| {
             job.organisation_key != shares::Key::NONE && past.state(&job.id).is_some()
         });
-        self.remnants
-            .extend(ended.map(|job| Remnant::new(job, true, now)));
+        self.ended_jobs
+            .extend(ended.map(|job| EndedJob::new(job, true, now)));
     }
 
     /// Forgets the ended jobs whose runs have all ended, and deletes their records.
-    pub(super) fn release_remnants(&mut self) {
-        if self.remnants.is_empty() {
+    pub(super) fn release_ended_jobs(&mut self) {
+        if self.ended_jobs.is_empty() {
             return;
         }
         let reconciled = self.cluster.reconciled;
         let runs = &self.cluster.runs;
-        let over = |remnant: &mut Remnant| {
-            let unknown = remnant.inherited && !reconciled;
-            !unknown && !runs.values().any(|run| is_of(run, &remnant.id))
+        let over = |ended: &mut EndedJob| {
+            let unknown = ended.inherited && !reconciled;
+            !unknown && !runs.values().any(|run| is_of(run, &ended.id))
         };
-        for remnant in self.remnants.extract_if(.., over) {
-            if remnant.kept {
+        for ended in self.ended_jobs.extract_if(.., over) {
+            if ended.kept {
                 let kinds = [journal::Kind::Accepted, journal::Kind::Progress];
-                let keys = kinds.map(|kind| journal::key(kind, &remnant.id));
+                let keys = kinds.map(|kind| journal::key(kind, &ended.id));
                 self.dropped_keys.extend(keys);
             }
         }
@@ -145,10 +145,10 @@
                 demand: demand.map(Amounts::of).unwrap_or_default(),
             };
         }
-        let remnant = self.remnants.iter().find(|r| r.id == name.job);
-        let charge = remnant.map(|remnant| Charge {
-            organisation: remnant.organisation,
-            demand: remnant.demands.get(step).copied().unwrap_or_default(),
+        let ended = self.ended_jobs.iter().find(|r| r.id == name.job);
+        let charge = ended.map(|ended| Charge {
+            organisation: ended.organisation,
+            demand: ended.demands.get(step).copied().unwrap_or_default(),
         });
         charge.unwrap_or_default()
     }
@@ -206,13 +206,13 @@
                 *sum = sum.at_most(most.plus(beside));
             }
         }
-        for remnant in self.remnants.iter().filter(|remnant| remnant.inherited) {
+        for ended in self.ended_jobs.iter().filter(|ended| ended.inherited) {
             let runs = self.cluster.runs.values();
             // The copies that this owner started are not the runs of the earlier one.
-            let tracked = runs.filter(|run| is_of(run, &remnant.id) && is_adopted(run));
+            let tracked = runs.filter(|run| is_of(run, &ended.id) && is_adopted(run));
             let tracked = tracked.map(|run| run.charge.demand);
             let tracked = tracked.fold(Amounts::default(), Amounts::plus);
-            add(sums, remnant.organisation, remnant.total.minus(tracked));
+            add(sums, ended.organisation, ended.total.minus(tracked));
         }
     }
 
--- a/src/cell/engine/recovery.rs
+++ b/src/cell/engine/recovery.rs
@@ -103,7 +103,7 @@
             }
         }
         self.archive.load(segments, now);
-        self.load_remnants(now);
+        self.load_ended_jobs(now);
         let past = &self.archive;
         // An interrupted batch can leave records that a segment has already replaced.
         self.jobs.retain(|_, job| past.state(&job.id).is_none());
--- a/src/cell/neighbours/comparison.rs
+++ b/src/cell/neighbours/comparison.rs
@@ -80,7 +80,7 @@
         for kind in Kind::all_of(kinds) {
             let slowed = by.bit() | self.slowed_by[kind.index()];
             let runs = self.kinds[kind.index()].iter();
-            let runs = runs.filter(|s| s.touched & slowed == 0);
+            let runs = runs.filter(|s| s.overlapped & slowed == 0);
             let values: Vec<f64> = runs.map(|s| s.value).collect();
             if values.len() >= USUAL_RUNS {
                 usual[kind.index()] = Some(estimate::median(values.into_iter()));
@@ -96,7 +96,7 @@
     fn slowdown(&self, run: &Sample, by: Kind, usual: &[Option<f64>; MAX_KINDS]) -> Option<f64> {
         let list = self.workers.get(run.worker)?;
         let clean = |(kind, s): &&(Kind, Sample)| {
-            let slowed = s.touched & (by.bit() | self.slowed_by[kind.index()]) != 0;
+            let slowed = s.overlapped & (by.bit() | self.slowed_by[kind.index()]) != 0;
             *kind != by && s.at.abs_diff(run.at) <= WORKER_SPAN_MS && !slowed
         };
         let deviations = list.iter().filter(clean);
@@ -117,7 +117,7 @@
     fn groups(&self, pair: &Pair, others: u64, now: u64) -> Option<(Vec<Sample>, Vec<Sample>)> {
         let known = self.slowed_by[pair.slowed.index()];
         let excluded = (known | others) & !pair.by.bit();
-        let counts = |s: &&Sample| s.is_recent(now) && s.touched & excluded == 0;
+        let counts = |s: &&Sample| s.is_recent(now) && s.overlapped & excluded == 0;
         let beside = pair.beside.iter().filter(counts);
         let lists = beside.clone().filter_map(|s| self.workers.get(s.worker));
         let kinds = lists.flatten().fold(0, |set, (kind, _)| set | kind.bit());
@@ -127,14 +127,14 @@
             let slowdown = self.slowdown(s, pair.by, &usual);
             Sample {
                 value: s.value - slowdown.unwrap_or(0.0).max(0.0),
-                grounded: slowdown.is_some(),
+                baselined: slowdown.is_some(),
                 ..*s
             }
         });
         let beside: Vec<Sample> = beside.collect();
         let first = beside.iter().map(|s| s.at).min()?;
         let apart = self.kinds[pair.slowed.index()].iter().filter(counts);
-        let apart = apart.filter(|s| s.touched & pair.by.bit() == 0);
+        let apart = apart.filter(|s| s.overlapped & pair.by.bit() == 0);
         let apart: Vec<Sample> = apart.copied().collect();
         let matched = apart.iter().filter(|s| s.at + MATCH_MS >= first);
         let matched = relative_to(&apart, matched.copied());
@@ -148,10 +148,10 @@
             return false;
         };
         let share = |list: &[Sample], kind: Kind| {
-            let there = list.iter().filter(|s| s.touched & kind.bit() != 0);
+            let there = list.iter().filter(|s| s.overlapped & kind.bit() != 0);
             there.count() as f64 / list.len().max(1) as f64
         };
-        let there = beside.iter().fold(0, |set, s| set | s.touched);
+        let there = beside.iter().fold(0, |set, s| set | s.overlapped);
         let rivals = Kind::all_of(there & !pair.by.bit()).filter(|kind| {
             let often = share(&beside, *kind);
             often >= RIVAL_SHARE && often >= share(&apart, *kind) + RIVAL_EXCESS
--- a/src/cell/neighbours/estimate.rs
+++ b/src/cell/neighbours/estimate.rs
@@ -67,9 +67,9 @@
     /// Natural logarithm of the duration relative to the estimate.
     pub value: f64,
     /// Whether the worker's own slowdown is known and was removed.
-    pub grounded: bool,
+    pub baselined: bool,
     /// Kinds that ran beside the run for more than a tenth of its time.
-    pub touched: u64,
+    pub overlapped: u64,
 }
 
 impl Sample {
@@ -197,13 +197,13 @@
 /// Compares runs `beside` a kind with those `apart` from it; `None` if there are too few.
 #[must_use]
 pub fn compare(beside: &[Sample], apart: &[Sample], now: u64) -> Option<Difference> {
-    let grounded = beside.iter().filter(|s| s.grounded).copied();
-    let grounded = Group::new(&grounded.collect::<Vec<_>>(), now);
+    let baselined = beside.iter().filter(|s| s.baselined).copied();
+    let baselined = Group::new(&baselined.collect::<Vec<_>>(), now);
     let all = Group::new(beside, now);
     let far = Group::new(apart, now);
-    let near = match grounded.is_broad(MIN_BESIDE) {
+    let near = match baselined.is_broad(MIN_BESIDE) {
         false if all.workers >= MIN_UNKNOWN_WORKERS => all,
-        _ => grounded,
+        _ => baselined,
     };
     if !near.is_broad(MIN_BESIDE) || !far.is_broad(MIN_APART) {
         return None;
--- a/src/cell/neighbours/evidence.rs
+++ b/src/cell/neighbours/evidence.rs
@@ -151,8 +151,8 @@
             job,
             at: now,
             value,
-            grounded: true,
-            touched: overlap.touched,
+            baselined: true,
+            overlapped: overlap.overlapped,
         };
         for by in Kind::all_of(overlap.beside) {
             self.add_to_pair(kind, by, sample);
@@ -299,12 +299,12 @@
             .retain(|pair| pair.slowed != kind && pair.by != kind);
         self.kinds[kind.index()].clear();
         for list in self.workers.values_mut() {
-            list.retain(|(other, s)| *other != kind && s.touched & kind.bit() == 0);
+            list.retain(|(other, s)| *other != kind && s.overlapped & kind.bit() == 0);
         }
         // A run that is beside the changed kind from now on is compared only with newer ones.
         let pairs = self.pairs.iter_mut().map(|pair| &mut pair.beside);
         for list in self.kinds.iter_mut().chain(pairs) {
-            list.retain(|s| s.touched & kind.bit() == 0);
+            list.retain(|s| s.overlapped & kind.bit() == 0);
         }
     }
 
--- a/src/cell/shell/gate.rs
+++ b/src/cell/shell/gate.rs
@@ -34,6 +34,8 @@
     Closing,
 }
 
+/// What is known of a connection. Of a body, `taken` bytes have left the HTTP library, `delivered` bytes
+/// have entered it, and at most `charged` bytes may; `ahead` bytes wait here.
 #[derive(Debug)]
 struct State {
     phase: Phase,
--- a/src/cell/shell/intake/budget.rs
+++ b/src/cell/shell/intake/budget.rs
@@ -15,11 +15,11 @@
 const RESERVE_PART: usize = 8;
 
 /// Time for which a request waits before a slow one is given up, in milliseconds.
-pub const PATIENCE_MS: u64 = 200;
+pub const GIVE_UP_SLOW_MS: u64 = 200;
 
 /// Time for which a request waits before one is given up whose client sends, in milliseconds: most
 /// bodies that arrive are complete by then, and handled.
-pub const LONG_PATIENCE_MS: u64 = 1_000;
+pub const GIVE_UP_MS: u64 = 1_000;
 
 /// Time without a byte after which a client counts as slow, in milliseconds.
 pub const SLOW_MS: u64 = 500;
@@ -208,7 +208,7 @@
         let live = |key: &&ConnectionKey| self.holds.get(**key).is_some_and(|h| !h.given_up);
         let oldest = *self.waiting.iter().find(live)?;
         let hold = self.holds.get(oldest)?;
-        if now < hold.waits_since + PATIENCE_MS {
+        if now < hold.waits_since + GIVE_UP_SLOW_MS {
             return None;
         }
         let chosen = if now >= hold.waits_since + MAX_WAIT_MS {
@@ -237,7 +237,7 @@
         };
         let slow = others().filter(|(_, h)| h.wanted == 0 && now >= h.progress_at + SLOW_MS);
         let slowest = slow.min_by_key(|(_, hold)| hold.progress_at);
-        let long = now >= wait.waits_since + LONG_PATIENCE_MS;
+        let long = now >= wait.waits_since + GIVE_UP_MS;
         let newest = || others().filter(|_| long).max_by_key(|(_, hold)| hold.began);
         slowest.or_else(newest).map(|(key, _)| key)
     }
--- a/src/cell/shell/intake/connections.rs
+++ b/src/cell/shell/intake/connections.rs
@@ -54,7 +54,7 @@
     /// Start of the stage.
     began: u64,
     /// Time of the last progress.
-    moved: u64,
+    progress_at: u64,
     /// Whether the connection is being closed for another one.
     evicted: bool,
 }
@@ -70,10 +70,10 @@
             ),
             Stage::Head => (since(self.began, times.head), Limit::HeadTime),
             Stage::Body => (
-                since(self.moved, times.body) || since(self.began, times.body_span),
+                since(self.progress_at, times.body) || since(self.began, times.body_span),
                 Limit::BodyTime,
             ),
-            Stage::Answer => (since(self.moved, times.answer), Limit::AnswerTime),
+            Stage::Answer => (since(self.progress_at, times.answer), Limit::AnswerTime),
             Stage::Closing => (since(self.began, times.closing), Limit::CloseTime),
             Stage::Idle | Stage::Waiting | Stage::Serving => return None,
         };
@@ -121,7 +121,7 @@
         self.list.insert(Activity {
             stage: Stage::Opened,
             began: now,
-            moved: now,
+            progress_at: now,
             evicted: false,
         })
     }
@@ -138,19 +138,19 @@
         };
         match (activity.stage, stage) {
             (Stage::Waiting, Stage::Body | Stage::Waiting) => {
-                activity.began += now.saturating_sub(activity.moved);
+                activity.began += now.saturating_sub(activity.progress_at);
             }
             (Stage::Body, Stage::Body | Stage::Waiting) => {}
             _ => activity.began = now,
         }
         activity.stage = stage;
-        activity.moved = now;
+        activity.progress_at = now;
     }
 
     /// Notes that the client has sent or taken a byte.
     pub fn progress(&mut self, key: ConnectionKey, now: u64) {
         if let Some(activity) = self.list.get_mut(key) {
-            activity.moved = now;
+            activity.progress_at = now;
         }
     }
 
@@ -171,7 +171,7 @@
     pub fn evict(&mut self) -> Option<ConnectionKey> {
         let open = self.list.iter();
         let open = open.filter(|(_, a)| a.stage != Stage::Serving && !a.evicted);
-        let (key, _) = open.min_by_key(|(_, activity)| activity.moved)?;
+        let (key, _) = open.min_by_key(|(_, activity)| activity.progress_at)?;
         self.list.get_mut(key)?.evicted = true;
         Some(key)
     }
--- a/tests/cell/intake.rs
+++ b/tests/cell/intake.rs
@@ -152,7 +152,7 @@
     }
     let now = START + 1_000;
     assert!(!budget.charge(waiting, PIECE, now));
-    let late = now + budget::PATIENCE_MS;
+    let late = now + budget::GIVE_UP_SLOW_MS;
     for key in [sending, newest] {
         budget.progress(key, late - 10);
     }
@@ -163,7 +163,7 @@
     budget.release(slow);
     assert_eq!(budget.grant(late), Some(waiting));
     assert!(!budget.charge(waiting, 2 * PIECE, late));
-    let later = late + budget::LONG_PATIENCE_MS;
+    let later = late + budget::GIVE_UP_MS;
     for key in [sending, newest] {
         budget.progress(key, later - 10);
     }
--- a/tests/crowds/bodies.rs
+++ b/tests/crowds/bodies.rs
@@ -46,7 +46,7 @@
 }
 
 /// Lets a crowd send, and checks the process and an ordinary job, with the crowd and without it.
-fn face(clients: usize, piece: usize, message: Vec<u8>, to: impl Fn(&Site) -> SocketAddr) {
+fn check_crowd(clients: usize, piece: usize, message: Vec<u8>, to: impl Fn(&Site) -> SocketAddr) {
     let mut site = Site::start(site::MANY_DESCRIPTORS);
     let mut crowd = Crowd::connect(to(&site), clients, message);
     crowd.send(&mut site, piece);
@@ -59,28 +59,28 @@
 
 #[test]
 fn stalled_bodies_at_a_route() {
-    face(CLIENTS, LARGE, unfinished(ROUTE), |site| {
+    check_crowd(CLIENTS, LARGE, unfinished(ROUTE), |site| {
         site.instance.front
     });
 }
 
 #[test]
 fn stalled_bodies_in_pieces_without_a_route() {
-    face(CLIENTS, SMALL, unfinished(NOWHERE), |site| {
+    check_crowd(CLIENTS, SMALL, unfinished(NOWHERE), |site| {
         site.instance.front
     });
 }
 
 #[test]
 fn stalled_bodies_at_the_readiness_address() {
-    face(CLIENTS, LARGE, unfinished("/bamboolock/ready"), |site| {
+    check_crowd(CLIENTS, LARGE, unfinished("/bamboolock/ready"), |site| {
         site.instance.ready
     });
 }
 
 #[test]
 fn stalled_bodies_at_the_instances_address() {
-    face(CLIENTS, LARGE, unfinished("/ask"), |site| {
+    check_crowd(CLIENTS, LARGE, unfinished("/ask"), |site| {
         site.instance.peer
     });
 }
@@ -93,7 +93,7 @@
         message.resize(message.len() + 1_000, b' ');
         message.extend_from_slice(b"\r\n");
     }
-    face(CLIENTS, SMALL, message, |site| site.instance.front);
+    check_crowd(CLIENTS, SMALL, message, |site| site.instance.front);
 }
 
 /// The HTTP library keeps an entry for each chunk, which is larger than the chunk.
@@ -103,14 +103,14 @@
     for _ in 0..17_000 {
         message.extend_from_slice(b"1\r\n \r\n");
     }
-    face(CLIENTS, LARGE, message, |site| site.instance.front);
+    check_crowd(CLIENTS, LARGE, message, |site| site.instance.front);
 }
 
 #[test]
 fn oversized_bodies() {
     let mut message = head(ROUTE, "content-length: 50000000");
     message.resize(message.len() + 400_000, b' ');
-    face(CLIENTS, LARGE, message, |site| site.instance.front);
+    check_crowd(CLIENTS, LARGE, message, |site| site.instance.front);
 }
 
 #[test]
@@ -119,5 +119,5 @@
     let body = format!("{{\"steps\":[{{{fields}\"count\":1,\"cpu\":900000}}]}}");
     let mut message = head(ROUTE, &format!("content-length: {}", body.len()));
     message.extend_from_slice(body.as_bytes());
-    face(CLIENTS, LARGE, message, |site| site.instance.front);
+    check_crowd(CLIENTS, LARGE, message, |site| site.instance.front);
 }
--- a/tests/crowds/connections.rs
+++ b/tests/crowds/connections.rs
@@ -26,7 +26,7 @@
 
 /// Lets a crowd send, the last bytes slowly, and checks the process and an ordinary job, with the
 /// crowd and without it.
-fn face(message: Vec<u8>, to: impl Fn(&Site) -> SocketAddr) {
+fn check_crowd(message: Vec<u8>, to: impl Fn(&Site) -> SocketAddr) {
     let mut site = Site::start(site::FEW_DESCRIPTORS);
     let at_once = message.len().saturating_sub(TRICKLE);
     let mut crowd = Crowd::connect(to(&site), CLIENTS, message);
@@ -46,12 +46,12 @@
 
 #[test]
 fn silent_connections() {
-    face(Vec::new(), |site| site.instance.front);
+    check_crowd(Vec::new(), |site| site.instance.front);
 }
 
 #[test]
 fn silent_connections_at_the_readiness_address() {
-    face(Vec::new(), |site| site.instance.ready);
+    check_crowd(Vec::new(), |site| site.instance.ready);
 }
 
 /// The head is legal in size and has many short fields.
@@ -59,7 +59,7 @@
 fn unfinished_heads() {
     let fields = "a:b\r\n".repeat(90);
     let head = format!("GET /q/ HTTP/1.1\r\nhost: h\r\n{fields}");
-    face(head.into_bytes(), |site| site.instance.front);
+    check_crowd(head.into_bytes(), |site| site.instance.front);
 }
 
 #[test]
@@ -67,7 +67,7 @@
     let mut message =
         b"POST /q/00000000000000b2 HTTP/1.1\r\nhost: h\r\ncontent-length: 9000\r\n\r\n".to_vec();
     message.resize(message.len() + 1_000, b' ');
-    face(message, |site| site.instance.front);
+    check_crowd(message, |site| site.instance.front);
 }
 
 /// The end of the body, as the length of the message says, is not the end of an upgraded connection.
@@ -77,7 +77,7 @@
 fn upgrades_with_a_body() {
     let message = b"POST /q/00000000000000b3 HTTP/1.1\r\nhost: h\r\nconnection: upgrade\r\n\
         upgrade: websocket\r\ncontent-length: 20\r\n\r\n01234567890123456789";
-    face(message.to_vec(), |site| site.instance.front);
+    check_crowd(message.to_vec(), |site| site.instance.front);
 }
 
 /// The line after the last chunk lacks its carriage return, so that the HTTP library expects a
@@ -86,5 +86,5 @@
 fn bodies_whose_last_line_is_malformed() {
     let message = b"POST /q/00000000000000b4 HTTP/1.1\r\nhost: h\r\n\
         transfer-encoding: chunked\r\n\r\n5\r\n01234\r\n0\r\n\n";
-    face(message.to_vec(), |site| site.instance.front);
+    check_crowd(message.to_vec(), |site| site.instance.front);
 }
--- a/tests/crowds/jobs.rs
+++ b/tests/crowds/jobs.rs
@@ -11,7 +11,7 @@
 
 /// Hands in `count` jobs, cancels those that were accepted, and checks the process and an ordinary
 /// job.
-fn face(count: usize, body: &str) {
+fn check_crowd(count: usize, body: &str) {
     let mut site = Site::start(site::MANY_DESCRIPTORS);
     let front = site.instance.front;
     let path = |n: usize| format!("/q/{:016x}", 0xB000 + n);
@@ -39,13 +39,13 @@
 
 #[test]
 fn jobs_of_many_tasks() {
-    face(30, r#"{"steps":[{"count":20000,"cpu":900000}]}"#);
+    check_crowd(30, r#"{"steps":[{"count":20000,"cpu":900000}]}"#);
 }
 
 #[test]
 fn jobs_of_many_steps() {
     let step = r#"{"count":1,"cpu":900000},"#.repeat(9_999);
-    face(
+    check_crowd(
         16,
         &format!(r#"{{"steps":[{step}{{"count":1,"cpu":900000}}]}}"#),
     );
--- a/tests/crowds/requests.rs
+++ b/tests/crowds/requests.rs
@@ -32,7 +32,7 @@
 const TRICKLE: usize = 20;
 
 /// Lets a crowd send, and checks the process and an ordinary job, with the crowd and without it.
-fn face(clients: usize, message: &str, to: impl Fn(&Site) -> SocketAddr) {
+fn check_crowd(clients: usize, message: &str, to: impl Fn(&Site) -> SocketAddr) {
     let mut site = Site::start(site::MANY_DESCRIPTORS);
     let mut crowd = Crowd::connect(to(&site), clients, message.as_bytes().to_vec());
     crowd.send(&mut site, PIECE);
@@ -47,19 +47,19 @@
 #[test]
 fn pipelined_requests_at_a_route() {
     let request = "GET /q/00000000000000b1 HTTP/1.1\r\nhost: h\r\n\r\n";
-    face(60, &request.repeat(600), |site| site.instance.front);
+    check_crowd(60, &request.repeat(600), |site| site.instance.front);
 }
 
 #[test]
 fn pipelined_requests_without_a_route() {
     let request = "GET / HTTP/1.1\nhost:h\n\n";
-    face(10, &request.repeat(60_000), |site| site.instance.front);
+    check_crowd(10, &request.repeat(60_000), |site| site.instance.front);
 }
 
 #[test]
 fn unread_answers_at_the_readiness_address() {
     let request = "GET /metrics HTTP/1.1\r\nhost: h\r\n\r\n";
-    face(60, &request.repeat(1_000), |site| site.instance.ready);
+    check_crowd(60, &request.repeat(1_000), |site| site.instance.ready);
 }
 
 /// A head that begins with the request before must not escape the time for a head: each of its bytes
