test(cell): workers that start again and are cut off while commands are late

The rates recuts, recut_again and applied_late, four families of the fuzz, and table tests on the engine.

--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -29,7 +29,9 @@
     mod owners;
     mod ownership;
     mod proxies;
+    mod reborn;
     mod recovery;
+    mod recuts;
     mod roster;
     mod rules;
     mod shares;
--- a/tests/cell/faults.rs
+++ b/tests/cell/faults.rs
@@ -78,6 +78,14 @@
     pub(super) astray: u32,
     /// The same for starts.
     pub(super) astray_starts: u32,
+    /// Workers, often several at once, that crash, are back under their ids within a second and are cut
+    /// off from all owners soon after, per second.
+    pub(super) recuts: u32,
+    /// Such workers that crash again behind the cut, of all.
+    pub(super) recut_again: u32,
+    /// Commands that such workers leave unanswered and carry out 2 to 12 s later, of all that reach them
+    /// around the crash.
+    pub(super) applied_late: u32,
 }
 
 impl FaultRates {
@@ -109,6 +117,9 @@
         guarded: false,
         astray: 0,
         astray_starts: 0,
+        recuts: 0,
+        recut_again: 0,
+        applied_late: 0,
     };
 }
 
--- a/tests/cell/fuzz.rs
+++ b/tests/cell/fuzz.rs
@@ -488,3 +488,56 @@
     };
     play_all(24_000, 16, rates);
 }
+
+/// Workers that start again under their ids within a second while commands to them are late, and that are
+/// cut off from all owners soon after.
+const RECUTS: FaultRates = FaultRates {
+    long: 400,
+    workers: 12,
+    instances: true,
+    astray: 1_000,
+    astray_starts: 1_000,
+    recuts: 150,
+    applied_late: 300,
+    ..FaultRates::NONE
+};
+
+/// Guards against two runs at once: late commands renew leases in the next incarnation, so that a run there
+/// goes on behind a cut for longer than its owner knows.
+#[test]
+fn no_task_runs_twice_where_workers_are_reborn_and_cut_off() {
+    play_all(70_000, 16, RECUTS);
+}
+
+/// The same among workers that start again behind the cut once more: what an incarnation in between has
+/// acknowledged says nothing about the last one.
+#[test]
+fn no_task_runs_twice_where_workers_are_reborn_cut_off_and_reborn_again() {
+    let rates = FaultRates {
+        recut_again: 1_000,
+        ..RECUTS
+    };
+    play_all(73_000, 16, rates);
+}
+
+/// The same with late polls alone.
+#[test]
+fn no_task_runs_twice_where_late_polls_reach_workers_that_are_reborn_and_cut_off() {
+    let rates = FaultRates {
+        astray_starts: 0,
+        ..RECUTS
+    };
+    play_all(72_000, 16, rates);
+}
+
+/// The same with successors that know nothing of the commands without an answer.
+#[test]
+fn no_task_runs_twice_where_workers_are_reborn_and_cut_off_while_owners_change() {
+    let rates = FaultRates {
+        recut_again: 250,
+        kills: 100,
+        handovers: 100,
+        ..RECUTS
+    };
+    play_all(71_000, 16, rates);
+}
--- a/tests/cell/network.rs
+++ b/tests/cell/network.rs
@@ -142,6 +142,9 @@
             self.delay(owner, at, call.clone(), delay);
             return self.unanswered(owner, call);
         }
+        if self.is_applied_late(at) {
+            return self.apply_late(owner, at, call);
+        }
         let (loss, late) = (self.rates.loss, self.rates.delayed);
         let cut = self.cuts[at] > now || !self.machines[at].up;
         if cut || self.chance(loss) {
@@ -184,7 +187,7 @@
     }
 
     /// Lets a command arrive late; there is no answer.
-    fn delay(&mut self, owner: usize, at: usize, call: Call, delay: u64) {
+    pub(super) fn delay(&mut self, owner: usize, at: usize, call: Call, delay: u64) {
         let incarnation = self.addressed(at, &call);
         self.post(
             delay,
--- a/tests/cell/world.rs
+++ b/tests/cell/world.rs
@@ -22,6 +22,7 @@
     },
     network::Event,
     owners::Owner,
+    recuts::Recut,
     workers::{
         self,
         JobSpec,
@@ -56,6 +57,10 @@
     pub(super) downs: Vec<u64>,
     /// Time until which each worker refuses starts, in milliseconds, and how.
     pub(super) spells: Vec<(u64, Verdict)>,
+    /// Time until which each worker carries out commands late, in milliseconds.
+    pub(super) lates: Vec<u64>,
+    /// What is to happen to workers that start again and are cut off.
+    pub(super) recuts: Vec<Recut>,
     /// Registration of each worker.
     pub(super) listings: Vec<Listing>,
     /// Time until which each instance cannot reach each worker, in milliseconds.
@@ -108,6 +113,8 @@
             cuts: vec![0; machines.len()],
             downs: vec![0; machines.len()],
             spells: vec![(0, Verdict::Unwell); machines.len()],
+            lates: vec![0; machines.len()],
+            recuts: Vec::new(),
             listings: (0..count as u16).map(|n| Listing::new(n * apart)).collect(),
             paths: vec![vec![0; machines.len()]; INSTANCES],
             downs_of_instances: vec![0; INSTANCES],
@@ -146,6 +153,7 @@
         while self.now < until && self.judge.violations.is_empty() {
             self.now += STEP;
             self.faults();
+            self.recut_faults();
             self.restart();
             self.list();
             self.submit();
