--- a/tests/cell/fuzz.rs
+++ b/tests/cell/fuzz.rs
@@ -502,15 +502,15 @@
     ..FaultRates::NONE
 };
 
-/// Guards against two runs at once: late commands renew leases in the next incarnation, so that a run there
-/// goes on behind a cut for longer than its owner knows.
+/// Guards against two runs at once: late commands renew leases and start runs in the next incarnation, so
+/// that a run there goes on behind a cut for longer than its owner knows.
 #[test]
 fn no_task_runs_twice_where_workers_are_reborn_and_cut_off() {
     play_all(70_000, 16, RECUTS);
 }
 
-/// The same among workers that start again behind the cut once more: what an incarnation in between has
-/// acknowledged says nothing about the last one.
+/// Guards against starts that reach an incarnation which no owner has heard yet: workers start again behind
+/// the cut, and what the incarnation before has acknowledged or refused says nothing about the last one.
 #[test]
 fn no_task_runs_twice_where_workers_are_reborn_cut_off_and_reborn_again() {
     let rates = FaultRates {
@@ -520,7 +520,8 @@
     play_all(73_000, 16, rates);
 }
 
-/// The same with late polls alone.
+/// Guards against two runs at once where late polls alone renew the leases, and every run was started in
+/// time.
 #[test]
 fn no_task_runs_twice_where_late_polls_reach_workers_that_are_reborn_and_cut_off() {
     let rates = FaultRates {
@@ -530,7 +531,8 @@
     play_all(72_000, 16, rates);
 }
 
-/// The same with successors that know nothing of the commands without an answer.
+/// Guards against two runs at once where a successor doesn't know the commands without an answer of its
+/// predecessor.
 #[test]
 fn no_task_runs_twice_where_workers_are_reborn_and_cut_off_while_owners_change() {
     let rates = FaultRates {
