test(instances): commands of a worker's former life reach the next one

Cause: the stand-in dropped a late command whose incarnation had ended, so that no test with processes showed what such a command does in the next life under the same id, where its id and token are valid and its expiry is a time on the former clock.

Commands to one worker can be held back until they are released, and a cut can stand for every sender. Three tests play a renewal, a start and a copy of a start of the former life.

--- a/tests/instances.rs
+++ b/tests/instances.rs
@@ -18,6 +18,7 @@
     mod overload;
     #[expect(dead_code, reason = "the tests of crowds use the rest")]
     mod processes;
+    mod reborn;
     mod slow_link;
     #[expect(dead_code, reason = "the soak uses the rest")]
     mod standin;
--- a/tests/instances/delivery.rs
+++ b/tests/instances/delivery.rs
@@ -12,7 +12,7 @@
 const LATE_MS: [std::ops::Range<u64>; 2] = [500..2_500, 2_500..12_000];
 
 /// Paths that are cut, between each of some instances and each of some workers. Both are sets of
-/// numbers, one bit each.
+/// numbers, one bit each; [`ALL_INSTANCES`] stands for every sender, also an unknown one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct PathCut {
     pub(super) instances: u64,
@@ -21,6 +21,9 @@
     pub(super) answers: bool,
 }
 
+/// Senders of a cut that no command passes.
+pub(super) const ALL_INSTANCES: u64 = u64::MAX;
+
 /// Treatment of commands by a worker, each in commands per thousand.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Manners {
@@ -41,6 +44,8 @@
     Unwell,
     /// It is carried out after a delay in milliseconds, and never answered.
     Late(u64),
+    /// It is carried out once the commands that are held back are released, and never answered.
+    Held,
 }
 
 /// Faults of all paths and workers.
@@ -52,6 +57,12 @@
     pub(super) manners: Vec<Manners>,
     /// Number of commands that are still to be carried out late.
     pub(super) late: usize,
+    /// Worker whose commands at a path are held back.
+    pub(super) held: Option<(usize, &'static str)>,
+    /// Number of commands held back so far that have an expiry: starts, and polls that renew leases.
+    pub(super) expiries_held: usize,
+    /// Whether the commands that were held back are released.
+    pub(super) released: bool,
     rng: SmallRng,
 }
 
@@ -62,15 +73,21 @@
             cuts: Vec::new(),
             manners: Vec::new(),
             late: 0,
+            held: None,
+            expiries_held: 0,
+            released: false,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
 
-    /// Draws what becomes of a command from an instance to a worker.
-    pub(super) fn draw(&mut self, instance: Option<usize>, worker: usize) -> Delivery {
+    /// Draws what becomes of a command at a path from an instance to a worker.
+    pub(super) fn draw(&mut self, instance: Option<usize>, worker: usize, path: &str) -> Delivery {
         if self.is_cut(instance, worker, false) {
             return Delivery::Lost;
         }
+        if self.held == Some((worker, path)) {
+            return Delivery::Held;
+        }
         let manners = self.manners.get(worker).copied().unwrap_or_default();
         let draw = self.rng.random_range(0..1_000);
         if draw < manners.late {
@@ -85,11 +102,12 @@
 
     /// Whether the path is cut for commands, or for their answers.
     pub(super) fn is_cut(&self, instance: Option<usize>, worker: usize, answer: bool) -> bool {
-        let Some(instance) = instance else {
-            return false;
+        let sends = |cut: &PathCut| match instance {
+            Some(instance) => cut.instances >> instance & 1 == 1,
+            None => cut.instances == ALL_INSTANCES,
         };
         self.cuts.iter().any(|cut| {
-            let both = cut.instances >> instance & cut.workers >> worker & 1 == 1;
+            let both = sends(cut) && cut.workers >> worker & 1 == 1;
             both && (answer || !cut.answers)
         })
     }
--- a/tests/instances/standin.rs
+++ b/tests/instances/standin.rs
@@ -94,6 +94,9 @@
 /// Delay of an append that takes effect late and gets no response.
 const LATE_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Longest time until a command without an answer is carried out: the longest that the platform shows.
+const LONGEST_HOLD: Duration = Duration::from_secs(12);
+
 /// State of the stand-in.
 pub(super) struct State {
     topics: BTreeMap<String, Topic>,
@@ -108,6 +111,8 @@
     pub(super) fault: StoreFault,
     /// Faults of paths and workers.
     pub(super) delivery: Faults,
+    /// Whether commands that are carried out late reach a later incarnation under the same id.
+    pub(super) astray: bool,
     /// Names of the instances, by their numbers in cuts.
     pub(super) instances: Vec<String>,
     /// Range of the durations of runs, in milliseconds.
@@ -239,6 +244,13 @@
         }
     }
 
+    /// Starts a worker again under its id, and registers it at once.
+    pub(super) fn restart(&mut self, at: usize) {
+        let now = self.now();
+        self.machines[at].restart(now);
+        self.register();
+    }
+
     /// Notes the workers that tasks have crashed, and lets others come back at their addresses.
     fn replace_crashed(&mut self) {
         let now = self.now();
@@ -325,6 +337,7 @@
         started: Instant::now(),
         fault: StoreFault::default(),
         delivery: Faults::new(0),
+        astray: false,
         instances: Vec::new(),
         run_ms: 600,
         long_ms: 0,
@@ -471,14 +484,22 @@
             return HttpResponse::MisdirectedRequest().finish();
         };
         let sender = state.sender(token);
-        (at, sender, state.delivery.draw(sender, at))
+        let delivery = state.delivery.draw(sender, at, &command.path);
+        (at, sender, delivery)
     };
     let answer = match delivery {
         Delivery::Prompt => carry_out(shared, &command).await,
         Delivery::Unwell => return HttpResponse::ServiceUnavailable().finish(),
         Delivery::Lost => None,
         Delivery::Late(delay) => {
-            actix_web::rt::spawn(carry_out_late(shared.clone(), command, at, delay));
+            actix_web::rt::spawn(carry_out_late(shared.clone(), command, at, Some(delay)));
+            None
+        }
+        Delivery::Held => {
+            if command.body["expires_ms"].is_u64() {
+                shared.lock().unwrap().delivery.expiries_held += 1;
+            }
+            actix_web::rt::spawn(carry_out_late(shared.clone(), command, at, None));
             None
         }
     };
@@ -498,30 +519,44 @@
     }
 }
 
-/// Carries a command out after a delay, if the incarnation that received it still runs.
-async fn carry_out_late(shared: Shared, mut command: Command, at: usize, delay: u64) {
+/// Carries a command out after a delay in milliseconds, or once the commands that are held back are
+/// released. It reaches the incarnation that received it, or, if late commands go astray, whichever
+/// is there.
+async fn carry_out_late(shared: Shared, mut command: Command, at: usize, delay: Option<u64>) {
     let incarnation = {
         let mut state = shared.lock().unwrap();
         state.delivery.late += 1;
         state.machines[at].incarnation
     };
-    actix_web::rt::time::sleep(Duration::from_millis(delay)).await;
+    match delay {
+        Some(delay) => actix_web::rt::time::sleep(Duration::from_millis(delay)).await,
+        None => released(&shared).await,
+    }
     command.body["wait_ms"] = json!(0);
-    let same = {
+    let there = {
         let state = shared.lock().unwrap();
         let machine = &state.machines[at];
         let now = state.now();
-        state
-            .judge
-            .trace(|| format!("{now} late {} at {at}: {}", command.path, command.body));
-        machine.up && machine.incarnation == incarnation
+        state.judge.trace(|| {
+            let (path, body, life) = (&command.path, &command.body, machine.incarnation);
+            format!("{now} late {path} at {at} from life {incarnation} in life {life}: {body}")
+        });
+        machine.up && (state.astray || machine.incarnation == incarnation)
     };
-    if same {
+    if there {
         carry_out(&shared, &command).await;
     }
     shared.lock().unwrap().delivery.late -= 1;
 }
 
+/// Waits until the commands that are held back are released, for [`LONGEST_HOLD`] at most.
+async fn released(shared: &Shared) {
+    let began = Instant::now();
+    while began.elapsed() < LONGEST_HOLD && !shared.lock().unwrap().delivery.released {
+        actix_web::rt::time::sleep(STEP).await;
+    }
+}
+
 /// Appends records, but loses some responses; such an append takes effect at once, late or never.
 async fn append_lossy(
     shared: &Shared,
--- a/tests/instances/takeover.rs
+++ b/tests/instances/takeover.rs
@@ -1,6 +1,7 @@
 //! Jobs survive failures of instances and of the store, and each task completes exactly once.
 
 use std::{
+    net::SocketAddr,
     thread,
     time::{
         Duration,
@@ -46,6 +47,16 @@
     /// limit.
     pub(super) fn start_with_links(instances: usize, mbps: f64) -> Self {
         let (address, platform) = standin::start(4, 8_000);
+        Self::start_at(address, platform, instances, mbps)
+    }
+
+    /// Starts a cell at a stand-in that was started before.
+    pub(super) fn start_at(
+        address: SocketAddr,
+        platform: Shared,
+        instances: usize,
+        mbps: f64,
+    ) -> Self {
         let config = json!({
             "version": 3,
             "routes": [{"name": "q", "host": "h", "path_prefix": "/q/", "service": "s", "target_latency_ms": 1_000,
