fix(cell): a relay sends no start command that it received while it stood still

A relayed start command waits in the socket of an instance that is paused. The owner gives it up after 0.7 s, and its repetition goes to the worker directly, but the relay sent its copy whenever it ran again. Only the expiry stopped it there, a time on the clock of the worker's incarnation: a worker that restarts under its id begins a new clock and takes the command, so that a task could run twice, and later than the 13 s for which a command without an answer is expected.

Cause: the relay counted the age of a command from the time at which it read it. The time for which the process stood still before counts now (the same bound as for forwarded submissions); a command older than the 350 ms for which the relay waits for its link is not sent, and the answer says so.

Evidence: a_relay_that_stood_still_does_not_send_what_it_received_meanwhile failed before ("unknown", the worker had a connection) and holds now, with the four other tests of slow links.

A command that is delayed on its way between two instances is still sent when it arrives: the relay cannot know its age.

--- a/src/cell/shell/relay.rs
+++ b/src/cell/shell/relay.rs
@@ -3,8 +3,8 @@
 //! Handles an owner whose link is full of start commands, most of whose bytes are the job's
 //! specification: the instance that received the job from its caller still has the specification and
 //! sends it to the worker over its own link. The owner decides and books as before. The command
-//! carries the owner's fencing token and expires by the worker's clock, so that a relay that was
-//! paused starts nothing that the owner has written off.
+//! carries the owner's fencing token and expires by the worker's clock. The next incarnation of the
+//! worker has another clock, so a relay that was paused sends nothing that it received before.
 
 use std::{
     cell::{
@@ -207,8 +207,10 @@
     let Some(spec) = shared.specs.get(&order.task.job, order.spec_hash) else {
         return Relayed::Unsent;
     };
-    // This clock goes on while the machine is suspended.
-    let arrived = shared.now();
+    // This clock goes on while the machine is suspended. The command may have waited in the socket
+    // while this process stood still.
+    let now = shared.now();
+    let arrived = now.saturating_sub(shared.stalls.age(now));
     shared.uplink.turn(uplink::Kind::Start, spec.len()).await;
     // The wait for the link may have taken long, and there may be another owner by now.
     let waited = Duration::from_millis(shared.now().saturating_sub(arrived));
--- a/tests/instances/slow_link.rs
+++ b/tests/instances/slow_link.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::TcpListener,
+    thread,
     time::Duration, //
 };
 
@@ -29,6 +30,9 @@
 /// Number of tasks of each job.
 const TASKS: u32 = 8;
 
+/// Pause of a relay, longer than an owner waits for its answer.
+const PAUSE: Duration = Duration::from_millis(1_500);
+
 fn link_bytes(cell: &Cell, instance: usize, kind: &str) -> u64 {
     let name = format!("bamboolock_cell_link_bytes_total{{kind=\"{kind}\",direction=\"out\"}}");
     cell.instances[instance].metric(&name).unwrap_or(0)
@@ -75,7 +79,7 @@
         cell.submit_at(relay, 0xD000 + n, &body, (TASKS, 100));
         if n == JOBS / 2 {
             cell.instances[relay].signal("STOP");
-            std::thread::sleep(Duration::from_millis(1_500));
+            thread::sleep(PAUSE);
             cell.instances[relay].signal("CONT");
         }
     }
@@ -107,22 +111,33 @@
     assert!(cell.instances[0].is_ready());
 }
 
+/// Start command of the only task of a job, for a relay.
+fn relayed(id: &str, spec: &str, worker: &TcpListener) -> String {
+    let order = json!({"token": 9, "worker": "w", "address": worker.local_addr().unwrap().to_string(),
+        "run": 1, "expires": 1, "spec_hash": xxh3::xxh3_64(spec.as_bytes()),
+        "task": {"job": id, "occurrence": 0, "step": 0, "index": 0}});
+    order.to_string()
+}
+
+/// Lets an instance know the specification of a job that is rejected.
+fn submit_rejected(cell: &Cell, id: &str) {
+    let rejected = json!({"spec": "rejected", "steps": []}).to_string();
+    let path = format!("/q/{id}");
+    let answer = processes::exchange(cell.instances[0].front, "POST", &path, &rejected);
+    assert_eq!(answer.map(|(status, _)| status), Some(400));
+}
+
 #[test]
 fn a_relay_sends_no_specification_but_that_of_the_accepted_job() {
     let cell = Cell::start(1);
-    let (front, peer) = (cell.instances[0].front, cell.instances[0].peer);
+    let peer = cell.instances[0].peer;
     let id = "00000000000000f1";
     // The job is rejected, so that its id may be used again with another specification.
-    let rejected = json!({"spec": "rejected", "steps": []}).to_string();
-    let answer = processes::exchange(front, "POST", &format!("/q/{id}"), &rejected);
-    assert_eq!(answer.map(|(status, _)| status), Some(400));
+    submit_rejected(&cell, id);
     let worker = TcpListener::bind("127.0.0.1:0").unwrap();
     worker.set_nonblocking(true).unwrap();
     let relay = |spec: &str| {
-        let order = json!({"token": 9, "worker": "w", "address": worker.local_addr().unwrap().to_string(),
-            "run": 1, "expires": 1, "spec_hash": xxh3::xxh3_64(spec.as_bytes()),
-            "task": {"job": id, "occurrence": 0, "step": 0, "index": 0}});
-        processes::exchange(peer, "POST", "/relay", &order.to_string()).unwrap()
+        processes::exchange(peer, "POST", "/relay", &relayed(id, spec, &worker)).unwrap()
     };
     assert_eq!(relay("accepted"), (200, "\"unsent\"".to_owned()));
     assert!(worker.accept().is_err(), "nothing is sent to the worker");
@@ -130,3 +145,22 @@
     assert_eq!(relay("rejected"), (200, "\"unknown\"".to_owned()));
     assert!(worker.accept().is_ok());
 }
+
+/// Guards against a start command that a relay sends seconds after its owner has written it off: the
+/// worker may have restarted under its id, and the expiry is a time on the clock of the former
+/// incarnation.
+#[test]
+fn a_relay_that_stood_still_does_not_send_what_it_received_meanwhile() {
+    let cell = Cell::start(1);
+    let (instance, id) = (&cell.instances[0], "00000000000000f3");
+    submit_rejected(&cell, id);
+    let worker = TcpListener::bind("127.0.0.1:0").unwrap();
+    worker.set_nonblocking(true).unwrap();
+    let (peer, order) = (instance.peer, relayed(id, "rejected", &worker));
+    instance.signal("STOP");
+    let relay = thread::spawn(move || processes::exchange(peer, "POST", "/relay", &order));
+    thread::sleep(PAUSE);
+    instance.signal("CONT");
+    assert_eq!(relay.join().unwrap(), Some((200, "\"unsent\"".to_owned())));
+    assert!(worker.accept().is_err(), "nothing is sent to the worker");
+}
