feat(cell): logs show commands without an answer and clocks that went back

They did not say for how long commands without an answer could still be carried out when a worker came back as a new incarnation or its leases expired, which incarnation the registration showed then, nor that a worker's clock was below an earlier reading.

Change: `late` in the lines on a changed incarnation and on expired leases, the known and the registered incarnation in `"worker does not answer"` and `"leases expired on silent worker"`, and a warning `"worker clock went back"`.

--- a/src/cell/cluster.rs
+++ b/src/cell/cluster.rs
@@ -174,6 +174,8 @@
     pub polling: bool,
     /// Highest number of an ended run that the newest poll acknowledges; 0 for none.
     pub polled_acked: u64,
+    /// Local time until which a command without an answer may be carried out, in milliseconds.
+    pub late_until: u64,
     /// Local time until which an acknowledgement without an answer may be carried out, in milliseconds.
     pub acked_until: u64,
     /// Local time until which this incarnation gets no new tasks, in milliseconds: an acknowledgement
@@ -229,6 +231,7 @@
             acknowledged: 0,
             polling: false,
             polled_acked: 0,
+            late_until: 0,
             acked_until: 0,
             quarantined_until: 0,
             polled_at: 0,
--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -258,6 +258,7 @@
                 run.retry_after = now + RETRY_DELAY_MS;
                 warn!(job = run.name.job.as_str(), step = run.name.step, task = run.name.index, run = run.number,
                     age = now - run.ordered_at, relayed = e == SendError::Relay; "start command not answered");
+                self.note_unanswered(worker, now);
                 if e != SendError::Relay {
                     self.mark_silent(worker, now);
                 }
@@ -396,6 +397,7 @@
             }
             Err(_) => {
                 run.retry_after = now + RETRY_DELAY_MS;
+                self.note_unanswered(worker, now);
                 self.mark_silent(worker, now);
             }
         }
@@ -465,10 +467,18 @@
             } else {
                 POLL_RETRY_MS
             };
+        self.note_unanswered(key, now);
         self.mark_silent(key, now);
         self.remove_if_empty(key);
     }
 
+    /// Notes that a command to a worker has no answer: it may be carried out later.
+    fn note_unanswered(&mut self, key: WorkerKey, now: u64) {
+        if let Some(worker) = self.cluster.workers.get_mut(key) {
+            worker.late_until = now + LATE_COMMAND_MS;
+        }
+    }
+
     /// Handles a refused poll.
     pub fn poll_refused(&mut self, key: WorkerKey, reply: model::Reply, now: u64) {
         let Some(worker) = self.cluster.workers.get_mut(key) else {
@@ -520,6 +530,12 @@
         let Some(clock) = clock else {
             return;
         };
+        if let Some((at, before)) = worker.clock_reading
+            && clock < before
+        {
+            warn!(worker = worker.registration.id.as_str(), before, clock, age = now - at, born = worker.incarnation,
+                registered = worker.registration.incarnation; "worker clock went back");
+        }
         worker.clock_reading = Some((now, clock));
         if let Some(since) = worker.silent_since.take() {
             info!(worker = worker.registration.id.as_str(), after = now - since; "worker answers again");
@@ -533,8 +549,8 @@
             return;
         };
         if worker.silent_since.is_none() {
-            info!(worker = worker.registration.id.as_str(), runs = worker.runs.len(), lapses = worker.leases_end.saturating_sub(now);
-                "worker does not answer");
+            info!(worker = worker.registration.id.as_str(), runs = worker.runs.len(), lapses = worker.leases_end.saturating_sub(now),
+                born = worker.incarnation, registered = worker.registration.incarnation; "worker does not answer");
             worker.silent_since = Some(now);
             if worker.fell_silent <= worker.last_report {
                 // A later silence may be that of the next incarnation.
@@ -572,7 +588,9 @@
         let mut silent = Vec::new();
         for (key, worker) in &self.cluster.workers {
             if worker.silent_since.is_some() && worker.leases_end < now && !worker.runs.is_empty() {
-                info!(worker = worker.registration.id.as_str(), runs = worker.runs.len(); "leases expired on silent worker; runs are lost");
+                info!(worker = worker.registration.id.as_str(), runs = worker.runs.len(), born = worker.incarnation,
+                    registered = worker.registration.incarnation, late = worker.late_until.saturating_sub(now);
+                    "leases expired on silent worker; runs are lost");
                 expired.extend(worker.runs.iter().copied());
                 silent.push(key);
             }
--- a/src/cell/engine/registry.rs
+++ b/src/cell/engine/registry.rs
@@ -202,7 +202,8 @@
     ) {
         self.note_crash(key, sent, now);
         let worker = &mut self.cluster.workers[key];
-        info!(worker = worker.registration.id.as_str(), born = incarnation, before = worker.incarnation, runs = worker.runs.len(); "worker incarnation changed; its confirmed runs are lost");
+        info!(worker = worker.registration.id.as_str(), born = incarnation, before = worker.incarnation, runs = worker.runs.len(),
+            late = worker.late_until.saturating_sub(now); "worker incarnation changed; its confirmed runs are lost");
         worker.incarnation = incarnation;
         worker.fenced = false;
         worker.clock_reading = None;
