fix(cell): a command meant for a former incarnation of a worker does nothing in the next one

Cause: a command names its worker by id and carries the owner's fencing token; both are valid in the worker's next incarnation. Its expiry is a time on a clock that starts anew, its acknowledgement a number that does. A poll or a start without an answer that is carried out 2 to 12 s later therefore renews all leases of the next incarnation by 6 s, makes it forget ends that nobody has read, or starts the run again, and the owner knows of none of it.

Change: an owner uses a higher token for each incarnation of a worker (cell::fencing; a token is the term and a number). It chooses one as soon as the registration or a report shows a new incarnation, and gives the worker tasks only once it has answered a poll with that token: every earlier command has a lower one and is refused without any effect. A refusal of an earlier token of its own does not end the owner's term. A new incarnation that registers is polled at once, beside a poll of the former one whose answer no longer counts. A start that was placed on a former incarnation is not sent or repeated to the next. Before the answer, nothing is acknowledged and no lease is renewed.

A token for each silence would not help: it is the unheard incarnation that accepts any token.

a_new_worker_incarnation_gets_no_tasks_before_its_capacity_is_known asks for one more poll: the first report answers a poll with the token of the former incarnation. It also checks that nothing starts before.

--- a/src/cell/cluster.rs
+++ b/src/cell/cluster.rs
@@ -7,6 +7,7 @@
 use crate::resources::Resources;
 
 use super::{
+    fencing::Token,
     job::{
         RunKey,
         TaskKey,
@@ -92,6 +93,8 @@
     pub repeated: bool,
     /// Number of the worker's address to which the last command was sent.
     pub sent_to: u32,
+    /// Token of the last command.
+    pub token: Token,
     /// Whether the run tries a task that is suspected of crashing workers, and shares its worker
     /// with no other job.
     pub trial: bool,
@@ -145,12 +148,18 @@
     pub inherited: bool,
     /// Incarnation of the worker; 0 until known.
     pub incarnation: u64,
-    /// Whether this incarnation has seen the owner's fencing token.
+    /// Token of the commands to the worker.
+    pub token: Token,
+    /// Incarnation for which the token was chosen; `None` for whichever answers next.
+    pub token_for: Option<u64>,
+    /// Whether this incarnation has seen the token.
     pub fenced: bool,
     /// Whether another worker has answered at the address since the last registration.
     pub superseded: bool,
     /// Newest clock reading: local time and the worker's clock, in milliseconds.
     pub clock_reading: Option<(u64, u64)>,
+    /// Local time of the newest answer with a clock reading, in milliseconds.
+    pub last_answer: u64,
     /// Local time of the newest report of this incarnation, in milliseconds.
     pub last_report: u64,
     /// Local time by which all runs on the worker have expired if no command is sent, in
@@ -172,6 +181,10 @@
     pub acknowledged: u64,
     /// Whether a poll is in flight.
     pub polling: bool,
+    /// Local time at which the newest poll was sent, in milliseconds.
+    pub poll_sent: u64,
+    /// Token of the newest poll.
+    pub poll_token: Token,
     /// Highest number of an ended run that the newest poll acknowledges; 0 for none.
     pub polled_acked: u64,
     /// Local time until which a command without an answer may be carried out, in milliseconds.
@@ -202,11 +215,13 @@
 }
 
 impl Worker {
-    /// Creates a worker from its registration.
+    /// Creates a worker from its registration. No command to a worker of this id has had the token.
     #[must_use]
-    pub fn new(registration: model::Registration) -> Self {
+    pub fn new(registration: model::Registration, token: Token) -> Self {
         Self {
             incarnation: registration.incarnation,
+            token,
+            token_for: Some(registration.incarnation),
             registration,
             address_number: 0,
             registered: true,
@@ -220,6 +235,7 @@
             fenced: false,
             superseded: false,
             clock_reading: None,
+            last_answer: 0,
             last_report: 0,
             leases_end: 0,
             runs: Vec::new(),
@@ -230,6 +246,8 @@
             outcome_batch: 0,
             acknowledged: 0,
             polling: false,
+            poll_sent: 0,
+            poll_token: token,
             polled_acked: 0,
             late_until: 0,
             acked_until: 0,
@@ -436,10 +454,10 @@
         at.ok().map(|at| self.index[at].1)
     }
 
-    /// Adds a worker.
-    pub fn add_worker(&mut self, registration: model::Registration) -> WorkerKey {
+    /// Adds a worker. No command to a worker of its id has had the token.
+    pub fn add_worker(&mut self, registration: model::Registration, token: Token) -> WorkerKey {
         let id = registration.id.clone();
-        let mut worker = Worker::new(registration);
+        let mut worker = Worker::new(registration, token);
         let late = self.late_acks.iter();
         let mut late = late.filter(|(name, life, _)| *name == id && *life != worker.incarnation);
         worker.quarantined_until = late.next_back().map_or(0, |(_, _, until)| *until);
--- a/src/cell/election.rs
+++ b/src/cell/election.rs
@@ -36,7 +36,7 @@
 /// Stored record that names the owner.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Owner {
-    /// Term of the owner, which is also its fencing token.
+    /// Term of the owner, from which its fencing tokens follow.
     pub term: u64,
     /// Name of the owner's instance.
     pub instance: CompactString,
--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -18,6 +18,7 @@
         Run, //
         RunState,
     },
+    fencing,
     job::{
         Job,
         JobKey,
@@ -43,6 +44,7 @@
 mod cordons;
 pub mod crashes;
 mod ended_jobs;
+pub mod incarnations;
 pub mod losses;
 pub mod memory;
 mod organisations;
@@ -154,10 +156,10 @@
 
 /// State of the cell's owner.
 pub struct Engine {
-    /// Fencing token of this owner.
-    pub token: u64,
     /// Term of this owner.
     pub term: u64,
+    /// Fencing tokens that were not used yet.
+    tokens: fencing::Tokens,
     /// Time limits.
     pub times: Times,
     /// Jobs that have not been archived.
@@ -215,6 +217,8 @@
     pub proxies: proxies::Proxies,
     /// Runs that ended without an outcome, not yet counted.
     losses: Vec<losses::Loss>,
+    /// Signs that workers have started again, not yet counted.
+    signs: Vec<incarnations::Sign>,
     /// Evidence that tasks crash workers, not yet counted.
     evidence: Vec<crashes::Evidence>,
     /// Tasks whose workers may have crashed under earlier owners, with the ids of the workers.
@@ -251,10 +255,10 @@
 impl Engine {
     /// Creates the engine of an owner that has just begun its term.
     #[must_use]
-    pub fn new(token: u64, term: u64, times: Times) -> Self {
+    pub fn new(term: u64, times: Times) -> Self {
         Self {
-            token,
             term,
+            tokens: fencing::Tokens::of(term),
             times,
             jobs: SlotMap::with_key(),
             index: Vec::new(),
@@ -285,6 +289,7 @@
             queue_stats: Vec::new(),
             proxies: proxies::Proxies::default(),
             losses: Vec::new(),
+            signs: Vec::new(),
             evidence: Vec::new(),
             exposed: Vec::new(),
             caution: caution::Caution::default(),
@@ -551,6 +556,7 @@
             in_flight: false,
             repeated: false,
             sent_to: 0,
+            token: fencing::Token::default(),
             trial: false,
             after_batch: 0,
         });
--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -18,6 +18,7 @@
         RunState,
         Worker, //
     },
+    fencing::Token,
     job::{
         Job,
         RunKey,
@@ -42,7 +43,7 @@
 
 /// Time for which a command without an answer may still be carried out, in milliseconds: the platform
 /// speaks of seconds.
-const LATE_COMMAND_MS: u64 = 13_000;
+pub(super) const LATE_COMMAND_MS: u64 = 13_000;
 
 /// Delay before a refused stop command is retried, in milliseconds.
 const STOP_RETRY_MS: u64 = 250;
@@ -95,6 +96,8 @@
     pub checkpoint: CompactString,
     /// Permit of the placement policy; empty for none.
     pub permit: CompactString,
+    /// Fencing token.
+    pub token: Token,
 }
 
 /// Command to stop a run.
@@ -106,6 +109,8 @@
     pub task: model::TaskName,
     /// Number of the run.
     pub run: u32,
+    /// Fencing token.
+    pub token: Token,
 }
 
 /// Poll of a worker: renews the leases of its runs and requests a report.
@@ -121,6 +126,8 @@
     pub wait: Duration,
     /// Local time at which the poll is sent, in milliseconds.
     pub sent_at: u64,
+    /// Fencing token.
+    pub token: Token,
 }
 
 /// Reason why a command has no reply.
@@ -175,7 +182,14 @@
         let held = first && run.after_batch > 0;
         let cordoned = first && worker.is_some_and(|w| w.is_cordoned(durable));
         let lost = cordoned || held && worker.is_none_or(|w| !w.is_schedulable(durable, now));
-        if !may_command || lost || first && !current || worker.is_some_and(Worker::is_overbooked) {
+        // The worker has started again, and its clock has, too.
+        let restarted = worker.is_some_and(|w| !w.fenced);
+        if !may_command
+            || lost
+            || restarted
+            || first && !current
+            || worker.is_some_and(Worker::is_overbooked)
+        {
             if first {
                 self.lose_run(key, Loss::Unsent, now);
             }
@@ -190,6 +204,7 @@
         worker.extend_leases(run.start_expires, now);
         run.in_flight = true;
         run.sent_to = worker.address_number;
+        run.token = worker.token;
         let job = self.jobs.get(task.step.job)?;
         let checkpoint = job
             .step(task.step)?
@@ -197,11 +212,12 @@
             .get(task.index as usize)?
             .checkpoint
             .clone();
-        let (name, number, permit, expires_at) = (
+        let (name, number, permit, expires_at, token) = (
             run.name.clone(),
             run.number,
             run.permit.clone(),
             run.start_expires,
+            run.token,
         );
         Some(Start {
             to: self.address(self.cluster.runs[key].worker)?,
@@ -211,6 +227,7 @@
             expires_at,
             checkpoint,
             permit,
+            token,
         })
     }
 
@@ -223,7 +240,7 @@
             return false;
         };
         let worker = self.cluster.workers.get(run.worker);
-        let worker = worker.filter(|worker| !worker.is_overbooked());
+        let worker = worker.filter(|w| w.token == run.token && !w.is_overbooked());
         let clock = worker.and_then(|worker| worker.clock_at(now));
         let expired = clock.is_none_or(|clock| clock >= run.start_expires);
         let may_send = self.may_send(run.charge.organisation, now);
@@ -244,7 +261,9 @@
         let worker = run.worker;
         match answer {
             Ok(reply) => {
-                self.record_clock(worker, reply.clock, now);
+                if self.is_current(key) {
+                    self.record_clock(worker, reply.clock, now);
+                }
                 self.apply_start_reply(key, reply.verdict, now);
             }
             Err(SendError::Unsent) if self.cluster.runs[key].state == RunState::Sent => {
@@ -267,6 +286,7 @@
     }
 
     fn apply_start_reply(&mut self, key: RunKey, verdict: Verdict, now: u64) {
+        let current = self.is_current(key);
         let run = &mut self.cluster.runs[key];
         let worker = run.worker;
         if verdict == Verdict::Accepted {
@@ -286,7 +306,7 @@
             worker = id.as_str(), verdict:? = verdict, state:? = run.state, age = now - run.ordered_at; "start command refused");
         let retried = run.state != RunState::Sent;
         match verdict {
-            Verdict::Fenced => self.deposed = true,
+            Verdict::Fenced if current => self.deposed = true,
             Verdict::Reborn if run.sent_to == self.cluster.workers[worker].address_number => {
                 if !retried {
                     // The former worker has not seen the command.
@@ -347,17 +367,16 @@
         if run.in_flight || now < run.retry_after || !run.stopping {
             return None;
         }
+        let worker = self.cluster.workers.get(run.worker)?;
         run.in_flight = true;
-        let (name, number, worker) = (run.name.clone(), run.number, run.worker);
-        run.sent_to = self
-            .cluster
-            .workers
-            .get(worker)
-            .map_or(0, |w| w.address_number);
+        run.sent_to = worker.address_number;
+        run.token = worker.token;
+        let (name, number, token) = (run.name.clone(), run.number, run.token);
         Some(Stop {
-            to: self.address(worker)?,
+            to: self.address(self.cluster.runs[key].worker)?,
             task: name,
             run: number,
+            token,
         })
     }
 
@@ -368,12 +387,16 @@
         answer: Result<model::Reply, SendError>,
         now: u64,
     ) {
-        let Some(run) = self.cluster.runs.get_mut(key) else {
+        if !self.cluster.runs.contains_key(key) {
             return;
-        };
+        }
+        let current = self.is_current(key);
+        let run = &mut self.cluster.runs[key];
         run.in_flight = false;
         let worker = run.worker;
         match answer {
+            // A former incarnation may have answered.
+            Ok(reply) if !current && reply.verdict != Verdict::Reborn => run.retry_after = now,
             Ok(reply) => {
                 match reply.verdict {
                     Verdict::Accepted | Verdict::Old => {
@@ -421,7 +444,8 @@
         let stored = worker.outcome_batch <= durable;
         // Acknowledging numbers of a former incarnation would make a new one drop ended runs that
         // were never reported.
-        let same = worker.last_report + MIN_RESTART_MS > now && worker.silent_since.is_none();
+        let heard = worker.last_report + MIN_RESTART_MS > now && worker.silent_since.is_none();
+        let same = worker.fenced && heard;
         let acked = match (same, stored) {
             (false, _) => 0,
             // What was acknowledged is not repeated: such a poll could reach the next incarnation.
@@ -438,6 +462,9 @@
             worker.extend_leases(lease_end, now);
         }
         worker.polling = true;
+        worker.poll_sent = now;
+        worker.poll_token = worker.token;
+        let token = worker.token;
         worker.polled_acked = acked;
         worker.polled_at = worker.address_number;
         let idle = worker.fenced && lease_end.is_some() && stored && worker.silent_since.is_none();
@@ -447,6 +474,7 @@
             lease_end,
             wait: if idle { POLL_WAIT } else { Duration::ZERO },
             sent_at: now,
+            token,
         })
     }
 
@@ -487,8 +515,10 @@
         worker.polling = false;
         worker.poll_after = now + POLL_RETRY_MS;
         match reply.verdict {
+            // The token was renewed meanwhile.
+            Verdict::Fenced if worker.poll_token < worker.token => worker.poll_after = 0,
             Verdict::Fenced => {
-                warn!(worker = worker.registration.id.as_str(), token = self.token; "worker has seen a higher fencing token");
+                warn!(worker = worker.registration.id.as_str(), token = worker.token; "worker has seen a higher fencing token");
                 self.deposed = true;
             }
             // The worker has left the address that was polled.
@@ -537,6 +567,7 @@
                 registered = worker.registration.incarnation; "worker clock went back");
         }
         worker.clock_reading = Some((now, clock));
+        worker.last_answer = now;
         if let Some(since) = worker.silent_since.take() {
             info!(worker = worker.registration.id.as_str(), after = now - since; "worker answers again");
             self.pass_needed = true;
@@ -626,6 +657,13 @@
         }
     }
 
+    /// Whether the last command about a run had the token that its worker has now.
+    fn is_current(&self, key: RunKey) -> bool {
+        let run = &self.cluster.runs[key];
+        let worker = self.cluster.workers.get(run.worker);
+        worker.is_some_and(|worker| worker.token == run.token)
+    }
+
     /// Whether an unanswered start command has expired by the worker's clock and can no longer take
     /// effect.
     pub(super) fn is_expired(&self, key: RunKey, clock: u64) -> bool {
--- a/src/cell/engine/crashes.rs
+++ b/src/cell/engine/crashes.rs
@@ -76,10 +76,9 @@
                 RunState::Confirmed(at) => (at, true),
                 RunState::Sent | RunState::Unanswered => (run.ordered_at, false),
             };
-            let answered = worker.clock_reading.map_or(0, |(at, _)| at);
             let sent = confirmed || run.start_expires > 0;
             // The worker may have been down already when the command was sent.
-            let seen = confirmed || run.ordered_at <= answered + ANSWER_AGE_MS;
+            let seen = confirmed || run.ordered_at <= worker.last_answer + ANSWER_AGE_MS;
             if !sent || confirmed && started >= before || run.ordered_at > at {
                 continue;
             }
--- /dev/null
+++ b/src/cell/engine/incarnations.rs
@@ -0,0 +1,92 @@
+//! Workers that start again under their ids, and what keeps commands to a former incarnation from
+//! acting on the next one.
+
+use log::{
+    info,
+    warn, //
+};
+
+use super::{
+    Engine,
+    commands, //
+};
+use crate::cell::{
+    fencing::Token,
+    job::WorkerKey,
+    model, //
+};
+
+/// What showed that a worker has started again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sign {
+    /// Its registration.
+    Registration,
+    /// Its report.
+    Report,
+}
+
+impl Sign {
+    /// Name of the sign in metrics.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Sign::Registration => "registration",
+            Sign::Report => "report",
+        }
+    }
+}
+
+impl Engine {
+    /// A token that no command has had; the term ends when it has no more.
+    fn next_token(&mut self) -> Token {
+        let Some(token) = self.tokens.next() else {
+            warn!(term = self.term; "term has used all its fencing tokens");
+            self.deposed = true;
+            return Token::first(self.term);
+        };
+        token
+    }
+
+    /// Tracks a worker that is not known.
+    pub(super) fn add_worker(&mut self, registration: model::Registration) -> WorkerKey {
+        // The worker may have been forgotten while commands to a former incarnation were under way.
+        let token = self.next_token();
+        self.cluster.add_worker(registration, token)
+    }
+
+    /// Prepares for a new incarnation of a worker, `None` if it is not known which: it gets no tasks until
+    /// it has answered a poll with a token of its own. Every command to a former incarnation has a lower
+    /// token.
+    pub(super) fn renew_token(&mut self, key: WorkerKey, incarnation: Option<u64>, sign: Sign) {
+        let token = self.next_token();
+        let worker = &mut self.cluster.workers[key];
+        info!(worker = worker.registration.id.as_str(), sign:? = sign, born = incarnation.unwrap_or(0), before = worker.incarnation,
+            token, runs = worker.runs.len(); "worker has started again");
+        worker.token = token;
+        worker.token_for = incarnation;
+        worker.fenced = false;
+        worker.clock_reading = None;
+        worker.poll_after = 0;
+        if worker.polling {
+            // It was sent to the former incarnation, and its time-out would delay the next poll.
+            worker.polling = false;
+            if worker.polled_acked > 0 {
+                worker.acked_until = worker.poll_sent + commands::LATE_COMMAND_MS;
+            }
+        }
+        self.signs.push(sign);
+    }
+
+    /// Whether the poll of a worker that was sent at local time `sent`, in milliseconds, is the newest.
+    /// Answers to earlier polls do not count.
+    #[must_use]
+    pub fn awaits_poll(&self, key: WorkerKey, sent: u64) -> bool {
+        let worker = self.cluster.workers.get(key);
+        worker.is_some_and(|worker| worker.polling && worker.poll_sent == sent)
+    }
+
+    /// Takes the signs of restarts since the last call, for metrics.
+    pub fn take_signs(&mut self) -> Vec<Sign> {
+        std::mem::take(&mut self.signs)
+    }
+}
--- a/src/cell/engine/recovery.rs
+++ b/src/cell/engine/recovery.rs
@@ -131,7 +131,7 @@
         self.loaded_at = now;
         self.reconcile_by =
             now + MAX_STORE_OUTAGE_MS + self.times.lease + succession::RECONCILE_MARGIN_MS;
-        info!(open = self.jobs.len(), finished = self.archive.len(), skipped, term = self.term, token = self.token; "stored jobs loaded");
+        info!(open = self.jobs.len(), finished = self.archive.len(), skipped, term = self.term; "stored jobs loaded");
     }
 
     /// Adds a worker that an earlier owner gave tasks to, whether or not it is registered now.
@@ -141,7 +141,7 @@
         if registration.id != id {
             return Err(format!("the record names worker {}", registration.id));
         }
-        let key = self.cluster.add_worker(registration.clone());
+        let key = self.add_worker(registration.clone());
         let worker = &mut self.cluster.workers[key];
         worker.registered = false;
         worker.stored_registration = Some(registration);
--- a/src/cell/engine/registry.rs
+++ b/src/cell/engine/registry.rs
@@ -5,6 +5,7 @@
 use super::{
     Action,
     Engine,
+    incarnations::Sign,
     losses::Loss, //
 };
 use crate::{
@@ -79,7 +80,7 @@
     pub fn register(&mut self, registration: model::Registration) {
         let Some(key) = self.cluster.find_worker(&registration.id) else {
             info!(worker = registration.id.as_str(), service = registration.service.as_str(), born = registration.incarnation; "worker registered");
-            let key = self.cluster.add_worker(registration);
+            let key = self.add_worker(registration);
             self.cluster.workers[key].note_draining();
             self.store_registration(key);
             self.pass_needed = true;
@@ -90,12 +91,13 @@
             return;
         }
         worker.beat_seen = true;
-        if registration.incarnation > worker.incarnation {
+        let restarted = registration.incarnation > worker.incarnation;
+        if restarted && worker.token_for != Some(registration.incarnation) {
             // Commands sent in the meantime may have reached the new incarnation: its own report
             // tells.
-            worker.fenced = false;
-            worker.poll_after = 0;
+            self.renew_token(key, Some(registration.incarnation), Sign::Registration);
         }
+        let worker = &mut self.cluster.workers[key];
         if worker.registration.availability != registration.availability {
             info!(worker = registration.id.as_str(), standing:? = registration.availability; "worker availability changed");
         }
@@ -205,7 +207,6 @@
         info!(worker = worker.registration.id.as_str(), born = incarnation, before = worker.incarnation, runs = worker.runs.len(),
             late = worker.late_until.saturating_sub(now); "worker incarnation changed; its confirmed runs are lost");
         worker.incarnation = incarnation;
-        worker.fenced = false;
         worker.clock_reading = None;
         worker.last_report = 0;
         worker.leases_end = 0;
@@ -217,7 +218,12 @@
         worker.poll_after = 0;
         worker.silent_since = None;
         worker.suspended_until = 0;
+        worker.fenced = false;
         let runs = worker.runs.clone();
+        if worker.token_for != Some(incarnation) && worker.token_for.is_some() {
+            self.renew_token(key, Some(incarnation), Sign::Report);
+        }
+        self.cluster.workers[key].token_for = Some(incarnation);
         for key in runs {
             let run = &self.cluster.runs[key];
             match run.state {
--- a/src/cell/engine/reports.rs
+++ b/src/cell/engine/reports.rs
@@ -17,6 +17,7 @@
         Run, //
         RunState,
     },
+    fencing,
     job::{
         JobKey,
         Phase,
@@ -83,12 +84,17 @@
         let conclusive = newest && !report.partial;
         let proven = conclusive && self.has_fresh_proof(sent);
         let worker = &mut self.cluster.workers[key];
+        // After a poll with an earlier token, late commands to the former incarnation may still act.
+        let current = worker.poll_token == worker.token;
         worker.last_report = now;
         worker.incarnation = worker.incarnation.max(report.incarnation);
-        if !worker.fenced && !proven {
+        if !worker.fenced && !current {
+            worker.poll_after = now;
+        } else if !worker.fenced && !proven {
             worker.poll_after = now + commands::POLL_RETRY_MS;
         } else if !worker.fenced {
             worker.fenced = true;
+            worker.token_for = Some(worker.incarnation);
             // An earlier owner may have renewed leases just before.
             let longest = cluster::local_duration(self.times.lease);
             worker.leases_end = worker.leases_end.max(now + longest);
@@ -298,6 +304,7 @@
             in_flight: false,
             repeated: false,
             sent_to: 0,
+            token: fencing::Token::default(),
             trial: false,
             after_batch: 0,
         });
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -9,6 +9,7 @@
 pub mod cluster;
 pub mod election;
 pub mod engine;
+pub mod fencing;
 pub mod job;
 pub mod journal;
 pub mod model;
--- a/src/cell/shell/dispatch.rs
+++ b/src/cell/shell/dispatch.rs
@@ -94,7 +94,7 @@
         run: order.run,
         spec: &order.spec,
         expires: order.expires_at,
-        token: owner.term,
+        token: order.token,
         checkpoint: &order.checkpoint,
         permit: &order.permit,
     };
@@ -121,7 +121,7 @@
         &order.to.worker,
         &order.task,
         order.run,
-        owner.term,
+        order.token,
         ORDER_TIMEOUT,
     )
     .await;
@@ -140,7 +140,7 @@
     };
     let link = owner.link(&order.to);
     let message = worker::ReportRequest {
-        token: owner.term,
+        token: order.token,
         acknowledged: order.acked,
         expires: order.lease_end,
         wait: order.wait,
@@ -150,6 +150,9 @@
     let now = owner.now();
     {
         let mut engine = owner.engine.borrow_mut();
+        if !engine.awaits_poll(key, order.sent_at) {
+            return;
+        }
         match answer {
             Ok(Ok(report)) => engine.apply_report(key, order.sent_at, order.acked, &report, now),
             Ok(Err(reply)) => engine.poll_refused(key, reply, now),
--- a/src/cell/shell/metrics.rs
+++ b/src/cell/shell/metrics.rs
@@ -29,6 +29,7 @@
         access::Denied,
         engine::{
             crashes::Evidence,
+            incarnations::Sign,
             losses::Loss, //
         },
         neighbours::Neighbours, //
@@ -87,6 +88,13 @@
     pub evidence: &'static str,
 }
 
+/// Labels of the workers that have started again under their ids.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RestartLabels {
+    /// What showed it.
+    pub sign: &'static str,
+}
+
 /// Labels of the requests that were not admitted.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct DeniedLabels {
@@ -129,6 +137,7 @@
     losses: Family<LossLabels, Counter>,
     denied: Family<DeniedLabels, Counter>,
     crashes: Family<CrashLabels, Counter>,
+    restarts: Family<RestartLabels, Counter>,
     /// Tasks that wait to run alone because workers have crashed under them.
     pub waiting_trials: Gauge,
     /// Queues that are placed with caution because their starts crash workers.
@@ -190,6 +199,7 @@
             losses: Family::default(),
             denied: Family::default(),
             crashes: Family::default(),
+            restarts: Family::default(),
             waiting_trials: Gauge::default(),
             careful_queues: Gauge::default(),
             organisations: organisations::Families::default(),
@@ -260,6 +270,11 @@
             "Tasks that were on a worker when it crashed, by evidence",
             self.crashes.clone(),
         );
+        registry.register(
+            "restarts",
+            "Workers that have started again under their ids, by what showed it",
+            self.restarts.clone(),
+        );
         registry.register(
             "waiting_trials",
             "Tasks that wait to run alone because workers have crashed under them",
@@ -334,6 +349,12 @@
         self.crashes.get_or_create(&label).inc();
     }
 
+    /// Counts a worker that has started again.
+    pub fn count_restart(&self, sign: Sign) {
+        let label = RestartLabels { sign: sign.label() };
+        self.restarts.get_or_create(&label).inc();
+    }
+
     /// Records the pairs of kinds of tasks that are known to interfere, and the placements that they
     /// changed.
     pub fn record_neighbours(&self, neighbours: &mut Neighbours) {
--- a/src/cell/shell/owner.rs
+++ b/src/cell/shell/owner.rs
@@ -181,7 +181,7 @@
             keep: cfg.retention.as_millis() as u64,
             contact: cfg.contact.as_millis() as u64,
         };
-        let mut engine = Engine::new(term, term, times);
+        let mut engine = Engine::new(term, times);
         engine.set_memory(cfg.limits.job_bytes, cfg.max_append);
         if cfg.link_kbps.is_some_and(|kbps| kbps < SLOW_LINK_KBPS) {
             engine.shorten_segments();
@@ -238,7 +238,7 @@
         Ok(owner)
     }
 
-    /// Returns the term, which is also the fencing token.
+    /// Returns the term.
     #[must_use]
     pub fn term(&self) -> u64 {
         self.term
@@ -421,6 +421,9 @@
             for evidence in engine.take_evidence() {
                 metrics.count_crash(evidence);
             }
+            for sign in engine.take_signs() {
+                metrics.count_restart(sign);
+            }
             metrics.record_neighbours(&mut engine.neighbours);
             metrics.waiting_trials.set(engine.waiting_trials() as i64);
             metrics.careful_queues.set(engine.careful_queues() as i64);
--- a/src/cell/shell/relay.rs
+++ b/src/cell/shell/relay.rs
@@ -27,6 +27,7 @@
 use crate::{
     cell::{
         engine::commands::Start,
+        fencing,
         model, //
     },
     platform::worker,
@@ -126,7 +127,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayedStart {
     /// Fencing token of the owner.
-    pub token: u64,
+    pub token: fencing::Token,
     /// Id of the worker.
     pub worker: CompactString,
     /// Address of the worker, as `IP:port`.
@@ -178,7 +179,7 @@
 /// Sends a start command through the instance at `address`.
 pub(super) async fn start(owner: &Owner, address: &str, order: &Start) -> Relayed {
     let message = RelayedStart {
-        token: owner.term(),
+        token: order.token,
         worker: order.to.worker.clone(),
         address: order.to.address.clone(),
         task: order.task.clone(),
@@ -214,7 +215,7 @@
     shared.uplink.turn(uplink::Kind::Start, spec.len()).await;
     // The wait for the link may have taken long, and there may be another owner by now.
     let waited = Duration::from_millis(shared.now().saturating_sub(arrived));
-    if waited > WORKER_TIMEOUT || shared.ownership.borrow().term() > order.token {
+    if waited > WORKER_TIMEOUT || shared.ownership.borrow().term() > order.token.term() {
         return Relayed::Unsent;
     }
     let request = worker::StartRequest {
--- a/tests/cell/cordons.rs
+++ b/tests/cell/cordons.rs
@@ -63,7 +63,7 @@
 }
 
 fn load(term: u64, stored: &Stored, now: u64) -> Engine {
-    let mut engine = Engine::new(term, term, TIMES);
+    let mut engine = Engine::new(term, TIMES);
     engine.set_wall_clock(now, now);
     engine.proven_at = now;
     let records = stored.iter();
--- a/tests/cell/driver.rs
+++ b/tests/cell/driver.rs
@@ -7,6 +7,7 @@
         Engine,
         commands::SendError, //
     },
+    fencing::Token,
     model::{
         self,
         Availability,
@@ -225,7 +226,7 @@
     }
 
     fn act(&mut self, action: Action) {
-        let (now, token) = (self.now, self.engine.token);
+        let now = self.now;
         let reborn = Reply {
             verdict: Verdict::Reborn,
             clock: None,
@@ -236,7 +237,7 @@
                     return;
                 };
                 let (at, former) = self.find(&call.to.worker);
-                let order = (&call.task, call.run, call.expires_at, token);
+                let order = (&call.task, call.run, call.expires_at, call.token);
                 let answer = match (self.reaches(at), former) {
                     (false, _) => Err(SendError::Unknown),
                     (true, true) => Ok(reborn),
@@ -255,7 +256,7 @@
                     return;
                 };
                 let (at, former) = self.find(&call.to.worker);
-                let order = (&call.task, call.run, token);
+                let order = (&call.task, call.run, call.token);
                 let answer = match (self.reaches(at), former) {
                     (false, _) => Err(SendError::Unknown),
                     (true, true) => Ok(reborn),
@@ -280,7 +281,7 @@
                 if former {
                     return self.engine.poll_refused(worker, reborn, now);
                 }
-                let order = (call.acked, call.lease_end, token);
+                let order = (call.acked, call.lease_end, call.token);
                 let machine = &mut self.machines[at];
                 let reply = workers::poll(machine, at, order, &mut self.judge, now);
                 match reply {
@@ -295,7 +296,7 @@
         }
     }
 
-    fn start(&mut self, at: usize, order: (&TaskName, u32, u64, u64)) -> Reply {
+    fn start(&mut self, at: usize, order: (&TaskName, u32, u64, Token)) -> Reply {
         let starts = u64::from(self.judge.starts);
         let fate = Behaviour {
             duration: self.duration + starts * 37 % (self.spread + 1),
@@ -358,8 +359,7 @@
     pub(super) fn replace_owner(&mut self) {
         let records = self.log.iter();
         let records = records.map(|(key, value)| (key.as_str(), value.as_deref()));
-        let (token, term) = (self.engine.token + 1, self.engine.term + 1);
-        let mut engine = Engine::new(token, term, make::TIMES);
+        let mut engine = Engine::new(self.engine.term + 1, make::TIMES);
         engine.set_wall_clock(self.now, self.now);
         engine.proven_at = u64::MAX / 2;
         engine.set_organisations(&self.organisations);
--- a/tests/cell/faults.rs
+++ b/tests/cell/faults.rs
@@ -229,7 +229,7 @@
         self.judge.trace(|| {
             format!(
                 "{} owner {} killed on instance {}",
-                self.now, state.engine.token, state.instance
+                self.now, state.engine.term, state.instance
             )
         });
         state.alive = false;
@@ -310,7 +310,7 @@
             format!(
                 "{} owner {} paused on instance {} until {} with {} actions {pause:?}",
                 self.now,
-                state.engine.token,
+                state.engine.term,
                 state.instance,
                 pause.until,
                 actions.len()
@@ -341,7 +341,7 @@
         self.judge.trace(|| {
             format!(
                 "{now} owner {} continues with {} actions and {} events",
-                state.engine.token,
+                state.engine.term,
                 held.len(),
                 inbox.len()
             )
--- a/tests/cell/intake.rs
+++ b/tests/cell/intake.rs
@@ -319,7 +319,7 @@
 }
 
 fn owner(limit: usize) -> Engine {
-    let mut engine = Engine::new(1, 1, TIMES);
+    let mut engine = Engine::new(1, TIMES);
     engine.set_memory(limit, 2_000_000);
     engine
 }
--- a/tests/cell/journal.rs
+++ b/tests/cell/journal.rs
@@ -56,7 +56,7 @@
     stored.push(("pzz".to_owned(), Some(br#"{"state":"completed"}"#.to_vec())));
     stored.push(("ac3".to_owned(), Some(b"\xff\x00".to_vec())));
     stored.push(("?".to_owned(), Some(b"{}".to_vec())));
-    let mut next = Engine::new(2, 2, TIMES);
+    let mut next = Engine::new(2, TIMES);
     next.load(
         stored.iter().map(|(k, v)| (k.as_str(), v.as_deref())),
         START,
@@ -95,7 +95,7 @@
             make::answer(&mut engine, key, report, now);
             stored.extend(make::store(&mut engine, now));
         }
-        let mut next = Engine::new(2, 2, TIMES);
+        let mut next = Engine::new(2, TIMES);
         next.load(stored.iter().map(|(k, v)| (k.as_str(), v.as_deref())), now);
         let task = |engine: &Engine| -> Vec<(bool, Vec<u32>)> {
             let job = engine.jobs.values().next().unwrap();
--- a/tests/cell/make.rs
+++ b/tests/cell/make.rs
@@ -140,7 +140,7 @@
 
 /// Creates an owner in its first term whose workers have all reported.
 pub(super) fn owner(workers: &[(&str, u32)]) -> Engine {
-    let mut engine = Engine::new(1, 1, TIMES);
+    let mut engine = Engine::new(1, TIMES);
     engine.set_wall_clock(START, START);
     engine.proven_at = u64::MAX / 2;
     for (id, millicores) in workers {
@@ -185,7 +185,7 @@
     records: impl Iterator<Item = (&'a str, Option<&'a [u8]>)>,
     now: u64,
 ) -> Engine {
-    let mut engine = Engine::new(2, 2, TIMES);
+    let mut engine = Engine::new(2, TIMES);
     engine.set_wall_clock(now, now);
     engine.proven_at = u64::MAX / 2;
     engine.load(records, now);
--- a/tests/cell/network.rs
+++ b/tests/cell/network.rs
@@ -5,6 +5,7 @@
         Action,
         commands::SendError, //
     },
+    fencing::Token,
     job::{
         RunKey,
         WorkerKey, //
@@ -33,9 +34,9 @@
 
 #[derive(Debug, Clone)]
 pub(super) enum Call {
-    Start(RunKey, TaskName, u32, u64),
-    Stop(RunKey, TaskName, u32),
-    Poll(WorkerKey, u64, Option<u64>, u64),
+    Start(RunKey, TaskName, u32, u64, Token),
+    Stop(RunKey, TaskName, u32, Token),
+    Poll(WorkerKey, u64, Option<u64>, u64, Token),
 }
 
 #[derive(Debug, Clone)]
@@ -104,14 +105,17 @@
                 };
                 (
                     call.to.clone(),
-                    Call::Start(run, call.task, call.run, call.expires_at),
+                    Call::Start(run, call.task, call.run, call.expires_at, call.token),
                 )
             }
             Action::Stop(run) => {
                 let Some(call) = engine.stop_command(run, now) else {
                     return;
                 };
-                (call.to.clone(), Call::Stop(run, call.task, call.run))
+                (
+                    call.to.clone(),
+                    Call::Stop(run, call.task, call.run, call.token),
+                )
             }
             Action::Poll(worker) => {
                 let Some(call) = engine.poll_command(worker, now) else {
@@ -119,7 +123,7 @@
                 };
                 (
                     call.to.clone(),
-                    Call::Poll(worker, call.acked, call.lease_end, call.sent_at),
+                    Call::Poll(worker, call.acked, call.lease_end, call.sent_at, call.token),
                 )
             }
             Action::Query(_) => return,
@@ -326,7 +330,6 @@
             }
             return;
         }
-        let token = self.owners[owner].engine.token;
         let long = matches!(call, Call::Start(..)) && self.roll(self.rates.long);
         let full = match &call {
             Call::Start(_, task, ..) => self.rates.guarded && !self.fits(at, task),
@@ -334,7 +337,7 @@
         };
         let judge = &mut self.judge;
         let answer = match &call {
-            Call::Start(_, task, run, expires) => {
+            Call::Start(_, task, run, expires, token) => {
                 let outcome = if self.rng.random_range(0..10) == 0 {
                     Outcome::Failed
                 } else {
@@ -345,7 +348,7 @@
                     duration = self.dice.random_range(4_000..20_000);
                 }
                 let fate = Behaviour { duration, outcome };
-                let call = (task, *run, *expires, token);
+                let call = (task, *run, *expires, *token);
                 let (until, verdict) = self.spells[at];
                 let refusal = match full {
                     true => Some(Verdict::Full),
@@ -359,19 +362,19 @@
                 });
                 Answer::Reply(Ok(reply))
             }
-            Call::Stop(_, task, run) => {
+            Call::Stop(_, task, run, token) => {
                 let machine = &mut self.machines[at];
                 Answer::Reply(Ok(workers::stop(
                     machine,
                     at,
-                    (task, *run, token),
+                    (task, *run, *token),
                     judge,
                     now,
                 )))
             }
-            Call::Poll(_, seen, expires, _) => {
+            Call::Poll(_, seen, expires, _, token) => {
                 let machine = &mut self.machines[at];
-                let order = (*seen, *expires, token);
+                let order = (*seen, *expires, *token);
                 let mut reply = workers::poll(machine, at, order, judge, now);
                 if let Ok(report) = &mut reply
                     && self.rates.page > 0
@@ -413,10 +416,15 @@
             return;
         }
         let engine = &mut state.engine;
+        if let Call::Poll(worker, _, _, sent, _) = call
+            && !engine.awaits_poll(worker, sent)
+        {
+            return;
+        }
         match (call, answer) {
             (Call::Start(run, ..), Answer::Reply(reply)) => engine.start_answered(run, reply, now),
             (Call::Stop(run, ..), Answer::Reply(reply)) => engine.stop_answered(run, reply, now),
-            (Call::Poll(worker, seen, _, sent), Answer::Poll(Some(Ok(report)))) => {
+            (Call::Poll(worker, seen, _, sent, _), Answer::Poll(Some(Ok(report)))) => {
                 engine.apply_report(worker, sent, seen, &report, now);
             }
             (Call::Poll(worker, ..), Answer::Poll(Some(Err(reply)))) => {
--- a/tests/cell/owners.rs
+++ b/tests/cell/owners.rs
@@ -63,7 +63,7 @@
         }
         self.judge
             .trace(|| format!("{} term {}", self.now, self.epoch));
-        let mut engine = Engine::new(self.epoch, self.epoch, TIMES);
+        let mut engine = Engine::new(self.epoch, TIMES);
         // The clock of a process says nothing about that of another one.
         let origin = match self.rates.instances {
             true => self.dice.random_range(0..START / 2),
@@ -171,7 +171,7 @@
 
     fn read_registrations(&mut self, owner: usize) {
         let local = self.owners[owner].local(self.now);
-        let own = Engine::new(0, 0, TIMES);
+        let own = Engine::new(0, TIMES);
         let mut engine = std::mem::replace(&mut self.owners[owner].engine, own);
         self.read_list(&mut engine, local);
         self.owners[owner].engine = engine;
@@ -184,7 +184,7 @@
         if state.batch.is_some() || state.proving || state.cut > now {
             return;
         }
-        if state.engine.token < epoch {
+        if state.engine.term < epoch {
             // The store refuses an earlier epoch, which ends the term.
             let refused = state.engine.take_batch().is_some();
             if !instances {
--- a/tests/cell/ownership.rs
+++ b/tests/cell/ownership.rs
@@ -77,7 +77,7 @@
 }
 
 fn load(term: u64, stored: &[(String, Option<Vec<u8>>)], now: u64) -> Engine {
-    let mut engine = Engine::new(term, term, TIMES);
+    let mut engine = Engine::new(term, TIMES);
     engine.set_wall_clock(now, now);
     engine.proven_at = u64::MAX / 2;
     let records = stored
--- a/tests/cell/rules.rs
+++ b/tests/cell/rules.rs
@@ -327,6 +327,9 @@
     assert_eq!(make::starts(&mut engine, START + 860), []);
     engine.register(make::worker("w1", 2, 8_000));
     make::store(&mut engine, START + 865);
+    // The report answers a poll with the token of the former incarnation.
+    assert_eq!(make::starts(&mut engine, START + 868), []);
+    make::answer(&mut engine, key, make::report(2, 30), START + 870);
     assert_eq!(make::starts(&mut engine, START + 870).len(), 2);
 }
 
--- a/tests/cell/slow_link.rs
+++ b/tests/cell/slow_link.rs
@@ -119,7 +119,7 @@
 
 #[test]
 fn a_new_owner_asks_thousands_of_workers_some_at_a_time() {
-    let mut engine = Engine::new(1, 1, make::TIMES);
+    let mut engine = Engine::new(1, make::TIMES);
     engine.proven_at = u64::MAX / 2;
     for n in 0..3_000 {
         engine.register(make::worker(&format!("w{n}"), 1, 16_000));
--- a/tests/cell/stored.rs
+++ b/tests/cell/stored.rs
@@ -48,7 +48,7 @@
 fn load_beside(key: &str, value: &[u8], now: u64) -> Engine {
     let mut stored = records();
     stored.insert(0, (key.to_owned(), Some(value.to_vec())));
-    let mut engine = Engine::new(2, 2, TIMES);
+    let mut engine = Engine::new(2, TIMES);
     engine.set_wall_clock(now, now);
     engine.proven_at = u64::MAX / 2;
     let records = stored.iter();
@@ -197,7 +197,7 @@
             Some(value.as_bytes().to_vec()),
         ));
         let now = START + 1_000;
-        let mut engine = Engine::new(2, 2, TIMES);
+        let mut engine = Engine::new(2, TIMES);
         engine.set_wall_clock(now, now);
         engine.proven_at = u64::MAX / 2;
         engine.load(
--- a/tests/cell/tombstones.rs
+++ b/tests/cell/tombstones.rs
@@ -22,7 +22,7 @@
 type Stored = Vec<(String, Option<Vec<u8>>)>;
 
 fn load(term: u64, stored: &Stored, now: u64) -> Engine {
-    let mut engine = Engine::new(term, term, TIMES);
+    let mut engine = Engine::new(term, TIMES);
     engine.set_wall_clock(now, now);
     engine.proven_at = u64::MAX / 2;
     let records = stored.iter();
--- a/tests/cell/workers.rs
+++ b/tests/cell/workers.rs
@@ -6,14 +6,17 @@
     BTreeSet, //
 };
 
-use bamboolock::cell::model::{
-    EndedRun,
-    LiveRun,
-    Outcome,
-    Reply,
-    Report,
-    TaskName,
-    Verdict, //
+use bamboolock::cell::{
+    fencing::Token,
+    model::{
+        EndedRun,
+        LiveRun,
+        Outcome,
+        Reply,
+        Report,
+        TaskName,
+        Verdict, //
+    }, //
 };
 
 use super::make;
@@ -368,7 +371,7 @@
     started: u64,
     /// Capacities, each with the time since which it holds, in milliseconds.
     capacities: Vec<(u64, u32)>,
-    token: u64,
+    token: Token,
     lease: u64,
     /// Ended runs below this number precede the last expiry of the lease and are never
     /// acknowledged.
@@ -391,7 +394,7 @@
             rate,
             started: now,
             capacities: vec![(now, capacity)],
-            token: 0,
+            token: Token::default(),
             lease: 0,
             discarded_below: 0,
             running: Vec::new(),
@@ -487,7 +490,7 @@
         *closed = (*closed).max(run.run);
     }
 
-    fn fence(&mut self, token: u64) -> bool {
+    fn fence(&mut self, token: Token) -> bool {
         if token < self.token {
             return false;
         }
@@ -511,7 +514,7 @@
 pub(super) fn start(
     machines: &mut [SimWorker],
     at: usize,
-    order: (&TaskName, u32, u64, u64),
+    order: (&TaskName, u32, u64, Token),
     fate: Behaviour,
     judge: &mut Oracle,
     now: u64,
@@ -570,7 +573,7 @@
 /// does nothing at all.
 pub(super) fn refuse(
     machine: &mut SimWorker,
-    order: (&TaskName, u32, u64, u64),
+    order: (&TaskName, u32, u64, Token),
     verdict: Verdict,
     now: u64,
 ) -> Option<Reply> {
@@ -624,7 +627,7 @@
 pub(super) fn stop(
     machine: &mut SimWorker,
     at: usize,
-    order: (&TaskName, u32, u64),
+    order: (&TaskName, u32, Token),
     judge: &mut Oracle,
     now: u64,
 ) -> Reply {
@@ -651,7 +654,7 @@
 pub(super) fn poll(
     machine: &mut SimWorker,
     at: usize,
-    order: (u64, Option<u64>, u64),
+    order: (u64, Option<u64>, Token),
     judge: &mut Oracle,
     now: u64,
 ) -> Result<Report, Reply> {
--- a/tests/instances/slow_link.rs
+++ b/tests/instances/slow_link.rs
@@ -6,6 +6,7 @@
     time::Duration, //
 };
 
+use bamboolock::cell::fencing::Token;
 use serde_json::json;
 use xxhash_rust::xxh3;
 
@@ -113,7 +114,8 @@
 
 /// Start command of the only task of a job, for a relay.
 fn relayed(id: &str, spec: &str, worker: &TcpListener) -> String {
-    let order = json!({"token": 9, "worker": "w", "address": worker.local_addr().unwrap().to_string(),
+    let token = Token::first(9).value();
+    let order = json!({"token": token, "worker": "w", "address": worker.local_addr().unwrap().to_string(),
         "run": 1, "expires": 1, "spec_hash": xxh3::xxh3_64(spec.as_bytes()),
         "task": {"job": id, "occurrence": 0, "step": 0, "index": 0}});
     order.to_string()
--- a/tests/instances/standin.rs
+++ b/tests/instances/standin.rs
@@ -23,11 +23,14 @@
     HttpServer,
     web, //
 };
-use bamboolock::cell::model::{
-    Outcome,
-    Reply,
-    TaskName,
-    Verdict, //
+use bamboolock::cell::{
+    fencing::Token,
+    model::{
+        Outcome,
+        Reply,
+        TaskName,
+        Verdict, //
+    }, //
 };
 use base64::Engine as _;
 use futures_util::stream;
@@ -125,7 +128,7 @@
     pub(super) applied_silently: bool,
     /// Whether the store does not respond to claims.
     pub(super) silent_claims: bool,
-    /// Worker that only owners up to a fencing token reach.
+    /// Worker that only owners up to a term reach.
     pub(super) partition: Option<(String, u64)>,
     /// Duration of every run that starts, in milliseconds; drawn if absent.
     pub(super) duration: Option<u64>,
@@ -157,12 +160,12 @@
         START + self.started.elapsed().as_millis() as u64
     }
 
-    fn is_unreachable(&self, worker: &str, token: u64) -> bool {
+    fn is_unreachable(&self, worker: &str, token: Token) -> bool {
         let cut = self.partition.as_ref();
         let mut crashes = self.crashes.iter();
         self.machines.iter().any(|m| m.id == worker && !m.up)
             || crashes.any(|c| c.id == worker && !self.machines[c.at].up)
-            || cut.is_some_and(|(id, last)| id == worker && token > *last)
+            || cut.is_some_and(|(id, last)| id == worker && token.term() > *last)
     }
 
     /// Returns the newest value of a key.
@@ -206,11 +209,11 @@
     }
 
     /// Returns the instance that owns the cell, or owned it, with this fencing token.
-    fn sender(&self, token: u64) -> Option<usize> {
+    fn sender(&self, token: Token) -> Option<usize> {
         let records = self.topics.get("keyed.owner")?.records.iter().rev();
         let mut records =
             records.filter_map(|r| serde_json::from_slice::<Value>(&decode_record(r).1).ok());
-        let record = records.find(|record| record["term"] == token)?;
+        let record = records.find(|record| record["term"] == token.term())?;
         self.instances
             .iter()
             .position(|i| record["instance"] == **i)
@@ -443,7 +446,7 @@
         .unwrap()
         .to_owned();
     let body: Value = serde_json::from_slice(&body).unwrap();
-    let token = body["fencing_token"].as_u64().unwrap();
+    let token = token_of(&body);
     if shared.lock().unwrap().is_unreachable(&worker, token) {
         // A machine without power, or behind a partition, does not respond.
         return std::future::pending().await;
@@ -467,6 +470,11 @@
     HttpResponse::Ok().streaming(Box::pin(chunks))
 }
 
+/// Fencing token of a command.
+fn token_of(body: &Value) -> Token {
+    Token::from(body["fencing_token"].as_u64().unwrap())
+}
+
 /// Command to a worker.
 struct Command {
     path: String,
@@ -476,7 +484,7 @@
 
 /// Delivers a command to its worker, on a path and to a worker that may be faulty.
 async fn deliver(shared: &Shared, command: Command) -> HttpResponse {
-    let token = command.body["fencing_token"].as_u64().unwrap();
+    let token = token_of(&command.body);
     let (at, sender, delivery) = {
         let mut state = shared.lock().unwrap();
         let at = state.machines.iter().position(|m| m.id == command.worker);
@@ -724,7 +732,7 @@
     };
     let task = decode_task(body["task"].as_str().unwrap());
     let number = |name: &str| body[name].as_u64().unwrap();
-    let (run, token) = (number("run_id") as u32, number("fencing_token"));
+    let (run, token) = (number("run_id") as u32, token_of(body));
     let State {
         machines, judge, ..
     } = state;
@@ -741,11 +749,7 @@
 async fn hold(shared: &Shared, worker: &str, body: &Value) -> Option<HttpResponse> {
     let wait = body["wait_ms"].as_u64().unwrap_or(0);
     let seen = body["last_seen"].as_u64().unwrap();
-    let order = (
-        seen,
-        body["expires_ms"].as_u64(),
-        body["fencing_token"].as_u64().unwrap(),
-    );
+    let order = (seen, body["expires_ms"].as_u64(), token_of(body));
     let started = Instant::now();
     let mut incarnation = None;
     loop {
--- a/tests/platform/reports.rs
+++ b/tests/platform/reports.rs
@@ -4,12 +4,15 @@
 
 use assert_matches::assert_matches;
 use bamboolock::{
-    cell::model::{
-        Outcome,
-        Reply,
-        Report,
-        TaskName,
-        Verdict, //
+    cell::{
+        fencing::Token,
+        model::{
+            Outcome,
+            Reply,
+            Report,
+            TaskName,
+            Verdict, //
+        }, //
     },
     platform::worker::{
         self,
@@ -26,7 +29,7 @@
 const TASK: &str = "5c0e7a21d94b36f8.0.1.17";
 
 const REQUEST: ReportRequest = ReportRequest {
-    token: 1,
+    token: Token::first(1),
     acknowledged: 0,
     expires: None,
     wait: Duration::ZERO,
