fix(cell): leases of an incarnation that has not been heard end after those of late commands

Callers could see two runs of one task where a worker had started again and was cut off before its owner had heard the new incarnation.

Cause: the owner computed the end of the leases on the new incarnation from the clock of the former one. A start that the new incarnation had answered counted as lapsed 2.5 s after it, and one without an answer as gone by then, although it may be carried out 13 s later; both hold the longest lease from their arrival.

Change: an answer whose clock is below an earlier reading shows that the worker has started again: the owner discards the reading, chooses a new token, and counts the longest lease after the last late command. On a worker that has registered a new incarnation and cannot be reached, runs with a start without an answer count as over only after that time; other runs as before. Cordons say so to a later owner.

--- a/src/cell/cluster.rs
+++ b/src/cell/cluster.rs
@@ -93,6 +93,8 @@
     pub repeated: bool,
     /// Number of the worker's address to which the last command was sent.
     pub sent_to: u32,
+    /// Local time at which the last command was sent, in milliseconds.
+    pub sent_at: u64,
     /// Token of the last command.
     pub token: Token,
     /// Whether the run tries a task that is suspected of crashing workers, and shares its worker
@@ -103,6 +105,12 @@
 }
 
 impl Run {
+    /// Whether a copy of the start command may still be carried out.
+    #[must_use]
+    pub fn may_begin_late(&self) -> bool {
+        self.repeated || !self.is_confirmed()
+    }
+
     /// Whether the worker has confirmed the run.
     #[must_use]
     pub fn is_confirmed(&self) -> bool {
@@ -183,11 +191,14 @@
     pub polling: bool,
     /// Local time at which the newest poll was sent, in milliseconds.
     pub poll_sent: u64,
+    /// Whether the newest poll renews leases.
+    pub renewing: bool,
     /// Token of the newest poll.
     pub poll_token: Token,
     /// Highest number of an ended run that the newest poll acknowledges; 0 for none.
     pub polled_acked: u64,
-    /// Local time until which a command without an answer may be carried out, in milliseconds.
+    /// Local time until which a command that lets runs continue may be carried out without an answer, in
+    /// milliseconds.
     pub late_until: u64,
     /// Local time until which an acknowledgement without an answer may be carried out, in milliseconds.
     pub acked_until: u64,
@@ -247,6 +258,7 @@
             acknowledged: 0,
             polling: false,
             poll_sent: 0,
+            renewing: false,
             poll_token: token,
             polled_acked: 0,
             late_until: 0,
@@ -288,6 +300,12 @@
         Some(clock + now.saturating_sub(at))
     }
 
+    /// Records that a command without an answer which lets runs continue may be carried out until `until`,
+    /// a local time in milliseconds.
+    pub fn note_late(&mut self, until: u64) {
+        self.late_until = self.late_until.max(until);
+    }
+
     /// Records a command that lets runs continue until `expires` on the worker's clock, in
     /// milliseconds.
     pub fn extend_leases(&mut self, expires: u64, now: u64) {
--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -556,6 +556,7 @@
             in_flight: false,
             repeated: false,
             sent_to: 0,
+            sent_at: 0,
             token: fencing::Token::default(),
             trial: false,
             after_batch: 0,
--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -204,6 +204,7 @@
         worker.extend_leases(run.start_expires, now);
         run.in_flight = true;
         run.sent_to = worker.address_number;
+        run.sent_at = now;
         run.token = worker.token;
         let job = self.jobs.get(task.step.job)?;
         let checkpoint = job
@@ -258,11 +259,11 @@
             return;
         };
         run.in_flight = false;
-        let worker = run.worker;
+        let (worker, sent) = (run.worker, run.sent_at);
         match answer {
             Ok(reply) => {
                 if self.is_current(key) {
-                    self.record_clock(worker, reply.clock, now);
+                    self.record_clock(worker, reply.clock, sent, now);
                 }
                 self.apply_start_reply(key, reply.verdict, now);
             }
@@ -277,7 +278,11 @@
                 run.retry_after = now + RETRY_DELAY_MS;
                 warn!(job = run.name.job.as_str(), step = run.name.step, task = run.name.index, run = run.number,
                     age = now - run.ordered_at, relayed = e == SendError::Relay; "start command not answered");
-                self.note_unanswered(worker, now);
+                if e != SendError::Unsent
+                    && let Some(worker) = self.cluster.workers.get_mut(worker)
+                {
+                    worker.note_late(now + LATE_COMMAND_MS);
+                }
                 if e != SendError::Relay {
                     self.mark_silent(worker, now);
                 }
@@ -370,6 +375,7 @@
         let worker = self.cluster.workers.get(run.worker)?;
         run.in_flight = true;
         run.sent_to = worker.address_number;
+        run.sent_at = now;
         run.token = worker.token;
         let (name, number, token) = (run.name.clone(), run.number, run.token);
         Some(Stop {
@@ -393,7 +399,7 @@
         let current = self.is_current(key);
         let run = &mut self.cluster.runs[key];
         run.in_flight = false;
-        let worker = run.worker;
+        let (worker, sent) = (run.worker, run.sent_at);
         match answer {
             // A former incarnation may have answered.
             Ok(reply) if !current && reply.verdict != Verdict::Reborn => run.retry_after = now,
@@ -416,11 +422,10 @@
                     }
                     _ => run.retry_after = now + STOP_RETRY_MS,
                 }
-                self.record_clock(worker, reply.clock, now);
+                self.record_clock(worker, reply.clock, sent, now);
             }
             Err(_) => {
                 run.retry_after = now + RETRY_DELAY_MS;
-                self.note_unanswered(worker, now);
                 self.mark_silent(worker, now);
             }
         }
@@ -464,6 +469,7 @@
         worker.polling = true;
         worker.poll_sent = now;
         worker.poll_token = worker.token;
+        worker.renewing = lease_end.is_some();
         let token = worker.token;
         worker.polled_acked = acked;
         worker.polled_at = worker.address_number;
@@ -487,6 +493,9 @@
         if worker.polled_acked > 0 {
             worker.acked_until = now + LATE_COMMAND_MS;
         }
+        if worker.renewing {
+            worker.note_late(now + LATE_COMMAND_MS);
+        }
         let since = worker.silent_since.unwrap_or(now);
         let long = now.saturating_sub(since) > self.times.lease;
         worker.poll_after = now
@@ -495,18 +504,10 @@
             } else {
                 POLL_RETRY_MS
             };
-        self.note_unanswered(key, now);
         self.mark_silent(key, now);
         self.remove_if_empty(key);
     }
 
-    /// Notes that a command to a worker has no answer: it may be carried out later.
-    fn note_unanswered(&mut self, key: WorkerKey, now: u64) {
-        if let Some(worker) = self.cluster.workers.get_mut(key) {
-            worker.late_until = now + LATE_COMMAND_MS;
-        }
-    }
-
     /// Handles a refused poll.
     pub fn poll_refused(&mut self, key: WorkerKey, reply: model::Reply, now: u64) {
         let Some(worker) = self.cluster.workers.get_mut(key) else {
@@ -551,9 +552,10 @@
         self.pass_needed = true;
     }
 
-    /// Records a reading of a worker's clock. Only a reply with a reading ends the worker's
+    /// Records a reading of a worker's clock in reply to a command of local time `sent`, in
+    /// milliseconds. Only a reply with a reading ends the worker's
     /// silence: a reply without one may come from another process at the same address.
-    pub(super) fn record_clock(&mut self, key: WorkerKey, clock: Option<u64>, now: u64) {
+    pub(super) fn record_clock(&mut self, key: WorkerKey, clock: Option<u64>, sent: u64, now: u64) {
         let Some(worker) = self.cluster.workers.get_mut(key) else {
             return;
         };
@@ -562,9 +564,11 @@
         };
         if let Some((at, before)) = worker.clock_reading
             && clock < before
+            && sent > at
         {
             warn!(worker = worker.registration.id.as_str(), before, clock, age = now - at, born = worker.incarnation,
                 registered = worker.registration.incarnation; "worker clock went back");
+            return self.note_clock_reset(key, now);
         }
         worker.clock_reading = Some((now, clock));
         worker.last_answer = now;
@@ -618,11 +622,16 @@
         let mut expired = Vec::new();
         let mut silent = Vec::new();
         for (key, worker) in &self.cluster.workers {
-            if worker.silent_since.is_some() && worker.leases_end < now && !worker.runs.is_empty() {
+            if worker.silent_since.is_none() || worker.leases_end >= now {
+                continue;
+            }
+            let runs = worker.runs.iter().copied();
+            let over: Vec<RunKey> = runs.filter(|run| self.run_ends_by(*run) < now).collect();
+            if !over.is_empty() {
                 info!(worker = worker.registration.id.as_str(), runs = worker.runs.len(), born = worker.incarnation,
                     registered = worker.registration.incarnation, late = worker.late_until.saturating_sub(now);
                     "leases expired on silent worker; runs are lost");
-                expired.extend(worker.runs.iter().copied());
+                expired.extend(over);
                 silent.push(key);
             }
         }
--- a/src/cell/engine/cordons.rs
+++ b/src/cell/engine/cordons.rs
@@ -9,6 +9,7 @@
 
 use super::{
     Engine,
+    commands,
     reports, //
 };
 use crate::cell::{
@@ -71,16 +72,14 @@
     }
 
     fn cordon(&mut self, key: WorkerKey, now: u64) {
-        let runs = &self.cluster.runs;
-        let worker = &mut self.cluster.workers[key];
-        let on_worker = worker.runs.iter().filter_map(|run| runs.get(*run));
+        let runs = &self.cluster.workers[key].runs;
+        let ends = runs.iter().map(|run| self.run_ends_by(*run));
+        let leases = ends.max().map_or(0, |end| end.saturating_sub(now));
+        let on_worker = runs.iter().filter_map(|run| self.cluster.runs.get(*run));
         let mut tasks: Vec<_> = on_worker.map(|run| run.name.clone()).collect();
         tasks.sort();
         tasks.dedup();
-        let leases = match tasks.is_empty() {
-            true => 0,
-            false => worker.leases_end.saturating_sub(now),
-        };
+        let worker = &mut self.cluster.workers[key];
         info!(worker = worker.registration.id.as_str(), tasks = tasks.len(), leases; "worker cordoned");
         worker.cordon = Some(journal::Cordon { leases, tasks });
         self.store_worker(key);
@@ -103,7 +102,7 @@
     /// Takes the cordon from the record of a worker. The record is read later than it was written, so
     /// the leases end no later than it says.
     pub(super) fn load_cordon(&mut self, key: WorkerKey, cordon: Option<journal::Cordon>) {
-        let longest = cluster::local_duration(self.times.lease);
+        let longest = commands::LATE_COMMAND_MS + cluster::local_duration(self.times.lease);
         let cordon = cordon.map(|cordon| journal::Cordon {
             leases: cordon.leases.min(longest),
             ..cordon
--- a/src/cell/engine/incarnations.rs
+++ b/src/cell/engine/incarnations.rs
@@ -11,8 +11,12 @@
     commands, //
 };
 use crate::cell::{
+    cluster,
     fencing::Token,
-    job::WorkerKey,
+    job::{
+        RunKey,
+        WorkerKey, //
+    },
     model, //
 };
 
@@ -23,6 +27,8 @@
     Registration,
     /// Its report.
     Report,
+    /// A clock that went back.
+    Clock,
 }
 
 impl Sign {
@@ -32,6 +38,7 @@
         match self {
             Sign::Registration => "registration",
             Sign::Report => "report",
+            Sign::Clock => "clock",
         }
     }
 }
@@ -70,6 +77,9 @@
         if worker.polling {
             // It was sent to the former incarnation, and its time-out would delay the next poll.
             worker.polling = false;
+            if worker.renewing {
+                worker.note_late(worker.poll_sent + commands::LATE_COMMAND_MS);
+            }
             if worker.polled_acked > 0 {
                 worker.acked_until = worker.poll_sent + commands::LATE_COMMAND_MS;
             }
@@ -85,6 +95,32 @@
         worker.is_some_and(|worker| worker.polling && worker.poll_sent == sent)
     }
 
+    /// Notes that the clock of a worker is below an earlier reading: it has started again, and has taken a
+    /// command that was meant for its former incarnation. That command, and others that are late, let
+    /// its runs continue for the longest lease after their arrival.
+    pub(super) fn note_clock_reset(&mut self, key: WorkerKey, now: u64) {
+        let longest = cluster::local_duration(self.times.lease);
+        let worker = &mut self.cluster.workers[key];
+        let end = now.max(worker.late_until) + longest;
+        worker.leases_end = worker.leases_end.max(end);
+        self.renew_token(key, None, Sign::Clock);
+    }
+
+    /// Local time until which a run on a silent worker may continue, in milliseconds.
+    pub(super) fn run_ends_by(&self, key: RunKey) -> u64 {
+        let run = &self.cluster.runs[key];
+        let Some(worker) = self.cluster.workers.get(run.worker) else {
+            return 0;
+        };
+        // The new incarnation has not seen its token yet: a late copy of the start may begin there.
+        let restarted = worker.token_for != Some(worker.incarnation);
+        if restarted && run.may_begin_late() {
+            let longest = cluster::local_duration(self.times.lease);
+            return worker.leases_end.max(worker.late_until + longest);
+        }
+        worker.leases_end
+    }
+
     /// Takes the signs of restarts since the last call, for metrics.
     pub fn take_signs(&mut self) -> Vec<Sign> {
         std::mem::take(&mut self.signs)
--- a/src/cell/engine/reports.rs
+++ b/src/cell/engine/reports.rs
@@ -67,7 +67,7 @@
             }
             self.change_incarnation(key, report.incarnation, sent, now);
         }
-        self.record_clock(key, Some(report.clock), now);
+        self.record_clock(key, Some(report.clock), sent, now);
         if same {
             self.cluster.workers[key].lapsed.clear();
             self.caution.note_report(key);
@@ -304,6 +304,7 @@
             in_flight: false,
             repeated: false,
             sent_to: 0,
+            sent_at: 0,
             token: fencing::Token::default(),
             trial: false,
             after_batch: 0,
