fix(members): a peer that starts again after its clock was set back is heard

Callers of the product's own entry instances saw no wrong answer: an instance whose wall clock was set back before it started again stayed dead at its peers, so that it got no forwarded requests and no share of the workers, until they restarted or the list dropped it.

A lower incarnation is ignored now only as long as the higher one is not dead, as is meant for late messages of the former process.

--- a/src/kernel/members.rs
+++ b/src/kernel/members.rs
@@ -115,7 +115,8 @@
     }
 
     /// Records a heartbeat or a peer's answer to one. A message from an earlier incarnation is
-    /// ignored.
+    /// ignored, unless the later one is dead: the wall clock, which numbers incarnations, may have
+    /// been set back before the peer started again.
     pub fn record_heartbeat(&mut self, now: Millis, beat: &Heartbeat) {
         self.started.get_or_insert(now);
         if beat.id == self.identity.id {
@@ -127,9 +128,11 @@
         let dead = self.silence_limit(self.cfg.dead, local);
         let peer = &mut self.peers[at];
         let contact = match peer.contact {
-            Some(old) if old.incarnation > beat.incarnation => return,
+            Some(old) if now.since(old.last_heard) < dead && old.incarnation > beat.incarnation => {
+                return;
+            }
             Some(old)
-                if old.incarnation == beat.incarnation && now.since(old.last_heard) < dead =>
+                if now.since(old.last_heard) < dead && old.incarnation == beat.incarnation =>
             {
                 Contact {
                     last_heard: now,
--- a/tests/kernel/members.rs
+++ b/tests/kernel/members.rs
@@ -85,6 +85,25 @@
     assert_eq!(standing(&members, 20), Liveness::Alive);
 }
 
+/// Guards against a peer that counts as dead for ever: an instance names its incarnations by the wall
+/// clock, which may be set back before the instance starts again.
+#[test]
+fn a_dead_peer_may_come_back_with_a_lower_incarnation() {
+    for (name, silence, expect) in [
+        ("late message of a former process", 1_999, Liveness::Suspect),
+        (
+            "process that started after a clock step",
+            2_000,
+            Liveness::Alive,
+        ),
+    ] {
+        let mut members = members();
+        members.record_heartbeat(Millis(100), &beat(1, "a", 7));
+        members.record_heartbeat(Millis(100 + silence), &beat(1, "a", 6));
+        assert_eq!(standing(&members, 100 + silence), expect, "{name}");
+    }
+}
+
 #[test]
 fn instance_ended_by_the_platform_is_dead_after_a_short_silence() {
     let mut members = members();
