fix(requests): an ejection of a worker that is gone ends with its pause

Callers saw nothing directly: each worker that was removed while it was ejected, and whose place in the table another one took, lowered the number of workers that may be ejected, in the end to none, so that requests would go to failing backend servers.

Cause: the count fell only if the pause found the statistics of the worker, and another worker in its place replaces them. The count now follows the pauses alone: each ends once. A worker that is removed while ejected counts until then.

--- a/src/bench/pool.rs
+++ b/src/bench/pool.rs
@@ -53,6 +53,14 @@
         key
     }
 
+    /// Removes a worker without reservations.
+    pub fn remove(&mut self, key: WorkerKey) {
+        self.mark_full(key);
+        if let Some(worker) = self.workers.remove(key) {
+            self.total -= worker.capacity.slots;
+        }
+    }
+
     /// Returns the keys of all workers.
     #[must_use]
     pub fn keys(&self) -> Vec<WorkerKey> {
--- a/src/kernel/requests/workers.rs
+++ b/src/kernel/requests/workers.rs
@@ -41,7 +41,9 @@
 #[derive(Debug, Default)]
 pub struct StatsTable {
     map: SecondaryMap<WorkerKey, WorkerStats>,
+    /// Ends of the ejections.
     pauses: Timers<WorkerKey>,
+    /// Number of ejections whose pause has not ended.
     ejected: u32,
 }
 
@@ -138,26 +140,20 @@
     /// succeeds.
     pub fn readmit(&mut self, now: Millis) {
         while let Some(key) = self.pauses.pop_due(now) {
-            if let Some(worker) = self.map.get_mut(key)
-                && worker.ejected
-            {
+            // The worker may be gone, and another one may have its place in the table.
+            self.ejected -= 1;
+            if let Some(worker) = self.map.get_mut(key) {
                 worker.ejected = false;
-                self.ejected -= 1;
             }
         }
     }
 
-    /// Removes the statistics of a worker whose lease ended.
+    /// Removes the statistics of a worker whose lease ended. An ejection counts until its pause ends.
     pub fn remove(&mut self, key: WorkerKey) {
-        let Some(worker) = self.map.remove(key) else {
-            return;
-        };
-        if worker.ejected {
-            self.ejected -= 1;
-        }
+        self.map.remove(key);
     }
 
-    /// Number of ejected workers.
+    /// Number of ejected workers, with those that were removed during the pause.
     #[must_use]
     pub fn ejected(&self) -> u32 {
         self.ejected
--- a/tests/requests/ejection.rs
+++ b/tests/requests/ejection.rs
@@ -7,6 +7,7 @@
 };
 
 use crate::support::{
+    self,
     Rig,
     profile, //
 };
@@ -104,3 +105,20 @@
     rig.finish(&probe, Outcome::NotRun);
     assert_eq!(rig.kernel.ejected(), 1);
 }
+
+/// Guards against ejections that stop for good: a worker that is removed while it is ejected, and whose
+/// place another one takes, counted against the limit for ever.
+#[test]
+fn a_worker_that_is_removed_while_it_is_ejected_counts_until_its_pause_ends() {
+    let mut rig = Rig::new(4, 8);
+    drive(&mut rig, &[1], 60);
+    assert_eq!(rig.kernel.ejected(), 1);
+    let bad = rig.pool.keys()[1];
+    rig.pool.remove(bad);
+    // It takes the place of the former one.
+    rig.pool.add(support::worker(8));
+    drive(&mut rig, &[], 60);
+    rig.advance(10_000);
+    drive(&mut rig, &[], 1);
+    assert_eq!(rig.kernel.ejected(), 0);
+}
