test(cell): what is meant for a former incarnation of a worker reaches the next one

The next incarnation refuses the start.

Two hold: a permit that was held before a restart is not used after it, and a refused permit is dropped, asked for again and holds neither the worker nor the task back.

--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -17,6 +17,7 @@
     mod faults;
     mod fuzz;
     mod gangs;
+    mod incarnations;
     mod intake;
     mod journal;
     mod listing;
