fix(policy): a permit counts for the incarnation that the policy was asked about

Callers saw a task wait for a second query, and the other members of a gang stopped, where a worker started again while a query was under way.

Cause: the answer to a query counted for the incarnation that was known when it arrived. A permit is valid during one life of the worker; the next one refuses the start that carries it.

Change: the query keeps the incarnation of each worker that it names, and the permit is held for that one.

--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -97,6 +97,8 @@
     pub name: CompactString,
     /// Ids of the workers that the query names.
     pub workers: Vec<CompactString>,
+    /// Incarnation of each of them when the query was sent.
+    pub incarnations: Vec<u64>,
     /// Time that the policy takes to answer, in milliseconds.
     pub cost_ms: f64,
     /// Validity of the permits, in milliseconds.
--- a/src/cell/engine/policy.rs
+++ b/src/cell/engine/policy.rs
@@ -265,6 +265,8 @@
         }
         let id = |c: &Candidate| self.cluster.workers[c.worker].registration.id.clone();
         let workers: Vec<CompactString> = named.iter().map(id).collect();
+        let incarnation = |c: &Candidate| self.cluster.workers[c.worker].incarnation;
+        let incarnations: Vec<u64> = named.iter().map(incarnation).collect();
         let job = &mut self.jobs[key.job];
         let Some(policy_cost) = job.queue.policy_cost else {
             return false;
@@ -295,6 +297,7 @@
             proxy,
             validity_ms: policy_cost.validity.as_millis() as u64,
             workers,
+            incarnations,
         }));
         true
     }
@@ -324,7 +327,7 @@
         }
         let valid_until = now + query.validity_ms.saturating_sub(PERMIT_MARGIN_MS);
         let mut allowed = 0_usize;
-        for id in &query.workers {
+        for (id, incarnation) in query.workers.iter().zip(&query.incarnations) {
             let Some(worker) = self.cluster.find_worker(id) else {
                 continue;
             };
@@ -345,7 +348,8 @@
             insert(&mut policy.allowed, worker);
             policy.permits.push(HeldPermit {
                 worker,
-                incarnation: self.cluster.workers[worker].incarnation,
+                // The policy may have answered before the worker started again.
+                incarnation: *incarnation,
                 token: permit.token.clone(),
                 valid_until,
             });
