fix(cell): runs on an incarnation that has not seen its token are held for late commands

The owner took a report, or an answer to a start that was under way when the new incarnation registered, for its word that late commands were over; only an answer to a poll with its own token says that. A run there counted as over when the leases of the former incarnation had ended, beside late commands that begin or prolong it. A poll in flight at a clock that went back was not counted, and a worker with a full page of ends was acknowledged nothing before it was fenced, so that it would never have been.

Change: while a worker has not answered a poll with its token, runs that may be on it end by the longest lease after the last command that may still be carried out, or the last answer. Commands in flight count when the token is renewed. Ends are acknowledged to the incarnation for which the token was chosen. A refusal ends the term if the token was the newest when the answer came. What ran beside a task on a crashed worker counts as of the time at which the first run was presumed over.

--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -262,10 +262,16 @@
         let (worker, sent) = (run.worker, run.sent_at);
         match answer {
             Ok(reply) => {
-                if self.is_current(key) {
+                let current = self.is_current(key);
+                if current {
                     self.record_clock(worker, reply.clock, sent, now);
                 }
-                self.apply_start_reply(key, reply.verdict, now);
+                if !self.is_current(key) {
+                    // Either incarnation may have answered, and the next one grants the longest lease.
+                    self.cluster.runs[key].repeated = true;
+                    self.cluster.workers[worker].note_late(now);
+                }
+                self.apply_start_reply(key, reply.verdict, current, now);
             }
             Err(SendError::Unsent) if self.cluster.runs[key].state == RunState::Sent => {
                 self.lose_run(key, Loss::Unsent, now);
@@ -290,8 +296,9 @@
         }
     }
 
-    fn apply_start_reply(&mut self, key: RunKey, verdict: Verdict, now: u64) {
-        let current = self.is_current(key);
+    /// Applies the verdict on a start command; `current` says whether the worker's token was that of the
+    /// command.
+    fn apply_start_reply(&mut self, key: RunKey, verdict: Verdict, current: bool, now: u64) {
         let run = &mut self.cluster.runs[key];
         let worker = run.worker;
         if verdict == Verdict::Accepted {
@@ -450,7 +457,7 @@
         // Acknowledging numbers of a former incarnation would make a new one drop ended runs that
         // were never reported.
         let heard = worker.last_report + MIN_RESTART_MS > now && worker.silent_since.is_none();
-        let same = worker.fenced && heard;
+        let same = heard && worker.token_for == Some(worker.incarnation);
         let acked = match (same, stored) {
             (false, _) => 0,
             // What was acknowledged is not repeated: such a poll could reach the next incarnation.
@@ -460,7 +467,8 @@
         // A silent worker is polled without renewal: each renewed lease would postpone the time at
         // which its runs have certainly expired.
         let reachable = worker.silent_since.is_none() && !worker.is_cordoned(durable);
-        let renew = may_command && !worker.runs.is_empty() && reachable;
+        let known = worker.token_for.is_some();
+        let renew = may_command && !worker.runs.is_empty() && reachable && known;
         let clock = worker.clock_at(now).filter(|_| renew);
         let lease_end = clock.map(|clock| clock + lease);
         if let Some(lease_end) = lease_end {
@@ -655,10 +663,10 @@
                 continue;
             }
             let may_send = may_command && self.may_send(run.charge.organisation, now);
-            if run.state != RunState::Unanswered || !may_send {
+            let worker = &self.cluster.workers[run.worker];
+            if run.state != RunState::Unanswered || !may_send || !worker.fenced {
                 continue;
             }
-            let worker = &self.cluster.workers[run.worker];
             let clock = worker.clock_at(now).filter(|_| !worker.is_overbooked());
             if clock.is_some_and(|clock| clock < run.start_expires) {
                 self.actions.push(Action::Start(key));
--- a/src/cell/engine/crashes.rs
+++ b/src/cell/engine/crashes.rs
@@ -152,9 +152,10 @@
             return;
         }
         let at = worker.crashed_at(now);
-        let mut suspects = self.suspects_on(worker, sent, now);
-        let company = suspects.len();
-        suspects.extend(lapsed);
+        let left = self.suspects_on(worker, sent, now);
+        let company = left.len();
+        // What ran beside a task counts as of the time at which the first run was presumed over.
+        let suspects: Vec<Suspect> = lapsed.into_iter().chain(left).collect();
         let rack = worker.registration.rack();
         self.caution
             .note_crash(&self.jobs, (key, rack), &suspects, at);
--- a/src/cell/engine/incarnations.rs
+++ b/src/cell/engine/incarnations.rs
@@ -74,6 +74,11 @@
         worker.fenced = false;
         worker.clock_reading = None;
         worker.poll_after = 0;
+        let runs = worker.runs.iter().map(|run| &self.cluster.runs[*run]);
+        let sent = runs.filter(|run| run.in_flight).map(|run| run.sent_at);
+        if let Some(sent) = sent.max() {
+            worker.note_late(sent + commands::LATE_COMMAND_MS);
+        }
         if worker.polling {
             // It was sent to the former incarnation, and its time-out would delay the next poll.
             worker.polling = false;
@@ -96,13 +101,9 @@
     }
 
     /// Notes that the clock of a worker is below an earlier reading: it has started again, and has taken a
-    /// command that was meant for its former incarnation. That command, and others that are late, let
-    /// its runs continue for the longest lease after their arrival.
+    /// command that was meant for its former incarnation.
     pub(super) fn note_clock_reset(&mut self, key: WorkerKey, now: u64) {
-        let longest = cluster::local_duration(self.times.lease);
-        let worker = &mut self.cluster.workers[key];
-        let end = now.max(worker.late_until) + longest;
-        worker.leases_end = worker.leases_end.max(end);
+        self.cluster.workers[key].last_answer = now;
         self.renew_token(key, None, Sign::Clock);
     }
 
@@ -112,13 +113,14 @@
         let Some(worker) = self.cluster.workers.get(run.worker) else {
             return 0;
         };
-        // The new incarnation has not seen its token yet: a late copy of the start may begin there.
-        let restarted = worker.token_for != Some(worker.incarnation);
-        if restarted && run.may_begin_late() {
-            let longest = cluster::local_duration(self.times.lease);
-            return worker.leases_end.max(worker.late_until + longest);
+        let adopted = run.is_confirmed() && run.start_expires == 0;
+        if worker.fenced || !adopted && !run.may_begin_late() {
+            return worker.leases_end;
         }
-        worker.leases_end
+        // The incarnation has not seen its token yet: late commands begin runs there and prolong them.
+        let last = worker.late_until.max(worker.last_answer);
+        let longest = cluster::local_duration(self.times.lease);
+        worker.leases_end.max(last + longest)
     }
 
     /// Takes the signs of restarts since the last call, for metrics.
--- a/src/cell/engine/registry.rs
+++ b/src/cell/engine/registry.rs
@@ -209,6 +209,7 @@
         worker.incarnation = incarnation;
         worker.clock_reading = None;
         worker.last_report = 0;
+        worker.last_answer = 0;
         worker.leases_end = 0;
         worker.outcome_batch = 0;
         (worker.last_outcome, worker.acknowledged) = (0, 0);
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -15,6 +15,7 @@
     mod driver;
     mod election;
     mod faults;
+    mod fencing;
     mod fuzz;
     mod gangs;
     mod incarnations;
--- a/tests/cell/reborn.rs
+++ b/tests/cell/reborn.rs
@@ -13,6 +13,7 @@
         WorkerKey, //
     },
     model::{
+        Outcome,
         Reply,
         Verdict, //
     }, //
@@ -132,3 +133,68 @@
     let lease = START + LATE + cluster::local_duration(TIMES.lease);
     assert!(again > lease, "{} ms too early", lease - again);
 }
+
+/// Guards against two runs at once: the report answers a poll that was meant for the former incarnation, so
+/// that the new one has not seen a token of its own when it is cut off.
+#[test]
+fn a_start_without_an_answer_may_reach_an_incarnation_that_has_only_reported() {
+    let (mut engine, worker, run) = placed(400_000);
+    engine.start_command(run, START).unwrap();
+    engine.start_answered(run, Err(SendError::Unknown), START + 350);
+    make::answer(&mut engine, worker, make::report(2, 50), START + 400);
+    let again = starts_again(&mut engine, worker, run, START + 425);
+    let lease = START + LATE + cluster::local_duration(TIMES.lease);
+    assert!(again > lease, "{} ms too early", lease - again);
+}
+
+/// Guards against two runs at once: either incarnation may have answered a start that was under way when the
+/// new one registered.
+#[test]
+fn a_run_that_was_accepted_after_the_registration_holds_the_longest_lease() {
+    let (mut engine, worker, run) = placed(400_000);
+    engine.start_command(run, START + 100).unwrap();
+    engine.register(make::worker("w1", 2, 16_000));
+    let answered = START + 130;
+    engine.start_answered(run, accepted(50), answered);
+    let again = starts_again(&mut engine, worker, run, answered + 100);
+    let lease = answered + cluster::local_duration(TIMES.lease);
+    assert!(again > lease, "{} ms too early", lease - again);
+}
+
+/// Guards against a worker that is never used again: a page of ends that was not acknowledged is listed
+/// for ever, and the worker has not reported before its last page.
+#[test]
+fn a_full_page_of_ends_is_acknowledged_before_the_incarnation_has_seen_its_token() {
+    let (mut engine, worker, _) = placed(500);
+    engine.register(make::worker("w1", 2, 16_000));
+    let other = |n: u64| {
+        let task = make::task("00000000000000b2", 0, n as u32);
+        make::end(n, task, 1, Outcome::Done)
+    };
+    let mut report = make::report(2, 50);
+    report.ended = (1..=3).map(other).collect();
+    report.partial = true;
+    make::answer(&mut engine, worker, report, START + 100);
+    make::store(&mut engine, START + 110);
+    let poll = engine.poll_command(worker, START + 400).unwrap();
+    assert_eq!(poll.acked, 3);
+}
+
+/// Guards against an owner that ends its term because of its own token, and against one that goes on beside
+/// a successor.
+#[test]
+fn a_refusal_ends_the_term_unless_the_token_was_renewed() {
+    for renewed in [true, false] {
+        let (mut engine, _, run) = placed(500);
+        engine.start_command(run, START + 100).unwrap();
+        if renewed {
+            engine.register(make::worker("w1", 2, 16_000));
+        }
+        let refused = Reply {
+            verdict: Verdict::Fenced,
+            clock: Some(50),
+        };
+        engine.start_answered(run, Ok(refused), START + 130);
+        assert_eq!(engine.deposed, !renewed);
+    }
+}
