test(soak): workers that start again under their ids and are cut off

Cause: no mode of the soak let a command reach a later life of its worker, nor cut a worker off soon after it was back, with runs that outlast the cut.

Their late commands reach whichever life answers under the id, but not in its first 300 ms, in which no owner can know of it. Half of the runs are long and the load per worker is low: a worker that fails to answer a poll with an acknowledgement gets no tasks for 13 s in its next life, which hides the fault under load. The draws of the other modes are unchanged.

--- a/tests/instances/delivery.rs
+++ b/tests/instances/delivery.rs
@@ -1,6 +1,8 @@
 //! Faults on the way of commands: paths between single instances and single workers that are cut,
 //! and workers that carry commands out late or are unwell.
 
+use std::ops::Range;
+
 use rand::{
     Rng,
     SeedableRng,
@@ -9,7 +11,7 @@
 
 /// Delays of commands that are carried out late, in milliseconds: as long as a start command stays
 /// valid, and longer.
-const LATE_MS: [std::ops::Range<u64>; 2] = [500..2_500, 2_500..12_000];
+const LATE_MS: [Range<u64>; 2] = [500..2_500, 2_500..12_000];
 
 /// Paths that are cut, between each of some instances and each of some workers. Both are sets of
 /// numbers, one bit each; [`ALL_INSTANCES`] stands for every sender, also an unknown one.
@@ -63,6 +65,8 @@
     pub(super) expiries_held: usize,
     /// Whether the commands that were held back are released.
     pub(super) released: bool,
+    /// Delays of commands that are carried out late, in milliseconds; each range is drawn as often.
+    pub(super) late_ms: [Range<u64>; 2],
     rng: SmallRng,
 }
 
@@ -76,6 +80,7 @@
             held: None,
             expiries_held: 0,
             released: false,
+            late_ms: LATE_MS,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -91,7 +96,7 @@
         let manners = self.manners.get(worker).copied().unwrap_or_default();
         let draw = self.rng.random_range(0..1_000);
         if draw < manners.late {
-            let range = LATE_MS[self.rng.random_range(0..LATE_MS.len())].clone();
+            let range = self.late_ms[self.rng.random_range(0..LATE_MS.len())].clone();
             Delivery::Late(self.rng.random_range(range))
         } else if draw < manners.late + manners.unwell {
             Delivery::Unwell
--- a/tests/instances/reborn.rs
+++ b/tests/instances/reborn.rs
@@ -17,14 +17,12 @@
         ALL_INSTANCES,
         PathCut, //
     },
-    make::START,
     processes,
     standin,
     takeover::{
         self,
         Cell, //
-    },
-    workers::SimWorker, //
+    }, //
 };
 
 const JOB: u32 = 0xB0B0;
@@ -63,10 +61,7 @@
         let mut state = platform.lock().unwrap();
         state.astray = true;
         state.judge.traced = std::env::var_os("BAMBOOLOCK_TRACE").is_some();
-        for (n, machine) in state.machines.iter_mut().enumerate() {
-            *machine = SimWorker::new(format!("w{n}"), CAPACITY, 1_000, START - AGE_MS);
-        }
-        state.register();
+        state.age(AGE_MS);
     }
     let cell = Cell::start_at(address, platform, 3, 0.0);
     resize_others(&cell, 0);
--- a/tests/instances/standin.rs
+++ b/tests/instances/standin.rs
@@ -94,6 +94,10 @@
 /// Delay of an append that takes effect late and gets no response.
 const LATE_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Age of a life before which no command for an earlier one is carried out there, in milliseconds: time
+/// in which an owner may learn of it. What arrives sooner, no owner can prevent.
+const MIN_LIFE_MS: u64 = 300;
+
 /// Longest time until a command without an answer is carried out: the longest that the platform shows.
 const LONGEST_HOLD: Duration = Duration::from_secs(12);
 
@@ -117,8 +121,10 @@
     pub(super) instances: Vec<String>,
     /// Range of the durations of runs, in milliseconds.
     pub(super) run_ms: u64,
-    /// Duration that one run in sixteen has in addition, in milliseconds: up to twice this.
+    /// Duration that some runs have in addition, in milliseconds: up to twice this.
     pub(super) long_ms: u64,
+    /// Runs of which one is such a long one.
+    pub(super) long_share: u64,
     /// Epoch up to which the store does not respond to appends.
     pub(super) silent_epoch: u64,
     /// Whether these appends take effect all the same.
@@ -244,6 +250,15 @@
         }
     }
 
+    /// Lets all workers have started this much earlier, in milliseconds. Called before anybody has read
+    /// their registrations.
+    pub(super) fn age(&mut self, ms: u64) {
+        for machine in &mut self.machines {
+            machine.restart(machine.incarnation - ms);
+        }
+        self.register();
+    }
+
     /// Starts a worker again under its id, and registers it at once.
     pub(super) fn restart(&mut self, at: usize) {
         let now = self.now();
@@ -297,7 +312,7 @@
         } else {
             Outcome::Done
         };
-        let long = match self.draws.is_multiple_of(16) {
+        let long = match self.draws.is_multiple_of(self.long_share) {
             true => self.long_ms + self.draws * 53 % (self.long_ms + 1),
             false => 0,
         };
@@ -341,6 +356,7 @@
         instances: Vec::new(),
         run_ms: 600,
         long_ms: 0,
+        long_share: 16,
         silent_epoch: 0,
         applied_silently: false,
         silent_claims: false,
@@ -533,6 +549,9 @@
         None => released(&shared).await,
     }
     command.body["wait_ms"] = json!(0);
+    while is_premature(&shared.lock().unwrap(), at, incarnation) {
+        actix_web::rt::time::sleep(STEP).await;
+    }
     let there = {
         let state = shared.lock().unwrap();
         let machine = &state.machines[at];
@@ -549,6 +568,13 @@
     shared.lock().unwrap().delivery.late -= 1;
 }
 
+/// Whether a command for a life of a worker meets a later one that has only just begun.
+fn is_premature(state: &State, at: usize, incarnation: u64) -> bool {
+    let machine = &state.machines[at];
+    let later = state.astray && machine.up && machine.incarnation != incarnation;
+    later && machine.clock(state.now()) < MIN_LIFE_MS
+}
+
 /// Waits until the commands that are held back are released, for [`LONGEST_HOLD`] at most.
 async fn released(shared: &Shared) {
     let began = Instant::now();
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -20,6 +20,7 @@
     #[path = "../instances/processes.rs"]
     mod processes;
     mod proxy;
+    mod reborn;
     mod run;
     mod seeds;
     #[expect(dead_code, reason = "the instance tests use the rest")]
--- a/tests/soak/cell.rs
+++ b/tests/soak/cell.rs
@@ -6,6 +6,7 @@
         VecDeque, //
     },
     net::TcpListener,
+    ops::Range,
     sync::Arc,
     thread,
     time::{
@@ -38,6 +39,17 @@
 /// Time in which all instances must become ready at the start.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Delays of commands that reach a later life of their worker, in milliseconds: those that the
+/// platform shows.
+const LATE_BY_SECONDS: [Range<u64>; 2] = [2_000..7_000, 7_000..12_000];
+
+/// Age of the first life of each worker where such commands are played, in milliseconds: their expiries
+/// lie far beyond what the clock of the next life reaches.
+const AGE_MS: u64 = 60_000;
+
+/// Runs of which one is a long one there.
+const LONG_SHARE: u64 = 2;
+
 /// Interval at which a run checks its schedule.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -82,6 +94,12 @@
             world.judge.traced = std::env::var_os("BAMBOOLOCK_TRACE").is_some();
             (world.run_ms, world.long_ms) = size.run_ms;
             world.delivery = Faults::new(seed);
+            if size.astray {
+                world.astray = true;
+                world.long_share = LONG_SHARE;
+                world.delivery.late_ms = LATE_BY_SECONDS;
+                world.age(AGE_MS);
+            }
             world.instances = (0..size.instances)
                 .map(|n| format!("{name}-i{n}"))
                 .collect();
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -50,6 +50,8 @@
     Store(StoreFault),
     /// The worker loses power and restarts.
     Crash(usize),
+    /// The worker crashes and starts again under its id, within a second.
+    Restart(usize),
     /// The worker loses its connection to the store, and so its registration, and keeps running.
     Unlist(usize),
     /// The worker announces that it leaves, stops, and is replaced by another one.
@@ -325,7 +327,7 @@
     }]
 }
 
-fn succession(rng: &mut SmallRng) -> Fault {
+pub(super) fn succession(rng: &mut SmallRng) -> Fault {
     Fault::Succession(blows(rng))
 }
 
--- a/tests/soak/inject.rs
+++ b/tests/soak/inject.rs
@@ -145,6 +145,11 @@
                 self.platform.lock().unwrap().crash(w);
                 return Some(duration.max(1_200));
             }
+            Fault::Restart(w) => {
+                self.claim_worker(w)?;
+                self.disruptions.begin(Location::Elsewhere);
+                self.platform.lock().unwrap().crash(w);
+            }
             Fault::Unlist(w) => {
                 self.claim_worker(w)?;
                 self.disruptions.begin(Location::Elsewhere);
@@ -267,11 +272,8 @@
                 self.platform.lock().unwrap().fault = StoreFault::default();
                 self.disruptions.end(Location::Store);
             }
-            Fault::Crash(w) | Fault::Leave(w) | Fault::Retired(w) => {
-                let mut world = self.platform.lock().unwrap();
-                let now = world.now();
-                world.machines[w].restart(now);
-                world.register();
+            Fault::Crash(w) | Fault::Restart(w) | Fault::Leave(w) | Fault::Retired(w) => {
+                self.platform.lock().unwrap().restart(w);
                 self.replacing[w] = false;
                 if !matches!(fault, Fault::Leave(_)) {
                     self.disruptions.end(Location::Elsewhere);
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -69,6 +69,8 @@
     pub(super) maintenance_ms: u64,
     /// Jobs of which a task crashes its workers, in thousandths.
     pub(super) deadly: u32,
+    /// Whether commands that are carried out late reach a later life of their worker.
+    pub(super) astray: bool,
 }
 
 /// Checks on the instances in turn which configuration is in force.
--- a/tests/soak/seeds.rs
+++ b/tests/soak/seeds.rs
@@ -2,6 +2,7 @@
 
 use super::{
     faults,
+    reborn,
     run::{
         self,
         Size, //
@@ -20,6 +21,7 @@
     last_ms: 0,
     maintenance_ms: 8_000,
     deadly: 0,
+    astray: false,
 };
 
 /// Default size of `scripts/soak`.
@@ -34,6 +36,7 @@
     last_ms: 0,
     maintenance_ms: 8_000,
     deadly: 0,
+    astray: false,
 };
 
 /// Many processes, for manual runs.
@@ -48,6 +51,7 @@
     last_ms: 0,
     maintenance_ms: 10_000,
     deadly: 0,
+    astray: false,
 };
 
 /// Paused owners, cut paths to workers and late commands, with runs that last longer than a change
@@ -63,6 +67,7 @@
     last_ms: 14_000,
     maintenance_ms: 0,
     deadly: 0,
+    astray: false,
 };
 
 /// Tasks that crash their workers, workers that crash anyway, and killed instances.
@@ -77,6 +82,7 @@
     last_ms: 0,
     maintenance_ms: 0,
     deadly: 60,
+    astray: false,
 };
 
 /// The same with fewer such tasks.
@@ -91,6 +97,30 @@
     ..SHORT
 };
 
+/// Workers that start again under their ids and are cut off soon after, commands that reach their
+/// next lives, and runs that outlast the cut.
+const REBORN: Size = Size {
+    instances: 5,
+    workers: 28,
+    callers: 2,
+    capacity: 16_000,
+    run_ms: (600, 9_500),
+    faults: reborn::reborn_faults,
+    fault_ms: 24_000,
+    last_ms: 12_000,
+    maintenance_ms: 0,
+    deadly: 0,
+    astray: true,
+};
+
+/// The same, short enough for every test run.
+const SHORT_REBORN: Size = Size {
+    workers: 20,
+    fault_ms: 14_000,
+    last_ms: 6_000,
+    ..REBORN
+};
+
 /// Seeds that have failed before, with the cause.
 const FAILED: [(u64, Size); 5] = [
     // Seeds 104 and 119: the proxy dropped a request but forwarded the instance's later 408.
@@ -127,10 +157,12 @@
         Ok("deadly") => DEADLY,
         Ok("few-deadly") => FEW_DEADLY,
         Ok("shrinking") => SHRINKING,
+        Ok("reborn") => REBORN,
+        Ok("short-reborn") => SHORT_REBORN,
         Ok("short") | Err(_) => SHORT,
         Ok(other) => {
             panic!(
-                "BAMBOOLOCK_SOAK_SIZE={other:?} is not short, usual, large, split, deadly, few-deadly or shrinking"
+                "BAMBOOLOCK_SOAK_SIZE={other:?} is not short, usual, large, split, deadly, few-deadly, shrinking, reborn or short-reborn"
             )
         }
     }
@@ -159,3 +191,14 @@
 fn workers_that_shrink_keep_the_promises() {
     run::run_seed(1, SHRINKING);
 }
+
+/// Seeds 2 and 4 are two tests, which run at the same time: each takes most of a minute.
+#[test]
+fn workers_that_start_again_keep_the_promises() {
+    run::run_seed(2, SHORT_REBORN);
+}
+
+#[test]
+fn more_workers_that_start_again_keep_the_promises() {
+    run::run_seed(4, SHORT_REBORN);
+}
