--- a/tests/instances.rs
+++ b/tests/instances.rs
@@ -9,6 +9,7 @@
     #[expect(dead_code, reason = "the soak uses the rest")]
     mod delivery;
     mod former_owner;
+    mod forwarding;
     mod keys;
     mod large_configuration;
     #[expect(dead_code, reason = "the tests of the cell use the rest")]
