--- a/review/standin-2/cell.rs
+++ b/review/standin-2/cell.rs
@@ -79,7 +79,8 @@
             );
             let settings = cell.folder.join(format!("{name}.json"));
             fs::write(&settings, text).map_err(|e| e.to_string())?;
-            let log = File::create(cell.folder.join(format!("{name}.log"))).map_err(|e| e.to_string())?;
+            let log =
+                File::create(cell.folder.join(format!("{name}.log"))).map_err(|e| e.to_string())?;
             let errors = log.try_clone().map_err(|e| e.to_string())?;
             let child = Command::new(PROGRAM)
                 .env("BAMBOOLOCK_BOOT", &settings)
@@ -103,7 +104,8 @@
         while began.elapsed() < limit {
             let ready = |instance: &Instance| {
                 let second = Duration::from_secs(1);
-                let answer = http::call(instance.ready, "GET", "/bamboolock/ready", "x", b"", second);
+                let answer =
+                    http::call(instance.ready, "GET", "/bamboolock/ready", "x", b"", second);
                 answer.is_ok_and(|(status, _)| status == 200)
             };
             if self.instances.iter().all(ready) {
