feat(cell): number submissions, and log which copy of them is taken

The logs did not say whether the job that runs is a copy of the refused request, a copy of another attempt of the same caller, or one that the owner had withdrawn.

**Ruled out.** To decide by the time of the lines: attempts of one caller follow each other within 0.3 s.

**Change.** A submission carries the incarnation of the instance that received it, a number that all its copies share, and the term of the owner for which each copy is meant. `"request answered"` has the number and how many copies had no answer; `"submission taken"` says which copy the owner has taken. No decision changes. Earlier builds leave the fields out and ignore them.

--- a/src/cell/shell/frontend.rs
+++ b/src/cell/shell/frontend.rs
@@ -131,12 +131,15 @@
         Err(answer) => return answer,
     };
     drop(body);
-    let submits = matches!(request, Request::Submit { .. });
-    let outcome = forward(shared, request, Duration::from_millis(timeout)).await;
+    let number = match &request {
+        Request::Submit { number, .. } => Some(*number),
+        _ => None,
+    };
+    let (outcome, unanswered) = forward(shared, request, Duration::from_millis(timeout)).await;
     let took = spent + began.elapsed();
-    if submits || !matches!(outcome, Outcome::State(_)) {
+    if number.is_some() || !matches!(outcome, Outcome::State(_)) {
         info!(job = id, method = incoming.method.as_str(), queue = queue.name.as_str(), version = catalog.version,
-            outcome:? = outcome, took = took.as_millis() as u64; "request answered");
+            number, unanswered, outcome:? = outcome, took = took.as_millis() as u64; "request answered");
     }
     shared
         .metrics
@@ -271,6 +274,9 @@
                 queue: Box::new(queue.clone()),
                 work: Box::new(work),
                 organisation: organisation.into(),
+                incarnation: shared.incarnation,
+                number: shared.next_submission(),
+                term: 0,
                 timeout,
             })
         }
@@ -279,41 +285,38 @@
 }
 
 /// Forwards a request to the current owner, with retries until the caller's timeout. Repetitions
-/// are safe because the job's id makes them idempotent.
-async fn forward(shared: &Rc<Shared>, mut request: Request, timeout: Duration) -> Outcome {
+/// are safe because the job's id makes them idempotent. Returns the number of copies without an answer,
+/// too.
+async fn forward(shared: &Rc<Shared>, mut request: Request, timeout: Duration) -> (Outcome, u32) {
     // By the clock that goes on while the machine is suspended, as the caller's does.
     let deadline = shared.now() + timeout.as_millis() as u64;
-    let mut sent = false;
+    let mut unanswered = 0;
+    let given_up = |unanswered| match unanswered {
+        0 => (Outcome::Refused(RETRY_AFTER_S), 0),
+        _ => (Outcome::Unknown, unanswered),
+    };
     let mut without_owner: Option<Instant> = None;
     loop {
         let left = Duration::from_millis(deadline.saturating_sub(shared.now()));
         if left.is_zero() {
-            return if sent {
-                Outcome::Unknown
-            } else {
-                Outcome::Refused(RETRY_AFTER_S)
-            };
+            return given_up(unanswered);
         }
         request.set_timeout(left.as_millis() as u64);
-        let outcome = exchange(shared, &request, left.min(EXCHANGE_TIMEOUT)).await;
+        let outcome = exchange(shared, &mut request, left.min(EXCHANGE_TIMEOUT)).await;
         match outcome {
             Ok(Outcome::Elsewhere) | Err(link::Error::Refused | link::Error::Unreachable) => {}
-            Ok(Outcome::Interrupted) => sent = true,
+            Ok(Outcome::Interrupted) => unanswered += 1,
             // A copy of the request that is still under way may be accepted later.
-            Ok(Outcome::Overloaded(_)) if sent => return Outcome::Unknown,
-            Ok(outcome) => return outcome,
+            Ok(Outcome::Overloaded(_)) if unanswered > 0 => return (Outcome::Unknown, unanswered),
+            Ok(outcome) => return (outcome, unanswered),
             Err(e) => {
                 debug!("no response from the owner: {e}");
-                sent = true;
+                unanswered += 1;
             }
         }
         let since = *without_owner.get_or_insert_with(Instant::now);
         if since.elapsed() > OWNER_TIMEOUT {
-            return if sent {
-                Outcome::Unknown
-            } else {
-                Outcome::Refused(RETRY_AFTER_S)
-            };
+            return given_up(unanswered);
         }
         // A change of owner ends the pause early.
         let _ = time::timeout(RETRY_PAUSE, shared.owner_changed.notified()).await;
@@ -322,15 +325,19 @@
 
 async fn exchange(
     shared: &Rc<Shared>,
-    request: &Request,
+    request: &mut Request,
     limit: Duration,
 ) -> Result<Outcome, link::Error> {
-    if shared.owner.borrow().is_some() {
+    let local = shared.owner.borrow().as_ref().map(|owner| owner.term());
+    if let Some(term) = local {
+        request.set_term(term);
         return Ok(peer::answer_caller(shared, request.clone()).await);
     }
     let Some(owner) = peer::known_owner(shared) else {
         return Err(link::Error::Unreachable);
     };
+    request.set_term(owner.term);
+    let request = &*request;
     let sent = peer::send(shared, &owner.address, peer::ASK, request, limit);
     tokio::select! {
         answer = sent => {
--- a/src/cell/shell/handler.rs
+++ b/src/cell/shell/handler.rs
@@ -62,11 +62,17 @@
             work,
             origin,
             organisation,
+            incarnation,
+            number,
+            term,
             timeout,
         } => {
             let source = Source {
                 origin,
                 organisation,
+                incarnation,
+                number,
+                term,
             };
             submit(owner, &id, (*queue, *work), &source, timeout).await
         }
@@ -153,6 +159,12 @@
     origin: CompactString,
     /// Organisation on whose behalf the job is submitted; empty for none.
     organisation: CompactString,
+    /// Incarnation of that instance.
+    incarnation: u64,
+    /// Number of the caller's request there.
+    number: u64,
+    /// Term of the owner for which this copy of the request is meant.
+    term: u64,
 }
 
 async fn submit(
@@ -195,6 +207,10 @@
         submitted
     };
     owner.run_actions();
+    if matches!(submitted, Ok(Submitted::InBatch(_))) {
+        info!(job = id, origin = source.origin.as_str(), incarnation = source.incarnation, number = source.number,
+            meant = source.term, term = owner.term(), timeout; "submission taken");
+    }
     match submitted {
         Ok(Submitted::Known) => Outcome::Accepted,
         Ok(Submitted::Cancelled) => Outcome::Gone,
--- a/src/cell/shell/mod.rs
+++ b/src/cell/shell/mod.rs
@@ -221,6 +221,8 @@
     pub stalls: stalls::Stalls,
     /// Random number that identifies this incarnation of the instance.
     pub incarnation: u64,
+    /// Number of the last submission of a caller.
+    submissions: Cell<u64>,
     clock: clock::Clock,
 }
 
@@ -231,6 +233,13 @@
         self.clock.now()
     }
 
+    /// Returns the number of the next submission of a caller, from 1 on.
+    pub(super) fn next_submission(&self) -> u64 {
+        let number = self.submissions.get() + 1;
+        self.submissions.set(number);
+        number
+    }
+
     /// Whether the store responded within the last `span` milliseconds.
     #[must_use]
     pub fn store_is_reachable(&self, span: u64) -> bool {
@@ -297,6 +306,7 @@
         store_answered_at: Cell::new(0),
         stalls: stalls::Stalls::default(),
         incarnation: rand::random::<u64>() >> 12,
+        submissions: Cell::new(0),
         clock: clock::Clock::start(),
         uplink,
         settings,
--- a/src/cell/shell/peer.rs
+++ b/src/cell/shell/peer.rs
@@ -145,6 +145,16 @@
         /// Organisation on whose behalf the job is submitted; empty for none.
         #[serde(default, skip_serializing_if = "CompactString::is_empty")]
         organisation: CompactString,
+        /// Incarnation of the instance that received the job; 0 from an earlier build.
+        #[serde(default)]
+        incarnation: u64,
+        /// Number of the caller's request among those of that incarnation, which all copies of the request
+        /// share; 0 from an earlier build.
+        #[serde(default)]
+        number: u64,
+        /// Term of the owner for which the copy is meant; 0 from an earlier build.
+        #[serde(default)]
+        term: u64,
         /// Caller's timeout in milliseconds.
         #[serde(rename = "patience")]
         timeout: u64,
@@ -176,6 +186,13 @@
             *timeout = left;
         }
     }
+
+    /// Sets the term of the owner that the next copy is sent to.
+    pub fn set_term(&mut self, owner: u64) {
+        if let Request::Submit { term, .. } = self {
+            *term = owner;
+        }
+    }
 }
 
 /// Outcome of a caller's request, as the owner reports it.
