fix(cell): a refusal holds for all copies of a submission

An instance whose path to the owner is cut off sends a submission, gets no answer within 1.2 s and repeats it on a new connection. The owner cannot reach the store and refuses the repetition, which is passed on. The bytes of the first connection are delivered once the path is back; the owner knows nothing of the refusal and takes the copy for a new request. A front that answers "not known" did so for one outcome only (`Overloaded`).

Answering 504 whenever a copy was sent: callers would have to repeat their id for as long as the store is away. An expiry by the owner's clock: a refusal would have to wait for it.

**Change.** `cell::refusals`, a room of its own without input and output: the owner remembers the numbers of the requests that it refuses and takes no later copy of them. It is bounded (1,024 numbers for each of 1,024 incarnations of instances; older numbers become a range that counts as refused), and a refusal that cannot be remembered is answered as unknown. An owner takes no copy that was meant for another term, so that nothing has to be remembered across owners. 429 after a copy without an answer is now passed on as well. Metric `late_copies_total{cause}`, log line `"late copy of a submission not taken"`.

**Conclusion.** A refusal of the owner is final for its request, at once and without a longer wait. Attempts of one caller at several instances stay different requests: one without an answer may still run after another one was refused.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -15,6 +15,7 @@
 pub mod model;
 pub mod neighbours;
 pub mod outage;
+pub mod refusals;
 pub mod settings;
 pub mod shares;
 pub mod shell;
--- a/src/cell/shell/frontend.rs
+++ b/src/cell/shell/frontend.rs
@@ -285,8 +285,8 @@
 }
 
 /// Forwards a request to the current owner, with retries until the caller's timeout. Repetitions
-/// are safe because the job's id makes them idempotent. Returns the number of copies without an answer,
-/// too.
+/// are safe because the job's id makes them idempotent, and because the owner takes no copy of a request
+/// that it has refused. Returns the number of copies without an answer, too.
 async fn forward(shared: &Rc<Shared>, mut request: Request, timeout: Duration) -> (Outcome, u32) {
     // By the clock that goes on while the machine is suspended, as the caller's does.
     let deadline = shared.now() + timeout.as_millis() as u64;
@@ -306,8 +306,6 @@
         match outcome {
             Ok(Outcome::Elsewhere) | Err(link::Error::Refused | link::Error::Unreachable) => {}
             Ok(Outcome::Interrupted) => unanswered += 1,
-            // A copy of the request that is still under way may be accepted later.
-            Ok(Outcome::Overloaded(_)) if unanswered > 0 => return (Outcome::Unknown, unanswered),
             Ok(outcome) => return (outcome, unanswered),
             Err(e) => {
                 debug!("no response from the owner: {e}");
--- a/src/cell/shell/handler.rs
+++ b/src/cell/shell/handler.rs
@@ -16,11 +16,13 @@
         memory::Shortage, //
     },
     model,
-    outage, //
+    outage,
+    refusals::Attempt, //
 };
 
 use super::{
     intake::Limit,
+    metrics::LateCopy,
     owner::Owner,
     peer::{
         Outcome,
@@ -67,14 +69,20 @@
             term,
             timeout,
         } => {
+            let attempt = Attempt {
+                incarnation,
+                number,
+            };
             let source = Source {
                 origin,
                 organisation,
-                incarnation,
-                number,
-                term,
+                attempt,
             };
-            submit(owner, &id, (*queue, *work), &source, timeout).await
+            if let Some(outcome) = outdated(owner, &id, attempt, term, retry_after(&queue, &work)) {
+                return outcome;
+            }
+            let outcome = submit(owner, &id, (*queue, *work), &source, timeout).await;
+            remember_refusal(owner, &id, attempt, outcome)
         }
         Request::State { id } => state(owner, &id).await,
         Request::Cancel { id, timeout } => cancel(owner, &id, timeout).await,
@@ -159,12 +167,40 @@
     origin: CompactString,
     /// Organisation on whose behalf the job is submitted; empty for none.
     organisation: CompactString,
-    /// Incarnation of that instance.
-    incarnation: u64,
-    /// Number of the caller's request there.
-    number: u64,
-    /// Term of the owner for which this copy of the request is meant.
-    term: u64,
+    /// The caller's request at that instance.
+    attempt: Attempt,
+}
+
+/// Outcome of a copy of a submission that must not be taken; `None` if it may be.
+///
+/// A copy for another term may be one of a request that its owner has refused, or that this owner
+/// refuses later.
+fn outdated(owner: &Owner, id: &str, attempt: Attempt, meant: u64, retry: u64) -> Option<Outcome> {
+    let (late, outcome) = if meant > 0 && meant != owner.term() {
+        (LateCopy::Term, Outcome::Elsewhere)
+    } else if owner.refusals.borrow().contains(attempt) && !owner.engine.borrow().is_known(id) {
+        (LateCopy::Refused, Outcome::Refused(retry))
+    } else {
+        return None;
+    };
+    owner.shared.metrics.count_late_copy(late);
+    info!(job = id, incarnation = attempt.incarnation, number = attempt.number, meant, term = owner.term(),
+        cause = late.label(); "late copy of a submission not taken");
+    Some(outcome)
+}
+
+/// Returns the outcome of a submission. A refusal must hold for all copies of the request, or it is not
+/// one.
+fn remember_refusal(owner: &Owner, id: &str, attempt: Attempt, outcome: Outcome) -> Outcome {
+    if !matches!(outcome, Outcome::Refused(_) | Outcome::Overloaded(_)) {
+        return outcome;
+    }
+    let mut refusals = owner.refusals.borrow_mut();
+    if refusals.record(attempt, owner.now()) {
+        return outcome;
+    }
+    info!(job = id, incarnation = attempt.incarnation, number = attempt.number; "refusal not remembered");
+    Outcome::Unknown
 }
 
 async fn submit(
@@ -208,8 +244,8 @@
     };
     owner.run_actions();
     if matches!(submitted, Ok(Submitted::InBatch(_))) {
-        info!(job = id, origin = source.origin.as_str(), incarnation = source.incarnation, number = source.number,
-            meant = source.term, term = owner.term(), timeout; "submission taken");
+        info!(job = id, origin = source.origin.as_str(), incarnation = source.attempt.incarnation,
+            number = source.attempt.number, timeout; "submission taken");
     }
     match submitted {
         Ok(Submitted::Known) => Outcome::Accepted,
--- a/src/cell/shell/metrics.rs
+++ b/src/cell/shell/metrics.rs
@@ -102,6 +102,33 @@
     pub reason: &'static str,
 }
 
+/// Labels of the copies of submissions that were not taken.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct LateCopyLabels {
+    /// Why the copy was not taken.
+    pub cause: &'static str,
+}
+
+/// Why a copy of a submission is not taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LateCopy {
+    /// Another copy of the request was refused.
+    Refused,
+    /// The copy is meant for the owner of another term.
+    Term,
+}
+
+impl LateCopy {
+    /// Name of the cause in metrics and logs.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            LateCopy::Refused => "refused",
+            LateCopy::Term => "term",
+        }
+    }
+}
+
 /// Labels of the pairs of kinds of tasks that are known to interfere: at most 512, of 64 kinds.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct PairLabels {
@@ -136,6 +163,7 @@
     pub open_workers: Gauge,
     losses: Family<LossLabels, Counter>,
     denied: Family<DeniedLabels, Counter>,
+    late_copies: Family<LateCopyLabels, Counter>,
     crashes: Family<CrashLabels, Counter>,
     restarts: Family<RestartLabels, Counter>,
     /// Tasks that wait to run alone because workers have crashed under them.
@@ -198,6 +226,7 @@
             open_workers: Gauge::default(),
             losses: Family::default(),
             denied: Family::default(),
+            late_copies: Family::default(),
             crashes: Family::default(),
             restarts: Family::default(),
             waiting_trials: Gauge::default(),
@@ -265,6 +294,11 @@
             "Callers' requests that were not admitted, by reason",
             self.denied.clone(),
         );
+        registry.register(
+            "late_copies",
+            "Copies of submissions that were not taken, by cause",
+            self.late_copies.clone(),
+        );
         registry.register(
             "crashes",
             "Tasks that were on a worker when it crashed, by evidence",
@@ -341,6 +375,14 @@
         self.denied.get_or_create(&label).inc();
     }
 
+    /// Counts a copy of a submission that was not taken.
+    pub fn count_late_copy(&self, late: LateCopy) {
+        let label = LateCopyLabels {
+            cause: late.label(),
+        };
+        self.late_copies.get_or_create(&label).inc();
+    }
+
     /// Counts a crash of a worker against a task.
     pub fn count_crash(&self, evidence: Evidence) {
         let label = CrashLabels {
--- a/src/cell/shell/owner.rs
+++ b/src/cell/shell/owner.rs
@@ -30,7 +30,8 @@
             Engine,
             Times,
             commands::Address, //
-        }, //
+        },
+        refusals::Refusals, //
     },
     platform::store,
     remote::{
@@ -137,6 +138,8 @@
     pub(super) term: u64,
     /// Local time at which the term began, in milliseconds.
     began: u64,
+    /// Submissions that were refused in this term.
+    pub(super) refusals: RefCell<Refusals>,
     /// Version of the configuration whose organisations the engine has.
     configured: Cell<Option<u64>>,
 }
@@ -220,6 +223,7 @@
             waiting_since: Cell::new(0),
             term,
             began: now,
+            refusals: RefCell::default(),
             configured,
         });
         shared.metrics.terms.inc();
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -34,6 +34,7 @@
     mod reborn;
     mod recovery;
     mod recuts;
+    mod refusals;
     mod roster;
     mod rules;
     mod shares;
--- a/tests/instances.rs
+++ b/tests/instances.rs
@@ -12,6 +12,7 @@
     mod forwarding;
     mod keys;
     mod large_configuration;
+    mod late_copies;
     #[expect(dead_code, reason = "the tests of the cell use the rest")]
     #[path = "../cell/make.rs"]
     mod make;
