fix(engine): suspicion that comes from a wave of crashes ends with the wave

After 40 waves 148 to 192 tasks waited to be tried alone. Six workers of 48 were on trial at a time, one task each, 2 or 3 trials a second; nothing else ended the wait.

**Ruled out.** A longer time for joint crashes: several tasks that crash their workers would pass for a rack. More trials at once: one task a worker, and each asks the policy. To forget crashes when the cell is calm: such a task would start for ever.

**Change.** `cell::waves`, a room of its own over a clock, says whether a wave is on. A crash during one is marked (stored with it; earlier builds ignore the mark). After 3 s without a wave, tasks that only marked crashes make suspect share workers again; their last crash must be one of these. Verdicts count all crashes as before. `on_trial` and `wave` in the status line, `wave` in the lines on crashes, `"suspicion from a wave of crashes ends"`, `released_suspects_total`.

**Conclusion.** Suspects that no wave explains still wait for one of few empty workers.

--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -34,7 +34,8 @@
         State, //
     },
     neighbours::Neighbours,
-    shares, //
+    shares,
+    waves::Waves, //
 };
 
 mod admission;
@@ -58,6 +59,7 @@
 pub mod status;
 pub mod submissions;
 pub mod succession;
+mod waves;
 
 /// Run numbers reserved for each earlier owner, whose run numbers are not all stored. An owner
 /// rarely starts a task more than a few times.
@@ -227,6 +229,14 @@
     exposed: Vec<(CompactString, TaskKey)>,
     /// Recent silences and crashes of workers.
     caution: caution::Caution,
+    /// Recent silences of workers that no task explains.
+    waves: Waves,
+    /// Local time since which there is no wave of crashes, in milliseconds.
+    calm_since: Option<u64>,
+    /// Whether the tasks that a wave made suspect have been released since the last crash.
+    suspects_released: bool,
+    /// Number of such tasks, not yet counted.
+    released_suspects: u64,
     /// Tasks that slow each other down.
     pub neighbours: Neighbours,
     /// Runs whose start command waits for a batch.
@@ -295,6 +305,10 @@
             evidence: Vec::new(),
             exposed: Vec::new(),
             caution: caution::Caution::default(),
+            waves: Waves::default(),
+            calm_since: None,
+            suspects_released: false,
+            released_suspects: 0,
             neighbours: Neighbours::default(),
             held_starts: Vec::new(),
             succession: succession::Succession::default(),
@@ -513,6 +527,7 @@
         self.retry_commands(now);
         self.stop_stuck_gangs(now);
         self.end_trials(now);
+        self.release_suspects(now);
         self.reconcile(now);
         self.cordon_silent_workers(now);
         self.poll_due_workers(now);
--- a/src/cell/engine/caution.rs
+++ b/src/cell/engine/caution.rs
@@ -73,6 +73,19 @@
     careful: Vec<CompactString>,
     /// Whether the silences have changed since.
     stale: bool,
+    /// Trials of the last placement pass.
+    pub(super) trials: TrialStatus,
+}
+
+/// Trials of suspected tasks in a placement pass, for the log.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct TrialStatus {
+    /// Workers without runs.
+    pub(super) empty: usize,
+    /// Workers on which tasks are tried.
+    pub(super) tried: usize,
+    /// Workers on which tasks may be tried.
+    pub(super) limit: usize,
 }
 
 impl Caution {
@@ -274,6 +287,7 @@
         let trials = self.trials_in(waiting);
         let under_way = self.cluster.runs.values().any(|run| run.trial);
         if trials == 0 && !under_way && self.caution.careful.is_empty() {
+            self.caution.trials = TrialStatus::default();
             return None;
         }
         let total = self.cluster.workers.values().filter(|w| w.registered);
@@ -305,6 +319,11 @@
         let vacant = if others { empty / 2 } else { empty };
         let most = (total / TRIAL_DIVISOR).max(vacant).max(1);
         allowance.trials = most.saturating_sub(tried);
+        self.caution.trials = TrialStatus {
+            empty,
+            tried,
+            limit: most,
+        };
         allowance.job_trials = (most / jobs.max(1)).max(1);
         // One queue leaves half of the trials to the others, if they have any.
         allowance.queue_trials = match self.queues_on_trial(waiting) {
--- a/src/cell/engine/crashes.rs
+++ b/src/cell/engine/crashes.rs
@@ -95,6 +95,7 @@
                     },
                     alone: seen,
                     joint: false,
+                    wave: false,
                     unsure: !confirmed,
                 },
                 confirmed,
@@ -129,6 +130,7 @@
         let rack = self.cluster.workers[key].registration.rack();
         self.caution
             .note_silence(&self.jobs, (key, rack), &suspects, now);
+        self.note_in_wave(key, &suspects, now);
     }
 
     /// Keeps the tasks of runs that are presumed over on a silent worker: should it turn out that the
@@ -160,9 +162,12 @@
         self.caution
             .note_crash(&self.jobs, (key, rack), &suspects, at);
         let joint = self.caution.is_joint(key);
-        info!(worker = id.as_str(), suspects = company, joint, ago = now.saturating_sub(at); "worker crashed");
+        self.note_in_wave(key, &suspects, now);
+        let wave = self.is_in_wave(Some(key), now);
+        info!(worker = id.as_str(), suspects = company, joint, wave, ago = now.saturating_sub(at); "worker crashed");
         for mut suspect in suspects {
             suspect.crash.joint = joint;
+            suspect.crash.wave = wave;
             self.count_crash(&suspect, &id, company, now);
         }
         self.count_exposures(&id, u64::MAX, now);
@@ -173,6 +178,7 @@
     pub(super) fn count_exposures(&mut self, id: &str, incarnation: u64, now: u64) {
         let of_worker = self.exposed.extract_if(.., |(worker, _)| worker == id);
         let tasks: Vec<TaskKey> = of_worker.map(|(_, task)| task).collect();
+        let wave = !tasks.is_empty() && self.is_in_wave(self.cluster.find_worker(id), now);
         for task in tasks {
             let state = self
                 .jobs
@@ -182,9 +188,13 @@
             if let Some(exposure) = exposure
                 && exposure.incarnation < incarnation
             {
+                let crash = Crash {
+                    wave,
+                    ..exposure.crash
+                };
                 let suspect = Suspect {
                     task,
-                    crash: exposure.crash,
+                    crash,
                     confirmed: true,
                 };
                 self.count_crash(&suspect, id, 1, now);
@@ -242,12 +252,14 @@
         task.crashes.insert(at, crash);
         task.last_run = task.last_run.max(crash.run);
         task.exposure = None;
+        task.released = false;
+        self.suspects_released = false;
         let (convicted, crashes) = (
             suspicion::is_convicted(&task.crashes),
             task.crashes.len() as u64,
         );
         info!(job = id.as_str(), step = key.step.step, task = key.index, run = crash.run, worker, age:? = crash.age,
-            early = crash.is_early(), alone = crash.alone, joint = crash.joint, company, crashes; "worker crashed under a task");
+            early = crash.is_early(), alone = crash.alone, joint = crash.joint, wave = crash.wave, company, crashes; "worker crashed under a task");
         self.evidence.push(match (convicted, crash) {
             (true, _) => Evidence::Convicted,
             (_, crash) if crash.joint => Evidence::Shared,
@@ -277,6 +289,7 @@
                 age: None,
                 alone: true,
                 joint: false,
+                wave: false,
                 unsure: true,
             },
         };
--- a/src/cell/engine/reports.rs
+++ b/src/cell/engine/reports.rs
@@ -71,6 +71,7 @@
         if same {
             self.cluster.workers[key].lapsed.clear();
             self.caution.note_report(key);
+            self.waves.forget(key);
         }
         if report.incarnation > 0 && !self.exposed.is_empty() {
             let id = self.cluster.workers[key].registration.id.clone();
--- a/src/cell/engine/status.rs
+++ b/src/cell/engine/status.rs
@@ -31,7 +31,7 @@
         let claimed = self.reserved_cpu(now);
         let careful = self.caution.careful();
         let longest = self.shares.longest_backlogs();
-        info!(waiting:? = waiting, organisations:? = longest, trials = self.waiting_trials(), careful:? = careful, claimed:? = claimed, workers = self.cluster.workers.len(), open = count, silent = self.silent_workers(),
+        info!(waiting:? = waiting, organisations:? = longest, trials = self.waiting_trials(), on_trial:? = self.caution.trials, wave = self.is_in_wave(None, now), careful:? = careful, claimed:? = claimed, workers = self.cluster.workers.len(), open = count, silent = self.silent_workers(),
             unanswered = self.unanswered_workers(), cordoned = self.cordoned_workers(), withheld = self.withheld.len(), waits = self.reconciliation_left(now),
             proof = now.saturating_sub(self.proven_at), listed = self.listed_at.map_or(0, |at| now.saturating_sub(at)), runs = self.cluster.runs.len(),
             room, used, queries = self.proxies.in_flight(), advisers = self.proxies.live(now).count(), batch = self.open_batch,
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -87,6 +87,8 @@
     pub proof_from: u64,
     /// Crashes of workers under runs of the task, sorted by run.
     pub crashes: Vec<suspicion::Crash>,
+    /// Whether the suspicion from these crashes has ended, since a wave explains them.
+    pub released: bool,
     /// Run whose worker may have crashed under it.
     pub exposure: Option<suspicion::Exposure>,
     /// Whether a run of an earlier owner may be on a cordoned worker.
@@ -105,7 +107,7 @@
     /// Whether the task waits and may only start on a worker without other jobs.
     #[must_use]
     pub fn awaits_trial(&self) -> bool {
-        self.waits() && suspicion::needs_trial(&self.crashes)
+        self.waits() && !self.released && suspicion::needs_trial(&self.crashes)
     }
 }
 
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -20,3 +20,4 @@
 pub mod shares;
 pub mod shell;
 pub mod suspicion;
+pub mod waves;
--- a/src/cell/shell/metrics.rs
+++ b/src/cell/shell/metrics.rs
@@ -168,6 +168,8 @@
     restarts: Family<RestartLabels, Counter>,
     /// Tasks that wait to run alone because workers have crashed under them.
     pub waiting_trials: Gauge,
+    /// Tasks whose suspicion ended with the wave of crashes that explains it.
+    pub released_suspects: Counter,
     /// Queues that are placed with caution because their starts crash workers.
     pub careful_queues: Gauge,
     /// Figures of the organisations.
@@ -230,6 +232,7 @@
             crashes: Family::default(),
             restarts: Family::default(),
             waiting_trials: Gauge::default(),
+            released_suspects: Counter::default(),
             careful_queues: Gauge::default(),
             organisations: organisations::Families::default(),
             slowdowns: Family::default(),
@@ -314,6 +317,11 @@
             "Tasks that wait to run alone because workers have crashed under them",
             self.waiting_trials.clone(),
         );
+        registry.register(
+            "released_suspects",
+            "Tasks whose suspicion ended with the wave of crashes that explains it",
+            self.released_suspects.clone(),
+        );
         registry.register(
             "careful_queues",
             "Queues that are placed with caution because their starts crash workers",
--- a/src/cell/shell/owner.rs
+++ b/src/cell/shell/owner.rs
@@ -429,6 +429,7 @@
                 metrics.count_restart(sign);
             }
             metrics.record_neighbours(&mut engine.neighbours);
+            metrics.released_suspects.inc_by(engine.take_released());
             metrics.waiting_trials.set(engine.waiting_trials() as i64);
             metrics.careful_queues.set(engine.careful_queues() as i64);
             metrics.silent_workers.set(engine.silent_workers() as i64);
--- a/src/cell/suspicion.rs
+++ b/src/cell/suspicion.rs
@@ -67,6 +67,10 @@
     /// Whether other workers went down with this one, so that the cause lies outside the tasks.
     #[serde(default, skip_serializing_if = "is_false")]
     pub joint: bool,
+    /// Whether many other workers crashed within the seconds before, so that the crash says little about
+    /// the task.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub wave: bool,
     /// Whether the worker had not confirmed the run, and may have been down before it.
     #[serde(default, skip_serializing_if = "is_false")]
     pub unsure: bool,
@@ -137,3 +141,15 @@
         || soon && count >= SOON_CRASHES - 1
         || crashes.len() >= LATE_CRASHES - LATE_ALONE
 }
+
+/// Whether a wave explains the crashes under a task: without those of waves, the task would not need a trial.
+/// A task whose last crash came outside of a wave is not explained, however many others were in one.
+#[must_use]
+pub fn is_explained(crashes: &[Crash]) -> bool {
+    let others: Vec<Crash> = crashes
+        .iter()
+        .filter(|crash| !crash.wave)
+        .copied()
+        .collect();
+    crashes.last().is_some_and(|crash| crash.wave) && !needs_trial(&others)
+}
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -49,6 +49,7 @@
     mod tombstones;
     mod twice;
     mod waiting;
+    mod waves;
     #[expect(dead_code, reason = "the soak uses the rest")]
     mod workers;
     mod world;
