fix(engine): an answer under way does not revive a superseded worker

The answer to a poll from before the cut arrives late and lists runs of a process that is gone. They are adopted, and nothing ends them any more: a superseded worker is not polled, and is not silent.

**Ruled out.** Trials (`trials=0`, nothing waits), a cordon (`withheld=0`), a placement on the superseded worker (no such line).

**Change.** A worker that is superseded awaits no answer any more. The path by a refused poll did that already; the one by a refused start or stop did not.

--- a/src/cell/engine/commands.rs
+++ b/src/cell/engine/commands.rs
@@ -552,6 +552,8 @@
             "another worker answers at this address; runs are lost");
         worker.fenced = false;
         worker.superseded = true;
+        // An answer that is still under way is older than this one.
+        worker.polling = false;
         worker.clock_reading = None;
         worker.leases_end = 0;
         for run in worker.runs.clone() {
--- a/tests/cell/superseded.rs
+++ b/tests/cell/superseded.rs
@@ -53,6 +53,32 @@
     );
 }
 
+/// Guards against tasks that wait for ever for runs of a worker that is gone (review/8): the answer to a poll
+/// from before a cut, delivered after another worker has answered, lists them as running.
+#[test]
+fn an_answer_that_was_under_way_does_not_revive_a_superseded_worker() {
+    let (mut engine, _) = running();
+    let worker = engine.cluster.find_worker("w1").unwrap();
+    let other = "00000000000000b2";
+    let work = make::work(vec![make::step(1, 1_000)]);
+    make::submit(&mut engine, other, make::queue("q", 0), work, START + 50);
+    let runs = make::starts(&mut engine, START + 50);
+    assert_eq!(make::place(&engine, runs[0]), "w1");
+    let order = engine.poll_command(worker, START + 100).unwrap();
+    engine.start_command(runs[0], START + 110).unwrap();
+    engine.start_answered(runs[0], Ok(reply(Verdict::Reborn)), START + 200);
+    if engine.awaits_poll(worker, order.sent_at) {
+        let mut report = make::report(1, 1_000);
+        report.running = vec![make::live(JOB, 0, 0, 1)];
+        engine.apply_report(worker, order.sent_at, order.acked, &report, START + 250);
+    }
+    let again = make::starts(&mut engine, START + 300);
+    assert_eq!(again.len(), 2, "both tasks start elsewhere");
+    assert!(again.iter().all(|run| make::place(&engine, *run) == "w2"));
+    engine.unregister("w1");
+    assert_eq!(engine.cluster.find_worker("w1"), None);
+}
+
 #[test]
 fn a_stop_reply_of_another_worker_also_supersedes_the_worker() {
     let (mut engine, runs) = running();
