--- a/src/cell/engine.rs
+++ b/src/cell/engine.rs
@@ -231,11 +231,7 @@
     caution: caution::Caution,
     /// Recent silences of workers that no task explains.
     waves: Waves,
-    /// Local time since which there is no wave of crashes, in milliseconds.
-    calm_since: Option<u64>,
-    /// Whether the tasks that a wave made suspect have been released since the last crash.
-    suspects_released: bool,
-    /// Number of such tasks, not yet counted.
+    /// Number of tasks whose suspicion ended with a wave, not yet counted.
     released_suspects: u64,
     /// Tasks that slow each other down.
     pub neighbours: Neighbours,
@@ -306,8 +302,6 @@
             exposed: Vec::new(),
             caution: caution::Caution::default(),
             waves: Waves::default(),
-            calm_since: None,
-            suspects_released: false,
             released_suspects: 0,
             neighbours: Neighbours::default(),
             held_starts: Vec::new(),
--- a/src/cell/engine/crashes.rs
+++ b/src/cell/engine/crashes.rs
@@ -253,7 +253,7 @@
         task.last_run = task.last_run.max(crash.run);
         task.exposure = None;
         task.released = false;
-        self.suspects_released = false;
+        self.waves.note_suspicion();
         let (convicted, crashes) = (
             suspicion::is_convicted(&task.crashes),
             task.crashes.len() as u64,
--- a/src/cell/waves/mod.rs
+++ b/src/cell/waves/mod.rs
@@ -22,6 +22,10 @@
 pub struct Waves {
     /// Workers with the local times of their last silences, in milliseconds; sorted by worker.
     silences: Vec<(WorkerKey, u64)>,
+    /// Local time since which there is no wave, in milliseconds.
+    calm_since: Option<u64>,
+    /// Whether the end was reported, and no crash has counted against a task since.
+    settled: bool,
 }
 
 impl Waves {
@@ -46,12 +50,38 @@
         }
     }
 
-    /// Whether there is a wave at local time `now`, in milliseconds, in a cell of `workers` workers. The
-    /// silence of `except` does not count.
+    /// Whether there is a wave at local time `now`, in milliseconds, in a cell whose number of workers is
+    /// counted by `workers`. The silence of `except` does not count.
     #[must_use]
-    pub fn is_on(&self, except: Option<WorkerKey>, workers: usize, now: u64) -> bool {
+    pub fn is_on(
+        &self,
+        except: Option<WorkerKey>,
+        workers: impl FnOnce() -> usize,
+        now: u64,
+    ) -> bool {
         let recent = self.silences.iter();
         let recent = recent.filter(|(key, at)| now < at + SPAN_MS && Some(*key) != except);
-        recent.count() >= MIN_WORKERS.max(workers / DIVISOR)
+        let recent = recent.count();
+        recent >= MIN_WORKERS && recent >= workers() / DIVISOR
+    }
+
+    /// Notes that a crash counts against a task.
+    pub fn note_suspicion(&mut self) {
+        self.settled = false;
+    }
+
+    /// Whether there has been no wave for [`SPAN_MS`] at local time `now`, in milliseconds. Returns that
+    /// once after each suspicion.
+    pub fn take_end(&mut self, workers: impl FnOnce() -> usize, now: u64) -> bool {
+        if self.is_on(None, workers, now) {
+            self.calm_since = None;
+            return false;
+        }
+        let since = *self.calm_since.get_or_insert(now);
+        if self.settled || now < since + SPAN_MS {
+            return false;
+        }
+        self.settled = true;
+        true
     }
 }
--- a/tests/cell/waves.rs
+++ b/tests/cell/waves.rs
@@ -183,17 +183,20 @@
     let workers: Vec<WorkerKey> = (0..100).map(|_| keys.insert(())).collect();
     let mut waves = Waves::default();
     for (n, worker) in workers[..4].iter().enumerate() {
-        assert!(!waves.is_on(None, 16, n as u64), "{n}");
+        assert!(!waves.is_on(None, || 16, n as u64), "{n}");
         waves.note(*worker, n as u64);
     }
-    assert!(waves.is_on(None, 16, 3));
-    assert!(!waves.is_on(Some(workers[0]), 16, 3), "one of them is it");
-    assert!(!waves.is_on(None, 100, 3), "few in a large cell");
-    assert!(waves.is_on(None, 16, SPAN_MS - 1));
-    assert!(!waves.is_on(None, 16, SPAN_MS));
+    assert!(waves.is_on(None, || 16, 3));
+    assert!(
+        !waves.is_on(Some(workers[0]), || 16, 3),
+        "one of them is it"
+    );
+    assert!(!waves.is_on(None, || 100, 3), "few in a large cell");
+    assert!(waves.is_on(None, || 16, SPAN_MS - 1));
+    assert!(!waves.is_on(None, || 16, SPAN_MS));
     waves.note(workers[4], 4);
     waves.forget(workers[3]);
-    assert!(waves.is_on(None, 16, 4));
+    assert!(waves.is_on(None, || 16, 4));
     waves.forget(workers[4]);
-    assert!(!waves.is_on(None, 16, 4), "two were only cut off");
+    assert!(!waves.is_on(None, || 16, 4), "two were only cut off");
 }
