test(soak): copies of refused submissions that arrive later

**Ruled out.** A proxy between the processes: they tell each other their addresses, and a process cannot be given another address of its peers from outside.

**Change.** Mode `late-copies`: threads of the soak act as instances whose path holds back the first copy of each submission until the second one is refused, while the store is down again and again and instances are killed, paused and stopped. The judge is the one for REFUSED.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -13,6 +13,7 @@
     mod disruptions;
     mod faults;
     mod inject;
+    mod late_copies;
     #[expect(dead_code, reason = "the cell's table tests use the rest")]
     #[path = "../cell/make.rs"]
     mod make;
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -278,7 +278,7 @@
         accepted
     }
 
-    fn accepted(&self, id: &str) {
+    pub(super) fn accepted(&self, id: &str) {
         let mut results = self.results.lock().unwrap();
         let record = results.jobs.entry(id.to_owned()).or_default();
         if record.accepted.is_none() {
@@ -327,7 +327,7 @@
     }
 
     /// Registers the steps of a job with the judge.
-    fn register(&self, id: &str, steps: Vec<(u32, u32, bool, Vec<u32>)>) {
+    pub(super) fn register(&self, id: &str, steps: Vec<(u32, u32, bool, Vec<u32>)>) {
         let known = JobSpec {
             steps,
             accepted: true,
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -158,6 +158,44 @@
     scheduled
 }
 
+/// Draws outages of the store, and beside them pauses, kills and stops of instances, that start before
+/// `until`, in milliseconds.
+pub(super) fn outages(
+    rng: &mut SmallRng,
+    instances: usize,
+    _workers: usize,
+    until: u64,
+) -> Vec<Scheduled> {
+    let mut scheduled = Vec::new();
+    let mut at = 1_000;
+    while at < until {
+        let down = StoreFault {
+            down: true,
+            ..StoreFault::default()
+        };
+        scheduled.push(Scheduled {
+            at,
+            duration: rng.random_range(1_200..3_000),
+            fault: Fault::Store(down),
+        });
+        let i = rng.random_range(0..instances);
+        let fault = match rng.random_range(0..6) {
+            0 => Some(Fault::Kill(i)),
+            1 => Some(Fault::Freeze(i)),
+            2 => Some(Fault::Stop(i)),
+            _ => None,
+        };
+        scheduled.extend(fault.map(|fault| Scheduled {
+            at: at + rng.random_range(0..3_000),
+            duration: rng.random_range(500..3_000),
+            fault,
+        }));
+        at += rng.random_range(2_500..4_500);
+    }
+    scheduled.sort_by_key(|scheduled| scheduled.at);
+    scheduled
+}
+
 /// Draws kills of instances and crashes of workers that start before `until`, in milliseconds.
 pub(super) fn crashes(
     rng: &mut SmallRng,
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -37,6 +37,7 @@
         self,
         Scheduled, //
     },
+    late_copies,
 };
 
 /// Time after which a published configuration must be in force, by the platform's description.
@@ -71,6 +72,8 @@
     pub(super) deadly: u32,
     /// Whether commands that are carried out late reach a later life of their worker.
     pub(super) astray: bool,
+    /// Number of simulated instances whose submissions arrive twice.
+    pub(super) late_copies: usize,
 }
 
 /// Checks on the instances in turn which configuration is in force.
@@ -159,6 +162,7 @@
         deadly: size.deadly,
     });
     let threads = spawn_callers(&callers, seed, size.callers);
+    let fronts = late_copies::spawn(&callers, &cell.instances, seed, size.late_copies);
     let random_faults = (size.faults)(&mut rng, size.instances, size.workers, size.fault_ms);
     cell.run_schedule(&random_faults, size.fault_ms, &mut probe);
     cell.platform.lock().unwrap().long_ms = 0;
@@ -171,6 +175,10 @@
     threads
         .into_iter()
         .for_each(|caller| caller.join().unwrap());
+    let late: Vec<u32> = fronts
+        .into_iter()
+        .map(|front| front.join().unwrap())
+        .collect();
     let ended = Instant::now();
     let mut open = callers.unfinished();
     while !open.is_empty() && ended.elapsed() < FINISH_TIMEOUT {
@@ -215,6 +223,10 @@
             .for_each(|line| println!("{line}"));
     }
     assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+    assert!(
+        late.is_empty() || late.iter().sum::<u32>() > 0,
+        "seed {seed}: no copy arrived after a refusal"
+    );
     assert!(
         results.accepted > 20 && judge.completions > 50 && checked > 50,
         "seed {seed}: too few jobs, runs or checked answers"
--- a/tests/soak/seeds.rs
+++ b/tests/soak/seeds.rs
@@ -22,6 +22,7 @@
     maintenance_ms: 8_000,
     deadly: 0,
     astray: false,
+    late_copies: 0,
 };
 
 /// Default size of `scripts/soak`.
@@ -37,6 +38,7 @@
     maintenance_ms: 8_000,
     deadly: 0,
     astray: false,
+    late_copies: 0,
 };
 
 /// Many processes, for manual runs.
@@ -52,6 +54,7 @@
     maintenance_ms: 10_000,
     deadly: 0,
     astray: false,
+    late_copies: 0,
 };
 
 /// Paused owners, cut paths to workers and late commands, with runs that last longer than a change
@@ -68,6 +71,7 @@
     maintenance_ms: 0,
     deadly: 0,
     astray: false,
+    late_copies: 0,
 };
 
 /// Tasks that crash their workers, workers that crash anyway, and killed instances.
@@ -83,6 +87,7 @@
     maintenance_ms: 0,
     deadly: 60,
     astray: false,
+    late_copies: 0,
 };
 
 /// The same with fewer such tasks.
@@ -111,6 +116,7 @@
     maintenance_ms: 0,
     deadly: 0,
     astray: true,
+    late_copies: 0,
 };
 
 /// The same, short enough for every test run.
@@ -121,6 +127,14 @@
     ..REBORN
 };
 
+/// Outages of the store, and submissions whose first copies reach the owner after their refusal.
+const LATE_COPIES: Size = Size {
+    faults: faults::outages,
+    fault_ms: 14_000,
+    late_copies: 4,
+    ..SHORT
+};
+
 /// Seeds that have failed before, with the cause.
 const FAILED: [(u64, Size); 5] = [
     // Seeds 104 and 119: the proxy dropped a request but forwarded the instance's later 408.
@@ -159,10 +173,11 @@
         Ok("shrinking") => SHRINKING,
         Ok("reborn") => REBORN,
         Ok("short-reborn") => SHORT_REBORN,
+        Ok("late-copies") => LATE_COPIES,
         Ok("short") | Err(_) => SHORT,
         Ok(other) => {
             panic!(
-                "BAMBOOLOCK_SOAK_SIZE={other:?} is not short, usual, large, split, deadly, few-deadly, shrinking, reborn or short-reborn"
+                "BAMBOOLOCK_SOAK_SIZE={other:?} is not short, usual, large, split, deadly, few-deadly, shrinking, reborn, short-reborn or late-copies"
             )
         }
     }
@@ -173,6 +188,12 @@
     named().for_each(|seed| run::run_seed(seed, size()));
 }
 
+/// Guards against refused submissions of which a copy is taken later (review/13).
+#[test]
+fn late_copies_of_refused_submissions_do_not_run() {
+    run::run_seed(1, LATE_COPIES);
+}
+
 #[test]
 fn seeds_that_failed_before_keep_the_promises() {
     FAILED
