refactor(handler): name what happens to a late copy

**Cause.** `outdated` stood beside `peer::is_outdated`, which is about the age of a request after a stall, and not about copies.

**Change.** It is called `reject_late_copy`. No behaviour changes.

--- a/src/cell/shell/handler.rs
+++ b/src/cell/shell/handler.rs
@@ -78,7 +78,9 @@
                 organisation,
                 attempt,
             };
-            if let Some(outcome) = outdated(owner, &id, attempt, term, retry_after(&queue, &work)) {
+            if let Some(outcome) =
+                reject_late_copy(owner, &id, attempt, term, retry_after(&queue, &work))
+            {
                 return outcome;
             }
             let outcome = submit(owner, &id, (*queue, *work), &source, timeout).await;
@@ -175,7 +177,13 @@
 ///
 /// A copy for another term may be one of a request that its owner has refused, or that this owner
 /// refuses later.
-fn outdated(owner: &Owner, id: &str, attempt: Attempt, meant: u64, retry: u64) -> Option<Outcome> {
+fn reject_late_copy(
+    owner: &Owner,
+    id: &str,
+    attempt: Attempt,
+    meant: u64,
+    retry: u64,
+) -> Option<Outcome> {
     let (late, outcome) = if meant > 0 && meant != owner.term() {
         (LateCopy::Term, Outcome::Elsewhere)
     } else if owner.refusals.borrow().contains(attempt) && !owner.engine.borrow().is_known(id) {
